--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tools on the stand-ins."""
--- /dev/null
+++ b/mimosaworks/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API."""
--- /dev/null
+++ b/mimosaworks/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission: keys, deadlines and fair queues."""
--- /dev/null
+++ b/mimosaworks/cmdline/__init__.py
@@ -0,0 +1,1 @@
+"""Command lines: thin translations from words to calls."""
--- /dev/null
+++ b/mimosaworks/configs/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration versions: log, snapshots, applying."""
--- /dev/null
+++ b/mimosaworks/directory/__init__.py
@@ -0,0 +1,1 @@
+"""Directory: which entry VM to use."""
--- /dev/null
+++ b/mimosaworks/entities/__init__.py
@@ -0,0 +1,35 @@
+"""Entities of the configuration and of the running system."""
+
+from mimosaworks.entities.adapter import Adapter
+from mimosaworks.entities.catalogue import ENTITY_TYPES, Catalogue, Entity
+from mimosaworks.entities.change import (
+    Change,
+    apply_changes,
+    change_from_dict,
+)
+from mimosaworks.entities.key import Key, digest_key
+from mimosaworks.entities.model import Model
+from mimosaworks.entities.replica import Replica, ReplicaState
+from mimosaworks.entities.route import ROUTE_KINDS, Route
+from mimosaworks.entities.target import TARGET_KINDS, Target
+from mimosaworks.entities.workspace import Workspace
+
+__all__ = [
+    'ENTITY_TYPES',
+    'ROUTE_KINDS',
+    'TARGET_KINDS',
+    'Adapter',
+    'Catalogue',
+    'Change',
+    'Entity',
+    'Key',
+    'Model',
+    'Replica',
+    'ReplicaState',
+    'Route',
+    'Target',
+    'Workspace',
+    'apply_changes',
+    'change_from_dict',
+    'digest_key',
+]
--- /dev/null
+++ b/mimosaworks/entities/change.py
@@ -0,0 +1,50 @@
+"""A change of the configuration."""
+
+from collections.abc import Iterable
+
+import attrs
+import cattrs
+
+from mimosaworks.entities.catalogue import ENTITY_TYPES, Catalogue, Entity
+
+
+@attrs.frozen
+class Change:
+    """Puts or deletes one entity; entity is None for a deletion."""
+
+    kind: str
+    name: str
+    entity: Entity | None = None
+
+    def to_dict(self) -> dict[str, object]:
+        """Return a JSON-ready mapping: kind, name, entity (or None)."""
+        fields = None if self.entity is None else attrs.asdict(self.entity)
+        return {'kind': self.kind, 'name': self.name, 'entity': fields}
+
+
+def change_from_dict(fields: dict[str, object]) -> Change:
+    """Return the change that to_dict described.
+
+    Raises KeyError for an unknown kind and cattrs' or attrs' errors for
+    ill-typed or invalid fields.
+    """
+    kind = str(fields['kind'])
+    raw = fields.get('entity')
+    entity = None
+    if raw is not None:
+        converter = cattrs.Converter(forbid_extra_keys=True)
+        entity = converter.structure(raw, ENTITY_TYPES[kind])
+    return Change(kind, str(fields['name']), entity)
+
+
+def apply_changes(
+    catalogue: Catalogue, changes: Iterable[Change], version: int
+) -> Catalogue:
+    """Return the catalogue with the changes applied, at the given version."""
+    maps = {kind: dict(getattr(catalogue, kind)) for kind in ENTITY_TYPES}
+    for change in changes:
+        if change.entity is None:
+            maps[change.kind].pop(change.name, None)
+        else:
+            maps[change.kind][change.name] = change.entity
+    return Catalogue(version=version, **maps)
--- /dev/null
+++ b/mimosaworks/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Token buckets of workspaces and transfers between members."""
--- /dev/null
+++ b/mimosaworks/members/__init__.py
@@ -0,0 +1,1 @@
+"""Members: registration, freshness and the barrier."""
--- /dev/null
+++ b/mimosaworks/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement: shard lease, intents, orders and keep-alive."""
--- /dev/null
+++ b/mimosaworks/platform/__init__.py
@@ -0,0 +1,7 @@
+"""Clients of the platform's services."""
+
+from mimosaworks.platform.objects import ObjectClient
+from mimosaworks.platform.row import Row, RowAssert, RowWrite
+from mimosaworks.platform.table import TableClient
+
+__all__ = ['ObjectClient', 'Row', 'RowAssert', 'RowWrite', 'TableClient']
--- /dev/null
+++ b/mimosaworks/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Relay of answers and streams, and idempotency claims."""
--- /dev/null
+++ b/mimosaworks/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing: choice of target, retries and crash suspects."""
--- /dev/null
+++ b/mimosaworks/sheets/__init__.py
@@ -0,0 +1,1 @@
+"""Sheets: the planners' CSV export."""
--- /dev/null
+++ b/mimosaworks/wire/__init__.py
@@ -0,0 +1,25 @@
+"""Messages between the processes of the system, and their transport."""
+
+from mimosaworks.wire.ack import Ack
+from mimosaworks.wire.codec import decode, encode
+from mimosaworks.wire.peer_client import PeerClient
+from mimosaworks.wire.peer_server import add_peer_handler, new_peer_app
+from mimosaworks.wire.placement_messages import (
+    Demand,
+    ModelDemand,
+    ReplicaEntry,
+    ReplicaMap,
+)
+
+__all__ = [
+    'Ack',
+    'Demand',
+    'ModelDemand',
+    'PeerClient',
+    'ReplicaEntry',
+    'ReplicaMap',
+    'add_peer_handler',
+    'decode',
+    'encode',
+    'new_peer_app',
+]
--- /dev/null
+++ b/mimosaworks/wire/peer_client.py
@@ -0,0 +1,60 @@
+"""Sends messages to other processes of the system."""
+
+import errno
+from http import HTTPStatus
+from typing import TypeVar
+
+import aiohttp
+import attrs
+
+from mimosaworks.errors import PeerError, PeerRefusedError, PeerTimeoutError
+from mimosaworks.wire.codec import decode, encode
+
+Reply = TypeVar('Reply')
+
+
+@attrs.define
+class PeerClient:
+    """Calls peers by their address, host:port, over kept connections."""
+
+    session: aiohttp.ClientSession
+
+    async def call(
+        self,
+        address: str,
+        message: object,
+        reply_type: type[Reply],
+        timeout_s: float,
+    ) -> Reply:
+        """Send a message and return the peer's reply.
+
+        Raises PeerRefusedError, PeerTimeoutError or PeerError.
+        """
+        url = f'http://{address}/peer/{type(message).__name__}'
+        limit = aiohttp.ClientTimeout(total=timeout_s)
+        try:
+            async with self.session.post(
+                url, data=encode(message), timeout=limit
+            ) as resp:
+                packed = await _checked(address, resp)
+        except aiohttp.ClientConnectorError as exc:
+            raise _connection_error(address, exc) from exc
+        except TimeoutError as exc:
+            raise PeerTimeoutError(f'{address}: no answer') from exc
+        except aiohttp.ClientError as exc:
+            raise PeerError(f'{address}: {exc!r}') from exc
+        return decode(reply_type, packed)
+
+
+def _connection_error(
+    address: str, exc: aiohttp.ClientConnectorError
+) -> PeerError:
+    if exc.os_error.errno == errno.ECONNREFUSED:
+        return PeerRefusedError(f'{address}: connection refused')
+    return PeerError(f'{address}: {exc}')
+
+
+async def _checked(address: str, resp: aiohttp.ClientResponse) -> bytes:
+    if resp.status != HTTPStatus.OK:
+        raise PeerError(f'{address}: status {resp.status}')
+    return await resp.read()
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, used by tests, demo and bench."""
--- /dev/null
+++ b/standins/engine/__init__.py
@@ -0,0 +1,1 @@
+"""The engine stand-in."""
--- /dev/null
+++ b/standins/faultproxy/__init__.py
@@ -0,0 +1,1 @@
+"""The TCP fault proxy."""
--- /dev/null
+++ b/standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform stand-in."""
--- /dev/null
+++ b/standins/service/__init__.py
@@ -0,0 +1,1 @@
+"""The plain service stand-in."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package, its programs and the stand-ins."""
