--- /dev/null
+++ b/mimosaworks/admission/fair_queue.py
@@ -0,0 +1,85 @@
+"""Start-time fair queueing by workspace (Goyal 1996)."""
+
+import heapq
+import itertools
+from collections.abc import Iterator
+
+import attrs
+
+
+@attrs.define(eq=False)
+class QueueEntry:
+    """One waiting request; start_tag orders it, is_gone marks removal.
+
+    weight is the workspace's granted rate, cost the request's tokens.
+    priority classes go first: lower is sooner.
+    """
+
+    workspace: str
+    weight: float
+    cost: float
+    priority: int = 0
+    start_tag: float = 0
+    is_gone: bool = False
+
+
+@attrs.define
+class FairQueue:
+    """Orders waiting requests by priority, then by start tag.
+
+    A request's start tag is the later of the virtual time and the finish tag
+    of its workspace's previous request; the virtual time is the start tag of
+    the request in service. Used by each lane.
+    """
+
+    _virtual_time: float = 0
+    _finish_tags: dict[str, float] = attrs.field(factory=dict)
+    _heap: list[tuple[int, float, int, QueueEntry]] = attrs.field(factory=list)
+    _count: Iterator[int] = attrs.field(factory=itertools.count)
+    _size: int = 0
+
+    def __len__(self) -> int:
+        return self._size
+
+    def push(self, entry: QueueEntry) -> None:
+        """Add a request, tagged by its workspace's share."""
+        previous = self._finish_tags.get(entry.workspace, 0)
+        entry.start_tag = max(self._virtual_time, previous)
+        self._finish_tags[entry.workspace] = (
+            entry.start_tag + entry.cost / entry.weight
+        )
+        self._add(entry)
+
+    def push_back(self, entry: QueueEntry) -> None:
+        """Put back a popped request that could not be served, tag kept."""
+        entry.is_gone = False
+        self._add(entry)
+
+    def pop(self) -> QueueEntry | None:
+        """Remove and return the next request, or None when empty."""
+        while self._heap:
+            entry = heapq.heappop(self._heap)[-1]
+            if not entry.is_gone:
+                self._size -= 1
+                entry.is_gone = True
+                self._virtual_time = max(self._virtual_time, entry.start_tag)
+                self._forget_idle()
+                return entry
+        return None
+
+    def remove(self, entry: QueueEntry) -> None:
+        """Drop a request that no longer waits; a second call does nothing."""
+        if not entry.is_gone:
+            entry.is_gone = True
+            self._size -= 1
+
+    def _add(self, entry: QueueEntry) -> None:
+        order = (entry.priority, entry.start_tag, next(self._count), entry)
+        heapq.heappush(self._heap, order)
+        self._size += 1
+
+    def _forget_idle(self) -> None:
+        # A finish tag at or below the virtual time has no effect any more.
+        if self._size == 0:
+            self._virtual_time = 0
+            self._finish_tags.clear()
--- /dev/null
+++ b/mimosaworks/admission/identity.py
@@ -0,0 +1,53 @@
+"""Says which workspace a key belongs to."""
+
+import attrs
+
+from mimosaworks.entities import (
+    Catalogue,
+    Key,
+    Route,
+    Workspace,
+    digest_key,
+)
+from mimosaworks.errors import ErrorKind, RequestError
+
+
+@attrs.define
+class KeyIndex:
+    """Keys by digest for the latest applied catalogue; used by admission."""
+
+    _version: int = -1
+    _by_digest: dict[str, Key] = attrs.field(factory=dict)
+
+    def workspace_of(
+        self, catalogue: Catalogue, secret: str | None
+    ) -> Workspace:
+        """Return the workspace that the key is granted for.
+
+        Raises RequestError UNAUTHENTICATED without a valid key.
+        """
+        if secret is None:
+            raise RequestError(ErrorKind.UNAUTHENTICATED, 'no key given')
+        self._refresh(catalogue)
+        key = self._by_digest.get(digest_key(secret))
+        workspace = catalogue.workspace.get(key.workspace) if key else None
+        if workspace is None:
+            raise RequestError(ErrorKind.UNAUTHENTICATED, 'key is not valid')
+        return workspace
+
+    def _refresh(self, catalogue: Catalogue) -> None:
+        if catalogue.version != self._version:
+            self._by_digest = {
+                key.digest: key for key in catalogue.key.values()
+            }
+            self._version = catalogue.version
+
+
+def check_route_access(route: Route, workspace: Workspace) -> None:
+    """Raise RequestError FORBIDDEN unless the workspace may use the route."""
+    allowed = {name.strip() for name in route.workspaces.split(',') if name}
+    if allowed and workspace.name not in allowed:
+        raise RequestError(
+            ErrorKind.FORBIDDEN,
+            f'workspace {workspace.name} may not use route {route.name}',
+        )
--- a/mimosaworks/platform/__init__.py
+++ b/mimosaworks/platform/__init__.py
@@ -3,5 +3,6 @@
 from mimosaworks.platform.objects import ObjectClient
 from mimosaworks.platform.row import Row, RowAssert, RowWrite
 from mimosaworks.platform.table import TableClient
+from mimosaworks.platform.vm_list import VmListClient
 
-__all__ = ['ObjectClient', 'Row', 'RowAssert', 'RowWrite', 'TableClient']
+__all__ = ['ObjectClient', 'Row', 'RowAssert', 'RowWrite', 'TableClient', 'VmListClient']
--- /dev/null
+++ b/mimosaworks/relay/caller_stream.py
@@ -0,0 +1,68 @@
+"""The part of an answer stream that the caller has got so far."""
+
+import json
+
+import attrs
+from aiohttp import ClientResponse, web
+
+from mimosaworks.errors import RequestError
+from mimosaworks.relay.answers import error_fields
+from mimosaworks.relay.attempt_error import CallerGoneError
+from mimosaworks.relay.headers import copy_answer_headers
+from mimosaworks.relay.sse import EventCounter
+
+
+@attrs.define
+class CallerStream:
+    """A streamed answer to one caller, possibly from several targets.
+
+    resp is None until the first target began to answer.
+    """
+
+    req: web.Request
+    request_id: str
+    counter: EventCounter = attrs.field(factory=EventCounter)
+    resp: web.StreamResponse | None = None
+
+    async def begin(self, upstream: ClientResponse) -> None:
+        """Send status and header fields unless they were sent before."""
+        self.counter.drop_rest()
+        if self.resp is not None:
+            return
+        resp = web.StreamResponse(status=upstream.status)
+        copy_answer_headers(upstream.headers, resp.headers)
+        resp.headers['X-Request-Id'] = self.request_id
+        try:
+            await resp.prepare(self.req)
+        except ConnectionError as exc:
+            raise CallerGoneError(self.request_id) from exc
+        self.resp = resp
+
+    async def write_events(self, chunk: bytes) -> None:
+        """Pass whole events on; raise CallerGoneError on a hang-up."""
+        await self.write(self.counter.feed(chunk))
+
+    async def write(self, chunk: bytes) -> None:
+        """Send bytes to the caller."""
+        if self.resp is None or not chunk:
+            return
+        try:
+            await self.resp.write(chunk)
+        except ConnectionError as exc:
+            raise CallerGoneError(self.request_id) from exc
+
+    async def finish(self) -> web.StreamResponse:
+        """End the answer and return it."""
+        if self.resp is None:
+            raise CallerGoneError(self.request_id)
+        try:
+            await self.resp.write_eof()
+        except ConnectionError as exc:
+            raise CallerGoneError(self.request_id) from exc
+        return self.resp
+
+    async def finish_with_error(self, exc: RequestError) -> web.StreamResponse:
+        """End a begun stream with an error event instead of the closing one."""
+        fields = json.dumps(error_fields(exc, self.request_id))
+        await self.write(f'event: error\ndata: {fields}\n\n'.encode())
+        return await self.finish()
--- /dev/null
+++ b/mimosaworks/relay/exchange.py
@@ -0,0 +1,199 @@
+"""Has one request answered, over as many attempts as are allowed."""
+
+import asyncio
+from collections.abc import Callable
+from http import HTTPStatus
+
+import attrs
+from aiohttp import ClientError, ClientResponse, web
+
+from mimosaworks.clock import now_s
+from mimosaworks.errors import ErrorKind, RequestError, RunState
+from mimosaworks.events import Event, log_event
+from mimosaworks.relay.answers import REQUEST_ID_HEADER, RUN_HEADER
+from mimosaworks.relay.attempt_error import (
+    AttemptInDoubtError,
+    AttemptNotRunError,
+)
+from mimosaworks.relay.caller_stream import CallerStream
+from mimosaworks.relay.headers import copy_answer_headers
+from mimosaworks.relay.outgoing import Outgoing
+from mimosaworks.relay.send_guard import SendGuard
+from mimosaworks.relay.upstream import STREAM_IDLE_S, Upstream
+from mimosaworks.routing import Dispatcher, RetryBudget, Slot, Ticket
+
+_NOT_RUN_STATUSES = frozenset((
+    HTTPStatus.TOO_MANY_REQUESTS,
+    HTTPStatus.SERVICE_UNAVAILABLE,
+))
+_SSE_TYPE = 'text/event-stream'
+_TRANSPORT_ERRORS = (ClientError, OSError, TimeoutError)
+
+
+@attrs.define
+class Exchange:
+    """One request with its attempts; made by the frontend.
+
+    check raises RequestError when the request must not be sent any more.
+    is_repeatable tells whether it may be sent again after a doubt.
+    """
+
+    ticket: Ticket
+    outgoing: Outgoing
+    stream: CallerStream
+    dispatcher: Dispatcher
+    upstream: Upstream
+    budget: RetryBudget
+    check: Callable[[], None]
+    is_repeatable: bool
+    was_in_doubt: bool = False
+
+    async def run(self) -> web.StreamResponse:
+        """Return the whole answer to the caller.
+
+        Raises RequestError, with run state by what the attempts left behind,
+        unless the answer has begun; then the stream ends with the error.
+        """
+        self.budget.note_request()
+        try:
+            return await self._run_attempts()
+        except RequestError as exc:
+            if self.was_in_doubt:
+                exc.run_state = RunState.MAY_HAVE_RUN
+            if self.stream.resp is None:
+                raise
+            return await self.stream.finish_with_error(exc)
+
+    async def _run_attempts(self) -> web.StreamResponse:
+        while True:
+            slot = await self.dispatcher.acquire(self.ticket)
+            try:
+                return await self._attempt(slot)
+            except AttemptNotRunError as exc:
+                self.dispatcher.refund(self.ticket, slot.tokens)
+                self._note_failed(slot, exc)
+            except AttemptInDoubtError as exc:
+                self.was_in_doubt = True
+                self._note_failed(slot, exc)
+                self._require_repeatable(exc)
+            finally:
+                self.dispatcher.release(slot)
+
+    async def _attempt(self, slot: Slot) -> web.StreamResponse:
+        guard = SendGuard(self.check)
+        try:
+            return await self._send(slot, guard)
+        except _TRANSPORT_ERRORS as exc:
+            if guard.is_sending:
+                raise AttemptInDoubtError(repr(exc)) from exc
+            raise AttemptNotRunError(repr(exc)) from exc
+        except RequestError:
+            # The check refused it: no byte has left.
+            self.dispatcher.refund(self.ticket, slot.tokens)
+            raise
+
+    async def _send(self, slot: Slot, guard: SendGuard) -> web.StreamResponse:
+        sending = self.upstream.send(
+            slot.target,
+            self.outgoing,
+            guard,
+            resume_from=self.stream.counter.tokens,
+            is_repeatable=self.is_repeatable,
+        )
+        left_s = self.ticket.deadline.remaining_s(now_s())
+        try:
+            async with asyncio.timeout(left_s) as limit, sending as resp:
+                self._verify(resp)
+                if resp.content_type == _SSE_TYPE:
+                    limit.reschedule(None)
+                    return await self._relay_stream(slot, resp)
+                return await self._relay_whole(slot, resp)
+        except TimeoutError as exc:
+            if self.ticket.deadline.has_passed(now_s()):
+                raise self._give_up(slot, guard) from exc
+            raise
+
+    def _verify(self, resp: ClientResponse) -> None:
+        answered = resp.headers.get(REQUEST_ID_HEADER, self.ticket.request_id)
+        if answered != self.ticket.request_id:
+            raise AttemptInDoubtError(f'answer belongs to {answered}')
+        says_not_run = (
+            resp.headers.get(RUN_HEADER) == RunState.NOT_RUN.value
+            or resp.status in _NOT_RUN_STATUSES
+        )
+        if says_not_run:
+            raise AttemptNotRunError(f'target answered {resp.status}')
+
+    async def _relay_whole(
+        self, slot: Slot, resp: ClientResponse
+    ) -> web.StreamResponse:
+        body = await resp.read()
+        answer = web.Response(status=resp.status, body=body)
+        answer.headers.popall('Content-Type', None)
+        copy_answer_headers(resp.headers, answer.headers)
+        answer.headers[REQUEST_ID_HEADER] = self.ticket.request_id
+        self._note_answered(slot, resp.status, 0)
+        return answer
+
+    async def _relay_stream(
+        self, slot: Slot, resp: ClientResponse
+    ) -> web.StreamResponse:
+        await self.stream.begin(resp)
+        while True:
+            async with asyncio.timeout(STREAM_IDLE_S):
+                chunk = await resp.content.readany()
+            if not chunk:
+                break
+            await self.stream.write_events(chunk)
+        if not self.stream.counter.is_done:
+            raise AttemptInDoubtError('stream ended early')
+        self._note_answered(slot, resp.status, self.stream.counter.tokens)
+        return await self.stream.finish()
+
+    def _note_answered(self, slot: Slot, status: int, tokens: int) -> None:
+        slot.state.note_success()
+        log_event(
+            Event.REQUEST_ANSWERED,
+            request_id=self.ticket.request_id,
+            target=slot.target.name,
+            status=status,
+            tokens=tokens,
+            seconds=now_s() - slot.started_at_s,
+        )
+
+    def _note_failed(self, slot: Slot, exc: Exception) -> None:
+        slot.state.note_failure(now_s())
+        self.ticket.tried.add(slot.target.name)
+        log_event(
+            Event.REQUEST_RETRIED,
+            request_id=self.ticket.request_id,
+            target=slot.target.name,
+            tokens=self.stream.counter.tokens,
+            reason=str(exc),
+        )
+        if not self.budget.try_spend():
+            raise RequestError(
+                ErrorKind.TARGET_FAILED,
+                f'target failed and no retry is left: {exc}',
+                run_state=RunState.NOT_RUN,
+            ) from exc
+
+    def _require_repeatable(self, exc: Exception) -> None:
+        if not self.is_repeatable:
+            raise RequestError(
+                ErrorKind.TARGET_ANSWER_LOST, f'answer was lost: {exc}'
+            ) from exc
+
+    def _give_up(self, slot: Slot, guard: SendGuard) -> RequestError:
+        self.was_in_doubt = self.was_in_doubt or guard.is_sending
+        log_event(
+            Event.REQUEST_REFUSED,
+            request_id=self.ticket.request_id,
+            target=slot.target.name,
+            reason='deadline passed at the target',
+        )
+        return RequestError(
+            ErrorKind.DEADLINE_EXCEEDED,
+            'no answer in time',
+            run_state=RunState.NOT_RUN,
+        )
--- /dev/null
+++ b/mimosaworks/relay/frontend.py
@@ -0,0 +1,132 @@
+"""Callers' HTTP interface of a router."""
+
+import functools
+import uuid
+
+import attrs
+from aiohttp import web
+
+from mimosaworks.admission import (
+    KeyIndex,
+    ModelCall,
+    check_route_access,
+    find_credentials,
+    find_route,
+    read_deadline,
+    read_model_call,
+)
+from mimosaworks.clock import now_s
+from mimosaworks.entities import Route, Workspace
+from mimosaworks.errors import ErrorKind, RequestError
+from mimosaworks.events import Event, log_event
+from mimosaworks.relay.answers import error_response
+from mimosaworks.relay.attempt_error import CallerGoneError
+from mimosaworks.relay.body import read_body
+from mimosaworks.relay.caller_stream import CallerStream
+from mimosaworks.relay.exchange import Exchange
+from mimosaworks.relay.outgoing import make_outgoing
+from mimosaworks.relay.upstream import Upstream
+from mimosaworks.relay.view import View
+from mimosaworks.routing import Dispatcher, RetryBudget, Ticket, fingerprint
+
+_SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
+MODEL_PRIORITY = 10
+CALLER_GONE_STATUS = 499
+
+
+@attrs.define
+class Frontend:
+    """Answers callers; one for each router.
+
+    view is the process's copy of the configuration and its freshness.
+    max_body_bytes and body_timeout_s bound what a caller can hold.
+    """
+
+    view: View
+    dispatcher: Dispatcher
+    upstream: Upstream
+    budget: RetryBudget
+    max_body_bytes: int
+    body_timeout_s: float
+    keys: KeyIndex = attrs.field(factory=KeyIndex)
+
+    async def handle(self, req: web.Request) -> web.StreamResponse:
+        """Answer one request; every refusal is logged with its kind."""
+        request_id = uuid.uuid4().hex
+        try:
+            return await self._serve(req, request_id)
+        except RequestError as exc:
+            log_event(
+                Event.REQUEST_REFUSED,
+                request_id=request_id,
+                kind=exc.kind.value,
+                run=exc.run_state.value,
+                reason=exc.message,
+            )
+            return error_response(exc, request_id)
+        except CallerGoneError:
+            # Nobody reads this answer; aiohttp wants one to close the call.
+            return web.Response(status=CALLER_GONE_STATUS)
+
+    async def _serve(
+        self, req: web.Request, request_id: str
+    ) -> web.StreamResponse:
+        route = find_route(self.view.catalogue, req.path)
+        workspace = self._admit(req, route)
+        deadline = read_deadline(req.headers, route, now_s())
+        body = await read_body(req, self.max_body_bytes, self.body_timeout_s)
+        ticket = Ticket(request_id, route, workspace, deadline)
+        if route.kind == 'model':
+            _describe_model(ticket, read_model_call(self.view.catalogue, body))
+        else:
+            ticket.cost_tokens = route.cost_tokens
+        ticket.mark = fingerprint(ticket.workspace_name, ticket.model, body)
+        exchange = Exchange(
+            ticket=ticket,
+            outgoing=make_outgoing(req, body, request_id, ticket.priority),
+            stream=CallerStream(req, request_id),
+            dispatcher=self.dispatcher,
+            upstream=self.upstream,
+            budget=self.budget,
+            check=functools.partial(self._check_again, req, ticket),
+            is_repeatable=_is_repeatable(req, route),
+        )
+        return await exchange.run()
+
+    def _admit(self, req: web.Request, route: Route) -> Workspace | None:
+        if route.is_open:
+            return None
+        if not self.view.is_fresh():
+            raise RequestError(
+                ErrorKind.CONFIG_STALE, 'configuration may be out of date'
+            )
+        secret = find_credentials(req.headers, req.query).secret
+        workspace = self.keys.workspace_of(self.view.catalogue, secret)
+        check_route_access(route, workspace)
+        return workspace
+
+    def _check_again(self, req: web.Request, ticket: Ticket) -> None:
+        # Runs right before the first byte leaves: the process may have been
+        # paused, or the key withdrawn, while the request waited.
+        route = find_route(self.view.catalogue, req.path)
+        self._admit(req, route)
+        if ticket.deadline.has_passed(now_s()):
+            raise RequestError(
+                ErrorKind.DEADLINE_UNREACHABLE, 'deadline passed while waiting'
+            )
+
+
+def _describe_model(ticket: Ticket, call: ModelCall) -> None:
+    ticket.model = call.model.name
+    ticket.adapter = call.adapter
+    ticket.cost_tokens = call.cost_tokens
+    ticket.prompt_prefix = call.prompt_prefix
+    ticket.priority = MODEL_PRIORITY
+
+
+def _is_repeatable(req: web.Request, route: Route) -> bool:
+    return (
+        route.kind == 'model'
+        or route.is_idempotent
+        or req.method in _SAFE_METHODS
+    )
--- /dev/null
+++ b/mimosaworks/relay/outgoing.py
@@ -0,0 +1,34 @@
+"""The request that is sent to a target."""
+
+import attrs
+from aiohttp import web
+from multidict import CIMultiDict
+
+from mimosaworks.admission import strip_headers, strip_query
+
+
+@attrs.frozen
+class Outgoing:
+    """Method, path with query, header fields and body for a target."""
+
+    method: str
+    path: str
+    headers: CIMultiDict[str]
+    body: bytes
+
+
+def make_outgoing(
+    req: web.Request, body: bytes, request_id: str, priority: int
+) -> Outgoing:
+    """Return what to send on, without the caller's keys."""
+    headers = strip_headers(req.headers)
+    headers['X-Request-Id'] = request_id
+    headers['X-Priority'] = str(priority)
+    query = strip_query(req.rel_url.raw_query_string)
+    path = req.rel_url.raw_path
+    return Outgoing(
+        method=req.method,
+        path=f'{path}?{query}' if query else path,
+        headers=headers,
+        body=body,
+    )
--- /dev/null
+++ b/mimosaworks/relay/upstream.py
@@ -0,0 +1,68 @@
+"""Sends requests to targets."""
+
+from contextlib import AbstractAsyncContextManager
+
+import aiohttp
+import attrs
+from multidict import CIMultiDict
+
+from mimosaworks.entities import Target
+from mimosaworks.relay.outgoing import Outgoing
+from mimosaworks.relay.send_guard import SendGuard
+
+CONNECT_TIMEOUT_S = 1.0
+STREAM_IDLE_S = 15.0
+RESUME_HEADER = 'X-Resume-From'
+CANCEL_TIMEOUT_S = 1.0
+
+
+@attrs.define
+class Upstream:
+    """Two client sessions towards targets, owned by the router's root.
+
+    single opens a new connection for each request: for requests that may
+    run once only, a kept connection that the target closes at that moment
+    would leave the outcome in doubt.
+    """
+
+    pooled: aiohttp.ClientSession
+    single: aiohttp.ClientSession
+
+    def send(
+        self,
+        target: Target,
+        outgoing: Outgoing,
+        guard: SendGuard,
+        *,
+        resume_from: int = 0,
+        is_repeatable: bool = True,
+    ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
+        """Return the context of the target's answer."""
+        session = self.pooled if is_repeatable else self.single
+        headers: CIMultiDict[str] = outgoing.headers.copy()
+        if resume_from:
+            headers[RESUME_HEADER] = str(resume_from)
+        return session.request(
+            outgoing.method,
+            target.url.rstrip('/') + outgoing.path,
+            data=outgoing.body or None,
+            headers=headers,
+            allow_redirects=False,
+            trace_request_ctx=guard,
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=CONNECT_TIMEOUT_S
+            ),
+        )
+
+    async def cancel(self, target: Target, request_id: str) -> None:
+        """Ask an engine to stop a request; failures do not matter."""
+        url = f'{target.url}/requests/{request_id}'
+        limit = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S)
+        guard = SendGuard(lambda: None)
+        try:
+            async with self.pooled.delete(
+                url, timeout=limit, trace_request_ctx=guard
+            ):
+                return
+        except (aiohttp.ClientError, TimeoutError):
+            return
