Router: admission, fair lanes, choice of target, relay, claims

Cause: a caller's request needs its way from a kept key to a target. Change: admission, routing, relay, directory and the router's composition root.

--- a/mimosaworks/directory/entries.py
+++ b/mimosaworks/directory/entries.py
@@ -19,9 +19,7 @@
     """
 
     async def answer(_req: web.Request) -> web.Response:
-        entries = [
-            {'address': address, 'weight': 1} for address in addresses()
-        ]
+        entries = [{'address': address, 'weight': 1} for address in addresses()]
         return web.json_response(
             {'entries': entries, 'max_age_s': max_age_s},
             headers={'Cache-Control': f'max-age={max_age_s:.0f}'},
--- a/mimosaworks/entities/__init__.py
+++ b/mimosaworks/entities/__init__.py
@@ -1,12 +1,18 @@
 """Entities of the configuration and of the running system."""
 
 from mimosaworks.entities.adapter import Adapter
-from mimosaworks.entities.catalogue import ENTITY_TYPES, Catalogue, Entity
+from mimosaworks.entities.catalogue import (
+    ENTITY_TYPES,
+    INTERNAL_TYPES,
+    Catalogue,
+    Entity,
+)
 from mimosaworks.entities.change import (
     Change,
     apply_changes,
     change_from_dict,
 )
+from mimosaworks.entities.holder_set import HOLDER_SET_NAME, HolderSet
 from mimosaworks.entities.key import Key, digest_key
 from mimosaworks.entities.model import Model
 from mimosaworks.entities.replica import Replica, ReplicaState
@@ -16,12 +22,15 @@
 
 __all__ = [
     'ENTITY_TYPES',
+    'HOLDER_SET_NAME',
+    'INTERNAL_TYPES',
     'ROUTE_KINDS',
     'TARGET_KINDS',
     'Adapter',
     'Catalogue',
     'Change',
     'Entity',
+    'HolderSet',
     'Key',
     'Model',
     'Replica',
--- a/mimosaworks/entities/catalogue.py
+++ b/mimosaworks/entities/catalogue.py
@@ -6,13 +6,15 @@
 import attrs
 
 from mimosaworks.entities.adapter import Adapter
+from mimosaworks.entities.holder_set import HolderSet
 from mimosaworks.entities.key import Key
 from mimosaworks.entities.model import Model
 from mimosaworks.entities.route import Route
 from mimosaworks.entities.target import Target
 from mimosaworks.entities.workspace import Workspace
 
-Entity = Workspace | Key | Model | Adapter | Target | Route
+OperatorEntity = Workspace | Key | Model | Adapter | Target | Route
+Entity = OperatorEntity | HolderSet
 
 ENTITY_TYPES: Mapping[str, type[Entity]] = types.MappingProxyType({
     'workspace': Workspace,
@@ -23,6 +25,11 @@
     'route': Route,
 })
 
+# Kinds that the system writes itself; operators can't.
+INTERNAL_TYPES: Mapping[str, type[Entity]] = types.MappingProxyType({
+    'holder_set': HolderSet,
+})
+
 
 @attrs.frozen
 class Catalogue:
@@ -39,3 +46,4 @@
     adapter: Mapping[str, Adapter] = attrs.field(factory=dict)
     target: Mapping[str, Target] = attrs.field(factory=dict)
     route: Mapping[str, Route] = attrs.field(factory=dict)
+    holder_set: Mapping[str, HolderSet] = attrs.field(factory=dict)
--- a/mimosaworks/entities/change.py
+++ b/mimosaworks/entities/change.py
@@ -1,11 +1,19 @@
 """A change of the configuration."""
 
+import types
 from collections.abc import Iterable
 
 import attrs
 import cattrs
 
-from mimosaworks.entities.catalogue import ENTITY_TYPES, Catalogue, Entity
+from mimosaworks.entities.catalogue import (
+    ENTITY_TYPES,
+    INTERNAL_TYPES,
+    Catalogue,
+    Entity,
+)
+
+_ALL_TYPES = types.MappingProxyType({**ENTITY_TYPES, **INTERNAL_TYPES})
 
 
 @attrs.frozen
@@ -33,7 +41,7 @@
     entity = None
     if raw is not None:
         converter = cattrs.Converter(forbid_extra_keys=True)
-        entity = converter.structure(raw, ENTITY_TYPES[kind])
+        entity = converter.structure(raw, _ALL_TYPES[kind])
     return Change(kind, str(fields['name']), entity)
 
 
@@ -41,7 +49,7 @@
     catalogue: Catalogue, changes: Iterable[Change], version: int
 ) -> Catalogue:
     """Return the catalogue with the changes applied, at the given version."""
-    maps = {kind: dict(getattr(catalogue, kind)) for kind in ENTITY_TYPES}
+    maps = {kind: dict(getattr(catalogue, kind)) for kind in _ALL_TYPES}
     for change in changes:
         if change.entity is None:
             maps[change.kind].pop(change.name, None)
--- a/mimosaworks/platform/__init__.py
+++ b/mimosaworks/platform/__init__.py
@@ -1,8 +1,17 @@
 """Clients of the platform's services."""
 
+from mimosaworks.platform.group_commit import GroupCommit
 from mimosaworks.platform.objects import ObjectClient
 from mimosaworks.platform.row import Row, RowAssert, RowWrite
 from mimosaworks.platform.table import TableClient
 from mimosaworks.platform.vm_list import VmListClient
 
-__all__ = ['ObjectClient', 'Row', 'RowAssert', 'RowWrite', 'TableClient', 'VmListClient']
+__all__ = [
+    'GroupCommit',
+    'ObjectClient',
+    'Row',
+    'RowAssert',
+    'RowWrite',
+    'TableClient',
+    'VmListClient',
+]
--- /dev/null
+++ b/mimosaworks/platform/group_commit.py
@@ -0,0 +1,88 @@
+"""Gathers small independent commits into one transaction."""
+
+import asyncio
+from collections.abc import Sequence
+
+import attrs
+
+from mimosaworks.errors import PlatformError, StoreConflictError
+from mimosaworks.platform.row import RowAssert, RowWrite
+from mimosaworks.platform.table import TableClient
+
+GATHER_S = 0.003
+MAX_GROUP = 64
+
+
+@attrs.define(eq=False)
+class _Pending:
+    asserts: Sequence[RowAssert]
+    writes: Sequence[RowWrite]
+    done: 'asyncio.Future[int]'
+
+
+@attrs.define
+class GroupCommit:
+    """Commits like a TableClient, but together with others' commits.
+
+    The rows of commits that run at the same time must differ. A conflict of
+    one makes each of its group be committed by itself. Used where many
+    requests write one row each.
+    """
+
+    table: TableClient
+    _pending: list[_Pending] = attrs.field(factory=list)
+    _tasks: set['asyncio.Task[None]'] = attrs.field(factory=set)
+
+    async def commit(
+        self, asserts: Sequence[RowAssert], writes: Sequence[RowWrite]
+    ) -> int:
+        """Write all rows if all asserts hold; return the commit's version.
+
+        Raises the errors of TableClient.commit.
+        """
+        fut: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        self._pending.append(_Pending(asserts, writes, fut))
+        if len(self._pending) == 1:
+            task = asyncio.create_task(self._gather())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        return await fut
+
+    async def _gather(self) -> None:
+        await asyncio.sleep(GATHER_S)
+        pending = self._pending
+        self._pending = []
+        for start in range(0, len(pending), MAX_GROUP):
+            await self._commit_group(pending[start : start + MAX_GROUP])
+
+    async def _commit_group(self, group: list[_Pending]) -> None:
+        asserts = [need for entry in group for need in entry.asserts]
+        writes = [put for entry in group for put in entry.writes]
+        try:
+            version = await self.table.commit(asserts, writes)
+        except StoreConflictError:
+            await asyncio.gather(*(self._commit_one(one) for one in group))
+        except PlatformError as exc:
+            for entry in group:
+                _fail(entry, exc)
+        else:
+            for entry in group:
+                _succeed(entry, version)
+
+    async def _commit_one(self, entry: _Pending) -> None:
+        try:
+            version = await self.table.commit(entry.asserts, entry.writes)
+        except PlatformError as exc:
+            _fail(entry, exc)
+        else:
+            _succeed(entry, version)
+
+
+def _fail(entry: _Pending, exc: PlatformError) -> None:
+    if not entry.done.done():
+        entry.done.set_exception(exc)
+
+
+def _succeed(entry: _Pending, version: int) -> None:
+    if not entry.done.done():
+        entry.done.set_result(version)
--- a/mimosaworks/relay/exchange.py
+++ b/mimosaworks/relay/exchange.py
@@ -70,7 +70,7 @@
             try:
                 return await self._attempt(slot)
             except AttemptNotRunError as exc:
-                self.dispatcher.refund(self.ticket, slot.tokens)
+                self.dispatcher.refund(slot)
                 self._note_failed(slot, exc)
             except AttemptInDoubtError as exc:
                 self.was_in_doubt = True
@@ -89,7 +89,7 @@
             raise AttemptNotRunError(repr(exc)) from exc
         except RequestError:
             # The check refused it: no byte has left.
-            self.dispatcher.refund(self.ticket, slot.tokens)
+            self.dispatcher.refund(slot)
             raise
 
     async def _send(self, slot: Slot, guard: SendGuard) -> web.StreamResponse:
--- /dev/null
+++ b/mimosaworks/router/program.py
@@ -0,0 +1,207 @@
+"""Composition root of mimosa-router."""
+
+import asyncio
+import contextlib
+import random
+
+import attrs
+from aiohttp import ClientSession, DummyCookieJar, TCPConnector, web
+
+from mimosaworks.configs import ConfigStore
+from mimosaworks.directory import add_entries_route
+from mimosaworks.errors import PlatformError
+from mimosaworks.events import Event, log_event, start_logging
+from mimosaworks.limits import TokenService
+from mimosaworks.members import Member, MemberRole, MemberService, MemberState
+from mimosaworks.platform import ObjectClient, TableClient, VmListClient
+from mimosaworks.relay import Frontend, Upstream, guard_trace
+from mimosaworks.router.drain import Drain
+from mimosaworks.router.holder_sync import HolderSync
+from mimosaworks.router.settings import RouterSettings
+from mimosaworks.routing import (
+    DemandSender,
+    Dispatcher,
+    LeavingTargets,
+    ReplicaTable,
+    RetryBudget,
+    SuspectTable,
+)
+from mimosaworks.serving import serve_app, start_task, stop_event
+from mimosaworks.wire import (
+    Ack,
+    PeerClient,
+    ReplicaMap,
+    add_peer_handler,
+    new_peer_app,
+)
+
+PROGRAM = 'router'
+MAX_HEADER_BYTES = 32768
+
+
+async def run_router(cfg: RouterSettings) -> None:
+    """Serve until SIGTERM or SIGINT, then drain without cutting a request."""
+    start_logging()
+    async with contextlib.AsyncExitStack() as stack:
+        await _serve(cfg, stack)
+    log_event(Event.PROCESS_STOPPED, program=PROGRAM)
+
+
+@attrs.define
+class Router:
+    """The parts of a running router; each owns its state."""
+
+    members: MemberService
+    tokens: TokenService
+    dispatcher: Dispatcher
+    leaving: LeavingTargets
+    holders: HolderSync
+    sender: DemandSender
+
+    async def start(self, stack: contextlib.AsyncExitStack) -> None:
+        """Start the tasks; they end in reverse order with the stack."""
+        await stack.enter_async_context(self.members)
+        await stack.enter_async_context(self.tokens)
+        start_task(self.leaving.run(), stack)
+        start_task(self.dispatcher.run(), stack)
+        start_task(self.holders.run(), stack)
+        start_task(self.sender.run(), stack)
+
+
+async def _serve(cfg: RouterSettings, stack: contextlib.AsyncExitStack) -> None:
+    session = await stack.enter_async_context(ClientSession())
+    peer_app = new_peer_app()
+    router = _new_router(cfg, session, peer_app)
+    requests = Drain(await _new_frontend(cfg, router, stack))
+    await serve_app(peer_app, cfg.peer_address, stack)
+    await router.start(stack)
+    app = _new_app(cfg, router.members, requests)
+    await serve_app(app, cfg.http_address, stack, cancels_on_hang_up=True)
+    log_event(
+        Event.PROCESS_STARTED,
+        program=PROGRAM,
+        http_address=cfg.http_address,
+        peer_address=cfg.peer_address,
+    )
+    await stop_event().wait()
+    await _drain(cfg, router.members, requests)
+
+
+async def _drain(
+    cfg: RouterSettings, members: MemberService, requests: Drain
+) -> None:
+    log_event(Event.PROCESS_DRAINING, program=PROGRAM)
+    requests.is_draining = True
+    with contextlib.suppress(PlatformError):
+        await members.set_state(MemberState.DRAINING)
+    # Callers may use the old list of entries until its age is over.
+    await asyncio.sleep(cfg.directory_max_age_s)
+    await requests.wait_idle(cfg.drain_s)
+
+
+def _new_router(
+    cfg: RouterSettings, session: ClientSession, peer_app: web.Application
+) -> Router:
+    peers = PeerClient(session)
+    table = TableClient(session, cfg.platform_url)
+    objects = ObjectClient(session, cfg.platform_url)
+    own = Member(
+        address=cfg.peer_address,
+        http_address=cfg.http_address,
+        role=MemberRole.ROUTER,
+        data_centre=cfg.data_centre,
+    )
+    members = MemberService(table, objects, peers, peer_app, own)
+    tokens = TokenService(peers, cfg.peer_address)
+    tokens.add_handlers(peer_app)
+    leaving = LeavingTargets(VmListClient(session, cfg.platform_url))
+    dispatcher = _new_dispatcher(cfg, members, tokens, leaving)
+    _handle_replica_maps(peer_app, dispatcher.replicas)
+    members.subscribe(tokens.set_grants)
+    members.subscribe(lambda _catalogue: dispatcher.replicas.notify())
+    return Router(
+        members=members,
+        tokens=tokens,
+        dispatcher=dispatcher,
+        leaving=leaving,
+        holders=HolderSync(
+            members, ConfigStore(table, objects), tokens, dispatcher.rng
+        ),
+        sender=DemandSender(cfg.peer_address, dispatcher, peers),
+    )
+
+
+def _new_dispatcher(
+    cfg: RouterSettings,
+    members: MemberService,
+    tokens: TokenService,
+    leaving: LeavingTargets,
+) -> Dispatcher:
+    return Dispatcher(
+        catalogue=lambda: members.catalogue,
+        tokens=tokens,
+        replicas=ReplicaTable(),
+        suspects=SuspectTable(),
+        max_in_flight=cfg.max_in_flight,
+        is_leaving=leaving.is_leaving,
+        rng=random.SystemRandom(),
+    )
+
+
+def _handle_replica_maps(
+    peer_app: web.Application, replicas: ReplicaTable
+) -> None:
+    async def take(received: ReplicaMap) -> Ack:
+        return Ack(replicas.apply(received))
+
+    add_peer_handler(peer_app, ReplicaMap, take)
+
+
+async def _new_frontend(
+    cfg: RouterSettings,
+    router: Router,
+    stack: contextlib.AsyncExitStack,
+) -> Frontend:
+    pooled = await _enter_target_session(stack, closes=False)
+    single = await _enter_target_session(stack, closes=True)
+    return Frontend(
+        view=router.members,
+        dispatcher=router.dispatcher,
+        upstream=Upstream(pooled, single),
+        budget=RetryBudget(),
+        max_body_bytes=cfg.max_body_bytes,
+        body_timeout_s=cfg.body_timeout_s,
+    )
+
+
+async def _enter_target_session(
+    stack: contextlib.AsyncExitStack, *, closes: bool
+) -> ClientSession:
+    connector = TCPConnector(limit=0, force_close=closes)
+    return await stack.enter_async_context(
+        ClientSession(
+            connector=connector,
+            trace_configs=[guard_trace()],
+            auto_decompress=False,
+            cookie_jar=DummyCookieJar(),
+        )
+    )
+
+
+def _new_app(
+    cfg: RouterSettings, members: MemberService, requests: Drain
+) -> web.Application:
+    app = web.Application(
+        client_max_size=cfg.max_body_bytes,
+        handler_args={
+            'max_line_size': MAX_HEADER_BYTES,
+            'max_field_size': MAX_HEADER_BYTES,
+        },
+    )
+    add_entries_route(
+        app,
+        lambda: [member.http_address for member in members.routers()],
+        cfg.directory_max_age_s,
+    )
+    app.router.add_route('*', '/{path:.*}', requests.handle)
+    return app
--- a/mimosaworks/routing/__init__.py
+++ b/mimosaworks/routing/__init__.py
@@ -1,8 +1,10 @@
 """Routing: choice of target, retries and crash suspects."""
 
 from mimosaworks.routing.choice import Choice, choose_target
+from mimosaworks.routing.demand_sender import DemandSender
 from mimosaworks.routing.dispatcher import Dispatcher
 from mimosaworks.routing.lane import Lane, Waiter
+from mimosaworks.routing.leaving import LeavingTargets
 from mimosaworks.routing.replica_table import ReplicaTable
 from mimosaworks.routing.retry_budget import RetryBudget
 from mimosaworks.routing.slot import Slot
@@ -13,8 +15,10 @@
 
 __all__ = [
     'Choice',
+    'DemandSender',
     'Dispatcher',
     'Lane',
+    'LeavingTargets',
     'ReplicaTable',
     'RetryBudget',
     'Slot',
--- a/mimosaworks/routing/demand_sender.py
+++ b/mimosaworks/routing/demand_sender.py
@@ -8,6 +8,7 @@
 from mimosaworks.errors import PeerError
 from mimosaworks.routing.dispatcher import Dispatcher
 from mimosaworks.routing.lane import Lane
+from mimosaworks.routing.lane_key import LaneKey
 from mimosaworks.wire import Ack, Demand, ModelDemand, PeerClient
 
 URGENT_PERIOD_S = 0.1
@@ -46,42 +47,29 @@
             await self.peers.call(holder, demand, Ack, TIMEOUT_S)
 
     def _has_cold_lane(self) -> bool:
+        ready = self.dispatcher.replicas.ready
         return any(
-            len(lane) and not self.dispatcher.replicas.ready(*_split(name))
-            for name, lane in self._model_lanes()
+            len(lane) and not ready(key.model, key.adapter)
+            for key, lane in self._model_lanes()
         )
 
     def _take_demand(self) -> Demand:
         return Demand(
             self.address,
-            tuple(
-                _model_demand(name, lane, self.dispatcher)
-                for name, lane in self._model_lanes()
-            ),
+            tuple(_take(key, lane) for key, lane in self._model_lanes()),
         )
 
-    def _model_lanes(self) -> list[tuple[str, Lane]]:
-        return [
-            (name, lane)
-            for name, lane in self.dispatcher.lanes.items()
-            if not name.startswith('pool:')
-        ]
+    def _model_lanes(self) -> list[tuple[LaneKey, Lane]]:
+        lanes = self.dispatcher.lanes.items()
+        return [(key, lane) for key, lane in lanes if key.model]
 
 
-def _split(lane_name: str) -> tuple[str, str]:
-    model, _, adapter = lane_name.partition('/')
-    return model, adapter
-
-
-def _model_demand(
-    name: str, lane: Lane, dispatcher: Dispatcher
-) -> ModelDemand:
-    model, adapter = _split(name)
+def _take(key: LaneKey, lane: Lane) -> ModelDemand:
     arrivals = lane.arrivals
     lane.arrivals = 0
     return ModelDemand(
-        model=model,
-        adapter=adapter,
+        model=key.model,
+        adapter=key.adapter,
         waiting=len(lane),
         waiting_tokens=int(lane.waiting_tokens),
         running=lane.running,
--- a/mimosaworks/routing/dispatcher.py
+++ b/mimosaworks/routing/dispatcher.py
@@ -1,6 +1,7 @@
 """Queues requests and hands each a target, in fair order."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 
@@ -10,14 +11,16 @@
 from mimosaworks.entities import Catalogue, Target
 from mimosaworks.errors import ErrorKind, RequestError, RunState
 from mimosaworks.events import Event, log_event
+from mimosaworks.limits import Receipt
 from mimosaworks.routing.choice import Choice, choose_target
 from mimosaworks.routing.lane import Lane, Waiter
+from mimosaworks.routing.lane_key import LaneKey
 from mimosaworks.routing.replica_table import ReplicaTable
 from mimosaworks.routing.slot import Slot
 from mimosaworks.routing.suspects import SuspectTable
 from mimosaworks.routing.target_state import TargetState
 from mimosaworks.routing.ticket import Ticket
-from mimosaworks.routing.tokens import Tokens
+from mimosaworks.routing.tokens import NO_CHARGE, Tokens
 
 OPEN_WEIGHT = 100.0
 MIN_COST_TOKENS = 1.0
@@ -39,7 +42,7 @@
     max_in_flight: int
     is_leaving: Callable[[Target], bool]
     rng: random.Random
-    lanes: dict[str, Lane] = attrs.field(factory=dict)
+    lanes: dict[LaneKey, Lane] = attrs.field(factory=dict)
     _states: dict[str, TargetState] = attrs.field(factory=dict)
 
     async def acquire(self, ticket: Ticket) -> Slot:
@@ -50,42 +53,55 @@
         """
         while not ticket.deadline.has_passed(now_s()):
             await self._wait_turn(ticket)
-            slot = self._try_dispatch(ticket)
+            slot = self._dispatch(ticket, self._take_tokens(ticket))
+            if slot is not None:
+                return slot
+            # The room that this request did not use goes to the next one.
+            self.pump()
+            slot = self._dispatch(ticket, await self._wait_tokens(ticket))
             if slot is not None:
                 return slot
-            await self._wait_tokens(ticket)
         raise self._too_late(ticket)
 
     def release(self, slot: Slot) -> None:
         """Give the place back and let waiting requests go on."""
         slot.state.in_flight -= 1
+        slot.lane.running -= 1
         if slot.state.in_flight == 0:
             slot.state.exclusive_to = ''
         self.pump()
 
-    def refund(self, ticket: Ticket, tokens: float) -> None:
-        """Give tokens that were taken and not used back."""
-        if ticket.workspace and tokens > 0:
-            self.tokens.refund(ticket.workspace.name, tokens)
+    def refund(self, slot: Slot, unused: float | None = None) -> None:
+        """Give tokens back that were not used; all by default."""
+        receipt = slot.receipt
+        self.tokens.refund(
+            receipt, receipt.tokens if unused is None else unused
+        )
 
     def pump(self) -> None:
         """Let requests go on that targets have room for."""
         for lane in self.lanes.values():
             lane.pump()
 
+    async def run(self) -> None:
+        """Pump after each change of the replicas and at least each RECHECK_S.
+
+        A target's cool-down ends without a message that would tell.
+        """
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(RECHECK_S):
+                    await self.replicas.wait_changed()
+            self.pump()
+
     def lane(self, ticket: Ticket) -> Lane:
         """Return the ticket's lane, made when it is the first."""
-        name = ticket.lane_name
-        if name not in self.lanes:
-            self.lanes[name] = Lane(
+        key = ticket.lane_key
+        if key not in self.lanes:
+            self.lanes[key] = Lane(
                 lambda granted: self._has_room(ticket, granted)
             )
-        return self.lanes[name]
-
-    def running(self, name: str) -> int:
-        """Return this router's requests in flight at a target."""
-        state = self._states.get(name)
-        return state.in_flight if state else 0
+        return self.lanes[key]
 
     def candidates(self, ticket: Ticket) -> list[TargetState]:
         """Return the targets that may take the ticket now.
@@ -158,51 +174,53 @@
         # _try_dispatch, so no other request can take the room between.
         lane.end_turn()
 
-    def _try_dispatch(self, ticket: Ticket) -> Slot | None:
+    def _dispatch(
+        self, ticket: Ticket, receipt: Receipt | None
+    ) -> Slot | None:
+        if receipt is None:
+            return None
         choice = choose_target(
             self.candidates(ticket), ticket.prompt_prefix, self.rng
         )
-        if choice is None or not self._take_tokens(ticket):
+        if choice is None:
+            self.tokens.refund(receipt, receipt.tokens)
             return None
-        return self._occupy(ticket, choice)
+        return self._occupy(ticket, choice, receipt)
 
-    def _occupy(self, ticket: Ticket, choice: Choice) -> Slot:
+    def _occupy(
+        self, ticket: Ticket, choice: Choice, receipt: Receipt
+    ) -> Slot:
         state = choice.target
         state.in_flight += 1
+        lane = self.lane(ticket)
+        lane.running += 1
         if self.suspects.is_suspect(ticket.mark):
             state.exclusive_to = ticket.mark
         log_event(
             Event.ROUTING_DECIDED,
             request_id=ticket.request_id,
             workspace=ticket.workspace_name,
-            lane=ticket.lane_name,
+            lane=str(ticket.lane_key),
             choice=state.name,
             runners_up=list(choice.runners_up),
             reason=choice.reason,
         )
-        return Slot(
-            self.catalogue().target[state.name],
-            state,
-            ticket.cost_tokens,
-            now_s(),
-        )
+        target = self.catalogue().target[state.name]
+        return Slot(target, state, lane, receipt, now_s())
 
-    def _take_tokens(self, ticket: Ticket) -> bool:
+    def _take_tokens(self, ticket: Ticket) -> Receipt | None:
         if ticket.workspace is None or not ticket.cost_tokens:
-            return True
+            return NO_CHARGE
         return self.tokens.try_take(ticket.workspace.name, ticket.cost_tokens)
 
-    async def _wait_tokens(self, ticket: Ticket) -> None:
-        # The room that this request did not use goes to the next one.
-        self.pump()
+    async def _wait_tokens(self, ticket: Ticket) -> Receipt:
         left_s = ticket.deadline.remaining_s(now_s())
         if ticket.workspace is None or not ticket.cost_tokens:
             await asyncio.sleep(min(left_s, RECHECK_S))
-            return
-        await self.tokens.acquire(
+            return NO_CHARGE
+        return await self.tokens.acquire(
             ticket.workspace.name, ticket.cost_tokens, left_s
         )
-        self.tokens.refund(ticket.workspace.name, ticket.cost_tokens)
 
     def _too_late(self, ticket: Ticket) -> RequestError:
         return _timeout_error(ticket, has_target=bool(self._serving(ticket)))
--- a/mimosaworks/routing/lane.py
+++ b/mimosaworks/routing/lane.py
@@ -22,14 +22,16 @@
     """The queue of one model and adapter, or of one service pool.
 
     has_room tells whether a target can take one more request now; the owner
-    calls pump whenever that may have changed. granted counts turns that were
-    given and not yet used or returned.
+    calls pump whenever that may have changed. waiting_tokens, arrivals and
+    running count for demand messages. _granted counts turns that were given
+    and not yet used or returned.
     """
 
     has_room: Callable[[int], bool]
     queue: FairQueue = attrs.field(factory=FairQueue)
     waiting_tokens: float = 0
     arrivals: int = 0
+    running: int = 0
     _granted: int = 0
 
     def __len__(self) -> int:
@@ -41,6 +43,7 @@
         After True, the caller must call end_turn in the same step in which
         it counts the request as in flight at a target, or gives up.
         """
+        self.arrivals += 1
         self.queue.push(waiter)
         self.waiting_tokens += waiter.cost
         self.pump()
--- a/mimosaworks/routing/slot.py
+++ b/mimosaworks/routing/slot.py
@@ -3,14 +3,17 @@
 import attrs
 
 from mimosaworks.entities import Target
+from mimosaworks.limits import Receipt
+from mimosaworks.routing.lane import Lane
 from mimosaworks.routing.target_state import TargetState
 
 
 @attrs.define
 class Slot:
-    """One request's place at its target; tokens were taken for it."""
+    """One request's place at its target; receipt is for its tokens."""
 
     target: Target
     state: TargetState
-    tokens: float
+    lane: Lane
+    receipt: Receipt
     started_at_s: float
--- a/mimosaworks/routing/ticket.py
+++ b/mimosaworks/routing/ticket.py
@@ -4,6 +4,7 @@
 
 from mimosaworks.admission import Deadline
 from mimosaworks.entities import Route, Workspace
+from mimosaworks.routing.lane_key import LaneKey
 
 
 @attrs.define(eq=False)
@@ -28,12 +29,9 @@
     tried: set[str] = attrs.field(factory=set)
 
     @property
-    def lane_name(self) -> str:
-        """The name of the queue: model and adapter, or the pool."""
-        if self.model:
-            return f'{self.model}/{self.adapter}'
-        pool = self.route.pool
-        return f'pool:{pool}'
+    def lane_key(self) -> LaneKey:
+        """The key of the queue that the request waits in."""
+        return LaneKey(self.route.pool, self.model, self.adapter)
 
     @property
     def workspace_name(self) -> str:
--- /dev/null
+++ b/mimosaworks/serving/serving.py
@@ -0,0 +1,68 @@
+"""Serves aiohttp applications and waits for a planned stop."""
+
+import asyncio
+import contextlib
+import signal
+from collections.abc import Coroutine
+from typing import Any
+
+from aiohttp import web
+
+SHUTDOWN_TIMEOUT_S = 10.0
+
+
+async def serve_app(
+    app: web.Application,
+    address: str,
+    stack: contextlib.AsyncExitStack,
+    *,
+    cancels_on_hang_up: bool = False,
+) -> web.AppRunner:
+    """Serve an application at host:port until the stack is closed.
+
+    cancels_on_hang_up cancels a handler when its caller disconnects.
+    """
+    runner = web.AppRunner(
+        app,
+        access_log=None,
+        shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        handler_cancellation=cancels_on_hang_up,
+    )
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    host, _, port = address.rpartition(':')
+    await web.TCPSite(runner, host, int(port)).start()
+    return runner
+
+
+def stop_event() -> asyncio.Event:
+    """Return an event that SIGTERM and SIGINT set."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    return stopping
+
+
+def start_task(
+    work: Coroutine[Any, Any, None], stack: contextlib.AsyncExitStack
+) -> None:
+    """Run a task until the stack is closed; its failure ends the process.
+
+    A task that fails takes what it owned with it, so the process stops
+    instead of going on without it.
+    """
+    task = asyncio.create_task(work)
+    task.add_done_callback(_stop_on_failure)
+    stack.push_async_callback(_cancel, task)
+
+
+def _stop_on_failure(task: 'asyncio.Task[None]') -> None:
+    if not task.cancelled() and task.exception() is not None:
+        signal.raise_signal(signal.SIGTERM)
+
+
+async def _cancel(task: 'asyncio.Task[None]') -> None:
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
