Stand-ins: platform, engine, service, fault proxy and their runner

A process for each was chosen over in-process fakes, because the proofs pause, kill and cut real processes.

--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,67 @@
+"""Starts child processes and stops them again."""
+
+import asyncio
+import sys
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+import attrs
+
+from standins.process import Process
+from standins.serving import split_address
+
+ROOT = Path(__file__).resolve().parent.parent
+START_TIMEOUT_S = 30.0
+POLL_S = 0.02
+
+
+@attrs.define
+class ProcessRunner:
+    """Starts children on an exit stack, which stops them in reverse order.
+
+    Each child writes its output to a file in log_dir.
+    """
+
+    stack: AsyncExitStack
+    log_dir: Path
+    started: list[Process] = attrs.Factory(list)
+
+    async def start(
+        self, name: str, module: str, address: str, *flags: str
+    ) -> Process:
+        """Start a module and return once it listens at HOST:PORT.
+
+        Raises RuntimeError with the child's log if it ends instead.
+        """
+        number = len(self.started)
+        log = self.log_dir / f'{number}-{name}.log'
+        with log.open('wb') as output:
+            child = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                module,
+                *flags,
+                cwd=ROOT,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=output,
+                stderr=asyncio.subprocess.STDOUT,
+            )
+        process = Process(name, log, child)
+        self.started.append(process)
+        self.stack.push_async_callback(process.stop)
+        async with asyncio.timeout(START_TIMEOUT_S):
+            await _wait_until_listening(process, address)
+        return process
+
+
+async def _wait_until_listening(process: Process, address: str) -> None:
+    host, port = split_address(address)
+    while process.is_running():
+        try:
+            _, writer = await asyncio.open_connection(host, port)
+        except OSError:
+            await asyncio.sleep(POLL_S)
+            continue
+        writer.close()
+        return
+    raise RuntimeError(f'{process.name} ended:\n{process.read_log()}')
--- /dev/null
+++ b/tests/test_standin_proxy.py
@@ -0,0 +1,99 @@
+"""Tests of the fault proxy and the plain service behind it."""
+
+import asyncio
+from http import HTTPStatus
+
+import aiohttp
+import pytest
+
+from tests.harness import Cluster, Node, wait_until
+
+
+async def _links(cluster: Cluster) -> tuple[Node, Node]:
+    service = await cluster.start_service()
+    return service, await cluster.start_proxy(service.address)
+
+
+async def _call(cluster: Cluster, proxy: Node, request_id: str) -> int:
+    headers = {'X-Request-Id': request_id, 'Connection': 'close'}
+    async with cluster.http.post(
+        f'{proxy.url}/plots', data=b'x', headers=headers
+    ) as resp:
+        await resp.read()
+        return resp.status
+
+
+async def _runs(cluster: Cluster, service: Node) -> list[str]:
+    counts = await cluster.get_json(service, '/counts')
+    return list(counts['requests'])
+
+
+async def test_bytes_pass_without_faults(cluster: Cluster) -> None:
+    service, proxy = await _links(cluster)
+    assert await _call(cluster, proxy, 'r1') == HTTPStatus.OK
+    assert await _runs(cluster, service) == ['r1']
+
+
+async def test_a_cut_refuses_until_it_is_lifted(cluster: Cluster) -> None:
+    service, proxy = await _links(cluster)
+    await cluster.control(proxy, cut=True)
+    with pytest.raises(aiohttp.ClientConnectorError):
+        await _call(cluster, proxy, 'r1')
+    await cluster.control(proxy, cut=False)
+    assert await _call(cluster, proxy, 'r2') == HTTPStatus.OK
+    assert await _runs(cluster, service) == ['r2']
+
+
+async def test_a_dropped_reply_closes_after_the_run(cluster: Cluster) -> None:
+    service, proxy = await _links(cluster)
+    await cluster.control(proxy, drop_replies=1)
+    with pytest.raises(aiohttp.ClientError):
+        await _call(cluster, proxy, 'r1')
+    assert await _call(cluster, proxy, 'r2') == HTTPStatus.OK
+    assert await _runs(cluster, service) == ['r1', 'r2']
+
+
+async def test_bytes_lost_towards_the_service_do_not_run(
+    cluster: Cluster,
+) -> None:
+    service, proxy = await _links(cluster)
+    await cluster.control(proxy, drop_to_upstream=True)
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.3):
+            await _call(cluster, proxy, 'r1')
+    assert await _runs(cluster, service) == []
+
+
+async def test_a_frozen_link_goes_on_where_it_was(cluster: Cluster) -> None:
+    service, proxy = await _links(cluster)
+    await cluster.control(proxy, freeze=True)
+    call = asyncio.create_task(_call(cluster, proxy, 'r1'))
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.3):
+            await asyncio.shield(call)
+    assert await _runs(cluster, service) == []
+    await cluster.control(proxy, freeze=False)
+    assert await call == HTTPStatus.OK
+
+
+async def test_a_killed_process_is_gone_and_a_paused_one_goes_on(
+    cluster: Cluster,
+) -> None:
+    service, proxy = await _links(cluster)
+    service.process.pause()
+    call = asyncio.create_task(_call(cluster, proxy, 'r1'))
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.3):
+            await asyncio.shield(call)
+    service.process.resume()
+    assert await call == HTTPStatus.OK
+    await service.process.kill()
+
+    async def is_refused() -> bool:
+        try:
+            await _call(cluster, proxy, 'r2')
+        except aiohttp.ClientError:
+            return True
+        return False
+
+    await wait_until(is_refused)
