--- a/mimosaworks/errors/table.py
+++ b/mimosaworks/errors/table.py
@@ -52,7 +52,7 @@
     ErrorKind.NO_TARGET: ErrorAnswer(HTTPStatus.SERVICE_UNAVAILABLE, _NOT, 2),
     ErrorKind.TARGET_FAILED: ErrorAnswer(HTTPStatus.BAD_GATEWAY, _MAY),
     ErrorKind.TARGET_ANSWER_LOST: ErrorAnswer(HTTPStatus.BAD_GATEWAY, _MAY),
-    ErrorKind.CRASH_SUSPECT: ErrorAnswer(HTTPStatus.UNPROCESSABLE_ENTITY, _MAY),
+    ErrorKind.CRASH_SUSPECT: ErrorAnswer(HTTPStatus.UNPROCESSABLE_ENTITY),
     ErrorKind.IDEMPOTENCY_IN_PROGRESS: ErrorAnswer(
         HTTPStatus.CONFLICT, _MAY, 1
     ),
--- a/mimosaworks/relay/claim_book.py
+++ b/mimosaworks/relay/claim_book.py
@@ -49,23 +49,27 @@
     boot: str
     is_running: Callable[[str, str], bool]
 
-    async def claim(self, key: str, mark: str) -> Claim:
-        """Return a new claim of this router, or an answered one to replay.
+    def new_claim(self, key: str, mark: str) -> Claim:
+        """Return a claim to be made; its nonce tells it from all others."""
+        return Claim(
+            key=key,
+            owner=self.owner,
+            boot=self.boot,
+            nonce=secrets.token_hex(NONCE_BYTES),
+            mark=mark,
+        )
+
+    async def claim(self, wanted: Claim) -> Claim:
+        """Make the claim and return it, or an answered one to replay.
 
         Raises RequestError when another request holds the key or the table
-        can't be written; then nothing was sent to a target.
+        can't be written; then nothing was sent to a target. After
+        STORE_UNAVAILABLE the claim may stand: call release.
         """
         for _ in range(MAX_TRIES):
-            wanted = Claim(
-                key=key,
-                owner=self.owner,
-                boot=self.boot,
-                nonce=secrets.token_hex(NONCE_BYTES),
-                mark=mark,
-            )
             found = await self._try_claim(wanted)
             if found is not None:
-                return self._judge(found, wanted)
+                return _judge(found, wanted, self.is_running)
         raise _unavailable('the claim was not settled')
 
     async def settle(self, claim: Claim, answer: StoredAnswer | None) -> None:
@@ -106,29 +110,6 @@
             raise _unavailable(str(exc)) from exc
         return rows.get(key)
 
-    def _judge(self, found: Claim, wanted: Claim) -> Claim:
-        if found.nonce == wanted.nonce:
-            return found
-        if found.mark != wanted.mark:
-            raise RequestError(
-                ErrorKind.IDEMPOTENCY_MISMATCH,
-                'the key was used for a different request',
-            )
-        if found.state is ClaimState.ANSWERED:
-            return found
-        is_running = found.state is ClaimState.RUNNING and self.is_running(
-            found.owner, found.boot
-        )
-        if is_running:
-            raise RequestError(
-                ErrorKind.IDEMPOTENCY_IN_PROGRESS,
-                'a request with the key is running',
-            )
-        raise RequestError(
-            ErrorKind.IDEMPOTENCY_IN_DOUBT,
-            'a request with the key may have run; its answer is not known',
-        )
-
     async def _replace(self, claim: Claim, content: str | None) -> None:
         trying = tenacity.AsyncRetrying(
             stop=tenacity.stop_after_attempt(SETTLE_TRIES),
@@ -154,6 +135,30 @@
             )
 
 
+def _judge(
+    found: Claim, wanted: Claim, is_running: Callable[[str, str], bool]
+) -> Claim:
+    if found.nonce == wanted.nonce:
+        return found
+    if found.mark != wanted.mark:
+        raise RequestError(
+            ErrorKind.IDEMPOTENCY_MISMATCH,
+            'the key was used for a different request',
+        )
+    if found.state is ClaimState.ANSWERED:
+        return found
+    is_open = found.state is ClaimState.RUNNING
+    if is_open and is_running(found.owner, found.boot):
+        raise RequestError(
+            ErrorKind.IDEMPOTENCY_IN_PROGRESS,
+            'a request with the key is running',
+        )
+    raise RequestError(
+        ErrorKind.IDEMPOTENCY_IN_DOUBT,
+        'a request with the key may have run; its answer is not known',
+    )
+
+
 def _unavailable(reason: str) -> RequestError:
     return RequestError(
         ErrorKind.STORE_UNAVAILABLE,
--- a/mimosaworks/relay/claimed_run.py
+++ b/mimosaworks/relay/claimed_run.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from mimosaworks.errors import MimosaError, RequestError, RunState
+from mimosaworks.errors import ErrorKind, MimosaError, RequestError, RunState
 from mimosaworks.relay.answers import REQUEST_ID_HEADER
 from mimosaworks.relay.claim import (
     Claim,
@@ -43,13 +43,21 @@
         The exchange goes on when the caller hangs up: its outcome is what a
         resend asks for. Raises RequestError.
         """
-        claim = await self.book.claim(key, mark)
+        claim = await self._claim(self.book.new_claim(key, mark))
         if claim.answer is not None:
             return _replay(claim.answer, request_id)
         task = asyncio.create_task(self._run_claimed(claim, exchange))
         self._keep(task)
         return await asyncio.shield(task)
 
+    async def _claim(self, wanted: Claim) -> Claim:
+        try:
+            return await self.book.claim(wanted)
+        except RequestError as exc:
+            if exc.kind is ErrorKind.STORE_UNAVAILABLE:
+                self._settle(self.book.release(wanted))
+            raise
+
     async def wait_idle(self) -> None:
         """Return when all claimed requests have ended and are settled."""
         while self._tasks:
@@ -103,6 +111,4 @@
     headers = CIMultiDict(answer.headers)
     headers[REQUEST_ID_HEADER] = request_id
     headers[REPLAYED_HEADER] = 'true'
-    return web.Response(
-        status=answer.status, headers=headers, body=answer.body
-    )
+    return web.Response(status=answer.status, headers=headers, body=answer.body)
--- a/mimosaworks/relay/exchange.py
+++ b/mimosaworks/relay/exchange.py
@@ -20,7 +20,13 @@
 from mimosaworks.relay.outgoing import Outgoing
 from mimosaworks.relay.send_guard import SendGuard
 from mimosaworks.relay.upstream import STREAM_IDLE_S, Upstream
-from mimosaworks.routing import Dispatcher, RetryBudget, Slot, Ticket
+from mimosaworks.routing import (
+    CrashWatch,
+    Dispatcher,
+    RetryBudget,
+    Slot,
+    Ticket,
+)
 
 _NOT_RUN_STATUSES = frozenset((
     HTTPStatus.TOO_MANY_REQUESTS,
@@ -43,6 +49,7 @@
     stream: CallerStream
     dispatcher: Dispatcher
     upstream: Upstream
+    crashes: CrashWatch
     budget: RetryBudget
     check: Callable[[], None]
     is_repeatable: bool
@@ -66,7 +73,9 @@
 
     async def _run_attempts(self) -> web.StreamResponse:
         while True:
+            self._refuse_suspect()
             slot = await self.dispatcher.acquire(self.ticket)
+            self.crashes.watch(slot.target)
             try:
                 return await self._attempt(slot)
             except AttemptNotRunError as exc:
@@ -74,11 +83,19 @@
                 self._note_failed(slot, exc)
             except AttemptInDoubtError as exc:
                 self.was_in_doubt = True
-                self._note_failed(slot, exc)
+                await self.crashes.note_failure(slot.target, self.ticket.mark)
                 self._require_repeatable(exc)
+                self._note_failed(slot, exc)
             finally:
                 self.dispatcher.release(slot)
 
+    def _refuse_suspect(self) -> None:
+        if self.dispatcher.suspects.is_refused(self.ticket.mark):
+            raise RequestError(
+                ErrorKind.CRASH_SUSPECT,
+                'this request crashed the targets that ran it',
+            )
+
     async def _attempt(self, slot: Slot) -> web.StreamResponse:
         guard = SendGuard(self.check)
         try:
@@ -152,6 +169,7 @@
 
     def _note_answered(self, slot: Slot, status: int, tokens: int) -> None:
         slot.state.note_success()
+        self.crashes.note_success(self.ticket.mark)
         log_event(
             Event.REQUEST_ANSWERED,
             request_id=self.ticket.request_id,
--- a/mimosaworks/relay/frontend.py
+++ b/mimosaworks/relay/frontend.py
@@ -23,15 +23,24 @@
 from mimosaworks.relay.attempt_error import CallerGoneError
 from mimosaworks.relay.body import read_body
 from mimosaworks.relay.caller_stream import CallerStream
+from mimosaworks.relay.claim import claim_key
+from mimosaworks.relay.claimed_run import ClaimedRuns
 from mimosaworks.relay.exchange import Exchange
 from mimosaworks.relay.outgoing import make_outgoing
 from mimosaworks.relay.upstream import Upstream
 from mimosaworks.relay.view import View
-from mimosaworks.routing import Dispatcher, RetryBudget, Ticket, fingerprint
+from mimosaworks.routing import (
+    CrashWatch,
+    Dispatcher,
+    RetryBudget,
+    Ticket,
+    fingerprint,
+)
 
 _SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
 MODEL_PRIORITY = 10
 CALLER_GONE_STATUS = 499
+IDEMPOTENCY_HEADER = 'Idempotency-Key'
 
 
 @attrs.define
@@ -45,6 +54,8 @@
     view: View
     dispatcher: Dispatcher
     upstream: Upstream
+    crashes: CrashWatch
+    claimed: ClaimedRuns
     budget: RetryBudget
     max_body_bytes: int
     body_timeout_s: float
@@ -87,11 +98,20 @@
             stream=CallerStream(req, request_id),
             dispatcher=self.dispatcher,
             upstream=self.upstream,
+            crashes=self.crashes,
             budget=self.budget,
             check=functools.partial(self._check_again, req, ticket),
             is_repeatable=_is_repeatable(req, route),
         )
-        return await exchange.run()
+        claim_text = req.headers.get(IDEMPOTENCY_HEADER)
+        if claim_text is None or route.kind == 'model':
+            return await exchange.run()
+        return await self.claimed.run(
+            claim_key(ticket.workspace_name, claim_text),
+            fingerprint(req.method, req.path, body),
+            request_id,
+            exchange.run,
+        )
 
     def _admit(self, req: web.Request, route: Route) -> Workspace | None:
         if route.is_open:
--- a/mimosaworks/router/program.py
+++ b/mimosaworks/router/program.py
@@ -13,14 +13,27 @@
 from mimosaworks.events import Event, log_event, start_logging
 from mimosaworks.limits import TokenService
 from mimosaworks.members import Member, MemberRole, MemberService, MemberState
-from mimosaworks.platform import ObjectClient, TableClient, VmListClient
-from mimosaworks.relay import Frontend, Upstream, guard_trace
+from mimosaworks.platform import (
+    GroupCommit,
+    ObjectClient,
+    TableClient,
+    VmListClient,
+)
+from mimosaworks.relay import (
+    ClaimBook,
+    ClaimedRuns,
+    Frontend,
+    Upstream,
+    guard_trace,
+)
 from mimosaworks.router.drain import Drain
 from mimosaworks.router.holder_sync import HolderSync
 from mimosaworks.router.settings import RouterSettings
 from mimosaworks.routing import (
+    CrashWatch,
     DemandSender,
     Dispatcher,
+    Generations,
     LeavingTargets,
     ReplicaTable,
     RetryBudget,
@@ -31,6 +44,7 @@
     Ack,
     PeerClient,
     ReplicaMap,
+    SuspectNotice,
     add_peer_handler,
     new_peer_app,
 )
@@ -57,6 +71,8 @@
     leaving: LeavingTargets
     holders: HolderSync
     sender: DemandSender
+    crashes: CrashWatch
+    claimed: ClaimedRuns
 
     async def start(self, stack: contextlib.AsyncExitStack) -> None:
         """Start the tasks; they end in reverse order with the stack."""
@@ -84,19 +100,18 @@
         peer_address=cfg.peer_address,
     )
     await stop_event().wait()
-    await _drain(cfg, router.members, requests)
+    await _drain(cfg, router, requests)
 
 
-async def _drain(
-    cfg: RouterSettings, members: MemberService, requests: Drain
-) -> None:
+async def _drain(cfg: RouterSettings, router: Router, requests: Drain) -> None:
     log_event(Event.PROCESS_DRAINING, program=PROGRAM)
     requests.is_draining = True
     with contextlib.suppress(PlatformError):
-        await members.set_state(MemberState.DRAINING)
+        await router.members.set_state(MemberState.DRAINING)
     # Callers may use the old list of entries until its age is over.
     await asyncio.sleep(cfg.directory_max_age_s)
     await requests.wait_idle(cfg.drain_s)
+    await router.claimed.wait_idle()
 
 
 def _new_router(
@@ -128,6 +143,45 @@
             members, ConfigStore(table, objects), tokens, dispatcher.rng
         ),
         sender=DemandSender(cfg.peer_address, dispatcher, peers),
+        crashes=_new_crash_watch(session, peers, peer_app, dispatcher, members),
+        claimed=ClaimedRuns(_new_claim_book(table, members)),
+    )
+
+
+def _new_crash_watch(
+    session: ClientSession,
+    peers: PeerClient,
+    peer_app: web.Application,
+    dispatcher: Dispatcher,
+    members: MemberService,
+) -> CrashWatch:
+    crashes = CrashWatch(
+        Generations(session),
+        dispatcher.suspects,
+        peers,
+        lambda: [
+            router.address
+            for router in members.routers()
+            if router.address != members.own.address
+        ],
+    )
+    add_peer_handler(peer_app, SuspectNotice, crashes.on_notice)
+    return crashes
+
+
+def _new_claim_book(table: TableClient, members: MemberService) -> ClaimBook:
+    def is_running(address: str, boot: str) -> bool:
+        return any(
+            member.address == address and member.boot_nonce == boot
+            for member in members.members()
+        )
+
+    return ClaimBook(
+        table,
+        GroupCommit(table),
+        members.own.address,
+        members.own.boot_nonce,
+        is_running,
     )
 
 
@@ -168,6 +222,8 @@
         view=router.members,
         dispatcher=router.dispatcher,
         upstream=Upstream(pooled, single),
+        crashes=router.crashes,
+        claimed=router.claimed,
         budget=RetryBudget(),
         max_body_bytes=cfg.max_body_bytes,
         body_timeout_s=cfg.body_timeout_s,
--- a/mimosaworks/routing/__init__.py
+++ b/mimosaworks/routing/__init__.py
@@ -1,8 +1,10 @@
 """Routing: choice of target, retries and crash suspects."""
 
 from mimosaworks.routing.choice import Choice, choose_target
+from mimosaworks.routing.crash_watch import CrashWatch
 from mimosaworks.routing.demand_sender import DemandSender
 from mimosaworks.routing.dispatcher import Dispatcher
+from mimosaworks.routing.generations import Generations
 from mimosaworks.routing.lane import Lane, Waiter
 from mimosaworks.routing.leaving import LeavingTargets
 from mimosaworks.routing.replica_table import ReplicaTable
@@ -15,8 +17,10 @@
 
 __all__ = [
     'Choice',
+    'CrashWatch',
     'DemandSender',
     'Dispatcher',
+    'Generations',
     'Lane',
     'LeavingTargets',
     'ReplicaTable',
--- a/mimosaworks/routing/dispatcher.py
+++ b/mimosaworks/routing/dispatcher.py
@@ -174,9 +174,7 @@
         # _try_dispatch, so no other request can take the room between.
         lane.end_turn()
 
-    def _dispatch(
-        self, ticket: Ticket, receipt: Receipt | None
-    ) -> Slot | None:
+    def _dispatch(self, ticket: Ticket, receipt: Receipt | None) -> Slot | None:
         if receipt is None:
             return None
         choice = choose_target(
@@ -187,9 +185,7 @@
             return None
         return self._occupy(ticket, choice, receipt)
 
-    def _occupy(
-        self, ticket: Ticket, choice: Choice, receipt: Receipt
-    ) -> Slot:
+    def _occupy(self, ticket: Ticket, choice: Choice, receipt: Receipt) -> Slot:
         state = choice.target
         state.in_flight += 1
         lane = self.lane(ticket)
@@ -213,11 +209,12 @@
             return NO_CHARGE
         return self.tokens.try_take(ticket.workspace.name, ticket.cost_tokens)
 
-    async def _wait_tokens(self, ticket: Ticket) -> Receipt:
+    async def _wait_tokens(self, ticket: Ticket) -> Receipt | None:
         left_s = ticket.deadline.remaining_s(now_s())
-        if ticket.workspace is None or not ticket.cost_tokens:
+        if ticket.workspace is None or not self.candidates(ticket):
+            # A suspect waits for a target without other requests.
             await asyncio.sleep(min(left_s, RECHECK_S))
-            return NO_CHARGE
+            return None
         return await self.tokens.acquire(
             ticket.workspace.name, ticket.cost_tokens, left_s
         )
--- a/mimosaworks/wire/__init__.py
+++ b/mimosaworks/wire/__init__.py
@@ -10,6 +10,7 @@
     ReplicaEntry,
     ReplicaMap,
 )
+from mimosaworks.wire.routing_messages import SuspectNotice
 
 __all__ = [
     'Ack',
@@ -18,6 +19,7 @@
     'PeerClient',
     'ReplicaEntry',
     'ReplicaMap',
+    'SuspectNotice',
     'add_peer_handler',
     'decode',
     'encode',
