--- a/mimosaworks/events/log.py
+++ b/mimosaworks/events/log.py
@@ -2,13 +2,24 @@
 
 import json
 
-from absl import logging
+from absl import flags, logging
 
 from mimosaworks.events.event import Event
 
 _PLAIN_TYPES = (str, int, float, bool)
 
 
+def start_logging() -> None:
+    """Write log lines of level info and above to standard error.
+
+    Called once by each program's composition root.
+    """
+    # The programs have their own flags; absl's keep their defaults.
+    flags.FLAGS.mark_as_parsed()
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+
+
 def log_event(event: Event, **fields: object) -> None:
     """Write one line: event number, name, and the fields in order.
 
