--- a/mimosaworks/platform/group_commit.py
+++ b/mimosaworks/platform/group_commit.py
@@ -52,8 +52,9 @@
         await asyncio.sleep(GATHER_S)
         pending = self._pending
         self._pending = []
-        for start in range(0, len(pending), MAX_GROUP):
-            await self._commit_group(pending[start : start + MAX_GROUP])
+        starts = range(0, len(pending), MAX_GROUP)
+        groups = [pending[start : start + MAX_GROUP] for start in starts]
+        await asyncio.gather(*map(self._commit_group, groups))
 
     async def _commit_group(self, group: list[_Pending]) -> None:
         asserts = [need for entry in group for need in entry.asserts]
--- a/mimosaworks/relay/claim_book.py
+++ b/mimosaworks/relay/claim_book.py
@@ -66,7 +66,9 @@
         can't be written; then nothing was sent to a target. After
         STORE_UNAVAILABLE the claim may stand: call release.
         """
-        for _ in range(MAX_TRIES):
+        tries = 0
+        while tries < MAX_TRIES:
+            tries += 1
             found = await self._try_claim(wanted)
             if found is not None:
                 return _judge(found, wanted, self.is_running)
--- a/mimosaworks/relay/claimed_run.py
+++ b/mimosaworks/relay/claimed_run.py
@@ -50,6 +50,11 @@
         self._keep(task)
         return await asyncio.shield(task)
 
+    async def wait_idle(self) -> None:
+        """Return when all claimed requests have ended and are settled."""
+        while self._tasks:
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+
     async def _claim(self, wanted: Claim) -> Claim:
         try:
             return await self.book.claim(wanted)
@@ -58,11 +63,6 @@
                 self._settle(self.book.release(wanted))
             raise
 
-    async def wait_idle(self) -> None:
-        """Return when all claimed requests have ended and are settled."""
-        while self._tasks:
-            await asyncio.gather(*self._tasks, return_exceptions=True)
-
     async def _run_claimed(
         self,
         claim: Claim,
--- a/mimosaworks/router/drain.py
+++ b/mimosaworks/router/drain.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterator
+from collections.abc import Generator
 
 import attrs
 from aiohttp import web
@@ -27,8 +27,18 @@
             resp.force_close()
         return resp
 
+    async def wait_idle(self, timeout_s: float) -> None:
+        """Return when no request runs, or after timeout_s seconds."""
+        while self.running:
+            self._is_idle.clear()
+            try:
+                async with asyncio.timeout(timeout_s):
+                    await self._is_idle.wait()
+            except TimeoutError:
+                return
+
     @contextlib.contextmanager
-    def _counted(self) -> Iterator[None]:
+    def _counted(self) -> Generator[None]:
         self.running += 1
         with contextlib.ExitStack() as stack:
             stack.callback(self._end_one)
@@ -38,13 +48,3 @@
         self.running -= 1
         if self.running == 0:
             self._is_idle.set()
-
-    async def wait_idle(self, timeout_s: float) -> None:
-        """Return when no request runs, or after timeout_s seconds."""
-        while self.running:
-            self._is_idle.clear()
-            try:
-                async with asyncio.timeout(timeout_s):
-                    await self._is_idle.wait()
-            except TimeoutError:
-                return
--- a/mimosaworks/router/program.py
+++ b/mimosaworks/router/program.py
@@ -119,14 +119,14 @@
 ) -> Router:
     peers = PeerClient(session)
     table = TableClient(session, cfg.platform_url)
-    objects = ObjectClient(session, cfg.platform_url)
+    snapshots = ObjectClient(session, cfg.platform_url)
     own = Member(
         address=cfg.peer_address,
         http_address=cfg.http_address,
         role=MemberRole.ROUTER,
         data_centre=cfg.data_centre,
     )
-    members = MemberService(table, objects, peers, peer_app, own)
+    members = MemberService(table, snapshots, peers, peer_app, own)
     tokens = TokenService(peers, cfg.peer_address)
     tokens.add_handlers(peer_app)
     leaving = LeavingTargets(VmListClient(session, cfg.platform_url))
@@ -140,7 +140,7 @@
         dispatcher=dispatcher,
         leaving=leaving,
         holders=HolderSync(
-            members, ConfigStore(table, objects), tokens, dispatcher.rng
+            members, ConfigStore(table, snapshots), tokens, dispatcher.rng
         ),
         sender=DemandSender(cfg.peer_address, dispatcher, peers),
         crashes=_new_crash_watch(session, peers, peer_app, dispatcher, members),
