--- a/mimosaworks/relay/exchange.py
+++ b/mimosaworks/relay/exchange.py
@@ -20,6 +20,7 @@
 from mimosaworks.relay.outgoing import Outgoing
 from mimosaworks.relay.send_guard import SendGuard
 from mimosaworks.relay.upstream import STREAM_IDLE_S, Upstream
+from mimosaworks.relay.usage import read_completion_tokens
 from mimosaworks.routing import (
     CrashWatch,
     Dispatcher,
@@ -83,6 +84,7 @@
                 self._note_failed(slot, exc)
             except AttemptInDoubtError as exc:
                 self.was_in_doubt = True
+                self._reduce_cost()
                 await self.crashes.note_failure(slot.target, self.ticket.mark)
                 self._require_repeatable(exc)
                 self._note_failed(slot, exc)
@@ -149,7 +151,7 @@
         answer.headers.popall('Content-Type', None)
         copy_answer_headers(resp.headers, answer.headers)
         answer.headers[REQUEST_ID_HEADER] = self.ticket.request_id
-        self._note_answered(slot, resp.status, 0)
+        self._note_answered(slot, resp.status, self._used_tokens(body))
         return answer
 
     async def _relay_stream(
@@ -168,6 +170,8 @@
         return await self.stream.finish()
 
     def _note_answered(self, slot: Slot, status: int, tokens: int) -> None:
+        unused = self.ticket.max_tokens - tokens
+        self.dispatcher.refund(slot, max(unused, 0))
         slot.state.note_success()
         self.crashes.note_success(self.ticket.mark)
         log_event(
@@ -179,6 +183,11 @@
             seconds=now_s() - slot.started_at_s,
         )
 
+    def _used_tokens(self, body: bytes) -> int:
+        if not self.ticket.model:
+            return 0
+        return read_completion_tokens(body, self.ticket.max_tokens)
+
     def _note_failed(self, slot: Slot, exc: Exception) -> None:
         slot.state.note_failure(now_s())
         self.ticket.tried.add(slot.target.name)
@@ -196,6 +205,13 @@
                 run_state=RunState.NOT_RUN,
             ) from exc
 
+    def _reduce_cost(self) -> None:
+        # A resumed stream generates only the tokens that are missing.
+        sent = self.stream.counter.tokens
+        prompt = self.ticket.cost_tokens - self.ticket.max_tokens
+        self.ticket.max_tokens = max(self.ticket.max_tokens - sent, 0)
+        self.ticket.cost_tokens = prompt + self.ticket.max_tokens
+
     def _require_repeatable(self, exc: Exception) -> None:
         if not self.is_repeatable:
             raise RequestError(
--- a/mimosaworks/relay/frontend.py
+++ b/mimosaworks/relay/frontend.py
@@ -140,6 +140,7 @@
     ticket.model = call.model.name
     ticket.adapter = call.adapter
     ticket.cost_tokens = call.cost_tokens
+    ticket.max_tokens = call.max_tokens
     ticket.prompt_prefix = call.prompt_prefix
     ticket.priority = MODEL_PRIORITY
 
--- a/mimosaworks/routing/dispatcher.py
+++ b/mimosaworks/routing/dispatcher.py
@@ -23,6 +23,7 @@
 from mimosaworks.routing.tokens import NO_CHARGE, Tokens
 
 OPEN_WEIGHT = 100.0
+MAX_WAITING = 2000  # requests in one lane of one router
 MIN_COST_TOKENS = 1.0
 RECHECK_S = 0.05  # while a target's cool-down or exclusive run ends
 
@@ -51,6 +52,7 @@
         Raises RequestError when the deadline passes or tokens won't come;
         nothing was sent to a target then.
         """
+        self._check_feasible(ticket)
         while not ticket.deadline.has_passed(now_s()):
             await self._wait_turn(ticket)
             slot = self._dispatch(ticket, self._take_tokens(ticket))
@@ -67,6 +69,7 @@
         """Give the place back and let waiting requests go on."""
         slot.state.in_flight -= 1
         slot.lane.running -= 1
+        slot.lane.estimate.note_service(now_s() - slot.started_at_s)
         if slot.state.in_flight == 0:
             slot.state.exclusive_to = ''
         self.pump()
@@ -80,7 +83,8 @@
 
     def pump(self) -> None:
         """Let requests go on that targets have room for."""
-        for lane in self.lanes.values():
+        for key, lane in self.lanes.items():
+            lane.note_serving(self._is_served(key), now_s())
             lane.pump()
 
     async def run(self) -> None:
@@ -158,6 +162,23 @@
         )
         return room > granted
 
+    def _check_feasible(self, ticket: Ticket) -> None:
+        # A request that can't be served in time is told so on arrival.
+        left_s = ticket.deadline.remaining_s(now_s())
+        lane = self.lane(ticket)
+        if len(lane) >= MAX_WAITING:
+            raise RequestError(ErrorKind.QUEUE_FULL, 'too many requests wait')
+        places = self.max_in_flight * len(self._serving(ticket))
+        wait_s = lane.estimate.queue_wait_s(len(lane), places)
+        if wait_s > left_s:
+            raise RequestError(
+                ErrorKind.DEADLINE_UNREACHABLE,
+                f'the expected wait is {wait_s:.1f} s',
+                retry_after_s=wait_s - left_s,
+            )
+        if ticket.workspace and ticket.cost_tokens:
+            self.tokens.check(ticket.workspace.name, ticket.cost_tokens, left_s)
+
     async def _wait_turn(self, ticket: Ticket) -> None:
         workspace = ticket.workspace
         waiter = Waiter(
@@ -219,6 +240,11 @@
             ticket.workspace.name, ticket.cost_tokens, left_s
         )
 
+    def _is_served(self, key: LaneKey) -> bool:
+        return not key.model or bool(
+            self.replicas.ready(key.model, key.adapter)
+        )
+
     def _too_late(self, ticket: Ticket) -> RequestError:
         return _timeout_error(ticket, has_target=bool(self._serving(ticket)))
 
--- a/mimosaworks/routing/lane.py
+++ b/mimosaworks/routing/lane.py
@@ -6,6 +6,7 @@
 import attrs
 
 from mimosaworks.admission import FairQueue, QueueEntry
+from mimosaworks.routing.wait_estimate import WaitEstimate
 
 
 @attrs.define(eq=False)
@@ -32,6 +33,8 @@
     waiting_tokens: float = 0
     arrivals: int = 0
     running: int = 0
+    estimate: WaitEstimate = attrs.field(factory=WaitEstimate)
+    _cold_since_s: float | None = None
     _granted: int = 0
 
     def __len__(self) -> int:
@@ -64,6 +67,14 @@
         """Return a turn: the request is in flight or has given up."""
         self._granted -= 1
 
+    def note_serving(self, is_served: bool, now_s: float) -> None:
+        """Follow when waiting requests have no replica, and how long."""
+        if is_served and self._cold_since_s is not None:
+            self.estimate.note_cold_start(now_s - self._cold_since_s)
+            self._cold_since_s = None
+        elif not is_served and len(self) and self._cold_since_s is None:
+            self._cold_since_s = now_s
+
     def pump(self) -> None:
         """Give turns to waiting requests while targets have room."""
         while len(self.queue) and self.has_room(self._granted):
--- a/mimosaworks/routing/ticket.py
+++ b/mimosaworks/routing/ticket.py
@@ -12,7 +12,8 @@
     """A request on its way to a target.
 
     workspace is None on open routes. model is empty for plain services.
-    cost_tokens is what a dispatch takes. tried names the targets that failed
+    cost_tokens is what a
+    dispatch takes; max_tokens of them are for the answer. tried names the targets that failed
     it. mark is the request's fingerprint.
     """
 
@@ -23,6 +24,7 @@
     model: str = ''
     adapter: str = ''
     cost_tokens: float = 0
+    max_tokens: int = 0
     priority: int = 0
     prompt_prefix: str = ''
     mark: str = ''
--- a/mimosaworks/routing/tokens.py
+++ b/mimosaworks/routing/tokens.py
@@ -22,5 +22,5 @@
     def refund(self, receipt: Receipt, unused: float) -> None:
         """Give unused tokens back."""
 
-    def predict_wait_s(self, workspace: str, tokens: float) -> float:
-        """Return the expected seconds until the tokens are there."""
+    def check(self, workspace: str, tokens: float, timeout_s: float) -> None:
+        """Raise RequestError if the tokens can't come within timeout_s."""
