--- a/mimosaworks/wire/__init__.py
+++ b/mimosaworks/wire/__init__.py
@@ -2,6 +2,12 @@
 
 from mimosaworks.wire.ack import Ack
 from mimosaworks.wire.codec import decode, encode
+from mimosaworks.wire.limits_messages import (
+    TokenAsk,
+    TokenBalance,
+    TokenBalances,
+    TokenGrant,
+)
 from mimosaworks.wire.peer_client import PeerClient
 from mimosaworks.wire.peer_server import add_peer_handler, new_peer_app
 from mimosaworks.wire.placement_messages import (
@@ -18,6 +24,10 @@
     'PeerClient',
     'ReplicaEntry',
     'ReplicaMap',
+    'TokenAsk',
+    'TokenBalance',
+    'TokenBalances',
+    'TokenGrant',
     'add_peer_handler',
     'decode',
     'encode',
