--- /dev/null
+++ b/mimosaworks/placement/placer_settings.py
@@ -0,0 +1,69 @@
+"""Settings of mimosa-placer."""
+
+import attrs
+
+from mimosaworks.placement.keep_alive import KEEP_ALIVE_KINDS, KeepAliveRules
+from mimosaworks.placement.rules import PlacementRules
+from mimosaworks.settings import option
+
+_POSITIVE = attrs.validators.gt(0)
+
+
+@attrs.frozen
+class PlacerSettings:
+    """Settings in flags and MIMOSA_PLACER_ environment variables."""
+
+    peer_address: str = option('host:port for messages between processes')
+    platform_url: str = option('base URL of the platform')
+    data_centre: str = option('data centre of this process')
+    statsd_address: str = option('host:port of statsd; empty for none', '')
+    shard: str = option('name of the placement shard', 'main')
+    lease_s: float = option('length of the lease', 4.0, _POSITIVE)
+    quarantine_s: float = option(
+        'longest time that an order can be on its way', 5.0, _POSITIVE
+    )
+    loads_per_s: float = option(
+        'loads a second from the weight store', 3.0, _POSITIVE
+    )
+    loads_at_once: int = option(
+        'loads at once from the weight store', 4, _POSITIVE
+    )
+    adapters_at_once: int = option(
+        'adapters in flight at once', 30, _POSITIVE
+    )
+    requests_per_replica: int = option(
+        'requests of a model before it gets a replica more', 8, _POSITIVE
+    )
+    keep_alive: str = option(
+        'how long idle models stay loaded: histogram, fixed or none',
+        'histogram',
+        attrs.validators.in_(KEEP_ALIVE_KINDS),
+    )
+    keep_alive_s: float = option(
+        'seconds of the fixed keep-alive', 60.0, _POSITIVE
+    )
+    cold_start_weight: float = option(
+        'cost of a second of cold start', 10.0, _POSITIVE
+    )
+    idle_weight: float = option(
+        'cost of a second of an idle replica', 1.0, _POSITIVE
+    )
+
+    def rules(self) -> PlacementRules:
+        """Return the rules that the settings describe."""
+        return PlacementRules(
+            lease_s=self.lease_s,
+            renew_s=self.lease_s / 4,
+            margin_s=self.lease_s / 8,
+            quarantine_s=self.quarantine_s,
+            loads_per_s=self.loads_per_s,
+            loads_at_once=self.loads_at_once,
+            adapters_at_once=self.adapters_at_once,
+            requests_per_replica=self.requests_per_replica,
+            keep_alive=KeepAliveRules(
+                kind=self.keep_alive,
+                fixed_s=self.keep_alive_s,
+                cold_start_weight=self.cold_start_weight,
+                idle_weight=self.idle_weight,
+            ),
+        )
--- /dev/null
+++ b/mimosaworks/placement/settlement.py
@@ -0,0 +1,128 @@
+"""Moves intents on by what targets report."""
+
+import math
+from collections.abc import Callable
+
+from mimosaworks.placement.adapter_policy import unloading
+from mimosaworks.placement.decision import Decision, DecisionKind
+from mimosaworks.placement.eviction import is_leaving
+from mimosaworks.placement.evidence import (
+    is_drained,
+    is_ended,
+    may_delete,
+    resolved_state,
+    track_of,
+)
+from mimosaworks.placement.intent import Intent, IntentState
+from mimosaworks.placement.shard_state import ShardState
+
+
+def settle(
+    state: ShardState, now: float, fence: int, new_id: Callable[[], str]
+) -> list[Decision]:
+    """Change and end intents where the evidence is there.
+
+    Returns what was decided: unloads of what was drained or had no intent,
+    drains of what the configuration no longer wants, and ended intents.
+    """
+    decisions = _adopt_strays(state, now, fence, new_id)
+    for intent in state.ledger.intents().values():
+        decision = _settle_one(state, intent, now)
+        if decision is not None:
+            decisions.append(decision)
+    return decisions
+
+
+def _settle_one(
+    state: ShardState, intent: Intent, now: float
+) -> Decision | None:
+    ledger = state.ledger
+    if intent.order_id in ledger.sent or intent.order_id in ledger.pending:
+        return None
+    if is_ended(ledger, intent):
+        return _settle_ended(state, intent)
+    if intent.adapter:
+        return _settle_adapter(state, intent)
+    track = track_of(ledger, intent)
+    if not track.is_draining:
+        return _drain_unwanted(state, intent, now)
+    if math.isinf(track.drain_acked_s):
+        if now - track.drain_since_s > state.rules.drain_ack_s:
+            track.drain_acked_s = now
+    if is_drained(ledger, intent, state.rules.report_lag_s):
+        ledger.put(unloading(intent), now)
+        return _decide(DecisionKind.UNLOAD, intent, 'drained')
+    return None
+
+
+def _settle_ended(
+    state: ShardState, intent: Intent
+) -> Decision | None:
+    if not may_delete(state.ledger, intent, state.rules.quarantine_s):
+        return None
+    state.ledger.delete(intent.order_id)
+    reason = f'not loaded; order {resolved_state(state.ledger, intent)}'
+    return _decide(DecisionKind.END, intent, reason)
+
+
+def _settle_adapter(state: ShardState, intent: Intent) -> Decision | None:
+    base = state.ledger.find(intent.target, intent.model)
+    is_base_live = base is not None and not is_ended(state.ledger, base)
+    if is_base_live and intent.adapter in state.catalogue.adapter:
+        return None
+    state.ledger.pending[intent.order_id] = unloading(intent)
+    return _decide(DecisionKind.UNLOAD, intent, 'model or adapter is gone')
+
+
+def _drain_unwanted(
+    state: ShardState, intent: Intent, now: float
+) -> Decision | None:
+    model = state.catalogue.model.get(intent.model)
+    target = state.catalogue.target.get(intent.target)
+    if model is None or target is None:
+        reason = 'no longer configured'
+    elif model.checkpoint != intent.checkpoint or model.pool != target.pool:
+        reason = 'configured otherwise'
+    else:
+        return None
+    if is_leaving(state, intent):
+        return None
+    track_of(state.ledger, intent).start_drain(now)
+    return _decide(DecisionKind.DRAIN, intent, reason)
+
+
+def _adopt_strays(
+    state: ShardState, now: float, fence: int, new_id: Callable[[], str]
+) -> list[Decision]:
+    decisions = []
+    for target in state.catalogue.target.values():
+        intents = state.ledger.on_target(target.name)
+        for name, is_adapter, size in state.ledger.strays(target.name, intents):
+            adapter = name if is_adapter else ''
+            intent = Intent(
+                order_id=new_id(),
+                state=IntentState.UNLOAD,
+                model=_base_model(state, name) if is_adapter else name,
+                adapter=adapter,
+                target=target.name,
+                url=target.url,
+                checkpoint='',
+                size_bytes=size,
+                fence=fence,
+            )
+            state.ledger.put(intent, now)
+            decisions.append(
+                _decide(DecisionKind.UNLOAD, intent, 'loaded without intent')
+            )
+    return decisions
+
+
+def _base_model(state: ShardState, adapter: str) -> str:
+    found = state.catalogue.adapter.get(adapter)
+    return '' if found is None else found.model
+
+
+def _decide(kind: DecisionKind, intent: Intent, reason: str) -> Decision:
+    return Decision(
+        kind, intent.model, intent.adapter, intent.target, reason
+    )
