--- a/mimosaworks/placement/adapter_policy.py
+++ b/mimosaworks/placement/adapter_policy.py
@@ -22,13 +22,7 @@
     are unloaded first. Returns what was decided.
     """
     decisions = []
-    waiting = sorted(state.demand.waiting_since, key=state.demand.waiting_since.__getitem__)
-    for model, name in waiting:
-        adapter = state.catalogue.adapter.get(name)
-        if adapter is None or adapter.model != model:
-            continue
-        if _is_placed(state, adapter, now):
-            continue
+    for adapter in _missing(state, now):
         if not has_adapter_slot(state.ledger, state.rules):
             break
         decision = _place(state, adapter, now, fence, new_id())
@@ -37,6 +31,16 @@
     return decisions
 
 
+def _missing(state: ShardState, now: float) -> list[Adapter]:
+    starts = state.demand.waiting_since
+    found = []
+    for model, name in sorted(starts, key=starts.__getitem__):
+        adapter = state.catalogue.adapter.get(name)
+        if adapter is not None and adapter.model == model:
+            found.append(adapter)
+    return [adapter for adapter in found if not _is_placed(state, adapter, now)]
+
+
 def _is_placed(state: ShardState, adapter: Adapter, now: float) -> bool:
     return any(
         intent.adapter == adapter.name and state.is_live(intent, now)
@@ -47,12 +51,7 @@
 def _place(
     state: ShardState, adapter: Adapter, now: float, fence: int, order_id: str
 ) -> Decision | None:
-    hosts = [
-        intent
-        for intent in state.ready(adapter.model, now)
-        if state.ledger.find(intent.target, adapter.model, adapter.name)
-        is None
-    ]
+    hosts = _hosts(state, adapter, now)
     if not hosts:
         return None
     free = {host.target: _free(state, host) for host in hosts}
@@ -82,6 +81,16 @@
     )
 
 
+def _hosts(state: ShardState, adapter: Adapter, now: float) -> list[Intent]:
+    find = state.ledger.find
+    name = adapter.name
+    return [
+        host
+        for host in state.ready(adapter.model, now)
+        if find(host.target, host.model, name) is None
+    ]
+
+
 def _free(state: ShardState, host: Intent) -> int:
     return state.free_bytes(state.catalogue.target[host.target])
 
--- a/mimosaworks/placement/choice.py
+++ b/mimosaworks/placement/choice.py
@@ -46,21 +46,21 @@
     return sorted(found)
 
 
-def usable_targets(
-    state: ShardState, model: Model, now: float
-) -> list[Target]:
+def usable_targets(state: ShardState, model: Model, now: float) -> list[Target]:
     """Return the pool's reachable targets that don't hold the model."""
+    find = state.ledger.find
     return [
         target
         for target in state.engines(model.pool)
         if state.is_reachable(target.name, now)
-        and state.ledger.find(target.name, model.name) is None
+        and find(target.name, model.name) is None
     ]
 
 
 def cache_rank(state: ShardState, target: str, checkpoint: str) -> int:
     """Return the rank of where a target has a checkpoint."""
-    cached = state.ledger.views[target].report.cached
+    view = state.ledger.views[target]
+    cached = view.report.cached
     if checkpoint in cached.memory:
         return IN_MEMORY_RANK
     if checkpoint in cached.disk:
--- /dev/null
+++ b/mimosaworks/placement/debug.py
@@ -0,0 +1,46 @@
+"""Shows operators what a placer believes."""
+
+from typing import Any
+
+import attrs
+from aiohttp import web
+
+from mimosaworks.clock import now_s
+from mimosaworks.placement.evidence import resolved_state
+from mimosaworks.placement.shard_placer import ShardPlacer
+
+
+def add_debug_handler(app: web.Application, placer: ShardPlacer) -> None:
+    """Serve GET /debug/placement: lease, intents and targets as JSON."""
+
+    async def answer(_: web.Request) -> web.Response:
+        return web.json_response(_describe(placer, now_s()))
+
+    app.router.add_get('/debug/placement', answer)
+
+
+def _describe(placer: ShardPlacer, now: float) -> dict[str, Any]:
+    ledger = placer.state.ledger
+    row = placer.lease.row
+    return {
+        'shard': placer.shard,
+        'lease': None if row is None else attrs.asdict(row),
+        'is_holder': placer.is_holder,
+        'may_act': placer.lease.may_act(now),
+        'config_version': placer.state.catalogue.version,
+        'intents': [
+            {
+                'order_id': intent.order_id,
+                'state': intent.state.value,
+                'model': intent.model,
+                'adapter': intent.adapter,
+                'target': intent.target,
+                'size_bytes': intent.size_bytes,
+                'reported': resolved_state(ledger, intent),
+            }
+            for intent in ledger.intents().values()
+        ],
+        'report_age_s': {
+            target: now - view.asked_s for target, view in ledger.views.items()
+        },
+    }
--- a/mimosaworks/placement/demand_book.py
+++ b/mimosaworks/placement/demand_book.py
@@ -48,9 +48,7 @@
             if now - heard.heard_s <= DEMAND_TTL_S
         }
         waiting = {
-            (work.model, work.adapter)
-            for work in self._works()
-            if work.waiting
+            (work.model, work.adapter) for work in self._works() if work.waiting
         }
         self.waiting_since = {
             key: self.waiting_since.get(key, now) for key in waiting
--- a/mimosaworks/placement/eviction.py
+++ b/mimosaworks/placement/eviction.py
@@ -1,5 +1,6 @@
 """Choice of replicas and adapters to drain when memory is short."""
 
+import functools
 import math
 
 import attrs
@@ -41,7 +42,8 @@
         pool = _victims(state, target, minute, now, is_starved=is_starved)
         chosen = _cover(pool, missing, state)
         if chosen is not None:
-            last_use = max((_last_use(state, one) for one in chosen), default=-math.inf)
+            uses = [_last_use(state, victim) for victim in chosen]
+            last_use = max(uses, default=-math.inf)
             plans.append(Eviction(target.name, tuple(chosen), last_use))
     return min(plans, key=_plan_cost, default=None)
 
@@ -91,7 +93,7 @@
             continue
         if _may_evict(state, intent, minute, now, is_starved=is_starved):
             found.append(intent)
-    return sorted(found, key=lambda intent: _last_use(state, intent))
+    return sorted(found, key=functools.partial(_last_use, state))
 
 
 def _may_evict(
--- a/mimosaworks/placement/keep_alive.py
+++ b/mimosaworks/placement/keep_alive.py
@@ -1,6 +1,7 @@
 """How long an idle model is kept loaded."""
 
 import bisect
+import functools
 import math
 from collections.abc import Sequence
 
@@ -9,7 +10,11 @@
 KEEP_ALIVE_KINDS = ('histogram', 'fixed', 'none')
 MIN_SAMPLES = 4
 # Upper bounds of the histogram's buckets of inter-arrival times in seconds.
-BOUNDS_S = tuple(2.0 ** (step / 2) for step in range(29))
+GROWTH = math.sqrt(2)
+BOUND_COUNT = 29
+BOUNDS_S = tuple(math.pow(GROWTH, step) for step in range(BOUND_COUNT))
+# The last bucket takes all longer ones.
+TOPS_S = (*BOUNDS_S, math.inf)
 
 
 @attrs.frozen
@@ -32,7 +37,7 @@
 class ArrivalHistogram:
     """Inter-arrival times of one model in buckets that grow by sqrt(2)."""
 
-    counts: list[int] = attrs.field(factory=lambda: [0] * (len(BOUNDS_S) + 1))
+    counts: list[int] = attrs.field(factory=lambda: [0 for _ in TOPS_S])
     last_s: float = -math.inf
 
     def add(self, now: float) -> None:
@@ -56,11 +61,8 @@
         return rules.min_s
     if rules.kind == 'fixed' or sum(counts) < MIN_SAMPLES:
         return max(rules.fixed_s, rules.min_s)
-    windows = (rules.min_s, *(bound for bound in BOUNDS_S))
-    best = min(
-        windows,
-        key=lambda window: _gap_cost(rules, counts, cold_start_s, window),
-    )
+    cost = functools.partial(_gap_cost, rules, counts, cold_start_s)
+    best = min((rules.min_s, *BOUNDS_S), key=cost)
     return max(best, rules.min_s)
 
 
@@ -70,15 +72,8 @@
     cold_start_s: float,
     window_s: float,
 ) -> float:
-    tops = (*BOUNDS_S, math.inf)
-    idle = sum(
-        count * min(top, window_s)
-        for count, top in zip(counts, tops, strict=True)
-    )
-    missed = sum(
-        count
-        for count, top in zip(counts, tops, strict=True)
-        if top > window_s
-    )
+    buckets = list(zip(counts, TOPS_S, strict=True))
+    idle = sum(count * min(top, window_s) for count, top in buckets)
+    missed = sum(count for count, top in buckets if top > window_s)
     cold = missed * cold_start_s * rules.cold_start_weight
     return idle * rules.idle_weight + cold
--- a/mimosaworks/placement/ledger.py
+++ b/mimosaworks/placement/ledger.py
@@ -116,13 +116,8 @@
         if view is None:
             return []
         known = {(intent.name, bool(intent.adapter)) for intent in intents}
-        report = view.report
-        loaded = [
-            *((name, False, held) for name, held in report.models.items()),
-            *((name, True, held) for name, held in report.adapters.items()),
-        ]
-        return [
-            (name, is_adapter, held.size_bytes)
-            for name, is_adapter, held in loaded
-            if (name, is_adapter) not in known
-        ]
+        models = view.report.models.items()
+        adapters = view.report.adapters.items()
+        loaded = [(name, False, held.size_bytes) for name, held in models]
+        loaded += [(name, True, held.size_bytes) for name, held in adapters]
+        return [stray for stray in loaded if stray[:2] not in known]
--- a/mimosaworks/placement/orders.py
+++ b/mimosaworks/placement/orders.py
@@ -37,6 +37,13 @@
         track.load_sent_s = now
 
 
+def order_refused(ledger: Ledger, order: Order) -> None:
+    """Note that a target refused a load for lack of memory."""
+    track = ledger.tracks.get(order.intent_id)
+    if track is not None and order.order_id == order.intent_id:
+        track.is_refused = True
+
+
 def _due_order(
     ledger: Ledger, intent: Intent, fence: int, now: float
 ) -> Order | None:
--- a/mimosaworks/placement/placer_settings.py
+++ b/mimosaworks/placement/placer_settings.py
@@ -7,6 +7,8 @@
 from mimosaworks.settings import option
 
 _POSITIVE = attrs.validators.gt(0)
+_RULES = PlacementRules()
+_KEEP_ALIVE = KeepAliveRules()
 
 
 @attrs.frozen
@@ -16,37 +18,48 @@
     peer_address: str = option('host:port for messages between processes')
     platform_url: str = option('base URL of the platform')
     data_centre: str = option('data centre of this process')
+    http_address: str = option(
+        'host:port of GET /debug/placement; empty for none', ''
+    )
     statsd_address: str = option('host:port of statsd; empty for none', '')
     shard: str = option('name of the placement shard', 'main')
-    lease_s: float = option('length of the lease', 4.0, _POSITIVE)
+    lease_s: float = option('seconds of the lease', _RULES.lease_s, _POSITIVE)
     quarantine_s: float = option(
-        'longest time that an order can be on its way', 5.0, _POSITIVE
+        'longest time that an order can be on its way',
+        _RULES.quarantine_s,
+        _POSITIVE,
     )
     loads_per_s: float = option(
-        'loads a second from the weight store', 3.0, _POSITIVE
+        'loads a second from the weight store', _RULES.loads_per_s, _POSITIVE
     )
     loads_at_once: int = option(
-        'loads at once from the weight store', 4, _POSITIVE
+        'loads at once from the weight store', _RULES.loads_at_once, _POSITIVE
     )
     adapters_at_once: int = option(
-        'adapters in flight at once', 30, _POSITIVE
+        'adapters in flight at once', _RULES.adapters_at_once, _POSITIVE
     )
     requests_per_replica: int = option(
-        'requests of a model before it gets a replica more', 8, _POSITIVE
+        'requests of a model before it gets a replica more',
+        _RULES.requests_per_replica,
+        _POSITIVE,
     )
     keep_alive: str = option(
         'how long idle models stay loaded: histogram, fixed or none',
-        'histogram',
+        _KEEP_ALIVE.kind,
         attrs.validators.in_(KEEP_ALIVE_KINDS),
     )
     keep_alive_s: float = option(
-        'seconds of the fixed keep-alive', 60.0, _POSITIVE
+        'seconds of the fixed keep-alive', _KEEP_ALIVE.fixed_s, _POSITIVE
     )
     cold_start_weight: float = option(
-        'cost of a second of cold start', 10.0, _POSITIVE
+        'cost of a second of cold start',
+        _KEEP_ALIVE.cold_start_weight,
+        _POSITIVE,
     )
     idle_weight: float = option(
-        'cost of a second of an idle replica', 1.0, _POSITIVE
+        'cost of a second of an idle replica',
+        _KEEP_ALIVE.idle_weight,
+        _POSITIVE,
     )
 
     def rules(self) -> PlacementRules:
--- a/mimosaworks/placement/policy.py
+++ b/mimosaworks/placement/policy.py
@@ -16,6 +16,7 @@
 )
 from mimosaworks.placement.decision import Decision, DecisionKind
 from mimosaworks.placement.eviction import plan_eviction
+from mimosaworks.placement.evidence import track_of
 from mimosaworks.placement.intent import Intent, IntentState
 from mimosaworks.placement.keep_alive import keep_alive_s
 from mimosaworks.placement.shard_state import ShardState
@@ -43,22 +44,20 @@
     def run(self) -> list[Decision]:
         """Decide for all models and adapters; return what was decided."""
         self.state.demand.refresh(self.now)
-        wants = {
-            model.name: wanted_replicas(self.state, model, self.minute)
-            for model in self.state.catalogue.model.values()
-        }
-        for name in sorted(wants, key=self._urgency):
-            model = self.state.catalogue.model[name]
-            missing = wants[name] - len(self.state.live(name, self.now))
-            self._raise_by(model, missing)
-            self._lower(model, wants[name])
+        models = self.state.catalogue.model.values()
+        for model in sorted(models, key=self._urgency):
+            wanted = wanted_replicas(self.state, model, self.minute)
+            live = self.state.live(model.name, self.now)
+            self._raise_by(model, wanted - len(live))
+            self._lower(model, wanted)
         self.decisions += place_adapters(
             self.state, self.now, self.fence, self.new_id
         )
         return self.decisions
 
-    def _urgency(self, model: str) -> tuple[float, str]:
-        return (self.state.demand.wait_start_s(model), model)
+    def _urgency(self, model: Model) -> tuple[float, str]:
+        demand = self.state.demand
+        return (demand.wait_start_s(model.name), model.name)
 
     def _raise_by(self, model: Model, missing: int) -> None:
         missing -= self._keep_draining(model, missing)
@@ -68,11 +67,12 @@
 
     def _keep_draining(self, model: Model, missing: int) -> int:
         kept = 0
-        for intent in self.state.ledger.intents().values():
+        ledger = self.state.ledger
+        for intent in ledger.intents().values():
             if kept >= missing:
                 break
             if self._can_keep(intent, model):
-                self.state.ledger.tracks[intent.order_id].cancel_drain()
+                track_of(ledger, intent).cancel_drain()
                 self._note(DecisionKind.KEEP, intent, 'wanted again')
                 kept += 1
         return kept
@@ -83,8 +83,7 @@
         if intent.target not in self.state.catalogue.target:
             return False
         is_loaded = intent.state is IntentState.LOAD
-        track = self.state.ledger.tracks[intent.order_id]
-        return is_loaded and track.is_draining
+        return is_loaded and track_of(self.state.ledger, intent).is_draining
 
     def _place(self, model: Model) -> bool:
         found = candidates(self.state, model, self.promised, self.now)
@@ -153,7 +152,7 @@
             self._drain(ready[-1], f'idle for {keep_s:.1f} s')
 
     def _drain(self, intent: Intent, reason: str) -> None:
-        self.state.ledger.tracks[intent.order_id].start_drain(self.now)
+        track_of(self.state.ledger, intent).start_drain(self.now)
         self._note(DecisionKind.DRAIN, intent, reason)
 
     def _note(
--- a/mimosaworks/placement/settlement.py
+++ b/mimosaworks/placement/settlement.py
@@ -46,18 +46,26 @@
     track = track_of(ledger, intent)
     if not track.is_draining:
         return _drain_unwanted(state, intent, now)
-    if math.isinf(track.drain_acked_s):
-        if now - track.drain_since_s > state.rules.drain_ack_s:
-            track.drain_acked_s = now
+    return _settle_drain(state, intent, now)
+
+
+def _settle_drain(
+    state: ShardState, intent: Intent, now: float
+) -> Decision | None:
+    ledger = state.ledger
+    track = track_of(ledger, intent)
+    is_overdue = now - track.drain_since_s > state.rules.drain_ack_s
+    if is_overdue and math.isinf(track.drain_acked_s):
+        # A router that missed the map is told by the target that the model
+        # is not loaded, and goes elsewhere.
+        track.drain_acked_s = now
     if is_drained(ledger, intent, state.rules.report_lag_s):
         ledger.put(unloading(intent), now)
         return _decide(DecisionKind.UNLOAD, intent, 'drained')
     return None
 
 
-def _settle_ended(
-    state: ShardState, intent: Intent
-) -> Decision | None:
+def _settle_ended(state: ShardState, intent: Intent) -> Decision | None:
     if not may_delete(state.ledger, intent, state.rules.quarantine_s):
         return None
     state.ledger.delete(intent.order_id)
@@ -123,6 +131,4 @@
 
 
 def _decide(kind: DecisionKind, intent: Intent, reason: str) -> Decision:
-    return Decision(
-        kind, intent.model, intent.adapter, intent.target, reason
-    )
+    return Decision(kind, intent.model, intent.adapter, intent.target, reason)
--- a/mimosaworks/placement/shard_placer.py
+++ b/mimosaworks/placement/shard_placer.py
@@ -9,7 +9,7 @@
 from mimosaworks.placement.decision import Decision
 from mimosaworks.placement.intent import intent_from_json
 from mimosaworks.placement.lease import ShardLease
-from mimosaworks.placement.lease_row import lease_row_from_json
+from mimosaworks.placement.lease_row import LeaseRow, lease_row_from_json
 from mimosaworks.placement.ledger import Ledger
 from mimosaworks.placement.map_maker import MapMaker
 from mimosaworks.placement.order import Order
@@ -20,7 +20,7 @@
 from mimosaworks.placement.shard_state import ShardState
 from mimosaworks.placement.target_view import TargetView
 from mimosaworks.platform import Row
-from mimosaworks.wire import Demand, ReplicaMap
+from mimosaworks.wire import ReplicaMap
 
 
 @attrs.define
@@ -52,10 +52,6 @@
         """Take in a version of the configuration."""
         self.state.catalogue = catalogue
 
-    def on_demand(self, demand: Demand, now: float) -> None:
-        """Take in a router's demand."""
-        self.state.demand.on_demand(demand, now)
-
     def on_report(self, target: str, report: Report, asked_s: float) -> None:
         """Take in a target's report, asked for at asked_s."""
         known = self.state.ledger.views.get(target)
@@ -69,15 +65,12 @@
         lease_row = None if row is None else lease_row_from_json(row.content)
         if self.batch is not None and self.batch.lease == lease_row:
             self.on_committed(version, now)
-        elif version != self.lease.version:
-            self.batch = None
-            self.lease.observe(lease_row, version, now)
         else:
-            self.lease.observe(lease_row, version, now)
-        if not self.lease.is_mine:
-            self._resign(now)
-        elif not self.is_adopted:
+            self._observe(lease_row, version, now)
+        if self.lease.is_mine:
             self._adopt(rows, now)
+        else:
+            self._resign()
 
     def next_batch(self, now: float) -> Batch | None:
         """Return what to commit now, if anything.
@@ -85,11 +78,7 @@
         A batch without an answer is returned again unchanged until it was
         committed or refused.
         """
-        if self.batch is not None:
-            return self.batch
-        if self.lease.may_claim(now):
-            self.batch = self._new_batch(now)
-        elif self.is_holder and self._is_write_due(now):
+        if self.batch is None and self._is_write_due(now):
             self.batch = self._new_batch(now)
         return self.batch
 
@@ -113,9 +102,7 @@
             return []
         fence = self.lease.fence
         decisions = settle(self.state, now, fence, self._new_id)
-        placement = PlacementRound(
-            self.state, now, minute, fence, self._new_id
-        )
+        placement = PlacementRound(self.state, now, minute, fence, self._new_id)
         return decisions + placement.run()
 
     def due_orders(self, now: float) -> list[Order]:
@@ -141,23 +128,15 @@
         order_sent(self.state.ledger, order, now, retry_s)
         return True
 
-    def on_refused(self, order: Order) -> None:
-        """Take in that a target refused a load for lack of memory."""
-        track = self.state.ledger.tracks.get(order.intent_id)
-        if track is not None and order.order_id == order.intent_id:
-            track.is_refused = True
-
     def replica_map(self, now: float) -> ReplicaMap | None:
         """Return the map for routers; None from a placer that stands by."""
         if not self.is_holder:
             return None
         return self.maps.make(self.state, self.lease.fence, now)
 
-    def on_map_acked(self, sequence: int, now: float) -> None:
-        """Take in that every router has the map of this number."""
-        self.maps.acked(self.state, sequence, now)
-
     def _is_write_due(self, now: float) -> bool:
+        if not self.is_holder:
+            return self.lease.may_claim(now)
         is_renewal_due = now - self.renewed_s >= self.state.rules.renew_s
         return is_renewal_due or bool(self.state.ledger.pending)
 
@@ -171,7 +150,15 @@
             changes,
         )
 
+    def _observe(self, row: LeaseRow | None, version: int, now: float) -> None:
+        if version != self.lease.version:
+            # Another's write has won; the batch in doubt can't land any more.
+            self.batch = None
+        self.lease.observe(row, version, now)
+
     def _adopt(self, rows: Mapping[str, Row], now: float) -> None:
+        if self.is_adopted:
+            return
         prefix = intent_prefix(self.shard)
         intents = {
             key.removeprefix(prefix): intent_from_json(row.content)
@@ -182,11 +169,12 @@
         self.state.budget.restart(now)
         self.is_adopted = True
 
-    def _resign(self, now: float) -> None:
+    def _resign(self) -> None:
         if self.is_adopted:
             self.state.ledger = Ledger()
             self.is_adopted = False
 
     def _new_id(self) -> str:
         self.order_count += 1
-        return f'{self.shard}-{self.lease.fence}-{self.order_count}'
+        fence = self.lease.fence
+        return f'{self.shard}-{fence}-{self.order_count}'
--- /dev/null
+++ b/mimosaworks/placement/wiring.py
@@ -0,0 +1,110 @@
+"""Composition root of mimosa-placer."""
+
+import asyncio
+import contextlib
+import secrets
+
+from aiohttp import ClientSession, web
+
+from mimosaworks.events import Event, log_event
+from mimosaworks.members import Member, MemberRole, MemberService
+from mimosaworks.placement.budget import LoadBudget
+from mimosaworks.placement.debug import add_debug_handler
+from mimosaworks.placement.lease import ShardLease
+from mimosaworks.placement.map_maker import MapMaker
+from mimosaworks.placement.map_pusher import MapPusher
+from mimosaworks.placement.order_sender import OrderSender
+from mimosaworks.placement.placer_settings import PlacerSettings
+from mimosaworks.placement.report_reader import ReportReader
+from mimosaworks.placement.service import PlacerService
+from mimosaworks.placement.shard_placer import ShardPlacer
+from mimosaworks.placement.shard_state import ShardState
+from mimosaworks.placement.shard_writer import ShardWriter
+from mimosaworks.placement.target_poller import TargetPoller
+from mimosaworks.platform import ObjectClient, TableClient
+from mimosaworks.wire import Demand, PeerClient, add_peer_handler, new_peer_app
+
+NONCE_BYTES = 8
+
+
+async def run_placer(cfg: PlacerSettings, stop: asyncio.Event) -> None:
+    """Run a placer until stop is set."""
+    async with contextlib.AsyncExitStack() as stack:
+        session = await stack.enter_async_context(ClientSession())
+        app = new_peer_app()
+        members = _make_members(cfg, session, app)
+        placer = _make_placer(cfg)
+        service = _make_service(cfg, session, placer, members)
+        add_peer_handler(app, Demand, service.on_demand)
+        await _serve(stack, app, cfg.peer_address)
+        if cfg.http_address:
+            debug_app = web.Application()
+            add_debug_handler(debug_app, placer)
+            await _serve(stack, debug_app, cfg.http_address)
+        members.subscribe(placer.on_catalogue)
+        await stack.enter_async_context(members)
+        await stack.enter_async_context(service)
+        log_event(Event.PROCESS_STARTED, peer_address=cfg.peer_address)
+        await stop.wait()
+        log_event(Event.PROCESS_STOPPED, peer_address=cfg.peer_address)
+
+
+def _make_members(
+    cfg: PlacerSettings, session: ClientSession, app: web.Application
+) -> MemberService:
+    own = Member(
+        address=cfg.peer_address,
+        http_address=cfg.http_address,
+        role=MemberRole.PLACER,
+        data_centre=cfg.data_centre,
+    )
+    return MemberService(
+        TableClient(session, cfg.platform_url),
+        ObjectClient(session, cfg.platform_url),
+        PeerClient(session),
+        app,
+        own,
+    )
+
+
+def _make_placer(cfg: PlacerSettings) -> ShardPlacer:
+    rules = cfg.rules()
+    lease = ShardLease(
+        cfg.peer_address,
+        secrets.token_hex(NONCE_BYTES),
+        rules.lease_s,
+        rules.margin_s,
+    )
+    state = ShardState(rules, LoadBudget(rules.loads_per_s))
+    return ShardPlacer(cfg.shard, lease, state, MapMaker(cfg.peer_address))
+
+
+def _make_service(
+    cfg: PlacerSettings,
+    session: ClientSession,
+    placer: ShardPlacer,
+    members: MemberService,
+) -> PlacerService:
+    wake = asyncio.Event()
+
+    def routers() -> list[str]:
+        return [member.address for member in members.routers()]
+
+    return PlacerService(
+        placer=placer,
+        writer=ShardWriter(TableClient(session, cfg.platform_url), placer),
+        sender=OrderSender(session, placer.may_send),
+        poller=TargetPoller(ReportReader(session), placer, wake.set),
+        pusher=MapPusher(PeerClient(session), placer, routers),
+        wake=wake,
+    )
+
+
+async def _serve(
+    stack: contextlib.AsyncExitStack, app: web.Application, address: str
+) -> None:
+    host, _, port = address.rpartition(':')
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    await web.TCPSite(runner, host, int(port)).start()
