--- a/mimosaworks/placement/adapter_policy.py
+++ b/mimosaworks/placement/adapter_policy.py
@@ -42,10 +42,9 @@
 
 
 def _is_placed(state: ShardState, adapter: Adapter, now: float) -> bool:
-    return any(
-        intent.adapter == adapter.name and state.is_live(intent, now)
-        for intent in state.ledger.intents().values()
-    )
+    intents = state.ledger.intents().values()
+    placed = [intent for intent in intents if intent.adapter == adapter.name]
+    return any(state.is_live(intent, now) for intent in placed)
 
 
 def _place(
@@ -55,20 +54,10 @@
     if not hosts:
         return None
     free = {host.target: _free(state, host) for host in hosts}
-    best = max(hosts, key=lambda host: (free[host.target], host.target))
+    best = max(hosts, key=lambda host: free[host.target])
     if free[best.target] < adapter.size_bytes:
         return _make_room(state, best, adapter.size_bytes)
-    intent = Intent(
-        order_id=order_id,
-        state=IntentState.LOAD,
-        model=adapter.model,
-        adapter=adapter.name,
-        target=best.target,
-        url=best.url,
-        checkpoint=adapter.name,
-        size_bytes=adapter.size_bytes,
-        fence=fence,
-    )
+    intent = _intent(adapter, best, fence, order_id)
     state.ledger.put(intent, now)
     others = tuple(f'{target}/{size}' for target, size in free.items())
     return Decision(
@@ -81,6 +70,22 @@
     )
 
 
+def _intent(
+    adapter: Adapter, host: Intent, fence: int, order_id: str
+) -> Intent:
+    return Intent(
+        order_id=order_id,
+        state=IntentState.LOAD,
+        model=adapter.model,
+        adapter=adapter.name,
+        target=host.target,
+        url=host.url,
+        checkpoint=adapter.name,
+        size_bytes=adapter.size_bytes,
+        fence=fence,
+    )
+
+
 def _hosts(state: ShardState, adapter: Adapter, now: float) -> list[Intent]:
     find = state.ledger.find
     name = adapter.name
--- a/mimosaworks/placement/keep_alive.py
+++ b/mimosaworks/placement/keep_alive.py
@@ -73,7 +73,7 @@
     window_s: float,
 ) -> float:
     buckets = list(zip(counts, TOPS_S, strict=True))
-    idle = sum(count * min(top, window_s) for count, top in buckets)
+    idle_s = [count * min(top, window_s) for count, top in buckets]
     missed = sum(count for count, top in buckets if top > window_s)
-    cold = missed * cold_start_s * rules.cold_start_weight
-    return idle * rules.idle_weight + cold
+    cold_s = missed * cold_start_s
+    return sum(idle_s) * rules.idle_weight + cold_s * rules.cold_start_weight
--- a/mimosaworks/placement/ledger.py
+++ b/mimosaworks/placement/ledger.py
@@ -102,8 +102,9 @@
         What a target loaded without an intent counts too.
         """
         intents = self.on_target(target)
+        strays = self.strays(target, intents)
         reserved = sum(intent.size_bytes for intent in intents)
-        unasked = sum(size for _, _, size in self.strays(target, intents))
+        unasked = sum(size for _, _, size in strays)
         view = self.views.get(target)
         used = 0 if view is None else view.report.used_bytes
         return max(reserved + unasked, used)
--- a/mimosaworks/placement/service.py
+++ b/mimosaworks/placement/service.py
@@ -14,8 +14,8 @@
 from mimosaworks.placement.errors import LeaseLapsedError
 from mimosaworks.placement.map_pusher import MapPusher
 from mimosaworks.placement.order import Order
-from mimosaworks.placement.orders import order_refused
 from mimosaworks.placement.order_sender import OrderSender
+from mimosaworks.placement.orders import order_refused
 from mimosaworks.placement.shard_placer import ShardPlacer
 from mimosaworks.placement.shard_writer import ShardWriter
 from mimosaworks.placement.target_poller import TargetPoller
--- a/mimosaworks/placement/shard_writer.py
+++ b/mimosaworks/placement/shard_writer.py
@@ -38,7 +38,8 @@
         if not self.is_read_due and not self._is_look_due():
             return
         shard = self.placer.shard
-        rows = await self.table.read([lease_key(shard)], [intent_prefix(shard)])
+        prefixes = [intent_prefix(shard)]
+        rows = await self.table.read([lease_key(shard)], prefixes)
         self.read_s = now_s()
         self.placer.on_rows(rows, self.read_s)
         self.is_read_due = False
--- /dev/null
+++ b/tests/test_placement_processes.py
@@ -0,0 +1,169 @@
+"""Tests of mimosa-placer with real processes and faults."""
+
+import asyncio
+import contextlib
+from collections import Counter
+from collections.abc import AsyncIterator
+from typing import Any
+
+import attrs
+import pytest
+from aiohttp import web
+
+from mimosaworks.configs import ConfigStore
+from mimosaworks.entities import Adapter, Change, Model, Target
+from mimosaworks.members import Member, MemberRole, MemberState
+from mimosaworks.placement.batch import intent_prefix
+from mimosaworks.platform import ObjectClient, RowWrite, TableClient
+from mimosaworks.wire import (
+    Ack,
+    Demand,
+    ModelDemand,
+    PeerClient,
+    ReplicaEntry,
+    ReplicaMap,
+    add_peer_handler,
+    new_peer_app,
+)
+from standins.addresses import reserve_address
+from tests.harness import Cluster, Node, wait_until
+
+SIZE = 100
+MEMORY = 250
+FAST = ('--lease-s=1.2', '--quarantine-s=1.5', '--keep-alive=none')
+
+
+@attrs.define
+class FakeRouter:
+    """A router's peer port: takes maps, sends demand to their holder."""
+
+    cluster: Cluster
+    address: str = attrs.field(factory=reserve_address)
+    latest: ReplicaMap = ReplicaMap(0, 0, '')
+
+    async def on_map(self, replica_map: ReplicaMap) -> Ack:
+        key = (replica_map.fence, replica_map.sequence)
+        if key >= (self.latest.fence, self.latest.sequence):
+            self.latest = replica_map
+        return Ack(True)
+
+    async def ask(self, model: str, adapter: str = '') -> None:
+        work = ModelDemand(model, adapter, waiting=1, arrivals=1)
+        demand = Demand(self.address, (work,))
+        if self.latest.holder:
+            with contextlib.suppress(Exception):
+                peers = PeerClient(self.cluster.http)
+                await peers.call(self.latest.holder, demand, Ack, 0.3)
+
+    def entry(self, model: str) -> ReplicaEntry | None:
+        found = (one for one in self.latest.replicas if one.model == model)
+        return next(found, None)
+
+    async def wait_ready(self, model: str, adapter: str = '') -> None:
+        async def is_ready() -> bool:
+            await self.ask(model, adapter)
+            entry = self.entry(model)
+            if entry is None or entry.state != 'ready':
+                return False
+            return not adapter or adapter in entry.adapters
+
+        await wait_until(is_ready)
+
+
+@attrs.define
+class Site:
+    """Engines, a fake router and the table of one test."""
+
+    cluster: Cluster
+    router: FakeRouter
+    engines: dict[str, Node] = attrs.field(factory=dict)
+
+    @property
+    def table(self) -> TableClient:
+        return TableClient(self.cluster.http, self.cluster.platform.url)
+
+    async def configure(self, *entities: Any) -> None:
+        url = self.cluster.platform.url
+        store = ConfigStore(self.table, ObjectClient(self.cluster.http, url))
+        changes = [
+            Change(type(entity).__name__.lower(), entity.name, entity)
+            for entity in entities
+        ]
+        await store.append(0, changes, 'test')
+
+    async def add_engine(self, name: str, *flags: str) -> Target:
+        node = await self.cluster.start_engine(
+            f'--memory-bytes={MEMORY}', *flags
+        )
+        self.engines[name] = node
+        checks = '--checks-fence=False' not in flags
+        return Target(
+            name, node.url, 'models', memory_bytes=MEMORY, checks_fence=checks
+        )
+
+    async def add_engines(self, *names: str) -> list[Target]:
+        return await asyncio.gather(*(self.add_engine(name) for name in names))
+
+    async def start_placer(self, *flags: str) -> Node:
+        return await self.cluster.start_program('placer', *FAST, *flags)
+
+    async def intents(self) -> int:
+        rows = await self.table.read([], [intent_prefix('main')])
+        return len(rows)
+
+    async def stats(self, name: str) -> dict[str, Any]:
+        found = await self.cluster.get_json(self.engines[name], '/stats')
+        assert isinstance(found, dict)
+        return found
+
+    async def all_stats(self) -> list[dict[str, Any]]:
+        return await asyncio.gather(*(self.stats(one) for one in self.engines))
+
+    async def loads(self) -> Counter[str]:
+        """Count how often each model was reserved on any engine."""
+        return Counter(
+            name
+            for stats in await self.all_stats()
+            for _, what, name in stats['history']
+            if what == 'reserved'
+        )
+
+    async def check_memory(self) -> None:
+        for stats in await self.all_stats():
+            assert stats['overcommits'] == 0
+            assert stats['peak_bytes'] <= MEMORY
+            assert stats['unloads_while_running'] == 0
+
+
+@pytest.fixture
+async def site(cluster: Cluster) -> AsyncIterator[Site]:
+    router = FakeRouter(cluster)
+    app = new_peer_app()
+    add_peer_handler(app, ReplicaMap, router.on_map)
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    host, _, port = router.address.rpartition(':')
+    await web.TCPSite(runner, host, int(port)).start()
+    made = Site(cluster, router)
+    row = Member(
+        router.address, '', MemberRole.ROUTER, 'dc1', state=MemberState.LIVE
+    )
+    await made.table.commit([], [RowWrite(row.key, row.to_json())])
+    yield made
+    await runner.cleanup()
+
+
+def model(name: str, **more: Any) -> Model:
+    return Model(name, f'{name}.ckpt', SIZE, **more)
+
+
+async def test_a_burst_of_demand_makes_one_load_of_model_and_adapter(
+    site: Site,
+) -> None:
+    targets = await site.add_engines('t1', 't2')
+    await site.configure(*targets, model('m'), Adapter('a', 'm', 10))
+    await site.start_placer()
+    await site.router.wait_ready('m', 'a')
+    await asyncio.gather(*(site.router.ask('m', 'a') for _ in range(20)))
+    assert (await site.loads())['m'] == 1
+    await site.check_memory()
