--- a/mimosaworks/configs/__init__.py
+++ b/mimosaworks/configs/__init__.py
@@ -8,7 +8,12 @@
     snapshot_of,
 )
 from mimosaworks.configs.errors import ConfigConflictError
-from mimosaworks.configs.store import ConfigStore, head_version, poll_keys
+from mimosaworks.configs.store import (
+    ConfigStore,
+    head_version,
+    log_entries,
+    poll_keys,
+)
 
 __all__ = [
     'ConfigConflictError',
@@ -18,6 +23,7 @@
     'dump_entries',
     'head_version',
     'load_entries',
+    'log_entries',
     'poll_keys',
     'snapshot_of',
 ]
--- a/mimosaworks/configs/store.py
+++ b/mimosaworks/configs/store.py
@@ -53,6 +53,12 @@
     return int(json.loads(head.content)['version'])
 
 
+def log_entries(rows: Mapping[str, Row]) -> list[LogEntry]:
+    """Return the log entries among the rows, in order."""
+    keys = sorted(key for key in rows if key.startswith(LOG_PREFIX))
+    return [_entry(rows[key]) for key in keys]
+
+
 @attrs.define
 class ConfigStore:
     """Reads and appends versions of the configuration."""
@@ -76,7 +82,7 @@
         Reads what is missing in rows; raises StoreUnavailableError.
         """
         version = head_version(rows)
-        near = apply_entries(since, _entries(rows))
+        near = apply_entries(since, log_entries(rows))
         if near.version >= version:
             return near
         return await self._load_far(near, version)
@@ -112,23 +118,33 @@
     ) -> None:
         # The same commit is sent again while its outcome is unknown: a lost
         # one can no longer take effect once another one has moved the head.
-        tries = IN_DOUBT_TRIES
-        while tries:
-            tries -= 1
-            try:
-                await self.table.commit([need], writes)
-            except StoreInDoubtError:
-                continue
-            except StoreConflictError:
-                await self._check_winner(writes[1].key, nonce)
-            except StoreUnavailableError:
-                # A refusal says nothing about an earlier try in doubt.
-                if tries == IN_DOUBT_TRIES - 1:
-                    raise
-                break
-            return
+        tries = 0
+        while tries < IN_DOUBT_TRIES:
+            if await self._is_written(need, writes, nonce, tries > 0):
+                return
+            tries += 1
         raise StoreInDoubtError(f'{writes[1].key}: outcome unknown')
 
+    async def _is_written(
+        self,
+        need: RowAssert,
+        writes: Sequence[RowWrite],
+        nonce: str,
+        is_in_doubt: bool,
+    ) -> bool:
+        try:
+            await self.table.commit([need], writes)
+        except StoreInDoubtError:
+            return False
+        except StoreConflictError:
+            await self._check_winner(writes[1].key, nonce)
+        except StoreUnavailableError as exc:
+            # A refusal says nothing about an earlier try in doubt.
+            if is_in_doubt:
+                raise StoreInDoubtError(str(exc)) from exc
+            raise
+        return True
+
     async def _check_winner(self, key: str, nonce: str) -> None:
         try:
             rows = await self.table.read([HEAD_KEY, key])
@@ -148,7 +164,9 @@
             first = since.version + 1
             last = min(version, since.version + READ_BATCH)
             keys = [log_key(number) for number in range(first, last + 1)]
-            since = apply_entries(since, _entries(await self.table.read(keys)))
+            since = apply_entries(
+                since, log_entries(await self.table.read(keys))
+            )
             if since.version < first:
                 raise PlatformError(f'{log_key(first)} is missing')
         return since
@@ -174,11 +192,6 @@
     return f'{prefix}{digits}'
 
 
-def _entries(rows: Mapping[str, Row]) -> list[LogEntry]:
-    keys = sorted(key for key in rows if key.startswith(LOG_PREFIX))
-    return [_entry(rows[key]) for key in keys]
-
-
 def _entry(row: Row) -> LogEntry:
     version = int(row.key.rpartition('/')[2])
     changes = json.loads(row.content)['changes']
--- a/mimosaworks/members/member.py
+++ b/mimosaworks/members/member.py
@@ -6,6 +6,7 @@
 import attrs
 import cattrs
 
+from mimosaworks.members.member_id import MemberId
 from mimosaworks.members.role import MemberRole
 from mimosaworks.members.state import MemberState
 
@@ -41,6 +42,11 @@
         """The key of the member's row."""
         return MEMBERS_PREFIX + self.address
 
+    @property
+    def id(self) -> MemberId:
+        """The name of this process for good."""
+        return MemberId(self.address, self.boot_nonce)
+
     @property
     def is_serving(self) -> bool:
         """Whether the member has joined and has not stopped."""
--- a/mimosaworks/members/service.py
+++ b/mimosaworks/members/service.py
@@ -2,29 +2,34 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any, Self
 
-import attrs
 from aiohttp import web
 
-from mimosaworks.clock import DRIFT, now_s
-from mimosaworks.configs import ConfigStore, poll_keys
+from mimosaworks.clock import now_s
+from mimosaworks.configs import ConfigStore
 from mimosaworks.entities import Catalogue
 from mimosaworks.errors import PlatformError
 from mimosaworks.members.acceptance import Acceptance
-from mimosaworks.members.member import (
-    MEMBERS_PREFIX,
-    Member,
-    member_from_json,
-)
+from mimosaworks.members.core import MemberCore
+from mimosaworks.members.freshness import Freshness
+from mimosaworks.members.member import Member
+from mimosaworks.members.poller import Poller
+from mimosaworks.members.publisher import Publisher
+from mimosaworks.members.registrar import Registrar
+from mimosaworks.members.registry import Registry
 from mimosaworks.members.role import MemberRole
 from mimosaworks.members.state import MemberState
-from mimosaworks.platform import ObjectClient, Row, RowWrite, TableClient
-from mimosaworks.wire import PeerClient
+from mimosaworks.platform import ObjectClient, TableClient, VmListClient
+from mimosaworks.wire import (
+    FreshAsk,
+    PeerClient,
+    VersionPush,
+    add_peer_handler,
+)
 
-FRESHNESS_S = 3.0
-POLL_S = 1.0
+PUBLISH_WAIT_S = 5.5
 RETRY_S = 1.0
 
 
@@ -32,7 +37,9 @@
     """One for each process; run as an asynchronous context manager.
 
     Its peer handlers are added to peer_app at construction, so construct it
-    before the application is served, and serve the peer port before entering.
+    before the application is served, and serve the peer port before entering
+    and until after leaving: a refused connection is evidence that the
+    process has ended.
     """
 
     def __init__(
@@ -42,34 +49,43 @@
         peers: PeerClient,
         peer_app: web.Application,
         own: Member,
-        now: Callable[[], float] = now_s,
+        vms: VmListClient | None = None,
     ) -> None:
-        self.own = own
-        self.catalogue = Catalogue()
-        self._table = table
-        self._store = ConfigStore(table, object_client)
-        self._peers = peers
-        self._now = now
-        self._basis_s = float('-inf')
-        self._members: tuple[Member, ...] = ()
-        self._callbacks: list[Callable[[Catalogue], None]] = []
-        self._member_callbacks: list[Callable[[], None]] = []
+        core = MemberCore(Freshness(own), now_s)
+        registry = Registry(table, ConfigStore(table, object_client), now_s)
+        self._core = core
+        self._publisher = Publisher(core, registry, peers)
+        self._poller = Poller(core, registry, peers)
+        self._registrar = Registrar(
+            core, registry, self._publisher, self._poller, vms
+        )
         self._stack = contextlib.AsyncExitStack()
+        add_peer_handler(peer_app, FreshAsk, core.on_ask)
+        add_peer_handler(peer_app, VersionPush, core.on_push)
 
     async def __aenter__(self) -> Self:
-        """Start joining and polling; does not wait for the table."""
-        poller = asyncio.create_task(self._poll())
-        self._stack.callback(poller.cancel)
+        """Start to join and to poll; does not wait for the table."""
+        self._start(self._poller.run())
+        self._start(self._registrar.run())
         return self
 
     async def __aexit__(self, *_exc: Any) -> None:
         """Stop, if that has not been done."""
         await self.stop()
 
+    @property
+    def own(self) -> Member:
+        """The own member, with its state."""
+        return self._core.freshness.own
+
+    @property
+    def catalogue(self) -> Catalogue:
+        """The newest configuration in force here."""
+        return self._core.catalogue
+
     def is_fresh(self) -> bool:
         """Whether keyed requests may be admitted or dispatched now."""
-        age_s = self._now() - self._basis_s
-        return self.own.is_serving and age_s < FRESHNESS_S
+        return self._core.freshness.is_fresh(self._core.now())
 
     def fresh_in_s(self) -> float:
         """Return the seconds after which a refused caller may come back."""
@@ -77,85 +93,54 @@
 
     def members(self) -> tuple[Member, ...]:
         """Return the members that have not stopped, this one included."""
-        return self._members
+        return self._core.freshness.view.members
 
     def routers(self) -> tuple[Member, ...]:
-        """Return the live routers, without those that drain."""
+        """Return the live routers, without those that drain or are dead."""
+        dead = self._core.freshness.evidence.dead_since_s
         return tuple(
             member
-            for member in self._members
+            for member in self.members()
             if member.role == MemberRole.ROUTER
             and member.state == MemberState.LIVE
+            and member.id not in dead
         )
 
     def subscribe(self, callback: Callable[[Catalogue], None]) -> None:
         """Call back with each newer configuration, before it is confirmed."""
-        self._callbacks.append(callback)
+        self._core.on_catalogue.append(callback)
 
     def subscribe_members(self, callback: Callable[[], None]) -> None:
         """Call back after each change of the members."""
-        self._member_callbacks.append(callback)
+        self._core.on_view.append(callback)
 
     async def publish(self, version: int) -> Acceptance:
         """Push a committed version; tell whether it is in force everywhere.
 
         May be called again for a version that was pending, on any process.
         """
-        await asyncio.sleep(FRESHNESS_S * (1 + DRIFT))
-        is_known = self.catalogue.version >= version
-        return Acceptance.IN_FORCE if is_known else Acceptance.PENDING
+        if not self.own.is_serving:
+            return Acceptance.PENDING
+        until_s = self._core.now() + PUBLISH_WAIT_S
+        is_passed = await self._publisher.publish(version, until_s)
+        if is_passed and self.own.is_serving:
+            return Acceptance.IN_FORCE
+        return Acceptance.PENDING
 
     async def set_state(self, state: MemberState) -> None:
-        """Set the state in this member's row; raises PlatformError."""
-        self.own = attrs.evolve(
-            self.own,
-            state=state,
-            heartbeat=self.own.heartbeat + 1,
-            applied_version=self.catalogue.version,
-        )
-        write = RowWrite(self.own.key, self.own.to_json())
-        await self._table.commit([], [write])
+        """Act on a state and write it to the own row.
+
+        Raises PlatformError when the row could not be written.
+        """
+        await self._registrar.set_state(state)
 
     async def stop(self) -> None:
-        """Stop polling and mark the row as stopped, if the table answers."""
+        """Stop all tasks and remove the own row, if the table answers."""
         await self._stack.aclose()
         if self.own.state != MemberState.STOPPED:
             with contextlib.suppress(PlatformError):
                 await self.set_state(MemberState.STOPPED)
 
-    async def _poll(self) -> None:
-        while True:
-            with contextlib.suppress(PlatformError):
-                await self._read_table()
-            await asyncio.sleep(POLL_S)
-
-    async def _read_table(self) -> None:
-        asked_s = self._now()
-        keys = poll_keys(self.catalogue.version)
-        rows = await self._table.read(keys, [MEMBERS_PREFIX])
-        catalogue = await self._store.load_rows(self.catalogue, rows)
-        self._apply(catalogue)
-        self._set_members(rows)
-        self._basis_s = asked_s
-        if self.own.state == MemberState.JOINING:
-            await self.set_state(MemberState.LIVE)
-
-    def _apply(self, catalogue: Catalogue) -> None:
-        if catalogue.version > self.catalogue.version:
-            self.catalogue = catalogue
-            for callback in self._callbacks:
-                callback(catalogue)
-
-    def _set_members(self, rows: dict[str, Row]) -> None:
-        members = tuple(
-            member_from_json(row.content)
-            for key, row in sorted(rows.items())
-            if key.startswith(MEMBERS_PREFIX)
-        )
-        members = tuple(
-            member for member in members if member.state != MemberState.STOPPED
-        )
-        if members != self._members:
-            self._members = members
-            for callback in self._member_callbacks:
-                callback()
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._stack.callback(task.cancel)
--- a/mimosaworks/wire/__init__.py
+++ b/mimosaworks/wire/__init__.py
@@ -2,6 +2,13 @@
 
 from mimosaworks.wire.ack import Ack
 from mimosaworks.wire.codec import decode, encode
+from mimosaworks.wire.members_messages import (
+    FreshAnswer,
+    FreshAsk,
+    MemberRow,
+    PushAck,
+    VersionPush,
+)
 from mimosaworks.wire.peer_client import PeerClient
 from mimosaworks.wire.peer_server import add_peer_handler, new_peer_app
 from mimosaworks.wire.placement_messages import (
@@ -14,10 +21,15 @@
 __all__ = [
     'Ack',
     'Demand',
+    'FreshAnswer',
+    'FreshAsk',
+    'MemberRow',
     'ModelDemand',
     'PeerClient',
+    'PushAck',
     'ReplicaEntry',
     'ReplicaMap',
+    'VersionPush',
     'add_peer_handler',
     'decode',
     'encode',
