--- a/mimosaworks/members/registrar.py
+++ b/mimosaworks/members/registrar.py
@@ -19,6 +19,7 @@
 
 JOIN_TRY_S = 8.0
 JOIN_RETRY_S = 0.5
+GONE = 'gone'  # state of a VM in the platform's list
 
 
 @attrs.define
@@ -101,19 +102,19 @@
         # Those whose heartbeat has not moved since the previous look.
         known = self._heartbeats
         self._heartbeats = {peer.id: peer.heartbeat for peer in members}
-        own = self.core.freshness.own.id
-        return [
+        standing = {
             peer.address
             for peer in members
-            if peer.id != own and known.get(peer.id) == peer.heartbeat
-        ]
+            if known.get(peer.id) == peer.heartbeat
+        }
+        return list(standing - {self.core.freshness.own.address})
 
     async def _note_gone(self, members: list[Member]) -> None:
         if self.vms is None:
             return
-        gone = await self.vms.gone()
+        states = await self.vms.states()
         now_s = self.core.now()
         for member in members:
             host, _, _ = member.address.rpartition(':')
-            if member.address in gone or host in gone:
+            if GONE in {states.get(host), states.get(member.address)}:
                 self.core.freshness.evidence.on_gone(now_s, member.id)
--- a/mimosaworks/platform/__init__.py
+++ b/mimosaworks/platform/__init__.py
@@ -1,11 +1,13 @@
 """Clients of the platform's services."""
 
+from mimosaworks.platform.group_commit import GroupCommit
 from mimosaworks.platform.objects import ObjectClient
 from mimosaworks.platform.row import Row, RowAssert, RowWrite
 from mimosaworks.platform.table import TableClient
-from mimosaworks.platform.vms import VmListClient
+from mimosaworks.platform.vm_list import VmListClient
 
 __all__ = [
+    'GroupCommit',
     'ObjectClient',
     'Row',
     'RowAssert',
