--- a/mimosaworks/members/registrar.py
+++ b/mimosaworks/members/registrar.py
@@ -92,22 +92,23 @@
         members = await self.registry.rows()
         for member in members:
             evidence.on_heartbeat(member.id, member.heartbeat)
-        await asyncio.gather(*map(self.poller.ask, self._standing(members)))
+        probes = (
+            self.poller.ask(member.address)
+            for member in members
+            if self._is_standing(member)
+        )
+        await asyncio.gather(*probes)
+        self._heartbeats = {peer.id: peer.heartbeat for peer in members}
         await self._note_gone(members)
         doomed = [peer for peer in members if peer.id in evidence.dead_since_s]
         while doomed:
             await self.registry.remove(doomed.pop())
 
-    def _standing(self, members: list[Member]) -> list[str]:
-        # Those whose heartbeat has not moved since the previous look.
-        known = self._heartbeats
-        self._heartbeats = {peer.id: peer.heartbeat for peer in members}
-        standing = {
-            peer.address
-            for peer in members
-            if known.get(peer.id) == peer.heartbeat
-        }
-        return list(standing - {self.core.freshness.own.address})
+    def _is_standing(self, member: Member) -> bool:
+        # Whether the heartbeat has not moved since the previous look.
+        is_own = member.id == self.core.freshness.own.id
+        previous = self._heartbeats.get(member.id)
+        return previous == member.heartbeat and not is_own
 
     async def _note_gone(self, members: list[Member]) -> None:
         if self.vms is None:
--- a/mimosaworks/members/schedule.py
+++ b/mimosaworks/members/schedule.py
@@ -9,14 +9,14 @@
 from mimosaworks.members.view import View
 
 MEMBERS_PER_POLLER = 8
-POLL_TABLE_S = 0.75
-ASK_S = 1.0
-URGENT_ASK_S = 0.5
-ROUND_EVERY_S = 0.25
-URGENT_AGE_S = 1.5
+POLL_TABLE_S = 0.7
+ASK_S = 0.7
+URGENT_ASK_S = 0.45
+ROUND_EVERY_S = 0.2
+URGENT_AGE_S = 1.75
 # Ages at which the first poller and the other members ask every member.
 FIRST_ROUND_AGE_S = 1.0
-ROUND_AGE_S = 2.0
+ROUND_AGE_S = 2.25
 
 
 @attrs.frozen
