--- a/mimosaworks/router/program.py
+++ b/mimosaworks/router/program.py
@@ -38,6 +38,7 @@
     ReplicaTable,
     RetryBudget,
     SuspectTable,
+    TargetPool,
 )
 from mimosaworks.serving import serve_app, start_task, stop_event
 from mimosaworks.wire import (
@@ -131,9 +132,9 @@
     tokens.add_handlers(peer_app)
     leaving = LeavingTargets(VmListClient(session, cfg.platform_url))
     dispatcher = _new_dispatcher(cfg, members, tokens, leaving)
-    _handle_replica_maps(peer_app, dispatcher.replicas)
+    _handle_replica_maps(peer_app, dispatcher.targets.replicas)
     members.subscribe(tokens.set_grants)
-    members.subscribe(lambda _catalogue: dispatcher.replicas.notify())
+    members.subscribe(lambda _catalogue: dispatcher.targets.replicas.notify())
     return Router(
         members=members,
         tokens=tokens,
@@ -157,7 +158,7 @@
 ) -> CrashWatch:
     crashes = CrashWatch(
         Generations(session),
-        dispatcher.suspects,
+        dispatcher.targets.suspects,
         peers,
         lambda: [
             router.address
@@ -191,15 +192,14 @@
     tokens: TokenService,
     leaving: LeavingTargets,
 ) -> Dispatcher:
-    return Dispatcher(
+    pool = TargetPool(
         catalogue=lambda: members.catalogue,
-        tokens=tokens,
         replicas=ReplicaTable(),
         suspects=SuspectTable(),
         max_in_flight=cfg.max_in_flight,
         is_leaving=leaving.is_leaving,
-        rng=random.SystemRandom(),
     )
+    return Dispatcher(pool, tokens, random.SystemRandom())
 
 
 def _handle_replica_maps(
--- a/mimosaworks/routing/demand_sender.py
+++ b/mimosaworks/routing/demand_sender.py
@@ -39,7 +39,8 @@
                 await self._send()
 
     async def _send(self) -> None:
-        holder = self.dispatcher.replicas.current.holder
+        replicas = self.dispatcher.targets.replicas
+        holder = replicas.current.holder
         demand = self._take_demand()
         if not holder:
             return
@@ -47,9 +48,8 @@
             await self.peers.call(holder, demand, Ack, TIMEOUT_S)
 
     def _has_cold_lane(self) -> bool:
-        ready = self.dispatcher.replicas.ready
         return any(
-            len(lane) and not ready(key.model, key.adapter)
+            len(lane) and not self.dispatcher.targets.is_served(key)
             for key, lane in self._model_lanes()
         )
 
