--- a/mimosaworks/admin/checks/keys.py
+++ b/mimosaworks/admin/checks/keys.py
@@ -28,6 +28,7 @@
             key.name,
             'workspace',
             f'there is no workspace {key.workspace!r}',
+            missing=key.workspace,
         )
     if not _DIGEST.fullmatch(key.digest):
         yield Fault(
--- a/mimosaworks/admin/checks/models.py
+++ b/mimosaworks/admin/checks/models.py
@@ -33,6 +33,7 @@
             adapter.name,
             KIND,
             f'there is no model {adapter.model!r}',
+            missing=adapter.model,
         )
     # Callers name a model or an adapter in the same place.
     if adapter.name in catalogue.model:
--- a/mimosaworks/admin/checks/routes.py
+++ b/mimosaworks/admin/checks/routes.py
@@ -31,6 +31,7 @@
                 route.name,
                 'workspaces',
                 f'there is no workspace {workspace!r}',
+                missing=workspace,
             )
     if route.cost_tokens < 0:
         yield Fault(KIND, route.name, 'cost_tokens', 'must not be negative')
--- a/mimosaworks/admin/fault.py
+++ b/mimosaworks/admin/fault.py
@@ -7,8 +7,9 @@
 class Fault:
     """Names the entity, its attribute and what is wrong with it.
 
-    attribute is empty when the entity as a whole is meant. A warning is
-    reported but does not refuse the change.
+    attribute is empty when the entity as a whole is meant. missing is the
+    name of an entity that is referred to but absent. A warning is reported
+    but does not refuse the change.
     """
 
     kind: str
@@ -16,6 +17,7 @@
     attribute: str
     reason: str
     is_warning: bool = False
+    missing: str = ''
 
     def __str__(self) -> str:
         """Return the fault as one line of text."""
--- /dev/null
+++ b/mimosaworks/cmdline/ctl_status.py
@@ -0,0 +1,35 @@
+"""The status command of mimosactl."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import click
+
+from mimosaworks.admin.client import AdminClient
+from mimosaworks.cmdline.ctl_calls import call_admin
+from mimosaworks.cmdline.ctl_output import show
+from mimosaworks.cmdline.ctl_settings import CtlSettings
+
+
+@click.command()
+@click.pass_obj
+def status(cfg: CtlSettings) -> None:
+    """Show the members with their states and versions."""
+
+    async def read(client: AdminClient) -> dict[str, Any]:
+        return await client.read_status()
+
+    content = call_admin(cfg, read)
+    show(cfg, content, _lines(content))
+
+
+def _lines(content: dict[str, Any]) -> Iterator[str]:
+    freshness = 'fresh' if content['is_fresh'] else 'NOT FRESH'
+    address, version = content['address'], content['version']
+    yield f'asked {address}: {freshness}, at version {version}'
+    for member in content['members']:
+        behind = content['version'] - member['applied_version']
+        mark = f' ({behind} behind)' if behind > 0 else ''
+        place = f'{member["address"]:<21} {member["data_centre"]:<10}'
+        state = f'{member["role"]:<7} {member["state"]:<9}'
+        yield f'{place} {state} version {member["applied_version"]}{mark}'
--- a/mimosaworks/settings/sources.py
+++ b/mimosaworks/settings/sources.py
@@ -81,9 +81,9 @@
 ) -> Iterator[SourcedSetting]:
     """Yield each setting with its source; secrets are masked.
 
-    Must run inside the click command that read the settings.
+    Must run inside the click command that read the settings, or one below.
     """
-    ctx = click.get_current_context()
+    ctx = click.get_current_context().find_root()
     for field in attrs.fields(type(cfg)):
         source = ctx.get_parameter_source(field.name)
         yield SourcedSetting(
