--- a/standins/recorder.py
+++ b/standins/recorder.py
@@ -28,7 +28,7 @@
         record = self.runs.setdefault(request_id, RunRecord())
         record.runs += 1
         record.headers = dict(req.headers)
-        record.query = req.query_string
+        record.query = req.rel_url.raw_query_string
         return record
 
     def to_dict(self) -> dict[str, Any]:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tests.harness import Cluster, open_cluster
+from tests.harness_entry import ROUTER_FLAGS, Entry
 
 
 @pytest.fixture
@@ -13,3 +14,12 @@
     """A platform of its own, to which a test adds what it needs."""
     async with open_cluster(tmp_path) as started:
         yield started
+
+
+@pytest.fixture
+async def entry(cluster: Cluster, tmp_path: Path) -> AsyncIterator[Entry]:
+    """A router without targets; the test adds them and opens it."""
+    journals = tmp_path / 'journals'
+    journals.mkdir()
+    router = await cluster.start_program('router', *ROUTER_FLAGS)
+    yield Entry(cluster, router, journals)
--- /dev/null
+++ b/tests/test_answers_refusals.py
@@ -0,0 +1,96 @@
+"""Proofs that faulty requests get clear errors and reach no target."""
+
+import asyncio
+import types
+from collections.abc import AsyncIterator
+from http import HTTPStatus
+from typing import Any
+
+import pytest
+
+from tests.harness import in_turn
+from tests.harness_entry import BEARER, CHAT, PLOTS, Answer, Entry, chat
+
+TOO_LARGE = b'x' * 100_001
+NO_KEY = types.MappingProxyType({'Authorization': ''})
+BAD_KEY = types.MappingProxyType({'Authorization': 'Bearer wrong'})
+BAD_DEADLINE = types.MappingProxyType({'Mimosa-Deadline-S': 'soon'})
+NONE = types.MappingProxyType({})
+CASES: tuple[Any, ...] = (
+    (PLOTS, TOO_LARGE, NONE, 413, 'body_too_large'),
+    (CHAT, b'{"model"', NONE, 400, 'bad_request'),
+    (CHAT, b'[]', NONE, 400, 'bad_request'),
+    (CHAT, b'\xff\xfe', NONE, 400, 'bad_request'),
+    (CHAT, chat('x', max_tokens=-1), NONE, 400, 'bad_request'),
+    (CHAT, chat('x', model='absent'), NONE, 404, 'unknown_model'),
+    ('/nowhere', b'', NONE, 404, 'unknown_route'),
+    (PLOTS, b'x', NO_KEY, 401, 'unauthenticated'),
+    (PLOTS, b'x', BAD_KEY, 401, 'unauthenticated'),
+    (PLOTS, b'x', BAD_DEADLINE, 400, 'bad_request'),
+)
+
+
+def _require(answer: Answer, status: int, code: str) -> None:
+    assert answer.status == status
+    assert answer.run == 'not-run'
+    error = answer.fields()['error']
+    assert error['code'] == code
+    assert error['request_id'] == answer.request_id
+    assert error['message']
+
+
+async def test_faulty_requests_are_told_why_and_reach_no_target(
+    entry: Entry,
+) -> None:
+    await entry.add_engine('e1')
+    await entry.add_service('s1')
+    await entry.open()
+    answers = await in_turn(
+        entry.call(path, body, headers=headers)
+        for path, body, headers, _, _ in CASES
+    )
+    for case, answer in zip(CASES, answers, strict=True):
+        _require(answer, *case[3:])
+    assert not entry.runs()
+
+
+async def _slow_body() -> AsyncIterator[bytes]:
+    while True:
+        yield b'x'
+        await asyncio.sleep(0.05)
+
+
+async def test_a_slow_sender_is_refused_after_the_time_for_bodies(
+    entry: Entry,
+) -> None:
+    await entry.add_service('s1')
+    await entry.open()
+    async with entry.cluster.http.post(
+        entry.router.url + PLOTS,
+        data=_slow_body(),
+        headers=BEARER,
+    ) as resp:
+        answer = Answer(resp.status, resp.headers, await resp.read())
+    _require(answer, HTTPStatus.BAD_REQUEST, 'bad_request')
+    assert not entry.runs()
+
+
+@pytest.mark.parametrize(
+    'raw',
+    [
+        b'POST /plots HTTP/1.1\r\nContent-Length: nine\r\n\r\n',
+        b'POST /plots HTTP/1.1\r\nContent-Length: 1\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+        b'no http at all\r\n\r\n',
+    ],
+)
+async def test_broken_http_is_a_bad_request(entry: Entry, raw: bytes) -> None:
+    await entry.add_service('s1')
+    await entry.open()
+    host, _, port = entry.router.address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(raw)
+    status = await reader.readline()
+    writer.close()
+    assert b' 400 ' in status
+    assert not entry.runs()
--- /dev/null
+++ b/tests/test_answers_run_state.py
@@ -0,0 +1,152 @@
+"""Proofs of what a refusal says, and that a call runs at most once."""
+
+import asyncio
+import itertools
+import random
+import types
+from collections import Counter
+from http import HTTPStatus
+from typing import Any
+
+import pytest
+
+from tests.harness import in_turn, wait_until
+from tests.harness_entry import CHAT, PLOTS, READINGS, Answer, Entry, chat
+
+SEED = 20261203
+ROUNDS = 12
+CALLERS = 6
+ALL_WELL = types.MappingProxyType({
+    'cut': False,
+    'freeze': False,
+    'delay_s': 0,
+    'drop_replies': 0,
+    'drop_to_upstream': False,
+    'drop_to_client': False,
+})
+FAULTS = (
+    {'cut': True},
+    {'freeze': True},
+    {'drop_replies': 2},
+    {'drop_to_upstream': True},
+    {'drop_to_client': True},
+    {'delay_s': 0.05},
+)
+
+
+def _body(path: str) -> Any:
+    return chat('x') if path == CHAT else b'x'
+
+
+async def _call(entry: Entry, path: str, rng: random.Random) -> Answer:
+    headers = {
+        'Mimosa-Deadline-S': str(rng.choice((0.3, 0.6))),
+        'X-Sleep-S': str(rng.choice((0, 0.05))),
+    }
+    return await entry.call(path, _body(path), headers=headers)
+
+
+async def _one_round(
+    entry: Entry, path: str, rng: random.Random
+) -> list[Answer]:
+    calls = [
+        asyncio.create_task(_call(entry, path, rng)) for _ in range(CALLERS)
+    ]
+    await asyncio.sleep(rng.uniform(0, 0.05))
+    name = rng.choice(list(entry.proxies))
+    await entry.fault(name, **rng.choice(FAULTS))
+    calls += [
+        asyncio.create_task(_call(entry, path, rng)) for _ in range(CALLERS)
+    ]
+    answers = await asyncio.gather(*calls)
+    await entry.fault(name, **ALL_WELL)
+    return answers
+
+
+async def _rounds(entry: Entry, path: str) -> list[Answer]:
+    # Faults are drawn, not keys.
+    rng = random.Random(f'{SEED}{path}')  # noqa: S311
+    rounds = await in_turn(_one_round(entry, path, rng) for _ in range(ROUNDS))
+    return list(itertools.chain.from_iterable(rounds))
+
+
+@pytest.mark.parametrize('path', [CHAT, PLOTS, READINGS])
+async def test_a_request_that_ran_is_never_said_not_to_have_run(
+    entry: Entry, path: str
+) -> None:
+    await entry.add_engine('e1')
+    await entry.add_engine('e2')
+    await entry.add_service('s1')
+    await entry.add_service('s2')
+    await entry.open()
+    answers = await _rounds(entry, path)
+    runs = Counter(entry.runs())
+    said = {answer.request_id for answer in answers if answer.run == 'not-run'}
+    in_doubt = {
+        answer.request_id for answer in answers if answer.run == 'may-have-run'
+    }
+    # Each kind of answer has to come, or nothing was tested.
+    assert said
+    assert in_doubt or path != PLOTS
+    assert not said & set(runs)
+    answered = {
+        answer.request_id
+        for answer in answers
+        if answer.status == HTTPStatus.OK
+    }
+    assert answered <= set(runs)
+    if path == PLOTS:
+        assert max(runs.values()) == 1
+
+
+@pytest.mark.parametrize('path', [CHAT, PLOTS])
+async def test_a_target_that_cannot_be_reached_gives_not_run(
+    entry: Entry, path: str
+) -> None:
+    await entry.add_engine('e1')
+    await entry.add_service('s1')
+    await entry.open()
+    await entry.fault('e1', cut=True)
+    await entry.fault('s1', cut=True)
+    headers = {'Mimosa-Deadline-S': '0.5'}
+    answer = await entry.call(path, _body(path), headers=headers)
+    assert answer.run == 'not-run'
+    assert not entry.runs()
+
+
+async def test_a_call_that_may_not_be_repeated_survives_a_kill_unrepeated(
+    entry: Entry,
+) -> None:
+    first = await entry.add_service('s1')
+    await entry.add_service('s2')
+    await entry.open()
+    calls = [
+        asyncio.create_task(
+            entry.call(PLOTS, b'x', headers={'X-Sleep-S': '0.5'})
+        )
+        for _ in range(8)
+    ]
+
+    async def are_running() -> bool:
+        return len(entry.runs()) == len(calls)
+
+    await wait_until(are_running)
+    await first.process.kill()
+    answers = await asyncio.gather(*calls)
+    assert max(Counter(entry.runs()).values()) == 1
+    assert {answer.run for answer in answers} == {'', 'may-have-run'}
+    for answer in answers:
+        was_answered = answer.status == HTTPStatus.OK
+        assert was_answered == (not answer.run)
+
+
+async def test_a_model_that_the_engine_lacks_is_tried_elsewhere(
+    entry: Entry,
+) -> None:
+    await entry.add_engine('e1', '--preload=other=1', '--preload-adapters=')
+    await entry.add_engine('e2')
+    await entry.open()
+    answers = await in_turn(
+        entry.call(CHAT, chat(f'prompt {turn}')) for turn in range(6)
+    )
+    assert {answer.status for answer in answers} == {HTTPStatus.OK}
--- /dev/null
+++ b/tests/test_answers_streams.py
@@ -0,0 +1,156 @@
+"""Proofs about streamed answers when an engine or a caller goes away."""
+
+import asyncio
+from http import HTTPStatus
+from typing import Any
+
+from standins.engine.tokens import expected_text
+from tests.harness import Node, in_turn, wait_until
+from tests.harness_entry import (
+    CHAT,
+    MODEL,
+    Answer,
+    Entry,
+    chat,
+    chunks,
+    streamed_text,
+)
+
+PROMPT = 'a long permit file'
+TOKENS = 60
+SLOW = '--step-s=0.02'
+DONE = b'data: [DONE]\n\n'
+
+
+async def _most_tokens(entry: Entry, engine: Node) -> int:
+    stats = await entry.cluster.get_json(engine, '/stats')
+    records = stats['requests'].values()
+    return max((record['tokens'] for record in records), default=0)
+
+
+async def _busy(entry: Entry, tokens: int) -> Node:
+    """Return the engine that has generated this many tokens."""
+    found: list[Node] = []
+
+    async def has_tokens() -> bool:
+        counts = await in_turn(
+            _most_tokens(entry, engine) for engine in entry.engines.values()
+        )
+        for engine, count in zip(entry.engines.values(), counts, strict=True):
+            if count >= tokens:
+                found.append(engine)
+        return bool(found)
+
+    await wait_until(has_tokens)
+    return found[0]
+
+
+async def _stream(entry: Entry) -> 'asyncio.Task[Answer]':
+    body = chat(PROMPT, stream=True, max_tokens=TOKENS)
+    return asyncio.create_task(entry.call(CHAT, body))
+
+
+async def test_a_stream_goes_on_elsewhere_with_each_token_once(
+    entry: Entry,
+) -> None:
+    await entry.add_engine('e1', SLOW)
+    await entry.add_engine('e2', SLOW)
+    await entry.open()
+    stream = await _stream(entry)
+    engine = await _busy(entry, 5)
+    await engine.process.kill()
+    answer = await stream
+    assert streamed_text(answer.body) == expected_text(
+        MODEL, '', PROMPT, TOKENS
+    )
+    indexes = [chunk['index'] for chunk in chunks(answer.body)]
+    assert indexes == list(range(TOKENS))
+    assert answer.body.endswith(DONE)
+    assert len(entry.runs()) == 2
+
+
+async def test_a_stream_that_cannot_go_on_ends_with_an_error(
+    entry: Entry,
+) -> None:
+    await entry.add_engine('e1', SLOW)
+    await entry.open()
+    body = chat(PROMPT, stream=True, max_tokens=TOKENS)
+    headers = {'Mimosa-Deadline-S': '3'}
+    stream = asyncio.create_task(entry.call(CHAT, body, headers=headers))
+    engine = await _busy(entry, 5)
+    await engine.process.kill()
+    answer = await stream
+    got = chunks(answer.body)
+    error = got.pop()['error']
+    assert error['run'] == 'may-have-run'
+    assert DONE not in answer.body
+    text = ''.join(chunk['choices'][0]['delta']['content'] for chunk in got)
+    assert text == expected_text(MODEL, '', PROMPT, len(got))
+    assert 5 <= len(got) < TOKENS
+
+
+async def test_a_stream_whose_second_engine_refuses_ends_with_an_error(
+    entry: Entry,
+) -> None:
+    await entry.add_engine('e1', SLOW)
+    await entry.add_engine('e2', '--preload=other=1', '--preload-adapters=')
+    await entry.open()
+    await entry.announce(('e1',))
+    body = chat(PROMPT, stream=True, max_tokens=TOKENS)
+    headers = {'Mimosa-Deadline-S': '3'}
+    stream = asyncio.create_task(entry.call(CHAT, body, headers=headers))
+    engine = await _busy(entry, 5)
+    await entry.announce(('e1', 'e2'))
+    await engine.process.kill()
+    answer = await stream
+    got = chunks(answer.body)
+    assert got.pop()['error']['run'] == 'may-have-run'
+    assert [chunk['index'] for chunk in got] == list(range(len(got)))
+    assert DONE not in answer.body
+    assert b'HTTP/1.1' not in answer.body
+
+
+async def test_a_caller_that_hangs_up_ends_the_work_at_the_engine(
+    entry: Entry,
+) -> None:
+    engine = await entry.add_engine('e1', SLOW)
+    await entry.open()
+    whole = asyncio.create_task(entry.call(CHAT, chat('w', max_tokens=9999)))
+    stream = asyncio.create_task(
+        entry.call(CHAT, chat('s', max_tokens=9999, stream=True))
+    )
+
+    async def records() -> list[Any]:
+        stats = await entry.cluster.get_json(engine, '/stats')
+        return [stats['requests'][run] for run in entry.runs()]
+
+    async def are_generating() -> bool:
+        tokens = [record['tokens'] for record in await records()]
+        return len(tokens) == 2 and all(tokens)
+
+    async def are_cancelled() -> bool:
+        cancelled = [record['cancelled'] for record in await records()]
+        return all(cancelled)
+
+    await wait_until(are_generating)
+    whole.cancel()
+    stream.cancel()
+    await wait_until(are_cancelled)
+
+
+async def test_a_request_that_crashes_its_engine_is_refused_after_two(
+    entry: Entry,
+) -> None:
+    await entry.add_engine('e1')
+    await entry.add_engine('e2')
+    await entry.add_engine('e3')
+    await entry.open()
+    headers = {'Mimosa-Deadline-S': '6'}
+    answers = await in_turn(
+        entry.call(CHAT, chat('CRASH-ME'), headers=headers) for _ in range(3)
+    )
+    assert answers[-1].status == HTTPStatus.UNPROCESSABLE_ENTITY
+    assert answers[-1].fields()['error']['code'] == 'crash_suspect'
+    alive = [node.process.is_running() for node in entry.engines.values()]
+    assert alive.count(True) == 1
+    assert (await entry.call(CHAT, chat('fine'))).status == HTTPStatus.OK
