--- a/mimosaworks/sheets/columns.py
+++ b/mimosaworks/sheets/columns.py
@@ -51,6 +51,8 @@
     'ready_until_min': (
         Column('ready_until_utc', 'ready_until_min', parse_time),
     ),
+    # The heading kind names the entity's own kind.
+    'kind': (Column('type', 'kind', parse_text),),
     'workspaces': (Column('workspaces', 'workspaces', parse_list),),
 })
 
