Router: refusals by error code, resumes that fail, crashes behind a link

A 404 with model_not_loaded was passed on in place of going elsewhere; an error answer to a resume ended the wait of a begun stream with nothing; an engine that crashed behind a forwarder closes the report connection in place of refusing it, so that no crash was counted and ten retries were spent. Ruled out: time-outs as evidence of a crash. Change: not_run module; a resume that is not a stream is a failed attempt; a report that breaks off counts as a crash until the engine answers again with the same generation.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -12,6 +12,7 @@
 from bench.demo_result import DemoResult
 from bench.demo_steps import (
     answer_cold_requests,
+    answer_warm_requests,
     apply_sheet,
     call_services,
     refuse_keys,
@@ -34,6 +35,7 @@
         system: DemoSystem = await open_demo_system(stack, log_dir, say)
         await apply_sheet(system, result)
         await answer_cold_requests(system, result)
+        await answer_warm_requests(system, result)
         await call_services(system)
         await refuse_keys(system)
         await stop_router_under_load(system, result)
--- a/bench/demo_steps.py
+++ b/bench/demo_steps.py
@@ -55,35 +55,28 @@
     addresses = [entry['address'] for entry in entries['entries']]
     require(len(addresses) == len(system.routers), f'entries: {entries}')
     system.say(f'entries: {addresses}')
-    replies = await asyncio.gather(
+    first_bytes = await asyncio.gather(
         *(
-            system.caller.chat(f'http://{address}', MODEL, address, MAX_TOKENS)
+            _ask(system, f'http://{address}', MODEL, address)
             for address in addresses
         )
     )
-    for address, reply in zip(addresses, replies, strict=True):
-        _require_text(reply, MODEL, '', address)
-    result.cold_first_token_s = max(cold.first_byte_s for cold in replies)
-    result.loads = await _count_loads(system)
+    result.cold_first_token_s = max(first_bytes)
+    stats = await system.cluster.get_json(system.cluster.platform, '/stats')
+    result.loads = stats['loads']
     require(result.loads == 1, f'{result.loads} loads for one replica')
-    warm = await system.caller.chat(
-        system.routers[0].url, MODEL, 'warm', MAX_TOKENS
-    )
-    _require_text(warm, MODEL, '', 'warm')
-    result.warm_first_token_s = warm.first_byte_s
-    adapted = await system.caller.chat(
-        system.routers[1].url, ADAPTER, 'adapted', MAX_TOKENS
-    )
-    _require_text(adapted, MODEL, ADAPTER, 'adapted')
-    asked = len(replies)
-    adapter_s = adapted.first_byte_s
     cold_s = result.cold_first_token_s
-    warm_s = result.warm_first_token_s
-    system.say(
-        f'{asked} routers asked at once for a cold model: 1 load, '
-        f'first token after {cold_s:.2f} s; warm after {warm_s:.3f} s; '
-        f'cold adapter after {adapter_s:.2f} s'
-    )
+    system.say('all routers were asked at once for a cold model: one load')
+    system.say(f'first token of the cold model after {cold_s:.2f} s')
+
+
+async def answer_warm_requests(system: DemoSystem, result: DemoResult) -> None:
+    """Ask for the loaded model, then for an adapter beside it."""
+    warm_s = await _ask(system, system.routers[0].url, MODEL, 'warm')
+    result.warm_first_token_s = warm_s
+    adapter_s = await _ask(system, system.routers[1].url, ADAPTER, 'adapted')
+    system.say(f'first token of the warm model after {warm_s:.3f} s')
+    system.say(f'first token of a cold adapter after {adapter_s:.3f} s')
 
 
 async def call_services(system: DemoSystem) -> None:
@@ -139,7 +132,7 @@
     leaving.process.terminate()
     replies = await asyncio.gather(*streams)
     for prompt, reply in zip(prompts, replies, strict=True):
-        _require_text(reply, MODEL, '', prompt, LONG_TOKENS)
+        _require_text(reply, '', prompt, LONG_TOKENS)
     exit_code = await leaving.process.wait()
     require(exit_code == 0, f'the router ended with {exit_code}')
     result.streams_under_stop = STREAMS
@@ -183,22 +176,22 @@
     return str(added.fields['secret'])
 
 
+async def _ask(
+    system: DemoSystem, router_url: str, name: str, prompt: str
+) -> float:
+    """Return the time to the first byte of a whole and right answer, in s."""
+    reply = await system.caller.chat(router_url, name, prompt, MAX_TOKENS)
+    _require_text(reply, ADAPTER if name == ADAPTER else '', prompt)
+    return reply.first_byte_s
+
+
 def _urls(nodes: dict[str, Node]) -> dict[str, str]:
     return {name: node.url for name, node in nodes.items()}
 
 
 def _require_text(
-    reply: Reply,
-    model: str,
-    adapter: str,
-    prompt: str,
-    count: int = MAX_TOKENS,
+    reply: Reply, adapter: str, prompt: str, count: int = MAX_TOKENS
 ) -> None:
     require(reply.status == HTTPStatus.OK, str(reply))
-    expected = expected_text(model, adapter, prompt, count)
+    expected = expected_text(MODEL, adapter, prompt, count)
     require(reply.streamed_text() == expected, f'wrong answer to {prompt}')
-
-
-async def _count_loads(system: DemoSystem) -> int:
-    stats = await system.cluster.get_json(system.cluster.platform, '/stats')
-    return int(stats['loads'])
--- a/mimosaworks/admission/credentials.py
+++ b/mimosaworks/admission/credentials.py
@@ -1,7 +1,7 @@
 """Finds a caller's key in a request and strips it from what is sent on."""
 
 from collections.abc import Mapping
-from urllib.parse import parse_qsl, urlencode
+from urllib.parse import unquote_plus
 
 import attrs
 from multidict import CIMultiDict
@@ -60,7 +60,14 @@
 
 
 def strip_query(query: str) -> str:
-    """Return the query text without parameters that hold a key."""
-    pairs = parse_qsl(query, keep_blank_values=True)
-    kept = [pair for pair in pairs if pair[0].lower() not in _KEY_PARAMS]
-    return query if len(kept) == len(pairs) else urlencode(kept)
+    """Return the raw query text without parameters that hold a key.
+
+    All other parameters stay as the caller wrote them.
+    """
+    kept = [part for part in query.split('&') if not _holds_key(part)]
+    return '&'.join(kept)
+
+
+def _holds_key(part: str) -> bool:
+    name = part.partition('=')[0]
+    return unquote_plus(name).strip().lower() in _KEY_PARAMS
--- a/mimosaworks/relay/exchange.py
+++ b/mimosaworks/relay/exchange.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from http import HTTPStatus
 
 import attrs
 from aiohttp import ClientError, ClientResponse, web
@@ -10,13 +9,14 @@
 from mimosaworks.clock import now_s
 from mimosaworks.errors import ErrorKind, RequestError, RunState
 from mimosaworks.events import Event, log_event
-from mimosaworks.relay.answers import REQUEST_ID_HEADER, RUN_HEADER
+from mimosaworks.relay.answers import REQUEST_ID_HEADER
 from mimosaworks.relay.attempt_error import (
     AttemptInDoubtError,
     AttemptNotRunError,
 )
 from mimosaworks.relay.caller_stream import CallerStream
 from mimosaworks.relay.headers import copy_answer_headers
+from mimosaworks.relay.not_run import says_not_run
 from mimosaworks.relay.outgoing import Outgoing
 from mimosaworks.relay.send_guard import SendGuard
 from mimosaworks.relay.upstream import STREAM_IDLE_S, Upstream
@@ -29,11 +29,7 @@
     Ticket,
 )
 
-_NOT_RUN_STATUSES = frozenset((
-    HTTPStatus.TOO_MANY_REQUESTS,
-    HTTPStatus.SERVICE_UNAVAILABLE,
-))
-_SSE_TYPE = 'text/event-stream'
+SSE_TYPE = 'text/event-stream'
 _TRANSPORT_ERRORS = (ClientError, OSError, TimeoutError)
 
 
@@ -124,8 +120,8 @@
         left_s = self.ticket.deadline.remaining_s(now_s())
         try:
             async with asyncio.timeout(left_s) as limit, sending as resp:
-                self._verify(resp)
-                if resp.content_type == _SSE_TYPE:
+                await self._verify(resp)
+                if resp.content_type == SSE_TYPE:
                     limit.reschedule(None)
                     return await self._relay_stream(slot, resp)
                 return await self._relay_whole(slot, resp)
@@ -134,16 +130,15 @@
                 raise self._give_up(slot, guard) from exc
             raise
 
-    def _verify(self, resp: ClientResponse) -> None:
+    async def _verify(self, resp: ClientResponse) -> None:
         answered = resp.headers.get(REQUEST_ID_HEADER, self.ticket.request_id)
         if answered != self.ticket.request_id:
             raise AttemptInDoubtError(f'answer belongs to {answered}')
-        says_not_run = (
-            resp.headers.get(RUN_HEADER) == RunState.NOT_RUN.value
-            or resp.status in _NOT_RUN_STATUSES
-        )
-        if says_not_run:
+        if await says_not_run(resp):
             raise AttemptNotRunError(f'target answered {resp.status}')
+        is_resumed = self.stream.resp is not None
+        if is_resumed and resp.content_type != SSE_TYPE:
+            raise AttemptInDoubtError(f'resume was answered {resp.status}')
 
     async def _relay_whole(
         self, slot: Slot, resp: ClientResponse
--- a/mimosaworks/routing/crash_watch.py
+++ b/mimosaworks/routing/crash_watch.py
@@ -17,6 +17,8 @@
 from mimosaworks.wire import Ack, PeerClient, SuspectNotice
 
 NOTICE_TIMEOUT_S = 1.0
+RETRACT_PERIOD_S = 1.0
+RETRACT_TRIES = 60
 
 
 @attrs.define
@@ -50,6 +52,7 @@
             crashes=count,
         )
         await self._tell(SuspectNotice(mark, crash_id))
+        self._start(self._retract_if_alive(target, mark, crash_id))
 
     def note_success(self, mark: str) -> None:
         """Clear a suspect that ran to its end."""
@@ -59,14 +62,30 @@
 
     async def on_notice(self, notice: SuspectNotice) -> Ack:
         """Take over what another router has found."""
-        if notice.is_cleared:
+        if notice.is_cleared and notice.crash_id:
+            self.suspects.retract(notice.mark, notice.crash_id)
+        elif notice.is_cleared:
             self.suspects.clear(notice.mark)
         else:
             self.suspects.note_crash(notice.mark, notice.crash_id, now_s())
         return Ack(accepted=True)
 
+    async def _retract_if_alive(
+        self, target: Target, mark: str, crash_id: str
+    ) -> None:
+        # A cut link looks like a crash until the engine answers again.
+        has_survived = None
+        tries = RETRACT_TRIES
+        while has_survived is None and tries:
+            tries -= 1
+            await asyncio.sleep(RETRACT_PERIOD_S)
+            has_survived = await self.generations.has_survived(target, crash_id)
+        if has_survived:
+            self.suspects.retract(mark, crash_id)
+            await self._tell(SuspectNotice(mark, crash_id, is_cleared=True))
+
     async def _learn(self, target: Target) -> None:
-        with contextlib.suppress(aiohttp.ClientError):
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
             await self.generations.learn(target)
 
     async def _tell(self, notice: SuspectNotice) -> None:
--- a/mimosaworks/routing/generations.py
+++ b/mimosaworks/routing/generations.py
@@ -18,37 +18,43 @@
     async def learn(self, target: Target) -> None:
         """Ask for the generation of an engine that has none here yet."""
         if target.kind == 'engine' and target.name not in self._known:
-            generation = await self._ask(target)
-            if generation:
-                self._known[target.name] = generation
+            self._known[target.name] = await self._ask(target)
 
     async def find_crash(self, target: Target) -> str | None:
-        """Return the crash's id if the engine ended, else None.
+        """Return the crash's id if the engine seems to have ended.
 
-        Evidence is a refused connection or a new generation; a time-out is
-        none.
+        Evidence is a new generation, or a report that is refused or breaks
+        off; a time-out is none. A broken report may be the link's fault, so
+        has_survived has to be asked later.
         """
         if target.kind != 'engine':
             return None
         before = self._known.get(target.name, '')
         try:
-            now = await self._ask(target)
-        except aiohttp.ClientConnectorError:
-            return f'{target.name}@{before}'
-        if now and before and now != before:
-            self._known[target.name] = now
+            current = await self._ask(target)
+        except TimeoutError:
+            return None
+        except aiohttp.ClientError:
             return f'{target.name}@{before}'
-        return None
+        self._known[target.name] = current
+        is_same = before in {'', current}
+        return None if is_same else f'{target.name}@{before}'
+
+    async def has_survived(self, target: Target, crash_id: str) -> bool | None:
+        """Tell whether the engine still has the generation of a crash's id.
+
+        None while it does not answer.
+        """
+        try:
+            current = await self._ask(target)
+        except (aiohttp.ClientError, TimeoutError):
+            return None
+        return crash_id == f'{target.name}@{current}'
 
     async def _ask(self, target: Target) -> str:
         limit = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_S)
-        try:
-            async with self.session.get(
-                f'{target.url}/report', timeout=limit
-            ) as resp:
-                report = await resp.json()
-        except aiohttp.ClientConnectorError:
-            raise
-        except (aiohttp.ClientError, TimeoutError, ValueError):
-            return ''
+        async with self.session.get(
+            f'{target.url}/report', timeout=limit, raise_for_status=True
+        ) as resp:
+            report = await resp.json()
         return str(report['generation'])
--- a/mimosaworks/routing/suspects.py
+++ b/mimosaworks/routing/suspects.py
@@ -41,6 +41,14 @@
         suspect.expires_at_s = now_s + SUSPECT_TTL_S
         return len(suspect.crash_ids)
 
+    def retract(self, mark: str, crash_id: str) -> None:
+        """Take one crash back: the target had not ended."""
+        suspect = self._suspects.get(mark)
+        if suspect is not None:
+            suspect.crash_ids.discard(crash_id)
+            if not suspect.crash_ids:
+                self.clear(mark)
+
     def clear(self, mark: str) -> None:
         """Forget a fingerprint that ran to its end."""
         self._suspects.pop(mark, None)
