--- a/bench/demo_steps.py
+++ b/bench/demo_steps.py
@@ -86,8 +86,9 @@
     first = await system.caller.post(
         f'{url}/plots/17', data=b'family 4', headers=headers
     )
+    other_url = system.routers[1].url
     again = await system.caller.post(
-        f'{system.routers[1].url}/plots/17', data=b'family 4', headers=headers
+        f'{other_url}/plots/17', data=b'family 4', headers=headers
     )
     require(first.status == HTTPStatus.OK, str(first))
     require(first.body == again.body, 'a resend got another answer')
