--- a/mimosaworks/limits/holder.py
+++ b/mimosaworks/limits/holder.py
@@ -51,6 +51,19 @@
         """Learn that all holders go by an epoch, so that shares may grow."""
         self.book.sets.confirm(epoch, self.book.tick(now))
 
+    def try_take(
+        self, workspace: str, tokens: float, now: float
+    ) -> Receipt | None:
+        """Take tokens at once unless other requests wait for some."""
+        account = self.book.accounts.get(workspace)
+        if account is None or account.queue:
+            return None
+        serial = account.share.take(tokens, self.book.tick(now))
+        if serial is None:
+            return None
+        self.touched.add(workspace)
+        return Receipt(workspace, tokens, serial)
+
     def arrive(self, workspace: str, waiter: Waiter) -> None:
         """Queue a request for tokens; poll tells when it has them."""
         account = self.book.accounts[workspace]
@@ -109,7 +122,8 @@
         if account is None:
             return TokenGrant(ask.transfer, ask.workspace, 0, 0)
         balance = account.balance(now)
-        spare = min(ask.tokens, balance) if self._matches(account, ask) else 0
+        agrees = _has_same_terms(account, ask, self.book.sets.epoch)
+        spare = min(ask.tokens, balance) if agrees else 0
         granted = account.share.give(ask.transfer, spare, now)
         self.touched.add(ask.workspace)
         return TokenGrant(
@@ -150,11 +164,6 @@
                 self.touched.discard(name)
         return TokenBalances(self.address, tuple(entries)) if entries else None
 
-    def _matches(self, account: Account, ask: TokenAsk) -> bool:
-        terms = account.terms
-        theirs = (ask.epoch, ask.rate, ask.burst)
-        return theirs == (self.book.sets.epoch, terms.rate, terms.burst)
-
     def _ask(
         self, account: Account, peer: str, tokens: float, now: float
     ) -> TokenAsk:
@@ -186,3 +195,9 @@
         account.reported = balance
         account.reported_at = now
         return [TokenBalance(account.workspace, balance)]
+
+
+def _has_same_terms(account: Account, ask: TokenAsk, epoch: int) -> bool:
+    terms = account.terms
+    theirs = (ask.epoch, ask.rate, ask.burst)
+    return theirs == (epoch, terms.rate, terms.burst)
--- a/mimosaworks/limits/service.py
+++ b/mimosaworks/limits/service.py
@@ -61,7 +61,7 @@
     def set_grants(self, catalogue: Catalogue) -> None:
         """Take over the rates and bursts of an applied configuration."""
         self.holder.book.set_grants(catalogue.workspace, self.now())
-        self._poll_all()
+        _poll_waiting(self.holder, self._poll)
 
     def set_holders(self, epoch: int, addresses: Collection[str]) -> None:
         """Learn an epoch's holders by peer address; own shares may shrink.
@@ -70,7 +70,7 @@
         confirm_holders.
         """
         self.holder.set_holders(epoch, addresses, self.now())
-        self._poll_all()
+        _poll_waiting(self.holder, self._poll)
 
     def confirm_holders(self, epoch: int) -> None:
         """Learn that the epoch is in force everywhere.
@@ -80,7 +80,7 @@
         without having done so.
         """
         self.holder.confirm_holders(epoch, self.now())
-        self._poll_all()
+        _poll_waiting(self.holder, self._poll)
 
     async def acquire(
         self, workspace: str, tokens: float, timeout_s: float
@@ -91,7 +91,7 @@
         receipt is for refund. Raises RequestError: REQUEST_TOO_COSTLY above
         the burst, RATE_EXCEEDED when the tokens won't come in time.
         """
-        self._check(workspace, tokens, timeout_s)
+        self.check(workspace, tokens, timeout_s)
         self.tickets += 1
         ticket = self.tickets
         fut: asyncio.Future[Receipt]
@@ -108,6 +108,23 @@
         finally:
             self.waiting.pop(ticket, None)
 
+    def try_take(self, workspace: str, tokens: float) -> Receipt | None:
+        """Take tokens that are here now and that no request waits for."""
+        return self.holder.try_take(workspace, tokens, self.now())
+
+    def check(self, workspace: str, tokens: float, timeout_s: float) -> None:
+        """Raise RequestError if the tokens can't come within timeout_s."""
+        account = self.holder.book.accounts.get(workspace)
+        if account is not None and tokens > account.terms.burst:
+            burst = account.terms.burst
+            raise RequestError(
+                ErrorKind.REQUEST_TOO_COSTLY,
+                f'{tokens:.0f} tokens exceed the burst of {burst:.0f}',
+            )
+        wait_s = self.predict_wait_s(workspace, tokens)
+        if wait_s > timeout_s:
+            raise _rate_error(workspace, wait_s)
+
     def refund(self, receipt: Receipt, unused: float) -> None:
         """Give back a request's unused tokens, within the share's cap."""
         self.holder.put_back(receipt, unused, self.now())
@@ -125,18 +142,6 @@
             for name, account in self.holder.book.accounts.items()
         }
 
-    def _check(self, workspace: str, tokens: float, timeout_s: float) -> None:
-        account = self.holder.book.accounts.get(workspace)
-        if account is not None and tokens > account.terms.burst:
-            burst = account.terms.burst
-            raise RequestError(
-                ErrorKind.REQUEST_TOO_COSTLY,
-                f'{tokens:.0f} tokens exceed the burst of {burst:.0f}',
-            )
-        wait_s = self.predict_wait_s(workspace, tokens)
-        if wait_s > timeout_s:
-            raise _rate_error(workspace, wait_s)
-
     def _withdraw(
         self, workspace: str, ticket: int, fut: 'asyncio.Future[Receipt]'
     ) -> None:
@@ -146,11 +151,6 @@
         self.holder.withdraw(workspace, ticket)
         self._poll(workspace)
 
-    def _poll_all(self) -> None:
-        for name, account in tuple(self.holder.book.accounts.items()):
-            if account.queue:
-                self._poll(name)
-
     def _poll(self, workspace: str) -> None:
         timer = self.timers.pop(workspace, None)
         if timer:
@@ -181,6 +181,12 @@
                 fut.set_exception(_rate_error(workspace, refusal.wait_s))
 
 
+def _poll_waiting(holder: TokenHolder, poll: Callable[[str], None]) -> None:
+    for name, account in tuple(holder.book.accounts.items()):
+        if account.queue:
+            poll(name)
+
+
 def _rate_error(workspace: str, wait_s: float) -> RequestError:
     return RequestError(
         ErrorKind.RATE_EXCEEDED,
--- a/mimosaworks/relay/exchange.py
+++ b/mimosaworks/relay/exchange.py
@@ -42,7 +42,8 @@
     """One request with its attempts; made by the frontend.
 
     check raises RequestError when the request must not be sent any more.
-    is_repeatable tells whether it may be sent again after a doubt.
+    is_repeatable tells whether it may be sent again after a doubt. resumed_at
+    is the count of tokens at which the latest attempt began.
     """
 
     ticket: Ticket
@@ -55,6 +56,7 @@
     check: Callable[[], None]
     is_repeatable: bool
     was_in_doubt: bool = False
+    resumed_at: int = 0
 
     async def run(self) -> web.StreamResponse:
         """Return the whole answer to the caller.
@@ -92,7 +94,7 @@
                 self.dispatcher.release(slot)
 
     def _refuse_suspect(self) -> None:
-        if self.dispatcher.suspects.is_refused(self.ticket.mark):
+        if self.dispatcher.targets.suspects.is_refused(self.ticket.mark):
             raise RequestError(
                 ErrorKind.CRASH_SUSPECT,
                 'this request crashed the targets that ran it',
@@ -170,7 +172,7 @@
         return await self.stream.finish()
 
     def _note_answered(self, slot: Slot, status: int, tokens: int) -> None:
-        unused = self.ticket.max_tokens - tokens
+        unused = self.ticket.max_tokens - (tokens - self.resumed_at)
         self.dispatcher.refund(slot, max(unused, 0))
         slot.state.note_success()
         self.crashes.note_success(self.ticket.mark)
@@ -207,7 +209,8 @@
 
     def _reduce_cost(self) -> None:
         # A resumed stream generates only the tokens that are missing.
-        sent = self.stream.counter.tokens
+        sent = self.stream.counter.tokens - self.resumed_at
+        self.resumed_at = self.stream.counter.tokens
         prompt = self.ticket.cost_tokens - self.ticket.max_tokens
         self.ticket.max_tokens = max(self.ticket.max_tokens - sent, 0)
         self.ticket.cost_tokens = prompt + self.ticket.max_tokens
--- a/mimosaworks/routing/__init__.py
+++ b/mimosaworks/routing/__init__.py
@@ -11,6 +11,7 @@
 from mimosaworks.routing.retry_budget import RetryBudget
 from mimosaworks.routing.slot import Slot
 from mimosaworks.routing.suspects import SuspectTable, fingerprint
+from mimosaworks.routing.target_pool import TargetPool
 from mimosaworks.routing.target_state import TargetState
 from mimosaworks.routing.ticket import Ticket
 from mimosaworks.routing.tokens import Tokens
@@ -27,6 +28,7 @@
     'RetryBudget',
     'Slot',
     'SuspectTable',
+    'TargetPool',
     'TargetState',
     'Ticket',
     'Tokens',
--- a/mimosaworks/routing/dispatcher.py
+++ b/mimosaworks/routing/dispatcher.py
@@ -3,22 +3,18 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable
 
 import attrs
 
 from mimosaworks.clock import now_s
-from mimosaworks.entities import Catalogue, Target
 from mimosaworks.errors import ErrorKind, RequestError, RunState
 from mimosaworks.events import Event, log_event
 from mimosaworks.limits import Receipt
 from mimosaworks.routing.choice import Choice, choose_target
 from mimosaworks.routing.lane import Lane, Waiter
 from mimosaworks.routing.lane_key import LaneKey
-from mimosaworks.routing.replica_table import ReplicaTable
 from mimosaworks.routing.slot import Slot
-from mimosaworks.routing.suspects import SuspectTable
-from mimosaworks.routing.target_state import TargetState
+from mimosaworks.routing.target_pool import TargetPool
 from mimosaworks.routing.ticket import Ticket
 from mimosaworks.routing.tokens import NO_CHARGE, Tokens
 
@@ -30,21 +26,12 @@
 
 @attrs.define
 class Dispatcher:
-    """Owns the lanes and the target states of one router.
+    """Owns the lanes of one router; targets says who can take a request."""
 
-    max_in_flight limits this router's requests at one target, so that the
-    order of service is decided here and not in the target's own queue.
-    """
-
-    catalogue: Callable[[], Catalogue]
+    targets: TargetPool
     tokens: Tokens
-    replicas: ReplicaTable
-    suspects: SuspectTable
-    max_in_flight: int
-    is_leaving: Callable[[Target], bool]
     rng: random.Random
     lanes: dict[LaneKey, Lane] = attrs.field(factory=dict)
-    _states: dict[str, TargetState] = attrs.field(factory=dict)
 
     async def acquire(self, ticket: Ticket) -> Slot:
         """Wait for the ticket's turn, tokens and target.
@@ -84,7 +71,7 @@
     def pump(self) -> None:
         """Let requests go on that targets have room for."""
         for key, lane in self.lanes.items():
-            lane.note_serving(self._is_served(key), now_s())
+            lane.note_serving(self.targets.is_served(key), now_s())
             lane.pump()
 
     async def run(self) -> None:
@@ -95,7 +82,7 @@
         while True:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(RECHECK_S):
-                    await self.replicas.wait_changed()
+                    await self.targets.replicas.wait_changed()
             self.pump()
 
     def lane(self, ticket: Ticket) -> Lane:
@@ -103,72 +90,19 @@
         key = ticket.lane_key
         if key not in self.lanes:
             self.lanes[key] = Lane(
-                lambda granted: self._has_room(ticket, granted)
+                lambda granted: self.targets.has_room(key, granted)
             )
         return self.lanes[key]
 
-    def candidates(self, ticket: Ticket) -> list[TargetState]:
-        """Return the targets that may take the ticket now.
-
-        Targets that failed it or are cooling down are left out unless no
-        other is there.
-        """
-        now = now_s()
-        open_states = [
-            state
-            for state in self._serving(ticket)
-            if self._may_take(state, ticket)
-        ]
-        healthy = [
-            state
-            for state in open_states
-            if not state.is_cooling(now) and state.name not in ticket.tried
-        ]
-        return healthy or [
-            state for state in open_states if not state.is_cooling(now)
-        ]
-
-    def _serving(self, ticket: Ticket) -> list[TargetState]:
-        targets = self.catalogue().target
-        if ticket.model:
-            ready = self.replicas.ready(ticket.model, ticket.adapter)
-            names = [entry.target for entry in ready]
-        else:
-            names = [
-                target.name
-                for target in targets.values()
-                if target.pool == ticket.route.pool
-            ]
-        return [
-            self._states.setdefault(name, TargetState(name))
-            for name in names
-            if name in targets and not self.is_leaving(targets[name])
-        ]
-
-    def _may_take(self, state: TargetState, ticket: Ticket) -> bool:
-        if state.exclusive_to:
-            return False
-        if self.suspects.is_suspect(ticket.mark):
-            return state.in_flight == 0
-        return state.in_flight < self.max_in_flight
-
-    def _has_room(self, ticket: Ticket, granted: int) -> bool:
-        states = self._serving(ticket)
-        now = now_s()
-        room = sum(
-            self.max_in_flight - state.in_flight
-            for state in states
-            if not state.is_cooling(now) and not state.exclusive_to
-        )
-        return room > granted
-
     def _check_feasible(self, ticket: Ticket) -> None:
         # A request that can't be served in time is told so on arrival.
         left_s = ticket.deadline.remaining_s(now_s())
         lane = self.lane(ticket)
         if len(lane) >= MAX_WAITING:
             raise RequestError(ErrorKind.QUEUE_FULL, 'too many requests wait')
-        places = self.max_in_flight * len(self._serving(ticket))
+        places = self.targets.max_in_flight * len(
+            self.targets.serving(ticket.lane_key)
+        )
         wait_s = lane.estimate.queue_wait_s(len(lane), places)
         if wait_s > left_s:
             raise RequestError(
@@ -199,7 +133,7 @@
         if receipt is None:
             return None
         choice = choose_target(
-            self.candidates(ticket), ticket.prompt_prefix, self.rng
+            self.targets.candidates(ticket), ticket.prompt_prefix, self.rng
         )
         if choice is None:
             self.tokens.refund(receipt, receipt.tokens)
@@ -211,7 +145,7 @@
         state.in_flight += 1
         lane = self.lane(ticket)
         lane.running += 1
-        if self.suspects.is_suspect(ticket.mark):
+        if self.targets.suspects.is_suspect(ticket.mark):
             state.exclusive_to = ticket.mark
         log_event(
             Event.ROUTING_DECIDED,
@@ -222,7 +156,7 @@
             runners_up=list(choice.runners_up),
             reason=choice.reason,
         )
-        target = self.catalogue().target[state.name]
+        target = self.targets.catalogue().target[state.name]
         return Slot(target, state, lane, receipt, now_s())
 
     def _take_tokens(self, ticket: Ticket) -> Receipt | None:
@@ -232,7 +166,7 @@
 
     async def _wait_tokens(self, ticket: Ticket) -> Receipt | None:
         left_s = ticket.deadline.remaining_s(now_s())
-        if ticket.workspace is None or not self.candidates(ticket):
+        if ticket.workspace is None or not self.targets.candidates(ticket):
             # A suspect waits for a target without other requests.
             await asyncio.sleep(min(left_s, RECHECK_S))
             return None
@@ -240,13 +174,10 @@
             ticket.workspace.name, ticket.cost_tokens, left_s
         )
 
-    def _is_served(self, key: LaneKey) -> bool:
-        return not key.model or bool(
-            self.replicas.ready(key.model, key.adapter)
-        )
-
     def _too_late(self, ticket: Ticket) -> RequestError:
-        return _timeout_error(ticket, has_target=bool(self._serving(ticket)))
+        return _timeout_error(
+            ticket, has_target=bool(self.targets.serving(ticket.lane_key))
+        )
 
 
 def _timeout_error(ticket: Ticket, *, has_target: bool) -> RequestError:
--- a/mimosaworks/routing/ticket.py
+++ b/mimosaworks/routing/ticket.py
@@ -12,9 +12,9 @@
     """A request on its way to a target.
 
     workspace is None on open routes. model is empty for plain services.
-    cost_tokens is what a
-    dispatch takes; max_tokens of them are for the answer. tried names the targets that failed
-    it. mark is the request's fingerprint.
+    cost_tokens is what a dispatch takes; max_tokens of them are for the
+    answer. tried names the targets that failed it. mark is the request's
+    fingerprint.
     """
 
     request_id: str
--- a/mimosaworks/wire/__init__.py
+++ b/mimosaworks/wire/__init__.py
@@ -8,6 +8,13 @@
     TokenBalances,
     TokenGrant,
 )
+from mimosaworks.wire.members_messages import (
+    FreshAnswer,
+    FreshAsk,
+    MemberRow,
+    PushAck,
+    VersionPush,
+)
 from mimosaworks.wire.peer_client import PeerClient
 from mimosaworks.wire.peer_server import add_peer_handler, new_peer_app
 from mimosaworks.wire.placement_messages import (
@@ -21,8 +28,12 @@
 __all__ = [
     'Ack',
     'Demand',
+    'FreshAnswer',
+    'FreshAsk',
+    'MemberRow',
     'ModelDemand',
     'PeerClient',
+    'PushAck',
     'ReplicaEntry',
     'ReplicaMap',
     'SuspectNotice',
@@ -30,6 +41,7 @@
     'TokenBalance',
     'TokenBalances',
     'TokenGrant',
+    'VersionPush',
     'add_peer_handler',
     'decode',
     'encode',
