--- a/mimosaworks/admin/process.py
+++ b/mimosaworks/admin/process.py
@@ -1,8 +1,6 @@
 """Composition root of mimosa-admin."""
 
-import asyncio
 import contextlib
-import signal
 from typing import Any
 
 from aiohttp import ClientSession, web
@@ -12,27 +10,28 @@
 from mimosaworks.admin.routes import add_admin_routes
 from mimosaworks.admin.service import AdminService
 from mimosaworks.admin.settings import AdminSettings
+from mimosaworks.admin.status import member_reader
 from mimosaworks.configs import ConfigStore
 from mimosaworks.events import Event, log_event, start_logging
 from mimosaworks.members import Member, MemberRole, MemberService
 from mimosaworks.metrics import MetricsClient, open_metrics
-from mimosaworks.platform import ObjectClient, TableClient
+from mimosaworks.platform import ObjectClient, TableClient, VmListClient
+from mimosaworks.serving import serve_app, stop_event
 from mimosaworks.wire import PeerClient, new_peer_app
 
 PROGRAM = 'admin'
-SHUTDOWN_TIMEOUT_S = 10.0
 MAX_BODY_BYTES = 1 << 24  # 16 MiB
 
 
 async def run_admin(cfg: AdminSettings) -> None:
     """Serve until SIGTERM or SIGINT, then end what was asked before."""
     start_logging()
-    stopping = _stop_event()
+    stopping = stop_event()
     async with contextlib.AsyncExitStack() as stack:
         metrics = stack.enter_context(open_metrics(cfg.statsd_address, PROGRAM))
         service = await _start_service(cfg, metrics, stack)
         app = new_admin_app(cfg, service)
-        await serve(app, cfg.http_address, stack)
+        await serve_app(app, cfg.http_address, stack)
         log_event(
             Event.PROCESS_STARTED,
             program=PROGRAM,
@@ -55,19 +54,6 @@
     return app
 
 
-async def serve(
-    app: web.Application, address: str, stack: contextlib.AsyncExitStack
-) -> None:
-    """Serve an application at host:port until the stack is closed."""
-    runner = web.AppRunner(
-        app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
-    )
-    await runner.setup()
-    stack.push_async_callback(runner.cleanup)
-    host, _, port = address.rpartition(':')
-    await web.TCPSite(runner, host, int(port)).start()
-
-
 async def _start_service(
     cfg: AdminSettings,
     metrics: MetricsClient,
@@ -84,16 +70,18 @@
         data_centre=cfg.data_centre,
     )
     members = MemberService(
-        table, object_client, PeerClient(session), peer_app, own
+        table,
+        object_client,
+        PeerClient(session),
+        peer_app,
+        own,
+        VmListClient(session, cfg.platform_url),
     )
-    await serve(peer_app, cfg.peer_address, stack)
+    await serve_app(peer_app, cfg.peer_address, stack)
     await stack.enter_async_context(members)
-    return AdminService(ConfigStore(table, object_client), members, metrics)
-
-
-def _stop_event() -> asyncio.Event:
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    return stopping
+    return AdminService(
+        ConfigStore(table, object_client),
+        members,
+        member_reader(table),
+        metrics,
+    )
--- a/mimosaworks/admin/queries.py
+++ b/mimosaworks/admin/queries.py
@@ -19,14 +19,17 @@
     """
     catalogue, is_read = await req.app[SERVICE].read_or_recall()
     content = attrs.asdict(catalogue)
-    content['source'] = SOURCE_STORE if is_read else SOURCE_MEMORY
+    content['source'] = _source(is_read)
     headers = {hdrs.ETAG: config_etag(catalogue.version)}
     return web.json_response(content, headers=headers)
 
 
 async def get_status(req: web.Request) -> web.Response:
-    """Answer with what this process knows of the members."""
-    return web.json_response(status_content(req.app[SERVICE].members))
+    """Answer with what is known of the members."""
+    service = req.app[SERVICE]
+    members, is_read = await service.read_members()
+    content = status_content(service.members, members, _source(is_read))
+    return web.json_response(content)
 
 
 async def get_version(req: web.Request) -> web.Response:
@@ -41,3 +44,7 @@
     entity = present_entity(catalogue, req)
     headers = {hdrs.ETAG: config_etag(catalogue.version)}
     return web.json_response(attrs.asdict(entity), headers=headers)
+
+
+def _source(is_read: bool) -> str:
+    return SOURCE_STORE if is_read else SOURCE_MEMORY
--- a/mimosaworks/admin/service.py
+++ b/mimosaworks/admin/service.py
@@ -9,6 +9,7 @@
 from mimosaworks.admin.fault import Fault
 from mimosaworks.admin.outcome import Outcome
 from mimosaworks.admin.refusals import InvalidChangeError, VersionConflictError
+from mimosaworks.admin.status import ReadMembers
 from mimosaworks.configs import ConfigStore
 from mimosaworks.entities import Catalogue, Change
 from mimosaworks.errors import (
@@ -17,7 +18,7 @@
     StoreConflictError,
     StoreUnavailableError,
 )
-from mimosaworks.members import Acceptance, MemberService
+from mimosaworks.members import Acceptance, Member, MemberService
 from mimosaworks.metrics import MetricsClient
 
 APPEND_ATTEMPTS = 5
@@ -29,6 +30,7 @@
 
     store: ConfigStore
     members: MemberService
+    member_rows: ReadMembers
     metrics: MetricsClient = attrs.field(factory=MetricsClient)
 
     async def read(self) -> Catalogue:
@@ -49,6 +51,13 @@
         except StoreUnavailableError:
             return self.members.catalogue, False
 
+    async def read_members(self) -> tuple[tuple[Member, ...], bool]:
+        """Return the members, and whether they were read from the store."""
+        try:
+            return await self.member_rows(), True
+        except StoreUnavailableError:
+            return self.members.members(), False
+
     async def change(
         self, changes: Sequence[Change], base_version: int | None, author: str
     ) -> Outcome:
--- a/mimosaworks/admin/status.py
+++ b/mimosaworks/admin/status.py
@@ -1,19 +1,46 @@
 """What an administration process knows of the members."""
 
+from collections.abc import Awaitable, Callable, Iterable
+
 from mimosaworks import __version__
-from mimosaworks.members import Member, MemberService
+from mimosaworks.members import Member, MemberService, member_from_json
+from mimosaworks.members.member import MEMBERS_PREFIX
+from mimosaworks.platform import TableClient
+
+ReadMembers = Callable[[], Awaitable[tuple[Member, ...]]]
+
+
+def member_reader(table: TableClient) -> ReadMembers:
+    """Return a function that reads the members' rows.
+
+    The rows hold what each member has applied; the view that a process has
+    of the others only tells of their states.
+    """
+
+    async def read() -> tuple[Member, ...]:
+        rows = await table.read([], [MEMBERS_PREFIX])
+        found = (member_from_json(rows[key].content) for key in sorted(rows))
+        return tuple(found)
+
+    return read
+
 
+def status_content(
+    service: MemberService, members: Iterable[Member], source: str
+) -> dict[str, object]:
+    """Return a JSON-ready mapping with this process and all members.
 
-def status_content(members: MemberService) -> dict[str, object]:
-    """Return a JSON-ready mapping with this process and all members."""
-    own = members.own
+    source tells where the members were read: from the store or memory.
+    """
+    own = service.own
     return {
         'program_version': __version__,
         'address': own.address,
         'data_centre': own.data_centre,
-        'is_fresh': members.is_fresh(),
-        'version': members.catalogue.version,
-        'members': [_member_content(member) for member in members.members()],
+        'is_fresh': service.is_fresh(),
+        'version': service.catalogue.version,
+        'source': source,
+        'members': [_member_content(member) for member in members],
     }
 
 
--- a/mimosaworks/cmdline/ctl_status.py
+++ b/mimosaworks/cmdline/ctl_status.py
@@ -27,6 +27,8 @@
     freshness = 'fresh' if content['is_fresh'] else 'NOT FRESH'
     address, version = content['address'], content['version']
     yield f'asked {address}: {freshness}, at version {version}'
+    if content['source'] != 'store':
+        yield 'The store does not answer: members as last known.'
     for member in content['members']:
         behind = content['version'] - member['applied_version']
         mark = f' ({behind} behind)' if behind > 0 else ''
--- a/tests/admin_fakes.py
+++ b/tests/admin_fakes.py
@@ -36,6 +36,11 @@
             raise StoreUnavailableError('table: status 503')
         return self.catalogue
 
+    async def member_rows(self) -> tuple[Member, ...]:
+        if self.is_down:
+            raise StoreUnavailableError('table: status 503')
+        return (Member('r:1', 'r:2', MemberRole.ROUTER, 'qc'),)
+
     async def append(
         self, base_version: int, changes: Sequence[Change], author: str
     ) -> int:
@@ -77,6 +82,7 @@
     store: Any, members: Any
 ) -> AsyncGenerator[TestClient[Any, Any], None]:
     """Yield a client of the API that sends the token of operator asel."""
-    app = new_admin_app(SETTINGS, AdminService(store, members))
+    service = AdminService(store, members, store.member_rows)
+    app = new_admin_app(SETTINGS, service)
     async with TestClient(TestServer(app), headers=ASEL) as client:
         yield client
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -222,6 +222,15 @@
 async def test_status_names_the_members(client: Client) -> None:
     content = await (await client.get('/admin/v1/status')).json()
     assert content['is_fresh']
+    assert content['members'][0]['role'] == 'router'
+
+
+async def test_status_in_an_outage_tells_the_members_last_known(
+    client: Client, store: FakeStore
+) -> None:
+    store.is_down = True
+    content = await (await client.get('/admin/v1/status')).json()
+    assert content['source'] == 'memory'
     assert content['members'][0]['role'] == 'admin'
 
 
--- a/tests/test_admin_processes.py
+++ b/tests/test_admin_processes.py
@@ -90,6 +90,20 @@
     assert len(config['workspace']) == config['version'] == OPERATORS
 
 
+async def test_status_shows_what_each_member_has_applied(
+    cluster: Cluster, admins: list[Node]
+) -> None:
+    await put_workspace(cluster, admins[0], 'camp', 0)
+
+    async def has_applied() -> bool:
+        url = f'{admins[1].url}/admin/v1/status'
+        async with cluster.http.get(url, headers=HEADERS) as resp:
+            members = (await resp.json())['members']
+        return [one['applied_version'] for one in members] == [1, 1]
+
+    await wait_until(has_applied)
+
+
 async def test_change_whose_reply_was_lost_is_stored_once(
     cluster: Cluster, admins: list[Node]
 ) -> None:
