--- a/mimosaworks/metrics/metric.py
+++ b/mimosaworks/metrics/metric.py
@@ -12,7 +12,6 @@
 
     REQUESTS_ANSWERED = 'requests.answered'
     REQUESTS_REFUSED = 'requests.refused'
-    REQUESTS_REFUSED_IN_RATE = 'requests.refused_in_rate'
     REQUESTS_RETRIED = 'requests.retried'
     REQUESTS_WAITING = 'requests.waiting'
     REQUESTS_RUNNING = 'requests.running'
--- a/mimosaworks/relay/exchange.py
+++ b/mimosaworks/relay/exchange.py
@@ -9,6 +9,7 @@
 from mimosaworks.clock import now_s
 from mimosaworks.errors import ErrorKind, RequestError, RunState
 from mimosaworks.events import Event, log_event
+from mimosaworks.metrics import Metric, MetricsClient
 from mimosaworks.relay.answers import REQUEST_ID_HEADER
 from mimosaworks.relay.attempt_error import (
     AttemptInDoubtError,
@@ -49,6 +50,7 @@
     upstream: Upstream
     crashes: CrashWatch
     budget: RetryBudget
+    metrics: MetricsClient
     check: Callable[[], None]
     is_repeatable: bool
     was_in_doubt: bool = False
@@ -121,6 +123,7 @@
         try:
             async with asyncio.timeout(left_s) as limit, sending as resp:
                 await self._verify(resp)
+                self._measure_first_byte()
                 if resp.content_type == SSE_TYPE:
                     limit.reschedule(None)
                     return await self._relay_stream(slot, resp)
@@ -140,6 +143,10 @@
         if is_resumed and resp.content_type != SSE_TYPE:
             raise AttemptInDoubtError(f'resume was answered {resp.status}')
 
+    def _measure_first_byte(self) -> None:
+        waited_s = now_s() - self.ticket.arrived_at_s
+        self.metrics.timing(Metric.FIRST_BYTE, waited_s)
+
     async def _relay_whole(
         self, slot: Slot, resp: ClientResponse
     ) -> web.StreamResponse:
@@ -187,6 +194,7 @@
 
     def _note_failed(self, slot: Slot, exc: Exception) -> None:
         slot.state.note_failure(now_s())
+        self.metrics.count(Metric.REQUESTS_RETRIED)
         self.ticket.tried.add(slot.target.name)
         log_event(
             Event.REQUEST_RETRIED,
--- a/mimosaworks/relay/frontend.py
+++ b/mimosaworks/relay/frontend.py
@@ -19,6 +19,7 @@
 from mimosaworks.entities import Route, Workspace
 from mimosaworks.errors import ErrorKind, RequestError
 from mimosaworks.events import Event, log_event
+from mimosaworks.metrics import Metric, MetricsClient
 from mimosaworks.relay.answers import error_response
 from mimosaworks.relay.attempt_error import CallerGoneError
 from mimosaworks.relay.body import read_body
@@ -57,6 +58,7 @@
     crashes: CrashWatch
     claimed: ClaimedRuns
     budget: RetryBudget
+    metrics: MetricsClient
     max_body_bytes: int
     body_timeout_s: float
     keys: KeyIndex = attrs.field(factory=KeyIndex)
@@ -64,20 +66,28 @@
     async def handle(self, req: web.Request) -> web.StreamResponse:
         """Answer one request; every refusal is logged with its kind."""
         request_id = uuid.uuid4().hex
+        arrived_at_s = now_s()
         try:
-            return await self._serve(req, request_id)
+            resp = await self._serve(req, request_id)
         except RequestError as exc:
-            log_event(
-                Event.REQUEST_REFUSED,
-                request_id=request_id,
-                kind=exc.kind.value,
-                run=exc.run_state.value,
-                reason=exc.message,
-            )
-            return error_response(exc, request_id)
+            return self._refuse(exc, request_id)
         except CallerGoneError:
             # Nobody reads this answer; aiohttp wants one to close the call.
             return web.Response(status=CALLER_GONE_STATUS)
+        self.metrics.count(Metric.REQUESTS_ANSWERED)
+        self.metrics.timing(Metric.REQUEST_DURATION, now_s() - arrived_at_s)
+        return resp
+
+    def _refuse(self, exc: RequestError, request_id: str) -> web.Response:
+        self.metrics.count(Metric.REQUESTS_REFUSED)
+        log_event(
+            Event.REQUEST_REFUSED,
+            request_id=request_id,
+            kind=exc.kind.value,
+            run=exc.run_state.value,
+            reason=exc.message,
+        )
+        return error_response(exc, request_id)
 
     async def _serve(
         self, req: web.Request, request_id: str
@@ -86,7 +96,7 @@
         workspace = self._admit(req, route)
         deadline = read_deadline(req.headers, route, now_s())
         body = await read_body(req, self.max_body_bytes, self.body_timeout_s)
-        ticket = Ticket(request_id, route, workspace, deadline)
+        ticket = Ticket(request_id, route, workspace, deadline, now_s())
         if route.kind == 'model':
             _describe_model(ticket, read_model_call(self.view.catalogue, body))
         else:
@@ -100,6 +110,7 @@
             upstream=self.upstream,
             crashes=self.crashes,
             budget=self.budget,
+            metrics=self.metrics,
             check=functools.partial(self._check_again, req, ticket),
             is_repeatable=_is_repeatable(req, route),
         )
--- a/mimosaworks/router/program.py
+++ b/mimosaworks/router/program.py
@@ -13,6 +13,7 @@
 from mimosaworks.events import Event, log_event, start_logging
 from mimosaworks.limits import TokenService
 from mimosaworks.members import Member, MemberRole, MemberService, MemberState
+from mimosaworks.metrics import MetricsClient, open_metrics
 from mimosaworks.platform import (
     GroupCommit,
     ObjectClient,
@@ -27,6 +28,7 @@
     guard_trace,
 )
 from mimosaworks.router.drain import Drain
+from mimosaworks.router.gauges import send_gauges
 from mimosaworks.router.holder_sync import HolderSync
 from mimosaworks.router.settings import RouterSettings
 from mimosaworks.routing import (
@@ -83,12 +85,14 @@
         start_task(self.dispatcher.run(), stack)
         start_task(self.holders.run(), stack)
         start_task(self.sender.run(), stack)
+        start_task(send_gauges(self.members, self.dispatcher), stack)
 
 
 async def _serve(cfg: RouterSettings, stack: contextlib.AsyncExitStack) -> None:
     session = await stack.enter_async_context(ClientSession())
     peer_app = new_peer_app()
-    router = _new_router(cfg, session, peer_app)
+    metrics = stack.enter_context(open_metrics(cfg.statsd_address, PROGRAM))
+    router = _new_router(cfg, session, peer_app, metrics)
     requests = Drain(await _new_frontend(cfg, router, stack))
     await serve_app(peer_app, cfg.peer_address, stack)
     await router.start(stack)
@@ -116,7 +120,10 @@
 
 
 def _new_router(
-    cfg: RouterSettings, session: ClientSession, peer_app: web.Application
+    cfg: RouterSettings,
+    session: ClientSession,
+    peer_app: web.Application,
+    metrics: MetricsClient,
 ) -> Router:
     peers = PeerClient(session)
     table = TableClient(session, cfg.platform_url)
@@ -131,7 +138,8 @@
     tokens = TokenService(peers, cfg.peer_address)
     tokens.add_handlers(peer_app)
     leaving = LeavingTargets(VmListClient(session, cfg.platform_url))
-    dispatcher = _new_dispatcher(cfg, members, tokens, leaving)
+    pool = _new_target_pool(cfg, members, leaving)
+    dispatcher = Dispatcher(pool, tokens, random.SystemRandom(), metrics)
     _handle_replica_maps(peer_app, dispatcher.targets.replicas)
     members.subscribe(tokens.set_grants)
     members.subscribe(lambda _catalogue: dispatcher.targets.replicas.notify())
@@ -186,20 +194,16 @@
     )
 
 
-def _new_dispatcher(
-    cfg: RouterSettings,
-    members: MemberService,
-    tokens: TokenService,
-    leaving: LeavingTargets,
-) -> Dispatcher:
-    pool = TargetPool(
+def _new_target_pool(
+    cfg: RouterSettings, members: MemberService, leaving: LeavingTargets
+) -> TargetPool:
+    return TargetPool(
         catalogue=lambda: members.catalogue,
         replicas=ReplicaTable(),
         suspects=SuspectTable(),
         max_in_flight=cfg.max_in_flight,
         is_leaving=leaving.is_leaving,
     )
-    return Dispatcher(pool, tokens, random.SystemRandom())
 
 
 def _handle_replica_maps(
@@ -225,6 +229,7 @@
         crashes=router.crashes,
         claimed=router.claimed,
         budget=RetryBudget(),
+        metrics=router.dispatcher.metrics,
         max_body_bytes=cfg.max_body_bytes,
         body_timeout_s=cfg.body_timeout_s,
     )
--- a/mimosaworks/routing/dispatcher.py
+++ b/mimosaworks/routing/dispatcher.py
@@ -10,6 +10,7 @@
 from mimosaworks.errors import ErrorKind, RequestError, RunState
 from mimosaworks.events import Event, log_event
 from mimosaworks.limits import Receipt
+from mimosaworks.metrics import Metric, MetricsClient
 from mimosaworks.routing.choice import Choice, choose_target
 from mimosaworks.routing.lane import Lane, Waiter
 from mimosaworks.routing.lane_key import LaneKey
@@ -31,6 +32,7 @@
     targets: TargetPool
     tokens: Tokens
     rng: random.Random
+    metrics: MetricsClient
     lanes: dict[LaneKey, Lane] = attrs.field(factory=dict)
 
     async def acquire(self, ticket: Ticket) -> Slot:
@@ -122,6 +124,9 @@
             priority=ticket.priority,
         )
         lane = self.lane(ticket)
+        ticket.was_cold = ticket.was_cold or not self.targets.is_served(
+            ticket.lane_key
+        )
         left_s = ticket.deadline.remaining_s(now_s())
         if not await lane.wait_turn(waiter, left_s):
             raise self._too_late(ticket)
@@ -147,6 +152,7 @@
         lane.running += 1
         if self.targets.suspects.is_suspect(ticket.mark):
             state.exclusive_to = ticket.mark
+        self._measure(ticket)
         log_event(
             Event.ROUTING_DECIDED,
             request_id=ticket.request_id,
@@ -159,6 +165,12 @@
         target = self.targets.catalogue().target[state.name]
         return Slot(target, state, lane, receipt, now_s())
 
+    def _measure(self, ticket: Ticket) -> None:
+        wait_s = now_s() - ticket.arrived_at_s
+        metric = Metric.COLD_START if ticket.was_cold else Metric.REQUEST_WAIT
+        self.metrics.timing(metric, wait_s)
+        self.metrics.count(Metric.TOKENS_DISPATCHED, ticket.cost_tokens)
+
     def _take_tokens(self, ticket: Ticket) -> Receipt | None:
         if ticket.workspace is None or not ticket.cost_tokens:
             return NO_CHARGE
--- a/mimosaworks/routing/ticket.py
+++ b/mimosaworks/routing/ticket.py
@@ -14,13 +14,14 @@
     workspace is None on open routes. model is empty for plain services.
     cost_tokens is what a dispatch takes; max_tokens of them are for the
     answer. tried names the targets that failed it. mark is the request's
-    fingerprint.
+    fingerprint; was_cold tells that no replica was there at some time.
     """
 
     request_id: str
     route: Route
     workspace: Workspace | None
     deadline: Deadline
+    arrived_at_s: float
     model: str = ''
     adapter: str = ''
     cost_tokens: float = 0
@@ -28,6 +29,7 @@
     priority: int = 0
     prompt_prefix: str = ''
     mark: str = ''
+    was_cold: bool = False
     tried: set[str] = attrs.field(factory=set)
 
     @property
