--- a/tests/test_admin_openapi.py
+++ b/tests/test_admin_openapi.py
@@ -72,7 +72,8 @@
 
 
 def test_closed_lists_are_the_ones_of_the_code() -> None:
-    codes = SCHEMAS['Error']['properties']['error']['properties']['code']
+    error_schema = SCHEMAS['Error']['properties']['error']
+    codes = error_schema['properties']['code']
     kinds = SCHEMAS['Change']['properties']['kind']
     assert codes['enum'] == [kind.value for kind in ErrorKind]
     assert kinds['enum'] == list(ENTITY_TYPES)
