settings: addresses and URLs are checked alike in every program

Since each program would need the same ones on the same names, the check follows from the name: ..._address holds host:port, ..._url a URL, both empty only by default.

--- a/mimosaworks/admin/settings.py
+++ b/mimosaworks/admin/settings.py
@@ -5,7 +5,7 @@
 import attrs
 
 from mimosaworks.admin.operators import parse_operators
-from mimosaworks.settings import address, option, optional_address, url
+from mimosaworks.settings import option
 
 
 def _operators(_instance: Any, _field: Any, content: str) -> None:
@@ -16,14 +16,11 @@
 class AdminSettings:
     """Where mimosa-admin listens, whom it asks and who may use it."""
 
-    http_address: str = option(
-        "Address, host:port, of the operators' API.", validator=address
-    )
+    http_address: str = option("Address, host:port, of the operators' API.")
     peer_address: str = option(
-        'Address, host:port, that other processes of the system reach.',
-        validator=address,
+        'Address, host:port, that other processes of the system reach.'
     )
-    platform_url: str = option('Base URL of the platform.', validator=url)
+    platform_url: str = option('Base URL of the platform.')
     operator_token: str = option(
         'Token of the operators, or name:token pairs with commas between.',
         validator=_operators,
@@ -33,5 +30,4 @@
     statsd_address: str = option(
         'Address, host:port, of a statsd daemon; empty for no metrics.',
         default='',
-        validator=optional_address,
     )
--- a/mimosaworks/cmdline/ctl_settings.py
+++ b/mimosaworks/cmdline/ctl_settings.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from mimosaworks.settings import option, url
+from mimosaworks.settings import option
 
 PREFIX = 'MIMOSACTL'
 OUTPUTS = ('text', 'json')
@@ -23,7 +23,6 @@
     admin_url: str = option(
         'Base URL of any mimosa-admin.',
         default='http://127.0.0.1:8081',
-        validator=url,
     )
     operator_token: str = option(
         "The operator's token; better set in the environment.",
--- a/mimosaworks/settings/__init__.py
+++ b/mimosaworks/settings/__init__.py
@@ -8,22 +8,12 @@
     settings_options,
     sourced_settings,
 )
-from mimosaworks.settings.validators import (
-    address,
-    not_empty,
-    optional_address,
-    url,
-)
 
 __all__ = [
     'SourcedSetting',
-    'address',
     'env_name',
     'make_settings',
-    'not_empty',
     'option',
-    'optional_address',
     'settings_options',
     'sourced_settings',
-    'url',
 ]
--- a/mimosaworks/settings/sources.py
+++ b/mimosaworks/settings/sources.py
@@ -1,6 +1,5 @@
 """Reads settings from flags and environment variables."""
 
-import math
 import os
 import types
 from collections.abc import Callable, Iterator
@@ -11,6 +10,7 @@
 from click.core import ParameterSource
 
 from mimosaworks.errors import SettingError
+from mimosaworks.settings.conventions import check_conventions
 from mimosaworks.settings.option import HELP, MASKED
 from mimosaworks.settings.sourced import SourcedSetting
 
@@ -64,8 +64,8 @@
     """
     _refuse_unknown_variables(settings_type, prefix)
     try:
-        _refuse_infinite(given)
         cfg = settings_type(**given)
+        check_conventions(cfg)
     except (ValueError, TypeError, SettingError) as exc:
         raise click.UsageError(f'invalid setting: {exc.args[0]}') from exc
     ctx = click.get_current_context(silent=True)
@@ -122,13 +122,6 @@
     )
 
 
-def _refuse_infinite(given: dict[str, Any]) -> None:
-    for name, content in given.items():
-        if isinstance(content, float) and not math.isfinite(content):
-            flag = name.replace('_', '-')
-            raise ValueError(f'--{flag} must be finite, not {content}')
-
-
 def _refuse_unknown_variables(
     settings_type: type[attrs.AttrsInstance], prefix: str
 ) -> None:
--- a/tests/test_cmdline_help.py
+++ b/tests/test_cmdline_help.py
@@ -37,6 +37,14 @@
     return result.exit_code, result.output
 
 
+def given_to(name: str) -> tuple[str, ...]:
+    """Return words that lack nothing."""
+    if name == 'mimosactl':
+        return ('status',)
+    token = ('--operator-token=x',) if name == 'mimosa-admin' else ()
+    return (*ADDRESSES, *token)
+
+
 def groups_of(group: click.Group) -> list[str]:
     return [
         name
@@ -73,13 +81,19 @@
     assert "Missing option '--" in output
 
 
+@pytest.mark.parametrize('name', DAEMONS)
+@pytest.mark.parametrize('flag', ['--peer-address', '--platform-url'])
+def test_each_daemon_names_an_ill_typed_address(name: str, flag: str) -> None:
+    words = [*given_to(name), f'{flag}=nonsense']
+    code, output = run(name, *words)
+    assert code == EXIT_USAGE
+    assert flag in output
+
+
 @pytest.mark.parametrize('name', MAINS)
 def test_each_program_names_an_unknown_variable(name: str) -> None:
     variable = env_name(name.replace('-', '_'), 'colour')
-    words = ADDRESSES if name in DAEMONS else ('status',)
-    if name == 'mimosa-admin':
-        words = (*words, '--operator-token=x')
-    code, output = run(name, *words, **{variable: 'red'})
+    code, output = run(name, *given_to(name), **{variable: 'red'})
     assert code == EXIT_USAGE
     assert variable in output
 
--- a/tests/test_settings_sources.py
+++ b/tests/test_settings_sources.py
@@ -9,12 +9,9 @@
 from click.testing import CliRunner, Result
 
 from mimosaworks.settings import (
-    address,
     make_settings,
     option,
-    optional_address,
     settings_options,
-    url,
 )
 
 PREFIX = 'TRIAL'
@@ -25,10 +22,10 @@
 class Trial:
     """One setting of each type."""
 
-    listen: str = option('Where.', validator=address)
+    listen_address: str = option('Where.')
     token: str = option('Secret.', is_secret=True)
-    platform_url: str = option('Base.', default='http://h:1', validator=url)
-    statsd: str = option('Off.', default='', validator=optional_address)
+    platform_url: str = option('Base.', default='http://h:1')
+    statsd_address: str = option('Off.', default='')
     wait_s: float = option('Seconds.', default=1.5)
     tries: int = option('Count.', default=3)
     is_open: bool = option('Flag.', default=False)
@@ -40,12 +37,15 @@
     click.echo(repr(make_settings(Trial, PREFIX, **given)))
 
 
-GOOD = types.MappingProxyType({'listen': '127.0.0.1:80', 'token': 'abc'})
+GOOD = types.MappingProxyType({
+    'listen_address': '127.0.0.1:80',
+    'token': 'abc',
+})
 BAD = (
-    ('listen', 'localhost'),
-    ('listen', 'h:99999'),
+    ('listen_address', 'localhost'),
+    ('listen_address', 'h:99999'),
     ('platform_url', 'ftp://h'),
-    ('statsd', 'here'),
+    ('statsd_address', 'here'),
     ('wait_s', 'soon'),
     ('wait_s', 'nan'),
     ('tries', '1.5'),
@@ -53,6 +53,11 @@
 )
 
 
+def flag_of(name: str) -> str:
+    word = name.replace('_', '-')
+    return f'--{word}'
+
+
 def run_with_flags(settings: dict[str, str], *more: str) -> Result:
     pairs = (
         (f'--{name.replace("_", "-")}', text) for name, text in settings.items()
@@ -83,7 +88,7 @@
 ) -> None:
     result = run({**GOOD, name: text})
     assert result.exit_code == USAGE_EXIT_CODE
-    assert f'--{name.replace("_", "-")}' in result.output
+    assert flag_of(name) in result.output
 
 
 @RUNS
@@ -94,7 +99,7 @@
     rest = {one: text for one, text in GOOD.items() if one != name}
     result = run(rest)
     assert result.exit_code == USAGE_EXIT_CODE
-    assert f'--{name}' in result.output
+    assert flag_of(name) in result.output
 
 
 @RUNS
@@ -107,21 +112,21 @@
 def test_flag_goes_before_environment() -> None:
     result = CliRunner().invoke(
         trial,
-        ['--listen', 'flag:1'],
-        env={'TRIAL_LISTEN': 'env:2', 'TRIAL_TOKEN': 't'},
+        ['--listen-address', 'flag:1'],
+        env={'TRIAL_LISTEN_ADDRESS': 'env:2', 'TRIAL_TOKEN': 't'},
     )
-    assert "listen='flag:1'" in result.output
+    assert "listen_address='flag:1'" in result.output
 
 
 def test_print_settings_shows_sources_and_masks_secrets() -> None:
     result = CliRunner().invoke(
         trial,
-        ['--listen', 'h:1', '--print-settings'],
+        ['--listen-address', 'h:1', '--print-settings'],
         env={'TRIAL_TOKEN': 'hidden'},
     )
     lines = result.output.splitlines()
     assert result.exit_code == 0
-    assert lines[0] == '--listen=h:1 (flag, TRIAL_LISTEN)'
+    assert lines[0] == '--listen-address=h:1 (flag, TRIAL_LISTEN_ADDRESS)'
     assert lines[1] == '--token=******** (environment, TRIAL_TOKEN)'
     assert lines[4] == '--wait-s=1.5 (default, TRIAL_WAIT_S)'
     assert 'hidden' not in result.output
