Admission, relay: paths and queries go on as they came

test_other_parameters_are_sent_on failed: a query with a key beside other parameters was parsed and encoded again (x%20y became x+y, &d became &d=), and the client normalised %2F to / in any path or query, so a plain service could see another resource than the caller named.

Change: strip_query drops the key pairs and leaves the other bytes alone; the URL is passed on as encoded. The crash-suspect test now reaches engines without a proxy, since a proxy accepts the connections that a dead engine refuses, and refusal is the evidence.

Measured: the test failed before with 'a=1&b=x+y/z&c=&d='; after the change pytest tests/test_answers_keys.py: 4 passed.

--- a/mimosaworks/admission/credentials.py
+++ b/mimosaworks/admission/credentials.py
@@ -1,7 +1,8 @@
 """Finds a caller's key in a request and strips it from what is sent on."""
 
 from collections.abc import Mapping
-from urllib.parse import parse_qsl, urlencode
+from itertools import filterfalse
+from urllib.parse import unquote_plus
 
 import attrs
 from multidict import CIMultiDict
@@ -60,7 +61,14 @@
 
 
 def strip_query(query: str) -> str:
-    """Return the query text without parameters that hold a key."""
-    pairs = parse_qsl(query, keep_blank_values=True)
-    kept = [pair for pair in pairs if pair[0].lower() not in _KEY_PARAMS]
-    return query if len(kept) == len(pairs) else urlencode(kept)
+    """Return the query text without parameters that hold a key.
+
+    The others stay as they came, byte by byte.
+    """
+    kept = filterfalse(_is_key_pair, query.split('&'))
+    return '&'.join(kept)
+
+
+def _is_key_pair(pair: str) -> bool:
+    name, _, _ = pair.partition('=')
+    return unquote_plus(name).lower() in _KEY_PARAMS
--- a/mimosaworks/relay/upstream.py
+++ b/mimosaworks/relay/upstream.py
@@ -5,6 +5,7 @@
 import aiohttp
 import attrs
 from multidict import CIMultiDict
+from yarl import URL
 
 from mimosaworks.entities import Target
 from mimosaworks.relay.outgoing import Outgoing
@@ -44,7 +45,8 @@
             headers[RESUME_HEADER] = str(resume_from)
         return session.request(
             outgoing.method,
-            target.url.rstrip('/') + outgoing.path,
+            # The caller's bytes go on as they came, without re-encoding.
+            URL(target.url.rstrip('/') + outgoing.path, encoded=True),
             data=outgoing.body or None,
             headers=headers,
             allow_redirects=False,
--- a/tests/harness_entry.py
+++ b/tests/harness_entry.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 import attrs
+from yarl import URL
 
 from mimosaworks.configs import ConfigStore
 from mimosaworks.entities import (
@@ -85,7 +86,10 @@
 
 @attrs.define
 class Entry:
-    """Routers before the targets of one cluster."""
+    """Routers before the targets of one cluster.
+
+    urls holds the base URL of each target as configured: its proxy's.
+    """
 
     cluster: Cluster
     router: Node
@@ -93,6 +97,7 @@
     engines: dict[str, Node] = attrs.Factory(dict)
     services: dict[str, Node] = attrs.Factory(dict)
     proxies: dict[str, Node] = attrs.Factory(dict)
+    urls: dict[str, str] = attrs.Factory(dict)
     _sequence: int = 0
 
     async def add_engine(self, name: str, *flags: str) -> Node:
@@ -102,6 +107,7 @@
         )
         self.engines[name] = engine
         self.proxies[name] = await self.cluster.start_proxy(engine.address)
+        self.urls[name] = self.proxies[name].url
         return engine
 
     async def add_service(self, name: str) -> Node:
@@ -109,6 +115,7 @@
         service = await self.cluster.start_service(self._journal(name))
         self.services[name] = service
         self.proxies[name] = await self.cluster.start_proxy(service.address)
+        self.urls[name] = self.proxies[name].url
         return service
 
     async def open(self, *more: Entity) -> None:
@@ -122,12 +129,9 @@
             Route('plots', PLOTS, 'plots', 'service'),
             Route('readings', READINGS, 'plots', 'service', is_idempotent=True),
             Route('open', OPEN, 'plots', 'service', is_open=True),
+            *(Target(name, self.urls[name], 'models') for name in self.engines),
             *(
-                Target(name, self.proxies[name].url, 'models')
-                for name in self.engines
-            ),
-            *(
-                Target(name, self.proxies[name].url, 'plots', 'service')
+                Target(name, self.urls[name], 'plots', 'service')
                 for name in self.services
             ),
             *more,
@@ -169,7 +173,7 @@
         content = body if isinstance(body, bytes) else json.dumps(body)
         async with self.cluster.http.request(
             options.pop('method', 'POST'),
-            self.router.url + path,
+            URL(self.router.url + path, encoded=True),
             data=content,
             headers=headers,
             **options,
--- a/tests/test_answers_streams.py
+++ b/tests/test_answers_streams.py
@@ -144,6 +144,8 @@
     await entry.add_engine('e1')
     await entry.add_engine('e2')
     await entry.add_engine('e3')
+    # A proxy would accept the connections that a dead engine refuses.
+    entry.urls = {name: node.url for name, node in entry.engines.items()}
     await entry.open()
     headers = {'Mimosa-Deadline-S': '6'}
     answers = await in_turn(
