--- a/mimosaworks/admission/credentials.py
+++ b/mimosaworks/admission/credentials.py
@@ -1,7 +1,6 @@
 """Finds a caller's key in a request and strips it from what is sent on."""
 
 from collections.abc import Mapping
-from itertools import filterfalse
 from urllib.parse import unquote_plus
 
 import attrs
@@ -61,14 +60,14 @@
 
 
 def strip_query(query: str) -> str:
-    """Return the query text without parameters that hold a key.
+    """Return the raw query text without parameters that hold a key.
 
-    The others stay as they came, byte by byte.
+    All other parameters stay as the caller wrote them.
     """
-    kept = filterfalse(_is_key_pair, query.split('&'))
+    kept = [part for part in query.split('&') if not _holds_key(part)]
     return '&'.join(kept)
 
 
-def _is_key_pair(pair: str) -> bool:
-    name, _, _ = pair.partition('=')
-    return unquote_plus(name).lower() in _KEY_PARAMS
+def _holds_key(part: str) -> bool:
+    name = part.partition('=')[0]
+    return unquote_plus(name).strip().lower() in _KEY_PARAMS
