bench: slopes of members, changes, state, requests and targets

Cause: docs/CAPACITY.md is to be worked out from measured slopes. Change: mimosa-bench slopes. One cattrs converter in place of one for each change: a converter compiles a function for each type that it meets.

--- /dev/null
+++ b/bench/main.py
@@ -0,0 +1,18 @@
+"""Command line of mimosa-bench."""
+
+import click
+
+from bench.slopes import slopes
+from mimosaworks import __version__
+
+
+@click.group()
+@click.version_option(__version__)
+def main() -> None:
+    """Measure the system on stand-ins; loads this machine only."""
+
+
+main.add_command(slopes)
+
+if __name__ == '__main__':
+    main()
--- a/mimosaworks/entities/change.py
+++ b/mimosaworks/entities/change.py
@@ -15,6 +15,9 @@
 
 _ALL_TYPES = types.MappingProxyType({**ENTITY_TYPES, **INTERNAL_TYPES})
 
+# Made once: a converter compiles a function for each type that it meets.
+_CONVERTER = cattrs.Converter(forbid_extra_keys=True)
+
 
 @attrs.frozen
 class Change:
@@ -40,8 +43,7 @@
     raw = fields.get('entity')
     entity = None
     if raw is not None:
-        converter = cattrs.Converter(forbid_extra_keys=True)
-        entity = converter.structure(raw, _ALL_TYPES[kind])
+        entity = _CONVERTER.structure(raw, _ALL_TYPES[kind])
     return Change(kind, str(fields['name']), entity)
 
 
