--- a/tests/harness_entry.py
+++ b/tests/harness_entry.py
@@ -136,12 +136,18 @@
             ),
             *more,
         )
-        await wait_until(self._serves)
+        await wait_until(lambda: self._serves(self.router))
         if self.engines:
             await self.announce(tuple(self.engines))
             await wait_until(self._grants_tokens)
             self._forget_runs()
 
+    async def add_router(self) -> Node:
+        """Start another router and return once it serves."""
+        router = await self.cluster.start_program('router', *ROUTER_FLAGS)
+        await wait_until(lambda: self._serves(router))
+        return router
+
     async def configure(self, *entities: Entity) -> None:
         """Append one version that puts the entities."""
         cluster = self.cluster
@@ -168,12 +174,16 @@
         await peers.call(address, replica_map, Ack, PEER_TIMEOUT_S)
 
     async def call(self, path: str, body: Any = b'', **options: Any) -> Answer:
-        """Send a request with the key and return the whole answer."""
+        """Send a request with the key and return the whole answer.
+
+        Options are those of aiohttp's request, and router for another one.
+        """
+        router = options.pop('router', self.router)
         headers = {**BEARER, **options.pop('headers', {})}
         content = body if isinstance(body, bytes) else json.dumps(body)
         async with self.cluster.http.request(
             options.pop('method', 'POST'),
-            URL(self.router.url + path, encoded=True),
+            URL(router.url + path, encoded=True),
             data=content,
             headers=headers,
             **options,
@@ -204,9 +214,11 @@
         path = self.journals / name
         return f'--journal={path}'
 
-    async def _serves(self) -> bool:
+    async def _serves(self, router: Node) -> bool:
         with contextlib.suppress(aiohttp.ClientError):
-            answer = await self.call(CHAT, chat('x', model='absent'))
+            answer = await self.call(
+                CHAT, chat('x', model='absent'), router=router
+            )
             return bool(answer.fields()['error']['code'] == 'unknown_model')
         return False
 
--- a/tests/test_answers_keys.py
+++ b/tests/test_answers_keys.py
@@ -5,8 +5,6 @@
 from collections.abc import Mapping
 from http import HTTPStatus
 
-import pytest
-
 from tests.harness import in_turn
 from tests.harness_entry import (
     CALLER_KEY,
@@ -40,18 +38,17 @@
     return await entry.call(path + query, body, headers=headers)
 
 
-@pytest.mark.parametrize('path', [CHAT, PLOTS, OPEN])
-async def test_no_target_sees_a_key_in_header_or_query(
-    entry: Entry, path: str
-) -> None:
+async def test_no_target_sees_a_key_in_header_or_query(entry: Entry) -> None:
     engine = await entry.add_engine('e1')
     service = await entry.add_service('s1')
     await entry.open()
     answers = await in_turn(
-        _call(entry, path, headers, query) for headers, query in WAYS
+        _call(entry, path, headers, query)
+        for path in (CHAT, PLOTS, OPEN)
+        for headers, query in WAYS
     )
     assert {answer.status for answer in answers} == {HTTPStatus.OK}
-    assert len(entry.runs()) == len(WAYS)
+    assert len(entry.runs()) == len(answers)
     seen = json.dumps([
         await entry.cluster.get_json(engine, '/stats'),
         await entry.cluster.get_json(service, '/counts'),
--- a/tests/test_answers_refusals.py
+++ b/tests/test_answers_refusals.py
@@ -6,8 +6,6 @@
 from http import HTTPStatus
 from typing import Any
 
-import pytest
-
 from tests.harness import in_turn
 from tests.harness_entry import BEARER, CHAT, PLOTS, Answer, Entry, chat
 
@@ -29,6 +27,13 @@
     (PLOTS, b'x', BAD_DEADLINE, 400, 'bad_request'),
 )
 
+BROKEN_HTTP = (
+    b'POST /plots HTTP/1.1\r\nContent-Length: nine\r\n\r\n',
+    b'POST /plots HTTP/1.1\r\nContent-Length: 1\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+    b'no http at all\r\n\r\n',
+)
+
 
 def _require(answer: Answer, status: int, code: str) -> None:
     assert answer.status == status
@@ -75,22 +80,18 @@
     assert not entry.runs()
 
 
-@pytest.mark.parametrize(
-    'raw',
-    [
-        b'POST /plots HTTP/1.1\r\nContent-Length: nine\r\n\r\n',
-        b'POST /plots HTTP/1.1\r\nContent-Length: 1\r\n'
-        b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
-        b'no http at all\r\n\r\n',
-    ],
-)
-async def test_broken_http_is_a_bad_request(entry: Entry, raw: bytes) -> None:
-    await entry.add_service('s1')
-    await entry.open()
+async def _send_raw(entry: Entry, raw: bytes) -> bytes:
     host, _, port = entry.router.address.rpartition(':')
     reader, writer = await asyncio.open_connection(host, int(port))
     writer.write(raw)
     status = await reader.readline()
     writer.close()
-    assert b' 400 ' in status
+    return status
+
+
+async def test_broken_http_is_a_bad_request(entry: Entry) -> None:
+    await entry.add_service('s1')
+    await entry.open()
+    statuses = await in_turn(_send_raw(entry, raw) for raw in BROKEN_HTTP)
+    assert all(b' 400 ' in status for status in statuses)
     assert not entry.runs()
--- a/tests/test_answers_run_state.py
+++ b/tests/test_answers_run_state.py
@@ -99,9 +99,8 @@
         assert max(runs.values()) == 1
 
 
-@pytest.mark.parametrize('path', [CHAT, PLOTS])
 async def test_a_target_that_cannot_be_reached_gives_not_run(
-    entry: Entry, path: str
+    entry: Entry,
 ) -> None:
     await entry.add_engine('e1')
     await entry.add_service('s1')
@@ -109,8 +108,10 @@
     await entry.fault('e1', cut=True)
     await entry.fault('s1', cut=True)
     headers = {'Mimosa-Deadline-S': '0.5'}
-    answer = await entry.call(path, _body(path), headers=headers)
-    assert answer.run == 'not-run'
+    answers = await in_turn(
+        entry.call(path, _body(path), headers=headers) for path in (CHAT, PLOTS)
+    )
+    assert {answer.run for answer in answers} == {'not-run'}
     assert not entry.runs()
 
 
--- a/tests/test_answers_streams.py
+++ b/tests/test_answers_streams.py
@@ -69,6 +69,18 @@
     assert len(entry.runs()) == 2
 
 
+async def test_a_caller_cannot_steer_what_an_engine_resumes(
+    entry: Entry,
+) -> None:
+    await entry.add_engine('e1')
+    await entry.open()
+    headers = {'X-Resume-From': '2'}
+    body = chat(PROMPT, stream=True)
+    answer = await entry.call(CHAT, body, headers=headers)
+    indexes = [chunk['index'] for chunk in chunks(answer.body)]
+    assert indexes == [0, 1, 2, 3]
+
+
 async def test_a_stream_that_cannot_go_on_ends_with_an_error(
     entry: Entry,
 ) -> None:
