Relay: a request given up at its target keeps its tokens

When the deadline passed while the target ran the request, the tokens were all given back, so a workspace that sends short deadlines ran far more than its rate and burst.

Change: tokens go back only if no byte has left.

Measured: test_a_request_given_up_at_its_target_keeps_its_tokens failed before (a second request ran inside one burst) and passes now.

--- a/mimosaworks/relay/exchange.py
+++ b/mimosaworks/relay/exchange.py
@@ -107,8 +107,8 @@
                 raise AttemptInDoubtError(repr(exc)) from exc
             raise AttemptNotRunError(repr(exc)) from exc
         except RequestError:
-            # The check refused it: no byte has left.
-            self.dispatcher.refund(slot)
+            if not guard.is_sending:
+                self.dispatcher.refund(slot)
             raise
 
     async def _send(self, slot: Slot, guard: SendGuard) -> web.StreamResponse:
