Admission: a caller's X-Resume-From is not sent on

The router resumes streams with this header itself; the caller's value was passed on and made an engine skip tokens.

Measured: test_a_caller_cannot_steer_what_an_engine_resumes failed before with the tokens [2, 3] in place of [0, 1, 2, 3] and passes now.

--- a/mimosaworks/admission/credentials.py
+++ b/mimosaworks/admission/credentials.py
@@ -22,6 +22,7 @@
     'trailer',
     'transfer-encoding',
     'upgrade',
+    'x-resume-from',
 ))
 
 
