members: a predecessor's late answer is no evidence of death

Found by random runs of the real decision code in a made-up world: an answer or a refusal to a question sent before a member was first seen may come from the process that listened at its address before; it marked the new process as dead, and a writer then had a change accepted without it. Only questions sent after the member was first seen count now.

--- a/mimosaworks/members/core.py
+++ b/mimosaworks/members/core.py
@@ -46,7 +46,7 @@
         if catalogue.version > self.catalogue.version:
             self._set_catalogue(catalogue)
         previous = self.freshness.view
-        self.freshness.advance(self.catalogue.version, view)
+        self.freshness.advance(self.now(), self.catalogue.version, view)
         if self.freshness.view != previous:
             self._tell_view()
 
--- a/mimosaworks/members/freshness.py
+++ b/mimosaworks/members/freshness.py
@@ -41,20 +41,23 @@
         """Whether keyed requests may be admitted or dispatched now."""
         return self.own.is_serving and self.age_s(now_s) < FRESHNESS_S
 
-    def advance(self, version: int, view: View) -> None:
+    def advance(self, now_s: float, version: int, view: View) -> None:
         """Take over a configuration version in force and a view."""
         self.version = max(self.version, version)
         if view.version > self.view.version:
             self.view = view
-            self.evidence.retain(view.serving_ids() | view.joining_ids())
+            members = view.serving_ids() | view.joining_ids()
+            self.evidence.set_members(now_s, members)
             # The answers were given to a member with an older view.
             self.full_view = FullView()
             self._take_own_row()
 
-    def on_table_read(self, asked_s: float, version: int, view: View) -> None:
-        """Take over a read of the table that was sent at asked_s."""
+    def on_table_read(self, asked_s: float) -> None:
+        """Note a read of the table that was sent at asked_s.
+
+        What it brought must be in force and passed to advance before.
+        """
         self.is_table_down = False
-        self.advance(version, view)
         self._set_basis(asked_s)
 
     def on_table_failed(self) -> None:
@@ -87,7 +90,7 @@
         peer = self.view.find(address)
         if peer is None:
             return
-        self.evidence.on_answer(now_s, peer.id, answer.boot_nonce)
+        self.evidence.on_answer(asked_s, now_s, peer.id, answer.boot_nonce)
         is_behind = (
             answer.version > self.version or answer.view > self.view.version
         )
@@ -97,12 +100,12 @@
             self._set_basis(asked_s - answer.age_s * (1 + DRIFT))
         self.full_view.on_answer(asked_s, peer.id)
 
-    def on_refused(self, now_s: float, address: str) -> None:
+    def on_refused(self, asked_s: float, now_s: float, address: str) -> None:
         """Note that a connection to a member's port was refused."""
         peer = self.view.find(address)
         if peer:
             self.evidence.on_refused(
-                now_s, peer.id, is_table_down=self.is_table_down
+                asked_s, now_s, peer.id, is_table_down=self.is_table_down
             )
 
     def check_full_view(self, now_s: float) -> None:
--- a/mimosaworks/members/poller.py
+++ b/mimosaworks/members/poller.py
@@ -48,9 +48,7 @@
             freshness.on_table_failed()
             return
         self.core.take(state.catalogue, state.view, state.entries)
-        freshness.on_table_read(
-            state.asked_s, state.catalogue.version, state.view
-        )
+        freshness.on_table_read(state.asked_s)
 
     async def ask(self, address: str) -> None:
         """Ask one member and put in force what it answers."""
@@ -61,7 +59,7 @@
                 address, freshness.ask(), FreshAnswer, ASK_TIMEOUT_S
             )
         except PeerRefusedError:
-            freshness.on_refused(self.core.now(), address)
+            freshness.on_refused(asked_s, self.core.now(), address)
         except PeerError:
             # A time-out says nothing about the peer.
             return
--- a/mimosaworks/members/publisher.py
+++ b/mimosaworks/members/publisher.py
@@ -64,12 +64,15 @@
         )
 
     async def _push(self, barrier: Barrier, member: MemberId) -> None:
+        asked_s = self.core.now()
         try:
             ack = await self.peers.call(
                 member.address, self.core.push(), PushAck, PUSH_TIMEOUT_S
             )
         except PeerRefusedError:
-            self.core.freshness.on_refused(self.core.now(), member.address)
+            self.core.freshness.on_refused(
+                asked_s, self.core.now(), member.address
+            )
         except PeerError:
             return
         else:
--- a/mimosaworks/members/registrar.py
+++ b/mimosaworks/members/registrar.py
@@ -92,11 +92,8 @@
         members = await self.registry.rows()
         for member in members:
             evidence.on_heartbeat(member.id, member.heartbeat)
-        probes = (
-            self.poller.ask(member.address)
-            for member in members
-            if self._is_standing(member)
-        )
+        suspects = filter(self._is_standing, members)
+        probes = (self.poller.ask(peer.address) for peer in suspects)
         await asyncio.gather(*probes)
         self._heartbeats = {peer.id: peer.heartbeat for peer in members}
         await self._note_gone(members)
