--- a/mimosaworks/configs/entry.py
+++ b/mimosaworks/configs/entry.py
@@ -57,9 +57,11 @@
     return json.dumps([_to_dict(entry) for entry in entries])
 
 
-def load_entries(text: str) -> tuple[LogEntry, ...]:
-    """Return the entries that dump_entries wrote."""
-    return tuple(_from_dict(fields) for fields in json.loads(text))
+def load_entries(text: str, after: int = -1) -> tuple[LogEntry, ...]:
+    """Return the entries that dump_entries wrote, with newer versions."""
+    listed = json.loads(text)
+    newer = (fields for fields in listed if fields['version'] > after)
+    return tuple(map(_from_dict, newer))
 
 
 def _follows(catalogue: Catalogue, entry: LogEntry) -> bool:
--- a/mimosaworks/members/core.py
+++ b/mimosaworks/members/core.py
@@ -52,7 +52,7 @@
 
     def take_text(self, version: int, text: str, view: View) -> None:
         """Put in force what another member sent, if it is complete."""
-        entries = load_entries(text) if text else ()
+        entries = load_entries(text or '[]', self.catalogue.version)
         catalogue = apply_entries(self.catalogue, entries)
         if catalogue.version >= version:
             kept = [entry for entry in entries if not entry.is_snapshot]
--- a/mimosaworks/members/evidence.py
+++ b/mimosaworks/members/evidence.py
@@ -29,10 +29,6 @@
     _refused_since_s: dict[MemberId, float] = attrs.field(factory=dict)
     _heartbeats: dict[MemberId, int] = attrs.field(factory=dict)
 
-    def suspects(self) -> frozenset[MemberId]:
-        """Return the members that refuse but are not known dead."""
-        return frozenset(self._refused_since_s) - self.dead_since_s.keys()
-
     def on_answer(
         self, asked_s: float, now_s: float, member: MemberId, boot_nonce: str
     ) -> None:
--- a/tests/member_world.py
+++ b/tests/member_world.py
@@ -9,6 +9,7 @@
 from mimosaworks.members import Member, MemberRole, MemberState
 from mimosaworks.members.barrier import Barrier
 from mimosaworks.members.member_id import MemberId
+from mimosaworks.members.schedule import Schedule
 from mimosaworks.members.table_state import TableState
 from mimosaworks.members.view import view_of
 from tests.member_process import MemberProcess, run_plain
@@ -95,6 +96,17 @@
                 self.ask(address, member.address)
         self.check_full_view(address)
 
+    def follow(self, address: str, schedule: Schedule) -> None:
+        """Ask what the schedule says, as the poller does."""
+        proc = self.processes[address]
+        plan = schedule.due(proc.now_s(), proc.freshness)
+        if plan.is_table_due:
+            self.read_table(address)
+        for peer in plan.peers:
+            self.ask(address, peer)
+        if plan.is_round_due:
+            self.ask_all(address)
+
     def check_full_view(self, address: str) -> None:
         """Let a process judge the answers that it has."""
         proc = self.processes[address]
@@ -229,7 +241,10 @@
         for address in sorted(addresses - self.processes.keys()):
             self.start(address)
         self.join_all()
-        self.run(8, 0.4)
+        rounds = 8
+        while rounds and not self._is_recovered():
+            self.run(1, 0.45)
+            rounds -= 1
 
     def join_all(self) -> None:
         """Let the processes that have not joined try to."""
@@ -266,6 +281,9 @@
                     f'{address} admits at {version} < {self.accepted}'
                 )
 
+    def _is_recovered(self) -> bool:
+        return all(proc.is_admitting() for proc in self.processes.values())
+
     def _publish(self, proc: MemberProcess, version: int) -> None:
         proc.publishing = version
         proc.barrier = None
