--- a/mimosaworks/members/core.py
+++ b/mimosaworks/members/core.py
@@ -46,13 +46,13 @@
         if catalogue.version > self.catalogue.version:
             self._set_catalogue(catalogue)
         previous = self.freshness.view
-        self.freshness.advance(self.catalogue.version, view)
+        self.freshness.advance(self.now(), self.catalogue.version, view)
         if self.freshness.view != previous:
             self._tell_view()
 
     def take_text(self, version: int, text: str, view: View) -> None:
         """Put in force what another member sent, if it is complete."""
-        entries = load_entries(text) if text else ()
+        entries = load_entries(text or '[]', self.catalogue.version)
         catalogue = apply_entries(self.catalogue, entries)
         if catalogue.version >= version:
             kept = [entry for entry in entries if not entry.is_snapshot]
