--- a/tests/test_sheets_reading.py
+++ b/tests/test_sheets_reading.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from mimosaworks.entities import Adapter, Catalogue, Model, Workspace
+from mimosaworks.entities import Adapter, Catalogue, Model, Target, Workspace
 from mimosaworks.sheets import CellError, Sheet, read_sheet
 from mimosaworks.sheets.cells import parse_boolean, parse_time
 from mimosaworks.sheets.numbers import (
@@ -153,6 +153,13 @@
     )
 
 
+def test_kind_of_a_target_has_a_column_of_its_own() -> None:
+    text = 'kind,name,url,pool,type\ntarget,t,http://t,plots,service\n'
+    assert entities_of(read_sheet(text.encode(), EMPTY)) == (
+        Target('t', 'http://t', 'plots', 'service'),
+    )
+
+
 def test_two_columns_for_one_attribute_are_a_fault() -> None:
     text = 'kind,name,model,size_gb,size_bytes\nadapter,x,m,1,5\n'
     assert faults_of(text) == [
