--- a/mimosaworks/relay/upstream.py
+++ b/mimosaworks/relay/upstream.py
@@ -45,7 +45,7 @@
             headers[RESUME_HEADER] = str(resume_from)
         return session.request(
             outgoing.method,
-            # The caller's quoting is kept: a target may tell it apart.
+            # The caller's bytes go on as they came, without re-encoding.
             URL(target.url.rstrip('/') + outgoing.path, encoded=True),
             data=outgoing.body or None,
             headers=headers,
