--- a/mimosaworks/admin/queries.py
+++ b/mimosaworks/admin/queries.py
@@ -5,10 +5,11 @@
 
 from mimosaworks.admin.answers import config_etag, outcome_response
 from mimosaworks.admin.places import SERVICE, present_entity
-from mimosaworks.admin.status import status_content
-
-SOURCE_STORE = 'store'
-SOURCE_MEMORY = 'memory'
+from mimosaworks.admin.status import (
+    SOURCE_MEMORY,
+    SOURCE_STORE,
+    status_content,
+)
 
 
 async def get_config(req: web.Request) -> web.Response:
--- a/mimosaworks/admin/status.py
+++ b/mimosaworks/admin/status.py
@@ -7,6 +7,9 @@
 from mimosaworks.members.member import MEMBERS_PREFIX
 from mimosaworks.platform import TableClient
 
+SOURCE_STORE = 'store'
+SOURCE_MEMORY = 'memory'
+
 ReadMembers = Callable[[], Awaitable[tuple[Member, ...]]]
 
 
@@ -30,8 +33,12 @@
 ) -> dict[str, object]:
     """Return a JSON-ready mapping with this process and all members.
 
-    source tells where the members were read: from the store or memory.
+    source tells where the members were read: from the store or memory. What
+    the others have applied is only known from the store.
     """
+    shown = [_member_content(member) for member in members]
+    if source == SOURCE_MEMORY:
+        shown = [{**one, 'applied_version': None} for one in shown]
     own = service.own
     return {
         'program_version': __version__,
@@ -40,7 +47,7 @@
         'is_fresh': service.is_fresh(),
         'version': service.catalogue.version,
         'source': source,
-        'members': [_member_content(member) for member in members],
+        'members': shown,
     }
 
 
--- a/mimosaworks/cmdline/ctl_status.py
+++ b/mimosaworks/cmdline/ctl_status.py
@@ -30,8 +30,16 @@
     if content['source'] != 'store':
         yield 'The store does not answer: members as last known.'
     for member in content['members']:
-        behind = content['version'] - member['applied_version']
-        mark = f' ({behind} behind)' if behind > 0 else ''
-        place = f'{member["address"]:<21} {member["data_centre"]:<10}'
-        state = f'{member["role"]:<7} {member["state"]:<9}'
-        yield f'{place} {state} version {member["applied_version"]}{mark}'
+        yield _member_line(member, version)
+
+
+def _member_line(member: dict[str, Any], newest: int) -> str:
+    address, data_centre = member['address'], member['data_centre']
+    role, state = member['role'], member['state']
+    who = f'{address:<21} {data_centre:<10} {role:<7} {state:<9}'
+    applied = member['applied_version']
+    if applied is None:
+        return f'{who} version unknown'
+    behind = newest - applied
+    mark = f' ({behind} behind)' if behind > 0 else ''
+    return f'{who} version {applied}{mark}'
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -232,6 +232,7 @@
     content = await (await client.get('/admin/v1/status')).json()
     assert content['source'] == 'memory'
     assert content['members'][0]['role'] == 'admin'
+    assert content['members'][0]['applied_version'] is None
 
 
 @pytest.mark.parametrize('name', ['is_open', 'is_idempotent'])
--- a/tests/test_cmdline_ctl.py
+++ b/tests/test_cmdline_ctl.py
@@ -123,3 +123,12 @@
         return [one['address'] for one in members] == [admin.peer_address]
 
     await wait_until(has_joined)
+
+
+async def test_status_in_an_outage_claims_no_versions(
+    ctl: Ctl, cluster: Cluster
+) -> None:
+    await cluster.control(cluster.platform, outage=True)
+    output = await ctl.succeed('status')
+    assert 'The store does not answer' in output
+    await cluster.control(cluster.platform, outage=False)
