admin: a removed process ends; a deeply nested body is a bad request

Cause: a process that the others have removed as dead stays stopped for good: it never becomes fresh, and answers every change as pending. The body [[[...]]] of 100,000 levels was answered as an internal error, which claims that the change may have run.

Change: mimosa-admin ends with exit code 1 once it is removed, so that its supervisor starts it again; RecursionError counts as no JSON.

--- a/mimosaworks/admin/bodies.py
+++ b/mimosaworks/admin/bodies.py
@@ -97,7 +97,7 @@
 def _load(body: bytes) -> object:
     try:
         return json.loads(body)
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         raise RequestError(
             ErrorKind.BAD_REQUEST, f'the body is not JSON: {exc}'
         ) from exc
--- a/mimosaworks/admin/process.py
+++ b/mimosaworks/admin/process.py
@@ -7,6 +7,7 @@
 
 from mimosaworks.admin.middleware import answer_errors, authenticate
 from mimosaworks.admin.operators import parse_operators
+from mimosaworks.admin.removal import fail_when_removed
 from mimosaworks.admin.routes import add_admin_routes
 from mimosaworks.admin.service import AdminService
 from mimosaworks.admin.settings import AdminSettings
@@ -16,7 +17,7 @@
 from mimosaworks.members import Member, MemberRole, MemberService
 from mimosaworks.metrics import MetricsClient, open_metrics
 from mimosaworks.platform import ObjectClient, TableClient, VmListClient
-from mimosaworks.serving import serve_app, stop_event
+from mimosaworks.serving import serve_app, start_task, stop_event
 from mimosaworks.wire import PeerClient, new_peer_app
 
 PROGRAM = 'admin'
@@ -31,6 +32,7 @@
         metrics = stack.enter_context(open_metrics(cfg.statsd_address, PROGRAM))
         service = await _start_service(cfg, metrics, stack)
         app = new_admin_app(cfg, service)
+        start_task(fail_when_removed(service.members), stack)
         await serve_app(app, cfg.http_address, stack)
         log_event(
             Event.PROCESS_STARTED,
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -3,14 +3,16 @@
 import logging
 import types
 from collections.abc import AsyncIterator
-from typing import Any
+from typing import Any, cast
 
+import attrs
 import pytest
 from aiohttp.test_utils import TestClient
 
+from mimosaworks.admin.removal import MemberRemovedError, fail_when_removed
 from mimosaworks.entities import Catalogue, Change, Key, Workspace, digest_key
 from mimosaworks.errors import StoreInDoubtError
-from mimosaworks.members import Acceptance
+from mimosaworks.members import Acceptance, MemberService, MemberState
 from tests.admin_fakes import FakeMembers, FakeStore, admin_client
 
 GRANT = types.MappingProxyType({
@@ -247,3 +249,24 @@
     body = f'{{"rate_tokens_per_s": {rate}, "burst_tokens": 1}}'
     resp = await client.put(CAMP, data=body, headers=AT_0)
     assert resp.status == 422
+
+
+@pytest.mark.parametrize(
+    'body',
+    [b'', b'{', b'[]', b'"text"', b'\xff', b'[' * 100_000, b'1' * 5000],
+    ids=['empty', 'cut', 'list', 'text', 'no-utf8', 'deep', 'digits'],
+)
+async def test_body_that_is_no_json_object_is_a_bad_request(
+    client: Client, body: bytes
+) -> None:
+    put = await client.put(CAMP, data=body, headers=AT_0)
+    post = await client.post('/admin/v1/changes', data=body, headers=AT_0)
+    assert (put.status, post.status) == (400, 400)
+
+
+async def test_removed_process_fails_so_that_it_is_started_again(
+    members: FakeMembers,
+) -> None:
+    members.own = attrs.evolve(members.own, state=MemberState.STOPPED)
+    with pytest.raises(MemberRemovedError, match='removed'):
+        await fail_when_removed(cast('MemberService', members))
