--- a/bench/catalogue_writer.py
+++ b/bench/catalogue_writer.py
@@ -87,10 +87,7 @@
     yield Route('calls', '/calls', 'services', 'service', cost_tokens=1)
     for rank, engine in enumerate(engines):
         yield Target(
-            f'e{rank}',
-            engine.url,
-            'models',
-            memory_bytes=1 << 34,  # 16 GiB
+            f'e{rank}', engine.url, 'models', memory_bytes=ENGINE_MEMORY_BYTES
         )
     for rank, service in enumerate(services):
         yield Target(f's{rank}', service.url, 'services', 'service')
--- a/bench/main.py
+++ b/bench/main.py
@@ -2,6 +2,7 @@
 
 import click
 
+from bench.run_command import run
 from bench.slopes import slopes
 from mimosaworks import __version__
 
@@ -12,6 +13,7 @@
     """Measure the system on stand-ins; loads this machine only."""
 
 
+main.add_command(run)
 main.add_command(slopes)
 
 if __name__ == '__main__':
--- a/bench/slope.py
+++ b/bench/slope.py
@@ -23,11 +23,8 @@
 
     Raises ValueError for fewer than two different x.
     """
-    mean_x = statistics.fmean(point[0] for point in points)
-    mean_y = statistics.fmean(point[1] for point in points)
-    spread = sum((point[0] - mean_x) ** 2 for point in points)
-    if not spread:
+    sizes = [point[0] for point in points]
+    if len(set(sizes)) < 2:
         raise ValueError('a line needs points at two different x')
-    product = sum((point[0] - mean_x) * (point[1] - mean_y) for point in points)
-    increase = product / spread
-    return Slope(mean_y - increase * mean_x, increase)
+    line = statistics.linear_regression(sizes, [point[1] for point in points])
+    return Slope(line.intercept, line.slope)
--- a/bench/slope_report.py
+++ b/bench/slope_report.py
@@ -11,7 +11,7 @@
 
     def add(self, figure: str, measured: float, unit: str) -> None:
         """Note one figure."""
-        rounded = f'{measured:.4g}'
+        rounded = format(measured, '.4g')
         self.lines.append((figure, f'{rounded} {unit}'))
 
     def table(self) -> str:
--- a/bench/slopes_changes.py
+++ b/bench/slopes_changes.py
@@ -8,7 +8,7 @@
 from bench.curves import Curves
 from bench.slope_report import SlopeReport
 from bench.slopes_members import start_routers
-from bench.usage import mean_usage, read_usage
+from bench.usage import Usage, mean_usage, read_usage
 from standins.cluster import OPERATOR_TOKEN, Cluster, open_cluster
 from standins.node import Node
 
@@ -29,9 +29,7 @@
         path.mkdir()
         async with open_cluster(path) as cluster:
             await _measure(cluster, count, curves)
-    for figure, points in curves.points.items():
-        for size, measured in points:
-            report.add(f'{size:.0f} routers, {figure}', measured, '')
+    curves.report_points(report, 'routers')
     slope = curves.slopes()[ADMIN_FIGURE]
     report.add(f'{ADMIN_FIGURE}, for each member', slope.increase, '')
 
@@ -41,7 +39,7 @@
     admin = await cluster.start_program('admin')
     await asyncio.sleep(SETTLE_S)
     before = [read_usage(node) for node in routers]
-    admin_before = read_usage(admin)
+    admin_before_s = read_usage(admin).cpu_s
     times_ms: list[float] = []
     while len(times_ms) < CHANGES:
         times_ms.append(await _change(cluster, admin, len(times_ms)))
@@ -49,10 +47,14 @@
         read_usage(node).since(early)
         for node, early in zip(routers, before, strict=True)
     ])
-    admin_s = read_usage(admin).since(admin_before).cpu_s / CHANGES
-    curves.note(ADMIN_FIGURE, count, admin_s * MS_PER_S)
+    admin_ms = (read_usage(admin).cpu_s - admin_before_s) * MS_PER_S
+    curves.note(ADMIN_FIGURE, count, admin_ms / CHANGES)
     curves.note('a change in force, mean ms', count, fmean(times_ms))
     curves.note('a change in force, worst ms', count, max(times_ms))
+    _note_router(curves, count, used)
+
+
+def _note_router(curves: Curves, count: int, used: Usage) -> None:
     router_ms = used.cpu_s / CHANGES * MS_PER_S
     curves.note('router, processor in a change, ms', count, router_ms)
     moved = used.moved_bytes / CHANGES
--- a/bench/slopes_members.py
+++ b/bench/slopes_members.py
@@ -23,20 +23,23 @@
     pending = list(COUNTS)
     while pending:
         count = pending.pop(0)
-        path = log_dir / f'members-{count}'
-        path.mkdir()
-        async with open_cluster(path) as cluster:
-            routers = await start_routers(cluster, count)
-            usage, stats = await _sample(cluster, routers)
-        _note(curves, count, usage, stats)
-    for figure, points in curves.points.items():
-        for size, measured in points:
-            report.add(f'{size:.0f} routers, {figure}', measured, '')
+        await _measure_count(log_dir / f'members-{count}', count, curves)
+    curves.report_points(report, 'routers')
     for name, slope in curves.slopes().items():
         report.add(f'{name}: level', slope.level, '')
         report.add(f'{name}: for each member', slope.increase, '')
 
 
+async def _measure_count(
+    path: pathlib.Path, count: int, curves: Curves
+) -> None:
+    path.mkdir()
+    async with open_cluster(path) as cluster:
+        routers = await start_routers(cluster, count)
+        usage, stats = await _sample(cluster, routers)
+    _note(curves, count, usage, stats)
+
+
 async def start_routers(cluster: Cluster, count: int) -> list[Node]:
     """Start routers on a small configuration, a few at a time."""
     await writer_for(cluster).put(list(base_entities((), ())))
--- a/bench/slopes_requests.py
+++ b/bench/slopes_requests.py
@@ -1,6 +1,7 @@
 """Processor time of a router for requests and relayed tokens."""
 
 import asyncio
+import functools
 import pathlib
 import time
 from collections.abc import Awaitable, Callable, Iterator
@@ -15,7 +16,7 @@
     base_entities,
     writer_for,
 )
-from bench.slope import fit_slope
+from bench.curves import Curves
 from bench.slope_report import SlopeReport
 from bench.usage import read_usage
 from standins.cluster import Cluster, open_cluster
@@ -58,19 +59,26 @@
     path.mkdir()
     async with open_cluster(path) as cluster:
         load = await _start_load(cluster)
-        url = load.router.url
-        cpu_s, wall_s = await load.run(
-            CALLS, lambda: load.caller.post(f'{url}/calls', data=b'x')
-        )
-        report.add('router, a service call', cpu_s * US_PER_S, 'us of a core')
-        report.add('service calls through one router', 1 / wall_s, '/s')
-        points: list[tuple[float, float]] = []
-        lengths = list(TOKEN_COUNTS)
-        while lengths:
-            tokens = lengths.pop(0)
-            cpu_s, _ = await load.run(STREAMS, _chat(load, tokens))
-            points.append((tokens, cpu_s * US_PER_S))
-    slope = fit_slope(points)
+        await _measure_calls(load, report)
+        await _measure_streams(load, report)
+
+
+async def _measure_calls(load: _Load, report: SlopeReport) -> None:
+    url = load.router.url
+    send = functools.partial(load.caller.post, f'{url}/calls', data=b'x')
+    cpu_s, wall_s = await load.run(CALLS, send)
+    report.add('router, a service call', cpu_s * US_PER_S, 'us of a core')
+    report.add('service calls through one router', 1 / wall_s, '/s')
+
+
+async def _measure_streams(load: _Load, report: SlopeReport) -> None:
+    curves = Curves()
+    lengths = list(TOKEN_COUNTS)
+    while lengths:
+        tokens = lengths.pop(0)
+        cpu_s, _ = await load.run(STREAMS, _chat(load, tokens))
+        curves.note('stream', tokens, cpu_s * US_PER_S)
+    slope = curves.slopes()['stream']
     report.add('router, a stream without tokens', slope.level, 'us of a core')
     report.add('router, a relayed token', slope.increase, 'us of a core')
 
@@ -80,7 +88,8 @@
         f'--preload={MODEL}={MODEL_BYTES}', '--step-s=0.001'
     )
     service = await cluster.start_service()
-    await writer_for(cluster).put(list(base_entities([engine], [service])))
+    entities = list(base_entities([engine], [service]))
+    await writer_for(cluster).put(entities)
     router = await cluster.start_program('router')
     await cluster.start_program('placer')
     load = _Load(router, Caller(cluster.http, SECRET))
@@ -96,7 +105,9 @@
 
 
 def _chat(load: _Load, tokens: int) -> Callable[[], Awaitable[Reply]]:
-    return lambda: load.caller.chat(load.router.url, MODEL, 'x', tokens)
+    return functools.partial(
+        load.caller.chat, load.router.url, MODEL, 'x', tokens
+    )
 
 
 async def _send_all(
--- a/mimosaworks/relay/answers.py
+++ b/mimosaworks/relay/answers.py
@@ -8,6 +8,7 @@
 
 RUN_HEADER = 'Mimosa-Run'
 REQUEST_ID_HEADER = 'X-Request-Id'
+COLD_HEADER = 'Mimosa-Cold'
 
 
 def error_fields(exc: RequestError, request_id: str) -> dict[str, object]:
--- a/mimosaworks/relay/caller_stream.py
+++ b/mimosaworks/relay/caller_stream.py
@@ -6,7 +6,11 @@
 from aiohttp import ClientResponse, web
 
 from mimosaworks.errors import RequestError
-from mimosaworks.relay.answers import error_fields
+from mimosaworks.relay.answers import (
+    COLD_HEADER,
+    REQUEST_ID_HEADER,
+    error_fields,
+)
 from mimosaworks.relay.attempt_error import CallerGoneError
 from mimosaworks.relay.headers import copy_answer_headers
 from mimosaworks.relay.sse import EventCounter
@@ -24,14 +28,19 @@
     counter: EventCounter = attrs.field(factory=EventCounter)
     resp: web.StreamResponse | None = None
 
-    async def begin(self, upstream: ClientResponse) -> None:
-        """Send status and header fields unless they were sent before."""
+    async def begin(self, upstream: ClientResponse, *, was_cold: bool) -> None:
+        """Send status and header fields unless they were sent before.
+
+        was_cold tells the caller that a model or adapter had to be loaded.
+        """
         self.counter.drop_rest()
         if self.resp is not None:
             return
         resp = web.StreamResponse(status=upstream.status)
         copy_answer_headers(upstream.headers, resp.headers)
-        resp.headers['X-Request-Id'] = self.request_id
+        resp.headers[REQUEST_ID_HEADER] = self.request_id
+        if was_cold:
+            resp.headers[COLD_HEADER] = 'true'
         try:
             await resp.prepare(self.req)
         except ConnectionError as exc:
--- a/mimosaworks/relay/exchange.py
+++ b/mimosaworks/relay/exchange.py
@@ -10,7 +10,7 @@
 from mimosaworks.errors import ErrorKind, RequestError, RunState
 from mimosaworks.events import Event, log_event
 from mimosaworks.metrics import Metric, MetricsClient
-from mimosaworks.relay.answers import REQUEST_ID_HEADER
+from mimosaworks.relay.answers import COLD_HEADER, REQUEST_ID_HEADER
 from mimosaworks.relay.attempt_error import (
     AttemptInDoubtError,
     AttemptNotRunError,
@@ -155,13 +155,15 @@
         answer.headers.popall('Content-Type', None)
         copy_answer_headers(resp.headers, answer.headers)
         answer.headers[REQUEST_ID_HEADER] = self.ticket.request_id
+        if self.ticket.was_cold:
+            answer.headers[COLD_HEADER] = 'true'
         self._note_answered(slot, resp.status, self._used_tokens(body))
         return answer
 
     async def _relay_stream(
         self, slot: Slot, resp: ClientResponse
     ) -> web.StreamResponse:
-        await self.stream.begin(resp)
+        await self.stream.begin(resp, was_cold=self.ticket.was_cold)
         while True:
             async with asyncio.timeout(STREAM_IDLE_S):
                 chunk = await resp.content.readany()
