--- a/mimosaworks/wire/__init__.py
+++ b/mimosaworks/wire/__init__.py
@@ -2,6 +2,19 @@
 
 from mimosaworks.wire.ack import Ack
 from mimosaworks.wire.codec import decode, encode
+from mimosaworks.wire.limits_messages import (
+    TokenAsk,
+    TokenBalance,
+    TokenBalances,
+    TokenGrant,
+)
+from mimosaworks.wire.members_messages import (
+    FreshAnswer,
+    FreshAsk,
+    MemberRow,
+    PushAck,
+    VersionPush,
+)
 from mimosaworks.wire.peer_client import PeerClient
 from mimosaworks.wire.peer_server import add_peer_handler, new_peer_app
 from mimosaworks.wire.placement_messages import (
@@ -10,14 +23,25 @@
     ReplicaEntry,
     ReplicaMap,
 )
+from mimosaworks.wire.routing_messages import SuspectNotice
 
 __all__ = [
     'Ack',
     'Demand',
+    'FreshAnswer',
+    'FreshAsk',
+    'MemberRow',
     'ModelDemand',
     'PeerClient',
+    'PushAck',
     'ReplicaEntry',
     'ReplicaMap',
+    'SuspectNotice',
+    'TokenAsk',
+    'TokenBalance',
+    'TokenBalances',
+    'TokenGrant',
+    'VersionPush',
     'add_peer_handler',
     'decode',
     'encode',
