Limits: random runs of the share holders' decisions (first cut)

Cause: the sum of all shares and transfers must not exceed one global bucket under lost, late and doubled messages, crashes, freezes and changes. Change: two hypothesis state machines over the real decisions, with a replayed global bucket as oracle.

--- /dev/null
+++ b/tests/test_limits_fuzz.py
@@ -0,0 +1,482 @@
+"""Random runs of the real decisions of several share holders.
+
+Members have clocks of their own that differ in rate by up to DRIFT. Messages
+are lost, late and doubled; members crash, come back empty, and freeze; the
+holder set and the grant change while tokens are on their way.
+"""
+
+import copy
+
+import attrs
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from mimosaworks.clock import DRIFT
+from mimosaworks.entities import Workspace
+from mimosaworks.limits.account import Waiter
+from mimosaworks.limits.decisions import Receipt
+from mimosaworks.limits.holder import TokenHolder
+from mimosaworks.wire import TokenAsk, TokenBalances, TokenGrant
+
+NAMES = ('a', 'b', 'c', 'd')
+CLOCK_RATES = (1.0, 1 + DRIFT, 1 + DRIFT / 2, 1.0)
+RATES = (50.0, 100.0, 400.0)
+BURSTS = (60.0, 100.0, 300.0)
+EPSILON = 1e-3
+
+members = st.sampled_from(NAMES)
+parts = st.sampled_from((0.05, 0.2, 0.34, 0.5, 1.0))
+picks = st.integers(0, 1000)
+delays = st.sampled_from((0, 0, 0.1, 0.5, 0.985, 0.999, 1.009, 1.012))
+rarely = st.sampled_from((False, False, False, True))
+
+
+@attrs.define
+class Member:
+    """A process with its clock, and what it has applied."""
+
+    name: str
+    clock_rate: float
+    offset: float
+    holder: TokenHolder | None = None
+    epoch: int = 0
+    version: int = 0
+    frozen: bool = False
+
+    def now(self, at: float) -> float:
+        return self.offset + at * self.clock_rate
+
+
+@attrs.define
+class Take:
+    """Tokens that a request took, less those that came back."""
+
+    at: float
+    tokens: float
+    member: str
+    boot: TokenHolder
+    receipt: Receipt
+
+
+@attrs.frozen
+class Sent:
+    """A message that has not been delivered."""
+
+    source: str
+    target: str
+    message: TokenAsk | TokenGrant | TokenBalances
+
+
+@attrs.frozen
+class Terms:
+    """A grant from some time on."""
+
+    at: float
+    rate: float
+    burst: float
+
+
+@attrs.define
+class GlobalBucket:
+    """The one bucket that all members together must not exceed."""
+
+    events: list[Take | Terms] = attrs.field(factory=list)
+
+    @property
+    def terms(self) -> Terms:
+        terms = [event for event in self.events if isinstance(event, Terms)]
+        return terms[-1]
+
+    @property
+    def takes(self) -> list[Take]:
+        return [event for event in self.events if isinstance(event, Take)]
+
+    def levels(self, until: float) -> tuple[float, float]:
+        """Return the lowest level of all times, and the level now."""
+        terms = self.events[0]
+        at = terms.at
+        level = terms.burst
+        lowest = level
+        for event in (*self.events, Terms(until, 0, self.terms.burst)):
+            refill = terms.rate * (1 + DRIFT) * (event.at - at)
+            level = min(terms.burst, level + refill)
+            at = event.at
+            if isinstance(event, Terms):
+                terms = event
+                level = min(terms.burst, level)
+            else:
+                level -= event.tokens
+            lowest = min(lowest, level)
+        return lowest, level
+
+
+class Fleet(RuleBasedStateMachine):
+    """Members of one workspace, the network, and the operators."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.at = 0
+        self.boots = 0
+        self.network: list[Sent] = []
+        self.sets: list[tuple[str, ...]] = [()]
+        self.in_force = 0
+        self.grants: list[Workspace | None] = [None]
+        self.accepted = 0
+        self.bucket = GlobalBucket()
+        self.members = {
+            name: Member(name, rate, 10.0 * place)
+            for place, (name, rate) in enumerate(
+                zip(NAMES, CLOCK_RATES, strict=True)
+            )
+        }
+
+    @initialize(count=st.integers(2, 4), burst=st.sampled_from(BURSTS))
+    def start(self, count: int, burst: float) -> None:
+        self.sets.append(NAMES[:count])
+        for name in NAMES:
+            self.boot(self.members[name])
+        self.grants.append(Workspace('w', 100.0, burst))
+        self.settle()
+        self.fill_up()
+
+    @rule()
+    def fill_up(self) -> None:
+        """Let shares grow to their parts, and then fill."""
+        for step_s in (1.1, 6.0):
+            self.at += step_s
+            for member in self.live():
+                member.holder.book.tick(member.now(self.at))
+
+    def boot(self, member: Member) -> None:
+        """Start a process: it reads the latest state from the table."""
+        self.boots += 1
+        member.holder = TokenHolder(member.name, f'boot{self.boots}')
+        member.version = len(self.grants) - 1
+        member.epoch = len(self.sets) - 1
+        member.frozen = False
+        self.apply(member)
+
+    def apply(self, member: Member) -> None:
+        now = member.now(self.at)
+        grant = self.grants[member.version]
+        member.holder.book.set_grants({'w': grant} if grant else {}, now)
+        member.holder.set_holders(member.epoch, self.sets[member.epoch], now)
+        self.account_changes()
+
+    def account_changes(self) -> None:
+        """Work out what is in force at all members that can dispatch."""
+        live = [
+            member
+            for member in self.members.values()
+            if member.holder and not member.frozen
+        ]
+        self.in_force = max(
+            self.in_force, min(member.epoch for member in live) if live else 0
+        )
+        lowest = min((member.version for member in live), default=0)
+        self.accepted = max(self.accepted, lowest)
+        grants = [grant for grant in self.grants[self.accepted :] if grant]
+        if grants:
+            rate = max(grant.rate_tokens_per_s for grant in grants)
+            burst = max(grant.burst_tokens for grant in grants)
+            self.bucket.events.append(Terms(self.at, rate, burst))
+
+    def settle(self) -> None:
+        """Have all members apply and confirm the latest state."""
+        for member in self.live():
+            member.version = len(self.grants) - 1
+            member.epoch = len(self.sets) - 1
+            self.apply(member)
+        for member in self.live():
+            member.holder.confirm_holders(self.in_force, member.now(self.at))
+
+    def live(self) -> list[Member]:
+        return [
+            member
+            for member in self.members.values()
+            if member.holder and not member.frozen
+        ]
+
+    def poll(self, member: Member) -> None:
+        """Let a member decide; put its asks on the network."""
+        decisions = member.holder.poll('w', member.now(self.at))
+        for served in decisions.dispatched:
+            receipt = served.receipt
+            self.bucket.events.append(
+                Take(
+                    self.at,
+                    receipt.tokens,
+                    member.name,
+                    member.holder,
+                    receipt,
+                )
+            )
+        for entry in decisions.asks:
+            self.network.append(Sent(member.name, entry.peer, entry.ask))
+
+    def deliver(self, sent: Sent) -> None:
+        member = self.members[sent.target]
+        if not member.holder:
+            return
+        now = member.now(self.at)
+        if isinstance(sent.message, TokenAsk):
+            reply = member.holder.on_ask(sent.message, now)
+            self.network.append(Sent(sent.target, sent.source, reply))
+        elif isinstance(sent.message, TokenGrant):
+            member.holder.on_grant(sent.source, sent.message, now)
+            if not member.frozen:
+                self.poll(member)
+        else:
+            member.holder.on_balances(sent.message, now)
+
+    @rule(step_s=st.sampled_from((0.01, 0.1, 0.3, 0.985, 1.0, 1.015, 4.0)))
+    def pass_time(self, step_s: float) -> None:
+        self.at += step_s
+
+    @rule(name=members, part=parts, timeout_s=st.sampled_from((0.5, 9.0)))
+    def request(self, name: str, part: float, timeout_s: float) -> None:
+        member = self.members[name]
+        if member in self.live():
+            tokens = self.grants[member.version].burst_tokens * part
+            deadline = member.now(self.at) + timeout_s
+            member.holder.arrive('w', Waiter(1, tokens, deadline))
+            self.poll(member)
+
+    @rule(name=members, part=parts, late_s=delays, copies=st.integers(0, 2))
+    def exchange(
+        self, name: str, part: float, late_s: float, copies: int
+    ) -> None:
+        """Have a member ask, and be answered late, twice or not at all."""
+        grants = self.ask(name, part)
+        self.at += late_s
+        for grant in grants * copies:
+            self.deliver(grant)
+
+    @rule(names=st.lists(st.tuples(members, parts), max_size=4))
+    def spend_and_exchange(self, names: list[tuple[str, float]]) -> None:
+        """From full shares, have several members dispatch in a row."""
+        self.fill_up()
+        for name, part in names:
+            self.exchange(name, part, 0, 1)
+
+    def ask(self, name: str, part: float) -> list[Sent]:
+        """Return the peers' grants for a request that arrives."""
+        self.network.clear()
+        self.request(name, part, 9)
+        for ask in self.take_network():
+            self.deliver(ask)
+        return self.take_network()
+
+    def take_network(self) -> list[Sent]:
+        sent = self.network.copy()
+        self.network.clear()
+        return sent
+
+    @rule()
+    def decide(self) -> None:
+        for member in self.live():
+            self.poll(member)
+
+    @rule(name=members)
+    def report(self, name: str) -> None:
+        member = self.members[name]
+        if member in self.live():
+            news = member.holder.report(member.now(self.at))
+            for peer in NAMES if news else ():
+                self.network.append(Sent(name, peer, news))
+
+    @precondition(lambda fleet: fleet.network)
+    @rule(pick=picks, is_kept=st.booleans())
+    def deliver_one(self, pick: int, is_kept: bool) -> None:
+        place = pick % len(self.network)
+        sent = self.network[place]
+        if not is_kept:
+            self.network.pop(place)
+        self.deliver(sent)
+
+    @precondition(lambda fleet: fleet.network)
+    @rule()
+    def deliver_all(self) -> None:
+        for _ in range(40):
+            if self.network:
+                self.deliver(self.network.pop(0))
+
+    @precondition(lambda fleet: fleet.network)
+    @rule(pick=picks)
+    def lose(self, pick: int) -> None:
+        self.network.pop(pick % len(self.network))
+
+    @precondition(lambda fleet: fleet.bucket.takes)
+    @rule(pick=picks, part=parts)
+    def refund(self, pick: int, part: float) -> None:
+        take = self.bucket.takes[pick % len(self.bucket.takes)]
+        member = self.members[take.member]
+        # Only what was not refunded before may come back.
+        if member.holder is take.boot and take.tokens:
+            unused = take.tokens * part
+            take.tokens -= unused
+            now = member.now(self.at)
+            member.holder.put_back(take.receipt, unused, now)
+
+    @rule(name=members, is_down=rarely)
+    def crash(self, name: str, is_down: bool) -> None:
+        member = self.members[name]
+        member.holder = None
+        self.account_changes()
+        if not is_down:
+            self.boot(member)
+
+    @rule(name=members)
+    def restart(self, name: str) -> None:
+        member = self.members[name]
+        member.holder = None
+        self.account_changes()
+        self.boot(member)
+
+    @invariant()
+    def no_more_tokens_than_one_bucket_has(self) -> None:
+        lowest, level = self.bucket.levels(self.at)
+        assert lowest >= -EPSILON, 'dispatched more than burst + rate x w'
+        present = sum(self.usable(member) for member in self.live())
+        assert present + self.on_the_way() <= level + EPSILON
+
+    def usable(self, member: Member) -> float:
+        account = member.holder.book.accounts.get('w')
+        if not account:
+            return 0
+        # A copy, so that looking at a share does not advance it.
+        share = copy.deepcopy(account.share)
+        return share.usable(max(member.now(self.at), share.bucket.updated_at))
+
+    def on_the_way(self) -> float:
+        grants: dict[str, float] = {}
+        for sent in self.network:
+            member = self.members[sent.target]
+            if member not in self.live() or not isinstance(
+                sent.message, TokenGrant
+            ):
+                continue
+            account = member.holder.book.accounts['w']
+            # An expired ask may still be on record; its grant is refused.
+            until = account.share.asked.get(sent.message.transfer, 0)
+            if until > member.now(self.at):
+                tokens = sent.message.tokens
+                earlier = grants.get(sent.message.transfer, 0)
+                grants[sent.message.transfer] = max(earlier, tokens)
+        return sum(grants.values())
+
+
+class ChangingFleet(Fleet):
+    """A fleet whose holder set and grant change."""
+
+    @rule(name=members, is_frozen=rarely)
+    def freeze(self, name: str, is_frozen: bool) -> None:
+        if is_frozen:
+            self.members[name].frozen = True
+        self.account_changes()
+
+    @rule(name=members)
+    def thaw(self, name: str) -> None:
+        member = self.members[name]
+        if member.holder and member.frozen:
+            # Freshness comes back only with the accepted state applied.
+            member.version = max(member.version, self.accepted)
+            member.epoch = max(member.epoch, self.in_force)
+            self.apply(member)
+            member.frozen = False
+
+    @rule(names=st.sets(members, min_size=1))
+    def change_holders(self, names: set[str]) -> None:
+        self.sets.append(tuple(sorted(names)))
+
+    @rule(rate=st.sampled_from(RATES), burst=st.sampled_from(BURSTS))
+    def change_grant(self, rate: float, burst: float) -> None:
+        self.grants.append(Workspace('w', rate, burst))
+        self.account_changes()
+
+    @rule(name=members)
+    def apply_latest(self, name: str) -> None:
+        member = self.members[name]
+        if member in self.live():
+            member.version = len(self.grants) - 1
+            member.epoch = len(self.sets) - 1
+            self.apply(member)
+
+    @rule(name=members)
+    def apply_next(self, name: str) -> None:
+        member = self.members[name]
+        if member in self.live():
+            member.version = min(member.version + 1, len(self.grants) - 1)
+            member.epoch = min(member.epoch + 1, len(self.sets) - 1)
+            self.apply(member)
+
+    @rule(name=members)
+    def confirm(self, name: str) -> None:
+        member = self.members[name]
+        if member in self.live():
+            now = member.now(self.at)
+            member.holder.confirm_holders(self.in_force, now)
+
+    @rule()
+    def apply_everywhere(self) -> None:
+        self.settle()
+
+    @rule(
+        name=members,
+        part=parts,
+        change=st.sampled_from(('holders', 'grant', 'restart', 'frozen')),
+        names=st.sets(members, min_size=1),
+        late_s=delays,
+    )
+    def exchange_through_change(
+        self,
+        name: str,
+        part: float,
+        change: str,
+        names: set[str],
+        late_s: float,
+    ) -> None:
+        """Have something change while tokens are on their way."""
+        self.settle()
+        self.fill_up()
+        if change == 'frozen':
+            self.freeze(min(names), is_frozen=True)
+            self.change_holders({*names, name})
+            self.settle()
+            self.fill_up()
+        grants = self.ask(name, part)
+        if change == 'holders':
+            self.change_holders(names)
+            self.settle()
+        elif change == 'grant':
+            self.change_grant(RATES[0], BURSTS[0])
+            self.settle()
+        elif change == 'restart' and grants:
+            self.restart(grants[0].source)
+            self.settle()
+        self.at += late_s
+        for grant in grants:
+            self.deliver(grant)
+
+
+RUNS = settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=150,
+    stateful_step_count=40,
+    suppress_health_check=list(HealthCheck),
+    # Shrinking a failed run of this length takes minutes.
+    phases=(Phase.explicit, Phase.generate),
+)
+TestFleet = Fleet.TestCase
+TestFleet.settings = RUNS
+TestChangingFleet = ChangingFleet.TestCase
+TestChangingFleet.settings = RUNS
