--- a/mimosaworks/routing/lane.py
+++ b/mimosaworks/routing/lane.py
@@ -51,7 +51,8 @@
         self.waiting_tokens += waiter.cost
         self.pump()
         try:
-            await asyncio.wait_for(asyncio.shield(waiter.turn), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await asyncio.shield(waiter.turn)
         except TimeoutError:
             return self._has_turn(waiter)
         except asyncio.CancelledError:
