--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,8 @@
 from tests.harness import Cluster, open_cluster
 from tests.harness_entry import ROUTER_FLAGS, Entry
 
+pytest_plugins = ('tests.known_red',)
+
 
 @pytest.fixture
 async def cluster(tmp_path: Path) -> AsyncIterator[Cluster]:
