--- a/tests/test_members_fuzz.py
+++ b/tests/test_members_fuzz.py
@@ -112,21 +112,19 @@
         self.world.run(4, 0.3)
 
     @rule(
-        group=groups,
-        is_frozen=st.booleans(),
+        group=st.sets(addresses, min_size=1, max_size=3),
         address=addresses,
+        is_frozen=st.booleans(),
+        is_restarted=st.booleans(),
         wait_s=st.sampled_from((3.0, 3.016, 3.05)),
-        survivors=groups,
-        restarted=groups,
     )
     def group_misses_a_change_and_outlives_the_others(
         self,
         group: set[str],
-        is_frozen: bool,
         address: str,
+        is_frozen: bool,
+        is_restarted: bool,
         wait_s: float,
-        survivors: set[str],
-        restarted: set[str],
     ) -> None:
         self.all_recovers()
         if is_frozen:
@@ -136,7 +134,9 @@
         self.member_has_a_change_accepted(address, wait_s)
         self.world.check()
         self.frozen_processes_go_on()
-        self.table_and_others_fail(survivors | group, restarted)
+        restarted = set(ADDRESSES) if is_restarted else set()
+        self.world.outlive(group, restarted)
+        self.world.run(6, 0.3)
 
     @rule()
     def all_recovers(self) -> None:
