--- a/mimosaworks/relay/claimed_run.py
+++ b/mimosaworks/relay/claimed_run.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from mimosaworks.errors import MimosaError, RequestError, RunState
+from mimosaworks.errors import ErrorKind, MimosaError, RequestError, RunState
 from mimosaworks.relay.answers import REQUEST_ID_HEADER
 from mimosaworks.relay.claim import (
     Claim,
@@ -43,7 +43,7 @@
         The exchange goes on when the caller hangs up: its outcome is what a
         resend asks for. Raises RequestError.
         """
-        claim = await self.book.claim(key, mark)
+        claim = await self._claim(self.book.new_claim(key, mark))
         if claim.answer is not None:
             return _replay(claim.answer, request_id)
         task = asyncio.create_task(self._run_claimed(claim, exchange))
@@ -55,6 +55,14 @@
         while self._tasks:
             await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def _claim(self, wanted: Claim) -> Claim:
+        try:
+            return await self.book.claim(wanted)
+        except RequestError as exc:
+            if exc.kind is ErrorKind.STORE_UNAVAILABLE:
+                self._settle(self.book.release(wanted))
+            raise
+
     async def _run_claimed(
         self,
         claim: Claim,
--- a/mimosaworks/relay/exchange.py
+++ b/mimosaworks/relay/exchange.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from http import HTTPStatus
 
 import attrs
 from aiohttp import ClientError, ClientResponse, web
@@ -10,23 +9,28 @@
 from mimosaworks.clock import now_s
 from mimosaworks.errors import ErrorKind, RequestError, RunState
 from mimosaworks.events import Event, log_event
-from mimosaworks.relay.answers import REQUEST_ID_HEADER, RUN_HEADER
+from mimosaworks.metrics import Metric, MetricsClient
+from mimosaworks.relay.answers import COLD_HEADER, REQUEST_ID_HEADER
 from mimosaworks.relay.attempt_error import (
     AttemptInDoubtError,
     AttemptNotRunError,
 )
 from mimosaworks.relay.caller_stream import CallerStream
 from mimosaworks.relay.headers import copy_answer_headers
+from mimosaworks.relay.not_run import says_not_run
 from mimosaworks.relay.outgoing import Outgoing
 from mimosaworks.relay.send_guard import SendGuard
 from mimosaworks.relay.upstream import STREAM_IDLE_S, Upstream
-from mimosaworks.routing import Dispatcher, RetryBudget, Slot, Ticket
+from mimosaworks.relay.usage import read_completion_tokens
+from mimosaworks.routing import (
+    CrashWatch,
+    Dispatcher,
+    RetryBudget,
+    Slot,
+    Ticket,
+)
 
-_NOT_RUN_STATUSES = frozenset((
-    HTTPStatus.TOO_MANY_REQUESTS,
-    HTTPStatus.SERVICE_UNAVAILABLE,
-))
-_SSE_TYPE = 'text/event-stream'
+SSE_TYPE = 'text/event-stream'
 _TRANSPORT_ERRORS = (ClientError, OSError, TimeoutError)
 
 
@@ -35,7 +39,8 @@
     """One request with its attempts; made by the frontend.
 
     check raises RequestError when the request must not be sent any more.
-    is_repeatable tells whether it may be sent again after a doubt.
+    is_repeatable tells whether it may be sent again after a doubt. resumed_at
+    is the count of tokens at which the latest attempt began.
     """
 
     ticket: Ticket
@@ -43,10 +48,13 @@
     stream: CallerStream
     dispatcher: Dispatcher
     upstream: Upstream
+    crashes: CrashWatch
     budget: RetryBudget
+    metrics: MetricsClient
     check: Callable[[], None]
     is_repeatable: bool
     was_in_doubt: bool = False
+    resumed_at: int = 0
 
     async def run(self) -> web.StreamResponse:
         """Return the whole answer to the caller.
@@ -66,7 +74,9 @@
 
     async def _run_attempts(self) -> web.StreamResponse:
         while True:
+            self._refuse_suspect()
             slot = await self.dispatcher.acquire(self.ticket)
+            self.crashes.watch(slot.target)
             try:
                 return await self._attempt(slot)
             except AttemptNotRunError as exc:
@@ -74,11 +84,20 @@
                 self._note_failed(slot, exc)
             except AttemptInDoubtError as exc:
                 self.was_in_doubt = True
-                self._note_failed(slot, exc)
+                self._reduce_cost()
+                await self.crashes.note_failure(slot.target, self.ticket.mark)
                 self._require_repeatable(exc)
+                self._note_failed(slot, exc)
             finally:
                 self.dispatcher.release(slot)
 
+    def _refuse_suspect(self) -> None:
+        if self.dispatcher.targets.suspects.is_refused(self.ticket.mark):
+            raise RequestError(
+                ErrorKind.CRASH_SUSPECT,
+                'this request crashed the targets that ran it',
+            )
+
     async def _attempt(self, slot: Slot) -> web.StreamResponse:
         guard = SendGuard(self.check)
         try:
@@ -88,8 +107,8 @@
                 raise AttemptInDoubtError(repr(exc)) from exc
             raise AttemptNotRunError(repr(exc)) from exc
         except RequestError:
-            # The check refused it: no byte has left.
-            self.dispatcher.refund(slot)
+            if not guard.is_sending:
+                self.dispatcher.refund(slot)
             raise
 
     async def _send(self, slot: Slot, guard: SendGuard) -> web.StreamResponse:
@@ -103,8 +122,9 @@
         left_s = self.ticket.deadline.remaining_s(now_s())
         try:
             async with asyncio.timeout(left_s) as limit, sending as resp:
-                self._verify(resp)
-                if resp.content_type == _SSE_TYPE:
+                await self._verify(resp)
+                self._measure_first_byte()
+                if resp.content_type == SSE_TYPE:
                     limit.reschedule(None)
                     return await self._relay_stream(slot, resp)
                 return await self._relay_whole(slot, resp)
@@ -113,16 +133,19 @@
                 raise self._give_up(slot, guard) from exc
             raise
 
-    def _verify(self, resp: ClientResponse) -> None:
+    async def _verify(self, resp: ClientResponse) -> None:
         answered = resp.headers.get(REQUEST_ID_HEADER, self.ticket.request_id)
         if answered != self.ticket.request_id:
             raise AttemptInDoubtError(f'answer belongs to {answered}')
-        says_not_run = (
-            resp.headers.get(RUN_HEADER) == RunState.NOT_RUN.value
-            or resp.status in _NOT_RUN_STATUSES
-        )
-        if says_not_run:
+        if await says_not_run(resp):
             raise AttemptNotRunError(f'target answered {resp.status}')
+        is_resumed = self.stream.resp is not None
+        if is_resumed and resp.content_type != SSE_TYPE:
+            raise AttemptInDoubtError(f'resume was answered {resp.status}')
+
+    def _measure_first_byte(self) -> None:
+        waited_s = now_s() - self.ticket.arrived_at_s
+        self.metrics.timing(Metric.FIRST_BYTE, waited_s)
 
     async def _relay_whole(
         self, slot: Slot, resp: ClientResponse
@@ -132,13 +155,15 @@
         answer.headers.popall('Content-Type', None)
         copy_answer_headers(resp.headers, answer.headers)
         answer.headers[REQUEST_ID_HEADER] = self.ticket.request_id
-        self._note_answered(slot, resp.status, 0)
+        if self.ticket.was_cold:
+            answer.headers[COLD_HEADER] = 'true'
+        self._note_answered(slot, resp.status, self._used_tokens(body))
         return answer
 
     async def _relay_stream(
         self, slot: Slot, resp: ClientResponse
     ) -> web.StreamResponse:
-        await self.stream.begin(resp)
+        await self.stream.begin(resp, was_cold=self.ticket.was_cold)
         while True:
             async with asyncio.timeout(STREAM_IDLE_S):
                 chunk = await resp.content.readany()
@@ -151,7 +176,10 @@
         return await self.stream.finish()
 
     def _note_answered(self, slot: Slot, status: int, tokens: int) -> None:
+        unused = self.ticket.max_tokens - (tokens - self.resumed_at)
+        self.dispatcher.refund(slot, max(unused, 0))
         slot.state.note_success()
+        self.crashes.note_success(self.ticket.mark)
         log_event(
             Event.REQUEST_ANSWERED,
             request_id=self.ticket.request_id,
@@ -161,8 +189,14 @@
             seconds=now_s() - slot.started_at_s,
         )
 
+    def _used_tokens(self, body: bytes) -> int:
+        if not self.ticket.model:
+            return 0
+        return read_completion_tokens(body, self.ticket.max_tokens)
+
     def _note_failed(self, slot: Slot, exc: Exception) -> None:
         slot.state.note_failure(now_s())
+        self.metrics.count(Metric.REQUESTS_RETRIED)
         self.ticket.tried.add(slot.target.name)
         log_event(
             Event.REQUEST_RETRIED,
@@ -178,6 +212,14 @@
                 run_state=RunState.NOT_RUN,
             ) from exc
 
+    def _reduce_cost(self) -> None:
+        # A resumed stream generates only the tokens that are missing.
+        sent = self.stream.counter.tokens - self.resumed_at
+        self.resumed_at = self.stream.counter.tokens
+        prompt = self.ticket.cost_tokens - self.ticket.max_tokens
+        self.ticket.max_tokens = max(self.ticket.max_tokens - sent, 0)
+        self.ticket.cost_tokens = prompt + self.ticket.max_tokens
+
     def _require_repeatable(self, exc: Exception) -> None:
         if not self.is_repeatable:
             raise RequestError(
--- a/mimosaworks/relay/outgoing.py
+++ b/mimosaworks/relay/outgoing.py
@@ -24,11 +24,18 @@
     headers = strip_headers(req.headers)
     headers['X-Request-Id'] = request_id
     headers['X-Priority'] = str(priority)
-    query = strip_query(req.rel_url.raw_query_string)
-    path = req.rel_url.raw_path
+    path, _, query = _request_target(req).partition('?')
+    query = strip_query(query)
     return Outgoing(
         method=req.method,
         path=f'{path}?{query}' if query else path,
         headers=headers,
         body=body,
     )
+
+
+def _request_target(req: web.Request) -> str:
+    # The caller's own bytes; the parsed URL has its quoting changed.
+    if req.raw_path.startswith('/'):
+        return req.raw_path
+    return req.rel_url.raw_path_qs
--- a/mimosaworks/router/program.py
+++ b/mimosaworks/router/program.py
@@ -13,24 +13,41 @@
 from mimosaworks.events import Event, log_event, start_logging
 from mimosaworks.limits import TokenService
 from mimosaworks.members import Member, MemberRole, MemberService, MemberState
-from mimosaworks.platform import ObjectClient, TableClient, VmListClient
-from mimosaworks.relay import Frontend, Upstream, guard_trace
+from mimosaworks.metrics import MetricsClient, open_metrics
+from mimosaworks.platform import (
+    GroupCommit,
+    ObjectClient,
+    TableClient,
+    VmListClient,
+)
+from mimosaworks.relay import (
+    ClaimBook,
+    ClaimedRuns,
+    Frontend,
+    Upstream,
+    guard_trace,
+)
 from mimosaworks.router.drain import Drain
+from mimosaworks.router.gauges import send_gauges
 from mimosaworks.router.holder_sync import HolderSync
 from mimosaworks.router.settings import RouterSettings
 from mimosaworks.routing import (
+    CrashWatch,
     DemandSender,
     Dispatcher,
+    Generations,
     LeavingTargets,
     ReplicaTable,
     RetryBudget,
     SuspectTable,
+    TargetPool,
 )
 from mimosaworks.serving import serve_app, start_task, stop_event
 from mimosaworks.wire import (
     Ack,
     PeerClient,
     ReplicaMap,
+    SuspectNotice,
     add_peer_handler,
     new_peer_app,
 )
@@ -57,6 +74,8 @@
     leaving: LeavingTargets
     holders: HolderSync
     sender: DemandSender
+    crashes: CrashWatch
+    claimed: ClaimedRuns
 
     async def start(self, stack: contextlib.AsyncExitStack) -> None:
         """Start the tasks; they end in reverse order with the stack."""
@@ -66,12 +85,14 @@
         start_task(self.dispatcher.run(), stack)
         start_task(self.holders.run(), stack)
         start_task(self.sender.run(), stack)
+        start_task(send_gauges(self.members, self.dispatcher), stack)
 
 
 async def _serve(cfg: RouterSettings, stack: contextlib.AsyncExitStack) -> None:
     session = await stack.enter_async_context(ClientSession())
     peer_app = new_peer_app()
-    router = _new_router(cfg, session, peer_app)
+    metrics = stack.enter_context(open_metrics(cfg.statsd_address, PROGRAM))
+    router = _new_router(cfg, session, peer_app, metrics)
     requests = Drain(await _new_frontend(cfg, router, stack))
     await serve_app(peer_app, cfg.peer_address, stack)
     await router.start(stack)
@@ -84,67 +105,104 @@
         peer_address=cfg.peer_address,
     )
     await stop_event().wait()
-    await _drain(cfg, router.members, requests)
+    await _drain(cfg, router, requests)
 
 
-async def _drain(
-    cfg: RouterSettings, members: MemberService, requests: Drain
-) -> None:
+async def _drain(cfg: RouterSettings, router: Router, requests: Drain) -> None:
     log_event(Event.PROCESS_DRAINING, program=PROGRAM)
     requests.is_draining = True
     with contextlib.suppress(PlatformError):
-        await members.set_state(MemberState.DRAINING)
+        await router.members.set_state(MemberState.DRAINING)
     # Callers may use the old list of entries until its age is over.
     await asyncio.sleep(cfg.directory_max_age_s)
     await requests.wait_idle(cfg.drain_s)
+    await router.claimed.wait_idle()
 
 
 def _new_router(
-    cfg: RouterSettings, session: ClientSession, peer_app: web.Application
+    cfg: RouterSettings,
+    session: ClientSession,
+    peer_app: web.Application,
+    metrics: MetricsClient,
 ) -> Router:
     peers = PeerClient(session)
     table = TableClient(session, cfg.platform_url)
-    objects = ObjectClient(session, cfg.platform_url)
+    snapshots = ObjectClient(session, cfg.platform_url)
     own = Member(
         address=cfg.peer_address,
         http_address=cfg.http_address,
         role=MemberRole.ROUTER,
         data_centre=cfg.data_centre,
     )
-    members = MemberService(table, objects, peers, peer_app, own)
+    members = MemberService(table, snapshots, peers, peer_app, own)
     tokens = TokenService(peers, cfg.peer_address)
     tokens.add_handlers(peer_app)
     leaving = LeavingTargets(VmListClient(session, cfg.platform_url))
-    dispatcher = _new_dispatcher(cfg, members, tokens, leaving)
-    _handle_replica_maps(peer_app, dispatcher.replicas)
+    pool = _new_target_pool(cfg, members, leaving)
+    dispatcher = Dispatcher(pool, tokens, random.SystemRandom(), metrics)
+    _handle_replica_maps(peer_app, dispatcher.targets.replicas)
     members.subscribe(tokens.set_grants)
-    members.subscribe(lambda _catalogue: dispatcher.replicas.notify())
+    members.subscribe(lambda _catalogue: dispatcher.targets.replicas.notify())
     return Router(
         members=members,
         tokens=tokens,
         dispatcher=dispatcher,
         leaving=leaving,
         holders=HolderSync(
-            members, ConfigStore(table, objects), tokens, dispatcher.rng
+            members, ConfigStore(table, snapshots), tokens, dispatcher.rng
         ),
         sender=DemandSender(cfg.peer_address, dispatcher, peers),
+        crashes=_new_crash_watch(session, peers, peer_app, dispatcher, members),
+        claimed=ClaimedRuns(_new_claim_book(table, members)),
     )
 
 
-def _new_dispatcher(
-    cfg: RouterSettings,
+def _new_crash_watch(
+    session: ClientSession,
+    peers: PeerClient,
+    peer_app: web.Application,
+    dispatcher: Dispatcher,
     members: MemberService,
-    tokens: TokenService,
-    leaving: LeavingTargets,
-) -> Dispatcher:
-    return Dispatcher(
+) -> CrashWatch:
+    crashes = CrashWatch(
+        Generations(session),
+        dispatcher.targets.suspects,
+        peers,
+        lambda: [
+            router.address
+            for router in members.routers()
+            if router.address != members.own.address
+        ],
+    )
+    add_peer_handler(peer_app, SuspectNotice, crashes.on_notice)
+    return crashes
+
+
+def _new_claim_book(table: TableClient, members: MemberService) -> ClaimBook:
+    def is_running(address: str, boot: str) -> bool:
+        return any(
+            member.address == address and member.boot_nonce == boot
+            for member in members.members()
+        )
+
+    return ClaimBook(
+        table,
+        GroupCommit(table),
+        members.own.address,
+        members.own.boot_nonce,
+        is_running,
+    )
+
+
+def _new_target_pool(
+    cfg: RouterSettings, members: MemberService, leaving: LeavingTargets
+) -> TargetPool:
+    return TargetPool(
         catalogue=lambda: members.catalogue,
-        tokens=tokens,
         replicas=ReplicaTable(),
         suspects=SuspectTable(),
         max_in_flight=cfg.max_in_flight,
         is_leaving=leaving.is_leaving,
-        rng=random.SystemRandom(),
     )
 
 
@@ -168,7 +226,10 @@
         view=router.members,
         dispatcher=router.dispatcher,
         upstream=Upstream(pooled, single),
+        crashes=router.crashes,
+        claimed=router.claimed,
         budget=RetryBudget(),
+        metrics=router.dispatcher.metrics,
         max_body_bytes=cfg.max_body_bytes,
         body_timeout_s=cfg.body_timeout_s,
     )
--- a/mimosaworks/routing/ticket.py
+++ b/mimosaworks/routing/ticket.py
@@ -12,20 +12,24 @@
     """A request on its way to a target.
 
     workspace is None on open routes. model is empty for plain services.
-    cost_tokens is what a dispatch takes. tried names the targets that failed
-    it. mark is the request's fingerprint.
+    cost_tokens is what a dispatch takes; max_tokens of them are for the
+    answer. tried names the targets that failed it. mark is the request's
+    fingerprint; was_cold tells that no replica was there at some time.
     """
 
     request_id: str
     route: Route
     workspace: Workspace | None
     deadline: Deadline
+    arrived_at_s: float
     model: str = ''
     adapter: str = ''
     cost_tokens: float = 0
+    max_tokens: int = 0
     priority: int = 0
     prompt_prefix: str = ''
     mark: str = ''
+    was_cold: bool = False
     tried: set[str] = attrs.field(factory=set)
 
     @property
--- a/mimosaworks/wire/__init__.py
+++ b/mimosaworks/wire/__init__.py
@@ -2,6 +2,12 @@
 
 from mimosaworks.wire.ack import Ack
 from mimosaworks.wire.codec import decode, encode
+from mimosaworks.wire.limits_messages import (
+    TokenAsk,
+    TokenBalance,
+    TokenBalances,
+    TokenGrant,
+)
 from mimosaworks.wire.members_messages import (
     FreshAnswer,
     FreshAsk,
@@ -17,6 +23,7 @@
     ReplicaEntry,
     ReplicaMap,
 )
+from mimosaworks.wire.routing_messages import SuspectNotice
 
 __all__ = [
     'Ack',
@@ -29,6 +36,11 @@
     'PushAck',
     'ReplicaEntry',
     'ReplicaMap',
+    'SuspectNotice',
+    'TokenAsk',
+    'TokenBalance',
+    'TokenBalances',
+    'TokenGrant',
     'VersionPush',
     'add_peer_handler',
     'decode',
