--- a/tests/test_members_barrier.py
+++ b/tests/test_members_barrier.py
@@ -1,6 +1,7 @@
 """Tests of the barrier by example."""
 
-from mimosaworks.members import Member, MemberRole, MemberState
+from mimosaworks.clock import DRIFT
+from mimosaworks.members import FRESHNESS_S, Member, MemberRole, MemberState
 from mimosaworks.members.barrier import LAPSE_S, Barrier
 from mimosaworks.members.view import view_of
 
@@ -38,6 +39,10 @@
     assert barrier.is_passed(NOW_S + LAPSE_S, set())
 
 
+def test_the_lapse_covers_a_slow_clock_beside_a_fast_one() -> None:
+    assert LAPSE_S >= FRESHNESS_S * (1 + DRIFT)
+
+
 def test_dead_members_do_not_hold_it_but_give_no_vote() -> None:
     barrier = barrier_of('a', 'b', 'c', 'd')
     dead = {member('c').id, member('d').id}
