--- a/mimosaworks/members/core.py
+++ b/mimosaworks/members/core.py
@@ -14,6 +14,7 @@
 from mimosaworks.entities import Catalogue
 from mimosaworks.events import Event, log_event
 from mimosaworks.members.freshness import Freshness
+from mimosaworks.members.member_id import MemberId
 from mimosaworks.members.view import View, view_from_rows
 from mimosaworks.wire import FreshAnswer, FreshAsk, PushAck, VersionPush
 
@@ -31,6 +32,7 @@
     on_catalogue: list[Callable[[Catalogue], None]] = attrs.field(factory=list)
     on_view: list[Callable[[], None]] = attrs.field(factory=list)
     _history: dict[int, LogEntry] = attrs.field(factory=dict)
+    _acks: dict[MemberId, PushAck] = attrs.field(factory=dict)
 
     def take(
         self, catalogue: Catalogue, view: View, entries: Iterable[LogEntry]
@@ -67,17 +69,39 @@
             return dump_entries(self._history[number] for number in wanted)
         return dump_entries([snapshot_of(self.catalogue)])
 
-    def push(self) -> VersionPush:
-        """Return what is in force, to be sent to other members."""
+    def push_to(self, member: MemberId) -> VersionPush:
+        """Return what is in force, without what the member is known to have.
+
+        No member goes back, so what it confirmed need not be sent again.
+        """
         version = self.catalogue.version
+        view = self.freshness.view
+        known = self._acks.get(member)
+        since = known.version if known else max(0, version - PUSHED_ENTRIES)
+        has_view = known is not None and known.view >= view.version
         return VersionPush(
             self.freshness.own.address,
             version,
-            self.freshness.view.version,
-            self.entries_since(max(0, version - PUSHED_ENTRIES)),
-            self.freshness.view.to_rows(),
+            view.version,
+            self.entries_since(since),
+            () if has_view else view.to_rows(),
         )
 
+    def on_ack(self, member: MemberId, ack: PushAck) -> MemberId:
+        """Note what a member confirmed; return who really answered.
+
+        A process that took over the address of another starts without what
+        the former had.
+        """
+        answered = MemberId(member.address, ack.boot_nonce)
+        if answered != member:
+            self._acks.pop(member, None)
+        self._acks[answered] = ack
+        present = {peer.id for peer in self.freshness.view.members}
+        for gone in self._acks.keys() - present - {answered}:
+            self._acks.pop(gone)
+        return answered
+
     async def on_ask(self, ask: FreshAsk) -> FreshAnswer:
         """Answer a question of another member."""
         answer = self.freshness.answer(self.now(), ask)
@@ -85,7 +109,9 @@
 
     async def on_push(self, push: VersionPush) -> PushAck:
         """Put in force what a writer pushed; tell what is in force now."""
-        view = view_from_rows(push.view, push.members)
+        view = View()
+        if push.members:
+            view = view_from_rows(push.view, push.members)
         self.take_text(push.version, push.entries, view)
         return PushAck(
             self.freshness.own.boot_nonce,
--- a/mimosaworks/members/publisher.py
+++ b/mimosaworks/members/publisher.py
@@ -65,9 +65,10 @@
 
     async def _push(self, barrier: Barrier, member: MemberId) -> None:
         asked_s = self.core.now()
+        push = self.core.push_to(member)
         try:
             ack = await self.peers.call(
-                member.address, self.core.push(), PushAck, PUSH_TIMEOUT_S
+                member.address, push, PushAck, PUSH_TIMEOUT_S
             )
         except PeerRefusedError:
             self.core.freshness.on_refused(
@@ -76,6 +77,5 @@
         except PeerError:
             return
         else:
-            barrier.on_ack(
-                MemberId(member.address, ack.boot_nonce), ack.version, ack.view
-            )
+            answered = self.core.on_ack(member, ack)
+            barrier.on_ack(answered, ack.version, ack.view)
--- a/tests/member_world.py
+++ b/tests/member_world.py
@@ -150,7 +150,7 @@
             return
         dead = proc.freshness.evidence.dead_since_s.keys()
         missing = proc.barrier.unconfirmed() - dead
-        for peer in sorted(member.address for member in missing):
+        for peer in sorted(missing, key=lambda member: member.address):
             self._push(proc, proc.barrier, peer)
         self.check_barrier(address)
 
@@ -300,19 +300,21 @@
 
         self._read(proc, opened)
 
-    def _push(self, proc: MemberProcess, barrier: Barrier, peer: str) -> None:
-        pushed = proc.core.push()
+    def _push(
+        self, proc: MemberProcess, barrier: Barrier, peer: MemberId
+    ) -> None:
+        pushed = proc.core.push_to(peer)
 
         def arrive(listener: MemberProcess) -> None:
             ack = run_plain(listener.core.on_push(pushed))
-            member = attrs.evolve(listener.own.id, boot_nonce=ack.boot_nonce)
-            self._reply(
-                peer,
-                proc,
-                lambda: barrier.on_ack(member, ack.version, ack.view),
-            )
 
-        self._call(proc, peer, arrive)
+            def confirm() -> None:
+                answered = proc.core.on_ack(peer, ack)
+                barrier.on_ack(answered, ack.version, ack.view)
+
+            self._reply(peer.address, proc, confirm)
+
+        self._call(proc, peer.address, arrive)
 
     def _call(
         self,
