tests: the package is parsed while tests are collected

Cause: in one of two full runs the test of logged fields failed once and passed in all others; its output was not kept.

Change: the syntax trees are made at import, before any test has run; the check itself is the same.

--- a/tests/catalogue.py
+++ b/tests/catalogue.py
@@ -27,10 +27,20 @@
     return {word.strip(' `') for word in cell.split(',')} - {''}
 
 
+def _modules() -> Iterator[tuple[Path, ast.Module]]:
+    for path in sorted(PACKAGE.rglob('*.py')):
+        yield path, ast.parse(path.read_text())
+
+
+# Parsed while the tests are collected: a finalizer of another test's objects
+# that formats a traceback parses too, and parsing is not re-entrant.
+MODULES = tuple(_modules())
+
+
 def package_nodes() -> Iterator[tuple[Path, ast.AST]]:
     """Yield each syntax node of the package with its module's path."""
-    for path in sorted(PACKAGE.rglob('*.py')):
-        for node in ast.walk(ast.parse(path.read_text())):
+    for path, module in MODULES:
+        for node in ast.walk(module):
             yield path, node
 
 
