--- a/mimosaworks/members/registrar.py
+++ b/mimosaworks/members/registrar.py
@@ -90,13 +90,10 @@
     async def _remove_dead(self) -> None:
         evidence = self.core.freshness.evidence
         members = await self.registry.rows()
-        for seen in members:
-            evidence.on_heartbeat(seen.id, seen.heartbeat)
-        probes = (
-            self.poller.ask(member.address)
-            for member in members
-            if self._is_standing(member)
-        )
+        for member in members:
+            evidence.on_heartbeat(member.id, member.heartbeat)
+        suspects = filter(self._is_standing, members)
+        probes = (self.poller.ask(peer.address) for peer in suspects)
         await asyncio.gather(*probes)
         self._heartbeats = {peer.id: peer.heartbeat for peer in members}
         await self._note_gone(members)
