Router: ends when the others have removed it, knows the dead by the VM list

Cause: a router that was removed as dead stayed stopped for good. Change: removal moves from admin to members; the router's stack runs it, and its membership reads the VM list.

--- a/mimosaworks/admin/process.py
+++ b/mimosaworks/admin/process.py
@@ -7,7 +7,6 @@
 
 from mimosaworks.admin.middleware import answer_errors, authenticate
 from mimosaworks.admin.operators import parse_operators
-from mimosaworks.admin.removal import fail_when_removed
 from mimosaworks.admin.routes import add_admin_routes
 from mimosaworks.admin.service import AdminService
 from mimosaworks.admin.settings import AdminSettings
@@ -15,6 +14,7 @@
 from mimosaworks.configs import ConfigStore
 from mimosaworks.events import Event, log_event, start_logging
 from mimosaworks.members import Member, MemberRole, MemberService
+from mimosaworks.members.removal import fail_when_removed
 from mimosaworks.metrics import MetricsClient, open_metrics
 from mimosaworks.platform import ObjectClient, TableClient, VmListClient
 from mimosaworks.serving import serve_app, start_task, stop_event
--- a/mimosaworks/admin/removal.py
+++ b/mimosaworks/members/removal.py
@@ -3,7 +3,8 @@
 import asyncio
 
 from mimosaworks.errors import MimosaError
-from mimosaworks.members import MemberService, MemberState
+from mimosaworks.members.service import MemberService
+from mimosaworks.members.state import MemberState
 
 CHECK_S = 1.0
 
--- a/mimosaworks/router/program.py
+++ b/mimosaworks/router/program.py
@@ -12,7 +12,13 @@
 from mimosaworks.errors import PlatformError
 from mimosaworks.events import Event, log_event, start_logging
 from mimosaworks.limits import TokenService
-from mimosaworks.members import Member, MemberRole, MemberService, MemberState
+from mimosaworks.members import (
+    Member,
+    MemberRole,
+    MemberService,
+    MemberState,
+    fail_when_removed,
+)
 from mimosaworks.metrics import MetricsClient, open_metrics
 from mimosaworks.platform import (
     GroupCommit,
@@ -81,6 +87,7 @@
         """Start the tasks; they end in reverse order with the stack."""
         await stack.enter_async_context(self.members)
         await stack.enter_async_context(self.tokens)
+        start_task(fail_when_removed(self.members), stack)
         start_task(self.leaving.run(), stack)
         start_task(self.dispatcher.run(), stack)
         start_task(self.holders.run(), stack)
@@ -134,10 +141,11 @@
         role=MemberRole.ROUTER,
         data_centre=cfg.data_centre,
     )
-    members = MemberService(table, snapshots, peers, peer_app, own)
+    vm_list = VmListClient(session, cfg.platform_url)
+    members = MemberService(table, snapshots, peers, peer_app, own, vm_list)
     tokens = TokenService(peers, cfg.peer_address)
     tokens.add_handlers(peer_app)
-    leaving = LeavingTargets(VmListClient(session, cfg.platform_url))
+    leaving = LeavingTargets(vm_list)
     pool = _new_target_pool(cfg, members, leaving)
     dispatcher = Dispatcher(pool, tokens, random.SystemRandom(), metrics)
     _handle_replica_maps(peer_app, dispatcher.targets.replicas)
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -9,10 +9,10 @@
 import pytest
 from aiohttp.test_utils import TestClient
 
-from mimosaworks.admin.removal import MemberRemovedError, fail_when_removed
 from mimosaworks.entities import Catalogue, Change, Key, Workspace, digest_key
 from mimosaworks.errors import StoreInDoubtError
 from mimosaworks.members import Acceptance, MemberService, MemberState
+from mimosaworks.members.removal import MemberRemovedError, fail_when_removed
 from tests.admin_fakes import FakeMembers, FakeStore, admin_client
 
 GRANT = types.MappingProxyType({
