--- a/tests/test_answers_streams.py
+++ b/tests/test_answers_streams.py
@@ -28,6 +28,10 @@
     return max((record['tokens'] for record in records), default=0)
 
 
+async def _has_tokens(entry: Entry, engine: Node, tokens: int) -> bool:
+    return await _most_tokens(entry, engine) >= tokens
+
+
 async def _busy(entry: Entry, tokens: int) -> Node:
     """Return the engine that has generated this many tokens."""
     found: list[Node] = []
@@ -126,6 +130,48 @@
     assert b'HTTP/1.1' not in answer.body
 
 
+async def test_a_resume_that_is_answered_whole_ends_with_an_error(
+    entry: Entry,
+) -> None:
+    await entry.add_engine('e1', SLOW)
+    # A plain service answers a resume with 200 and a body of its own.
+    entry.engines['e2'] = await entry.add_service('e2')
+    entry.services.clear()
+    await entry.open()
+    await entry.announce(('e1',))
+    body = chat(PROMPT, stream=True, max_tokens=TOKENS)
+    headers = {'Mimosa-Deadline-S': '3'}
+    stream = asyncio.create_task(entry.call(CHAT, body, headers=headers))
+    await wait_until(lambda: _has_tokens(entry, entry.engines['e1'], 5))
+    await entry.announce(('e1', 'e2'))
+    await entry.engines['e1'].process.kill()
+    answer = await stream
+    got = chunks(answer.body)
+    assert got.pop()['error']['run'] == 'may-have-run'
+    assert [chunk['index'] for chunk in got] == list(range(len(got)))
+    assert b'sha256' not in answer.body
+
+
+async def test_a_stream_that_an_engine_ends_early_goes_on_elsewhere(
+    entry: Entry,
+) -> None:
+    await asyncio.gather(
+        entry.add_engine('e1', SLOW),
+        entry.add_engine('e2', SLOW),
+    )
+    await entry.open()
+    stream = await _stream(entry)
+    engine = await _busy(entry, 5)
+    url = f'{engine.url}/requests/{entry.runs()[0]}'
+    async with entry.cluster.http.delete(url) as told:
+        assert told.status == HTTPStatus.NO_CONTENT
+    answer = await stream
+    assert streamed_text(answer.body) == expected_text(
+        MODEL, '', PROMPT, TOKENS
+    )
+    assert answer.body.endswith(DONE)
+
+
 async def test_a_caller_that_hangs_up_ends_the_work_at_the_engine(
     entry: Entry,
 ) -> None:
