--- a/mimosaworks/limits/holder.py
+++ b/mimosaworks/limits/holder.py
@@ -16,7 +16,7 @@
     TokenGrant,
 )
 
-REPORT_PART = 0.125  # of a share's cap; smaller deviations are not reported
+REPORT_PART = 0.25  # of a share's cap; smaller deviations are not reported
 DEBT_PARTS = 4  # a reported debt is at most so many caps
 
 
