--- a/mimosaworks/limits/holder.py
+++ b/mimosaworks/limits/holder.py
@@ -42,7 +42,6 @@
         self, epoch: int, addresses: Collection[str], now: float
     ) -> None:
         """Learn the holder set of an epoch; shares shrink at once."""
-        self.book.tick(now)
         if self.book.learn_holders(epoch, addresses):
             self.balances.replace_peers(set(addresses) - {self.address})
         self.book.tick(now)
