--- /dev/null
+++ b/mimosaworks/relay/exchange.py
@@ -0,0 +1,241 @@
+"""Has one request answered, over as many attempts as are allowed."""
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+from aiohttp import ClientError, ClientResponse, web
+
+from mimosaworks.clock import now_s
+from mimosaworks.errors import ErrorKind, RequestError, RunState
+from mimosaworks.events import Event, log_event
+from mimosaworks.metrics import Metric, MetricsClient
+from mimosaworks.relay.answers import COLD_HEADER, REQUEST_ID_HEADER
+from mimosaworks.relay.attempt_error import (
+    AttemptInDoubtError,
+    AttemptNotRunError,
+)
+from mimosaworks.relay.caller_stream import CallerStream
+from mimosaworks.relay.headers import copy_answer_headers
+from mimosaworks.relay.not_run import says_not_run
+from mimosaworks.relay.outgoing import Outgoing
+from mimosaworks.relay.send_guard import SendGuard
+from mimosaworks.relay.upstream import STREAM_IDLE_S, Upstream
+from mimosaworks.relay.usage import read_completion_tokens
+from mimosaworks.routing import (
+    CrashWatch,
+    Dispatcher,
+    RetryBudget,
+    Slot,
+    Ticket,
+)
+
+SSE_TYPE = 'text/event-stream'
+_TRANSPORT_ERRORS = (ClientError, OSError, TimeoutError)
+
+
+@attrs.define
+class Exchange:
+    """One request with its attempts; made by the frontend.
+
+    check raises RequestError when the request must not be sent any more.
+    is_repeatable tells whether it may be sent again after a doubt. resumed_at
+    is the count of tokens at which the latest attempt began.
+    """
+
+    ticket: Ticket
+    outgoing: Outgoing
+    stream: CallerStream
+    dispatcher: Dispatcher
+    upstream: Upstream
+    crashes: CrashWatch
+    budget: RetryBudget
+    metrics: MetricsClient
+    check: Callable[[], None]
+    is_repeatable: bool
+    was_in_doubt: bool = False
+    resumed_at: int = 0
+
+    async def run(self) -> web.StreamResponse:
+        """Return the whole answer to the caller.
+
+        Raises RequestError, with run state by what the attempts left behind,
+        unless the answer has begun; then the stream ends with the error.
+        """
+        self.budget.note_request()
+        try:
+            return await self._run_attempts()
+        except RequestError as exc:
+            if self.was_in_doubt:
+                exc.run_state = RunState.MAY_HAVE_RUN
+            if self.stream.resp is None:
+                raise
+            return await self.stream.finish_with_error(exc)
+
+    async def _run_attempts(self) -> web.StreamResponse:
+        while True:
+            self._refuse_suspect()
+            slot = await self.dispatcher.acquire(self.ticket)
+            self.crashes.watch(slot.target)
+            try:
+                return await self._attempt(slot)
+            except AttemptNotRunError as exc:
+                self.dispatcher.refund(slot)
+                self._note_failed(slot, exc)
+            except AttemptInDoubtError as exc:
+                self.was_in_doubt = True
+                self._reduce_cost()
+                await self.crashes.note_failure(slot.target, self.ticket.mark)
+                self._require_repeatable(exc)
+                self._note_failed(slot, exc)
+            finally:
+                self.dispatcher.release(slot)
+
+    def _refuse_suspect(self) -> None:
+        if self.dispatcher.targets.suspects.is_refused(self.ticket.mark):
+            raise RequestError(
+                ErrorKind.CRASH_SUSPECT,
+                'this request crashed the targets that ran it',
+            )
+
+    async def _attempt(self, slot: Slot) -> web.StreamResponse:
+        guard = SendGuard(self.check)
+        try:
+            return await self._send(slot, guard)
+        except _TRANSPORT_ERRORS as exc:
+            if guard.is_sending:
+                raise AttemptInDoubtError(repr(exc)) from exc
+            raise AttemptNotRunError(repr(exc)) from exc
+        except RequestError:
+            if not guard.is_sending:
+                self.dispatcher.refund(slot)
+            raise
+
+    async def _send(self, slot: Slot, guard: SendGuard) -> web.StreamResponse:
+        sending = self.upstream.send(
+            slot.target,
+            self.outgoing,
+            guard,
+            resume_from=self.stream.counter.tokens,
+            is_repeatable=self.is_repeatable,
+        )
+        left_s = self.ticket.deadline.remaining_s(now_s())
+        try:
+            async with asyncio.timeout(left_s) as limit, sending as resp:
+                await self._verify(resp)
+                self._measure_first_byte()
+                if resp.content_type == SSE_TYPE:
+                    limit.reschedule(None)
+                    return await self._relay_stream(slot, resp)
+                return await self._relay_whole(slot, resp)
+        except TimeoutError as exc:
+            if self.ticket.deadline.has_passed(now_s()):
+                raise self._give_up(slot, guard) from exc
+            raise
+
+    async def _verify(self, resp: ClientResponse) -> None:
+        answered = resp.headers.get(REQUEST_ID_HEADER, self.ticket.request_id)
+        if answered != self.ticket.request_id:
+            raise AttemptInDoubtError(f'answer belongs to {answered}')
+        if await says_not_run(resp):
+            raise AttemptNotRunError(f'target answered {resp.status}')
+        is_resumed = self.stream.resp is not None
+        if is_resumed and resp.content_type != SSE_TYPE:
+            raise AttemptInDoubtError(f'resume was answered {resp.status}')
+
+    def _measure_first_byte(self) -> None:
+        waited_s = now_s() - self.ticket.arrived_at_s
+        self.metrics.timing(Metric.FIRST_BYTE, waited_s)
+
+    async def _relay_whole(
+        self, slot: Slot, resp: ClientResponse
+    ) -> web.StreamResponse:
+        body = await resp.read()
+        answer = web.Response(status=resp.status, body=body)
+        answer.headers.popall('Content-Type', None)
+        copy_answer_headers(resp.headers, answer.headers)
+        answer.headers[REQUEST_ID_HEADER] = self.ticket.request_id
+        if self.ticket.was_cold:
+            answer.headers[COLD_HEADER] = 'true'
+        self._note_answered(slot, resp.status, self._used_tokens(body))
+        return answer
+
+    async def _relay_stream(
+        self, slot: Slot, resp: ClientResponse
+    ) -> web.StreamResponse:
+        await self.stream.begin(resp, was_cold=self.ticket.was_cold)
+        while True:
+            async with asyncio.timeout(STREAM_IDLE_S):
+                chunk = await resp.content.readany()
+            if not chunk:
+                break
+            await self.stream.write_events(chunk)
+        if not self.stream.counter.is_done:
+            raise AttemptInDoubtError('stream ended early')
+        self._note_answered(slot, resp.status, self.stream.counter.tokens)
+        return await self.stream.finish()
+
+    def _note_answered(self, slot: Slot, status: int, tokens: int) -> None:
+        unused = self.ticket.max_tokens - (tokens - self.resumed_at)
+        self.dispatcher.refund(slot, max(unused, 0))
+        slot.state.note_success()
+        self.crashes.note_success(self.ticket.mark)
+        log_event(
+            Event.REQUEST_ANSWERED,
+            request_id=self.ticket.request_id,
+            target=slot.target.name,
+            status=status,
+            tokens=tokens,
+            seconds=now_s() - slot.started_at_s,
+        )
+
+    def _used_tokens(self, body: bytes) -> int:
+        if not self.ticket.model:
+            return 0
+        return read_completion_tokens(body, self.ticket.max_tokens)
+
+    def _note_failed(self, slot: Slot, exc: Exception) -> None:
+        slot.state.note_failure(now_s())
+        self.metrics.count(Metric.REQUESTS_RETRIED)
+        self.ticket.tried.add(slot.target.name)
+        log_event(
+            Event.REQUEST_RETRIED,
+            request_id=self.ticket.request_id,
+            target=slot.target.name,
+            tokens=self.stream.counter.tokens,
+            reason=str(exc),
+        )
+        if not self.budget.try_spend():
+            raise RequestError(
+                ErrorKind.TARGET_FAILED,
+                f'target failed and no retry is left: {exc}',
+                run_state=RunState.NOT_RUN,
+            ) from exc
+
+    def _reduce_cost(self) -> None:
+        # A resumed stream generates only the tokens that are missing.
+        sent = self.stream.counter.tokens - self.resumed_at
+        self.resumed_at = self.stream.counter.tokens
+        prompt = self.ticket.cost_tokens - self.ticket.max_tokens
+        self.ticket.max_tokens = max(self.ticket.max_tokens - sent, 0)
+        self.ticket.cost_tokens = prompt + self.ticket.max_tokens
+
+    def _require_repeatable(self, exc: Exception) -> None:
+        if not self.is_repeatable:
+            raise RequestError(
+                ErrorKind.TARGET_ANSWER_LOST, f'answer was lost: {exc}'
+            ) from exc
+
+    def _give_up(self, slot: Slot, guard: SendGuard) -> RequestError:
+        self.was_in_doubt = self.was_in_doubt or guard.is_sending
+        log_event(
+            Event.REQUEST_REFUSED,
+            request_id=self.ticket.request_id,
+            target=slot.target.name,
+            reason='deadline passed at the target',
+        )
+        return RequestError(
+            ErrorKind.DEADLINE_EXCEEDED,
+            'no answer in time',
+            run_state=RunState.NOT_RUN,
+        )
