members: a push leaves out the members that are no news

Each push held every member's row: at 1,000 members about 100 KB to each of them for a change of a few bytes. The rows now go only to a member whose view is older, and with a join.

--- a/mimosaworks/members/core.py
+++ b/mimosaworks/members/core.py
@@ -67,15 +67,19 @@
             return dump_entries(self._history[number] for number in wanted)
         return dump_entries([snapshot_of(self.catalogue)])
 
-    def push(self) -> VersionPush:
-        """Return what is in force, to be sent to other members."""
+    def push(self, known_view: int) -> VersionPush:
+        """Return what is in force, for a member that has known_view.
+
+        The members are left out if they are no news to it.
+        """
         version = self.catalogue.version
+        view = self.freshness.view
         return VersionPush(
             self.freshness.own.address,
             version,
-            self.freshness.view.version,
+            view.version,
             self.entries_since(max(0, version - PUSHED_ENTRIES)),
-            self.freshness.view.to_rows(),
+            view.to_rows() if known_view < view.version else (),
         )
 
     async def on_ask(self, ask: FreshAsk) -> FreshAnswer:
@@ -85,7 +89,9 @@
 
     async def on_push(self, push: VersionPush) -> PushAck:
         """Put in force what a writer pushed; tell what is in force now."""
-        view = view_from_rows(push.view, push.members)
+        view = View()
+        if push.members:
+            view = view_from_rows(push.view, push.members)
         self.take_text(push.version, push.entries, view)
         return PushAck(
             self.freshness.own.boot_nonce,
--- a/mimosaworks/members/publisher.py
+++ b/mimosaworks/members/publisher.py
@@ -65,9 +65,10 @@
 
     async def _push(self, barrier: Barrier, member: MemberId) -> None:
         asked_s = self.core.now()
+        push = self.core.push(barrier.known_view(member))
         try:
             ack = await self.peers.call(
-                member.address, self.core.push(), PushAck, PUSH_TIMEOUT_S
+                member.address, push, PushAck, PUSH_TIMEOUT_S
             )
         except PeerRefusedError:
             self.core.freshness.on_refused(
--- a/tests/member_world.py
+++ b/tests/member_world.py
@@ -150,8 +150,8 @@
             return
         dead = proc.freshness.evidence.dead_since_s.keys()
         missing = proc.barrier.unconfirmed() - dead
-        for peer in sorted(member.address for member in missing):
-            self._push(proc, proc.barrier, peer)
+        for member in sorted(missing, key=lambda peer: peer.address):
+            self._push(proc, proc.barrier, member)
         self.check_barrier(address)
 
     def check_barrier(self, address: str) -> None:
@@ -300,8 +300,11 @@
 
         self._read(proc, opened)
 
-    def _push(self, proc: MemberProcess, barrier: Barrier, peer: str) -> None:
-        pushed = proc.core.push()
+    def _push(
+        self, proc: MemberProcess, barrier: Barrier, sent_to: MemberId
+    ) -> None:
+        peer = sent_to.address
+        pushed = proc.core.push(barrier.known_view(sent_to))
 
         def arrive(listener: MemberProcess) -> None:
             ack = run_plain(listener.core.on_push(pushed))
