--- a/mimosaworks/members/schedule.py
+++ b/mimosaworks/members/schedule.py
@@ -37,12 +37,14 @@
     """
 
     _last_s: dict[str, float] = attrs.field(factory=dict)
+    _view: View = attrs.field(factory=View)
+    _pollers: tuple[str, ...] = ()
 
     def due(self, now_s: float, state: Freshness) -> Plan:
         """Return what to ask now, and count it as asked."""
         own = state.own.address
         age_s = state.age_s(now_s)
-        pollers = pollers_of(state.view)
+        pollers = self._pollers_of(state.view)
         is_urgent = age_s >= URGENT_AGE_S
         reads_table = not state.own.is_serving or own in pollers or is_urgent
         return Plan(
@@ -53,6 +55,13 @@
             and self._is_due(now_s, 'round', ROUND_EVERY_S),
         )
 
+    def _pollers_of(self, view: View) -> tuple[str, ...]:
+        # Ordering a thousand members at every look would cost too much.
+        if view is not self._view:
+            self._view = view
+            self._pollers = pollers_of(view)
+        return self._pollers
+
     def _peers(
         self, now_s: float, age_s: float, own: str, pollers: tuple[str, ...]
     ) -> tuple[str, ...]:
