members: a join opens its barrier again when the voters have changed

When all members were killed and restarted together, a join's first view still showed the predecessors, whose majority could not be reached: it waited out JOIN_TRY_S (8 s).

--- a/mimosaworks/members/publisher.py
+++ b/mimosaworks/members/publisher.py
@@ -33,9 +33,17 @@
             barrier = barrier or await self._open(version)
             if barrier and await self._is_passed(barrier):
                 return True
+            if version == 0 and barrier and self._has_new_voters(barrier):
+                # After a restart of many members the first view still shows
+                # their predecessors, which can't give a majority any more.
+                barrier = None
             await asyncio.sleep(PUSH_EVERY_S)
         return False
 
+    def _has_new_voters(self, barrier: Barrier) -> bool:
+        view = self.core.freshness.view
+        return view.serving_ids() != barrier.view.serving_ids()
+
     async def _open(self, version: int) -> Barrier | None:
         try:
             state = await self.registry.read(self.core.catalogue)
@@ -77,6 +85,9 @@
         except PeerError:
             return
         else:
+            self.core.freshness.evidence.on_answer(
+                asked_s, self.core.now(), member, ack.boot_nonce
+            )
             barrier.on_ack(
                 MemberId(member.address, ack.boot_nonce), ack.version, ack.view
             )
--- a/tests/member_world.py
+++ b/tests/member_world.py
@@ -12,6 +12,7 @@
 from mimosaworks.members.schedule import Schedule
 from mimosaworks.members.table_state import TableState
 from mimosaworks.members.view import view_of
+from mimosaworks.wire import PushAck
 from tests.member_process import MemberProcess, run_plain
 
 TABLE = 'table'
@@ -308,12 +309,16 @@
 
         def arrive(listener: MemberProcess) -> None:
             ack = run_plain(listener.core.on_push(pushed))
-            member = attrs.evolve(listener.own.id, boot_nonce=ack.boot_nonce)
-            self._reply(
-                peer,
-                proc,
-                lambda: barrier.on_ack(member, ack.version, ack.view),
+            self._reply(peer, proc, lambda: confirm(ack))
+
+        asked_s = proc.now_s()
+
+        def confirm(ack: PushAck) -> None:
+            proc.freshness.evidence.on_answer(
+                asked_s, proc.now_s(), sent_to, ack.boot_nonce
             )
+            member = MemberId(peer, ack.boot_nonce)
+            barrier.on_ack(member, ack.version, ack.view)
 
         self._call(proc, peer, arrive)
 
