placement: fault tests with real processes, fence raised before a reservation ends

Cause: the fuzz, run for 600 examples, found a load after its reservation had ended: a holder paused between its check of the lease and the bytes of a load, on a target that checks numbers but had not yet seen the new holder's. Change: on such a target a reservation ends only once it reports on the load or on an unload with the number of the holder of now, which is sent even if nothing is loaded. A holder that stops gives its lease up. Shared logging, serving, metrics; the process ends when the members removed it. Ruled out: longer quarantine, as a pause has no bound.

--- a/mimosaworks/cmdline/placer.py
+++ b/mimosaworks/cmdline/placer.py
@@ -1,12 +1,9 @@
 """The mimosa-placer program."""
 
-import asyncio
-import signal
 from typing import Any
 
 import click
 import uvloop
-from absl import logging
 
 import mimosaworks
 from mimosaworks.placement import PlacerSettings
@@ -22,18 +19,7 @@
 def main(**flags: Any) -> None:
     """Decide which models and adapters are loaded on which targets."""
     cfg = make_settings(PlacerSettings, PREFIX, **flags)
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
-    logging.set_stderrthreshold(logging.INFO)
-    uvloop.run(_main(cfg))
-
-
-async def _main(cfg: PlacerSettings) -> None:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    await run_placer(cfg, stop)
+    uvloop.run(run_placer(cfg))
 
 
 if __name__ == '__main__':
--- a/mimosaworks/placement/adapter_policy.py
+++ b/mimosaworks/placement/adapter_policy.py
@@ -83,6 +83,7 @@
         checkpoint=adapter.name,
         size_bytes=adapter.size_bytes,
         fence=fence,
+        checks_fence=host.checks_fence,
     )
 
 
--- a/mimosaworks/placement/evidence.py
+++ b/mimosaworks/placement/evidence.py
@@ -48,7 +48,10 @@
 
     It may if a report, asked for when no load order could be on its way any
     more, shows nothing loaded. A late unload order must not hit a later load
-    of the same model, so the target has to know that order too.
+    of the same model, so the target has to know that order too. A holder can
+    have been paused for any time between its check of the lease and sending;
+    a target that checks numbers is safe from that order once it has reported
+    on it, or on an unload with the number of the holder of now.
     """
     view = ledger.views.get(intent.target)
     if view is None or held_state(ledger, intent) is not None:
@@ -58,9 +61,17 @@
     if view.asked_s < track.load_sent_s + span_s:
         return False
     is_unload_known = track.unload_id in view.report.orders
+    is_guarded = is_unload_known or is_load_known(ledger, intent)
+    if intent.checks_fence and not is_guarded:
+        return False
     return is_unload_known or view.asked_s >= track.unload_sent_s + span_s
 
 
+def is_load_known(ledger: Ledger, intent: Intent) -> bool:
+    """Whether the target has the load order, so that a copy has no effect."""
+    return _order_report(ledger, intent) is not None
+
+
 def is_drained(ledger: Ledger, intent: Intent, lag_s: float) -> bool:
     """Whether the routers know of the drain and nothing runs any more.
 
--- a/mimosaworks/placement/intent.py
+++ b/mimosaworks/placement/intent.py
@@ -22,7 +22,8 @@
 
     Its row is written before its first order leaves. While the row exists,
     size_bytes count as used on the target, whatever the target reports. The
-    order id is that of the load; adapter is empty for a model.
+    order id is that of the load; adapter is empty for a model. checks_fence
+    tells whether the target refuses orders with an old fencing number.
     """
 
     order_id: str
@@ -34,6 +35,7 @@
     checkpoint: str
     size_bytes: int
     fence: int
+    checks_fence: bool = False
 
     @property
     def name(self) -> str:
--- a/mimosaworks/placement/lease.py
+++ b/mimosaworks/placement/lease.py
@@ -51,7 +51,7 @@
         """Whether another's lease has lapsed or there is none."""
         if self.is_mine or math.isinf(self.first_seen_s):
             return False
-        if self.row is None:
+        if self.row is None or not self.row.nonce:
             return True
         return now - self.first_seen_s > self.lease_s * (1 + DRIFT)
 
@@ -59,6 +59,10 @@
         """Whether orders may be sent: held, with the margin to spare."""
         return self.is_mine and now + self.margin_s < self.held_until_s
 
+    def released_row(self) -> LeaseRow:
+        """Return the row to write when this holder stops."""
+        return attrs.evolve(self.next_row(), holder='', nonce='')
+
     def next_row(self) -> LeaseRow:
         """Return the row to write: a renewal if held, else a claim."""
         if self.row is not None and self.is_mine:
@@ -72,4 +76,4 @@
         self.row = row
         self.version = version
         self.first_seen_s = now
-        self.held_until_s = sent_s + self.lease_s
+        self.held_until_s = sent_s + self.lease_s if self.is_mine else -math.inf
--- a/mimosaworks/placement/lease_row.py
+++ b/mimosaworks/placement/lease_row.py
@@ -9,7 +9,8 @@
 class LeaseRow:
     """Who holds a shard.
 
-    holder is a peer address and nonce tells its boots apart. fence grows by
+    holder is a peer address and nonce tells its boots apart; both are empty
+    once a holder has given the lease up. fence grows by
     one with each new holder; beat grows with each write of one holder, so
     that a writer whose reply was lost recognises its own write.
     """
--- a/mimosaworks/placement/map_pusher.py
+++ b/mimosaworks/placement/map_pusher.py
@@ -45,8 +45,8 @@
             *(self._push(router, replica_map) for router in self.routers())
         )
         if all(acks):
-            state = self.placer.state
-            self.placer.maps.acked(state, replica_map.sequence, now_s())
+            placer = self.placer
+            placer.maps.acked(placer.state, replica_map.sequence, now_s())
 
     async def _push(self, router: str, replica_map: ReplicaMap) -> bool:
         try:
--- a/mimosaworks/placement/orders.py
+++ b/mimosaworks/placement/orders.py
@@ -1,6 +1,11 @@
 """Which orders are due under the intents."""
 
-from mimosaworks.placement.evidence import held_state, is_ended, is_ready
+from mimosaworks.placement.evidence import (
+    held_state,
+    is_ended,
+    is_load_known,
+    is_ready,
+)
 from mimosaworks.placement.intent import Intent, IntentState
 from mimosaworks.placement.ledger import Ledger
 from mimosaworks.placement.order import Order
@@ -64,10 +69,11 @@
 
 
 def _due_unload(ledger: Ledger, intent: Intent, fence: int) -> Order | None:
-    if held_state(ledger, intent) is None:
-        return None
     track = ledger.tracks[intent.order_id]
     known = ledger.views[intent.target].report.orders
+    is_gone = held_state(ledger, intent) is None
+    if is_gone and not _needs_fence(ledger, intent):
+        return None
     if not track.unload_id or track.unload_id in known:
         # An engine ignores an id that it has seen, so what is still (or
         # again) loaded after one unload needs an order of its own.
@@ -77,6 +83,14 @@
     return _order(intent, UNLOAD, track.unload_id, fence)
 
 
+def _needs_fence(ledger: Ledger, intent: Intent) -> bool:
+    """Whether a target has to learn the number though nothing is loaded."""
+    if not intent.checks_fence or is_load_known(ledger, intent):
+        return False
+    known = ledger.views[intent.target].report.orders
+    return ledger.tracks[intent.order_id].unload_id not in known
+
+
 def _is_changing(ledger: Ledger, intent: Intent) -> bool:
     # A change of the row that isn't in the table yet may cross the order.
     order_id = intent.order_id
--- a/mimosaworks/placement/policy.py
+++ b/mimosaworks/placement/policy.py
@@ -117,6 +117,7 @@
             checkpoint=model.checkpoint,
             size_bytes=model.size_bytes,
             fence=self.fence,
+            checks_fence=target.checks_fence,
         )
         self.state.ledger.put(intent, self.now)
         runners_up = tuple(other.describe() for other in found[1:4])
--- a/mimosaworks/placement/service.py
+++ b/mimosaworks/placement/service.py
@@ -10,6 +10,7 @@
 
 from mimosaworks.clock import now_s
 from mimosaworks.events import Event, log_event
+from mimosaworks.metrics import Metric, MetricsClient
 from mimosaworks.placement.decision import Decision
 from mimosaworks.placement.errors import LeaseLapsedError
 from mimosaworks.placement.map_pusher import MapPusher
@@ -19,9 +20,11 @@
 from mimosaworks.placement.shard_placer import ShardPlacer
 from mimosaworks.placement.shard_writer import ShardWriter
 from mimosaworks.placement.target_poller import TargetPoller
+from mimosaworks.serving import start_task
 from mimosaworks.wire import Ack, Demand
 
 TICK_S = 0.1
+MEASURE_S = 1.0
 SECONDS_PER_MINUTE = 60
 MINUTES_PER_DAY = 1440
 
@@ -36,6 +39,7 @@
     poller: TargetPoller
     pusher: MapPusher
     wake: asyncio.Event
+    metrics: MetricsClient
     was_holder: bool = False
     open_orders: set[asyncio.Task[None]] = attrs.field(factory=set)
     stack: contextlib.AsyncExitStack = attrs.field(
@@ -44,13 +48,14 @@
 
     async def __aenter__(self) -> Self:
         """Start the tasks."""
-        for job in (self._run(), self.poller.run(), self.pusher.run()):
-            task = asyncio.create_task(job)
-            self.stack.callback(task.cancel)
+        self.stack.push_async_callback(self.writer.release)
+        jobs = (self._run(), self.poller.run(), self.pusher.run())
+        for job in (*jobs, self._measure()):
+            start_task(job, self.stack)
         return self
 
     async def __aexit__(self, *_exc: Any) -> None:
-        """Stop the tasks; orders on their way are given up."""
+        """Stop the tasks and give the lease up; open orders are dropped."""
         for task in self.open_orders:
             task.cancel()
         await self.stack.aclose()
@@ -102,12 +107,25 @@
             target=order.target,
             status=0 if status is None else status.value,
         )
+        self.metrics.count(Metric.ORDERS_SENT)
+        if status != HTTPStatus.ACCEPTED:
+            self.metrics.count(Metric.ORDERS_FAILED)
         if status == HTTPStatus.INSUFFICIENT_STORAGE:
             order_refused(self.placer.state.ledger, order)
         if status == HTTPStatus.CONFLICT:
             self.writer.is_read_due = True
         self.wake.set()
 
+    async def _measure(self) -> None:
+        while True:
+            await asyncio.sleep(MEASURE_S)
+            if self.placer.is_holder:
+                running = self.placer.state.replicas_running()
+                idle = [count for count in running if not count]
+                self.metrics.gauge(Metric.REPLICAS_READY, len(running))
+                idle_s = len(idle) * MEASURE_S
+                self.metrics.count(Metric.REPLICAS_IDLE, idle_s)
+
     def _log_lease(self) -> None:
         is_holder = self.placer.is_holder
         if is_holder != self.was_holder:
--- a/mimosaworks/placement/settlement.py
+++ b/mimosaworks/placement/settlement.py
@@ -9,6 +9,7 @@
 from mimosaworks.placement.evidence import (
     is_drained,
     is_ended,
+    is_load_known,
     may_delete,
     resolved_state,
     track_of,
@@ -66,6 +67,10 @@
 
 
 def _settle_ended(state: ShardState, intent: Intent) -> Decision | None:
+    ledger = state.ledger
+    if intent.state is IntentState.LOAD and not is_load_known(ledger, intent):
+        ledger.pending[intent.order_id] = unloading(intent)
+        return _decide(DecisionKind.UNLOAD, intent, 'refused by the target')
     if not may_delete(state.ledger, intent, state.rules.quarantine_s):
         return None
     state.ledger.delete(intent.order_id)
@@ -117,6 +122,7 @@
                 checkpoint='',
                 size_bytes=size,
                 fence=fence,
+                checks_fence=target.checks_fence,
             )
             state.ledger.put(intent, now)
             decisions.append(
--- a/mimosaworks/placement/shard_placer.py
+++ b/mimosaworks/placement/shard_placer.py
@@ -4,7 +4,6 @@
 
 import attrs
 
-from mimosaworks.entities import Catalogue
 from mimosaworks.placement.batch import Batch, intent_prefix, lease_key
 from mimosaworks.placement.decision import Decision
 from mimosaworks.placement.intent import intent_from_json
@@ -48,10 +47,6 @@
         """Whether this placer decides for the shard (its lease may lapse)."""
         return self.lease.is_mine and self.is_adopted
 
-    def on_catalogue(self, catalogue: Catalogue) -> None:
-        """Take in a version of the configuration."""
-        self.state.catalogue = catalogue
-
     def on_report(self, target: str, report: Report, asked_s: float) -> None:
         """Take in a target's report, asked for at asked_s."""
         known = self.state.ledger.views.get(target)
@@ -82,6 +77,17 @@
             self.batch = self._new_batch(now)
         return self.batch
 
+    def release(self, now: float) -> Batch | None:
+        """Send no order any more; return the batch that gives the lease up.
+
+        None when this placer doesn't hold the shard.
+        """
+        if not self.is_holder or self.batch is not None:
+            return None
+        self.is_adopted = False
+        row = self.lease.released_row()
+        return Batch(self.shard, row, self.lease.version, now)
+
     def on_committed(self, version: int, now: float) -> None:
         """Take in that the batch is in the table."""
         batch = self.batch
--- a/mimosaworks/placement/shard_state.py
+++ b/mimosaworks/placement/shard_state.py
@@ -34,6 +34,10 @@
     demand: DemandBook = attrs.field(factory=DemandBook)
     surplus_since: dict[str, float] = attrs.field(factory=dict)
 
+    def on_catalogue(self, catalogue: Catalogue) -> None:
+        """Take in a version of the configuration."""
+        self.catalogue = catalogue
+
     def engines(self, pool: str) -> list[Target]:
         """Return the configured engines of a pool."""
         return [
@@ -74,6 +78,16 @@
             if is_ready(self.ledger, intent)
         ]
 
+    def replicas_running(self) -> list[int]:
+        """Return for each ready replica how many requests it runs."""
+        found = []
+        for intent in self.ledger.intents().values():
+            held = held_state(self.ledger, intent)
+            is_model = held is not None and not intent.adapter
+            if held and is_model and is_ready(self.ledger, intent):
+                found.append(held.running)
+        return found
+
     def running(self, model: str) -> int:
         """Return the requests running on a model, by reports or routers."""
         reported = 0
--- a/mimosaworks/placement/shard_writer.py
+++ b/mimosaworks/placement/shard_writer.py
@@ -1,5 +1,7 @@
 """Reads and commits a shard's rows for its placer."""
 
+import contextlib
+
 import attrs
 
 from mimosaworks.clock import now_s
@@ -34,6 +36,16 @@
         except PlatformError:
             self.is_read_due = not self.placer.is_holder
 
+    async def release(self) -> None:
+        """Give the lease up, so that another placer needn't wait for its end.
+
+        Without an answer from the table it lapses.
+        """
+        batch = self.placer.release(now_s())
+        if batch is not None:
+            with contextlib.suppress(PlatformError):
+                await self.table.commit(batch.asserts(), batch.writes())
+
     async def _read_if_due(self) -> None:
         if not self.is_read_due and not self._is_look_due():
             return
--- a/mimosaworks/placement/wiring.py
+++ b/mimosaworks/placement/wiring.py
@@ -6,8 +6,10 @@
 
 from aiohttp import ClientSession, web
 
-from mimosaworks.events import Event, log_event
+from mimosaworks.admin.removal import fail_when_removed
+from mimosaworks.events import Event, log_event, start_logging
 from mimosaworks.members import Member, MemberRole, MemberService
+from mimosaworks.metrics import MetricsClient, open_metrics
 from mimosaworks.placement.budget import LoadBudget
 from mimosaworks.placement.debug import add_debug_handler
 from mimosaworks.placement.lease import ShardLease
@@ -22,31 +24,42 @@
 from mimosaworks.placement.shard_writer import ShardWriter
 from mimosaworks.placement.target_poller import TargetPoller
 from mimosaworks.platform import ObjectClient, TableClient
+from mimosaworks.serving import serve_app, start_task, stop_event
 from mimosaworks.wire import Demand, PeerClient, add_peer_handler, new_peer_app
 
+PROGRAM = 'placer'
 NONCE_BYTES = 8
 
 
-async def run_placer(cfg: PlacerSettings, stop: asyncio.Event) -> None:
-    """Run a placer until stop is set."""
+async def run_placer(cfg: PlacerSettings) -> None:
+    """Run a placer until SIGTERM or SIGINT, then give its lease up."""
+    start_logging()
+    stopping = stop_event()
     async with contextlib.AsyncExitStack() as stack:
+        metrics = stack.enter_context(open_metrics(cfg.statsd_address, PROGRAM))
         session = await stack.enter_async_context(ClientSession())
         app = new_peer_app()
         members = _make_members(cfg, session, app)
         placer = _make_placer(cfg)
-        service = _make_service(cfg, session, placer, members)
+        service = _make_service(cfg, session, placer, members, metrics)
         add_peer_handler(app, Demand, service.on_demand)
-        await _serve(stack, app, cfg.peer_address)
+        await serve_app(app, cfg.peer_address, stack)
         if cfg.http_address:
             debug_app = web.Application()
             add_debug_handler(debug_app, placer)
-            await _serve(stack, debug_app, cfg.http_address)
-        members.subscribe(placer.on_catalogue)
+            await serve_app(debug_app, cfg.http_address, stack)
+        members.subscribe(placer.state.on_catalogue)
         await stack.enter_async_context(members)
         await stack.enter_async_context(service)
-        log_event(Event.PROCESS_STARTED, peer_address=cfg.peer_address)
-        await stop.wait()
-        log_event(Event.PROCESS_STOPPED, peer_address=cfg.peer_address)
+        start_task(fail_when_removed(members), stack)
+        log_event(
+            Event.PROCESS_STARTED,
+            program=PROGRAM,
+            peer_address=cfg.peer_address,
+        )
+        await stopping.wait()
+        log_event(Event.PROCESS_DRAINING, program=PROGRAM)
+    log_event(Event.PROCESS_STOPPED, program=PROGRAM)
 
 
 def _make_members(
@@ -84,6 +97,7 @@
     session: ClientSession,
     placer: ShardPlacer,
     members: MemberService,
+    metrics: MetricsClient,
 ) -> PlacerService:
     wake = asyncio.Event()
 
@@ -97,14 +111,5 @@
         poller=TargetPoller(ReportReader(session), placer, wake.set),
         pusher=MapPusher(PeerClient(session), placer, routers),
         wake=wake,
+        metrics=metrics,
     )
-
-
-async def _serve(
-    stack: contextlib.AsyncExitStack, app: web.Application, address: str
-) -> None:
-    host, _, port = address.rpartition(':')
-    runner = web.AppRunner(app, access_log=None)
-    await runner.setup()
-    stack.push_async_callback(runner.cleanup)
-    await web.TCPSite(runner, host, int(port)).start()
--- a/tests/placement_world.py
+++ b/tests/placement_world.py
@@ -284,7 +284,7 @@
 
     def _step(self, proc: Proc) -> None:
         now = self.local_s(proc)
-        proc.placer.on_catalogue(catalogue(self.models))
+        proc.placer.state.on_catalogue(catalogue(self.models))
         works = tuple(ModelDemand(model, waiting=1) for model in self.demand)
         proc.placer.state.demand.on_demand(Demand('r', works), now)
         proc.placer.decide(now, 0)
--- a/tests/test_placement_processes.py
+++ b/tests/test_placement_processes.py
@@ -13,7 +13,8 @@
 from mimosaworks.configs import ConfigStore
 from mimosaworks.entities import Adapter, Change, Model, Target
 from mimosaworks.members import Member, MemberRole, MemberState
-from mimosaworks.placement.batch import intent_prefix
+from mimosaworks.placement.batch import intent_prefix, lease_key
+from mimosaworks.placement.lease_row import LeaseRow, lease_row_from_json
 from mimosaworks.platform import ObjectClient, RowWrite, TableClient
 from mimosaworks.wire import (
     Ack,
@@ -39,9 +40,11 @@
 
     cluster: Cluster
     address: str = attrs.field(factory=reserve_address)
+    pushes: int = 0
     latest: ReplicaMap = ReplicaMap(0, 0, '')
 
     async def on_map(self, replica_map: ReplicaMap) -> Ack:
+        self.pushes += 1
         key = (replica_map.fence, replica_map.sequence)
         if key >= (self.latest.fence, self.latest.sequence):
             self.latest = replica_map
@@ -59,6 +62,14 @@
         found = (one for one in self.latest.replicas if one.model == model)
         return next(found, None)
 
+    async def wait_pushes(self, number: int) -> None:
+        until = self.pushes + number
+
+        async def are_pushed() -> bool:
+            return self.pushes >= until
+
+        await wait_until(are_pushed)
+
     async def wait_ready(self, model: str, adapter: str = '') -> None:
         async def is_ready() -> bool:
             await self.ask(model, adapter)
@@ -107,6 +118,20 @@
     async def start_placer(self, *flags: str) -> Node:
         return await self.cluster.start_program('placer', *FAST, *flags)
 
+    async def lease(self) -> LeaseRow:
+        rows = await self.table.read([lease_key('main')])
+        row = rows.get(lease_key('main'))
+        if row is None:
+            return LeaseRow('', '', 0, 0)
+        return lease_row_from_json(row.content)
+
+    async def wait_fence(self, fence: int) -> LeaseRow:
+        async def is_reached() -> bool:
+            return (await self.lease()).fence >= fence
+
+        await wait_until(is_reached)
+        return await self.lease()
+
     async def intents(self) -> int:
         rows = await self.table.read([], [intent_prefix('main')])
         return len(rows)
@@ -167,3 +192,114 @@
     await asyncio.gather(*(site.router.ask('m', 'a') for _ in range(20)))
     assert (await site.loads())['m'] == 1
     await site.check_memory()
+
+
+async def start_two(site: Site) -> tuple[Node, Node]:
+    """Start two placers; return the holder and the one that stands by."""
+    first = await site.start_placer()
+    await site.wait_fence(1)
+    return first, await site.start_placer()
+
+
+@pytest.mark.parametrize('flags', [(), ('--checks-fence=False',)])
+async def test_a_holder_paused_over_its_lease_starts_nothing_afterwards(
+    site: Site, flags: tuple[str, ...]
+) -> None:
+    target = await site.add_engine('t1', *flags)
+    await site.configure(target, model('m'), model('n'))
+    first, second = await start_two(site)
+    await site.router.wait_ready('m')
+    first.process.pause()
+    lease = await site.wait_fence(2)
+    assert lease.holder == second.peer_address
+    await site.router.wait_ready('n')
+    first.process.resume()
+    await site.router.wait_ready('m')
+    await site.router.wait_ready('n')
+    orders = (await site.stats('t1'))['orders']
+    fences = [order['fence'] for order in orders]
+    assert fences == sorted(fences)
+    assert (await site.lease()).holder == second.peer_address
+    await site.check_memory()
+
+
+async def test_a_holder_killed_in_the_middle_of_a_load_is_succeeded(
+    site: Site,
+) -> None:
+    slow = ('--remote-load-s=3', '--platform-url=')
+    targets = [await site.add_engine('t1', *slow)]
+    targets.append(await site.add_engine('t2', *slow))
+    await site.configure(*targets, model('m'))
+    first, _ = await start_two(site)
+
+    async def is_ordered() -> bool:
+        await site.router.ask('m')
+        return bool((await site.loads())['m'])
+
+    await wait_until(is_ordered)
+    await first.process.kill()
+    await site.wait_fence(2)
+    await site.router.wait_ready('m')
+    assert (await site.loads())['m'] == 1
+    await site.check_memory()
+
+
+async def test_lost_replies_of_the_table_make_no_second_load(
+    site: Site,
+) -> None:
+    targets = await site.add_engines('t1', 't2')
+    await site.configure(*targets, model('m'), model('n'))
+    await start_two(site)
+    await site.router.wait_ready('m')
+    await site.cluster.control(site.cluster.platform, drop_replies=4)
+    await site.router.wait_ready('n')
+    assert await site.loads() == {'m': 1, 'n': 1}
+    assert (await site.lease()).fence == 1
+    await site.check_memory()
+
+
+async def test_without_the_table_nothing_is_loaded_and_maps_go_on(
+    site: Site,
+) -> None:
+    await site.configure(
+        *await site.add_engines('t1', 't2'), model('m'), model('n')
+    )
+    await site.start_placer('--keep-alive=fixed')
+    await site.router.wait_ready('m')
+    await site.cluster.control(site.cluster.platform, outage=True)
+    await asyncio.sleep(2)  # more than the lease
+    await site.router.ask('n')
+    await site.router.wait_pushes(2)
+    await site.router.wait_ready('m')
+    assert await site.loads() == {'m': 1}
+    await site.cluster.control(site.cluster.platform, outage=False)
+    await site.router.wait_ready('m')
+    assert (await site.lease()).fence == 1
+
+
+async def test_idle_models_are_unloaded_to_make_room_and_all_intents_end(
+    site: Site,
+) -> None:
+    await site.configure(
+        await site.add_engine('t1'), model('m'), model('n'), model('o')
+    )
+    await site.start_placer('--keep-alive=fixed')
+    await site.router.wait_ready('m')
+    await site.router.wait_ready('n')
+    await site.router.wait_ready('o')
+    assert await site.intents() == 2
+    await site.check_memory()
+
+
+async def test_a_planned_stop_hands_the_shard_over_at_once(
+    site: Site,
+) -> None:
+    await site.configure(await site.add_engine('t1'), model('m'))
+    first = await site.start_placer('--lease-s=600')
+    await site.wait_fence(1)
+    await site.start_placer('--lease-s=600')
+    await site.router.wait_ready('m')
+    first.process.terminate()
+    await site.wait_fence(2)
+    await site.router.wait_ready('m')
+    assert (await site.loads())['m'] == 1
