--- a/tests/member_world.py
+++ b/tests/member_world.py
@@ -12,7 +12,6 @@
 from mimosaworks.members.schedule import Schedule
 from mimosaworks.members.table_state import TableState
 from mimosaworks.members.view import view_of
-from mimosaworks.wire import PushAck
 from tests.member_process import MemberProcess, run_plain
 
 TABLE = 'table'
