--- a/tests/harness_entry.py
+++ b/tests/harness_entry.py
@@ -12,7 +12,7 @@
 import attrs
 from yarl import URL
 
-from mimosaworks.configs import ConfigStore
+from mimosaworks.configs import ConfigConflictError, ConfigStore
 from mimosaworks.entities import (
     Adapter,
     Catalogue,
@@ -150,17 +150,29 @@
 
     async def configure(self, *entities: Entity) -> None:
         """Append one version that puts the entities."""
+        await self.change(
+            *(
+                Change(KINDS[type(entity)], entity.name, entity)
+                for entity in entities
+            )
+        )
+
+    async def change(self, *changes: Change) -> None:
+        """Append one version; the routers write versions of their own."""
         cluster = self.cluster
         store = ConfigStore(
             TableClient(cluster.http, cluster.platform.url),
             ObjectClient(cluster.http, cluster.platform.url),
         )
-        known = await store.load(Catalogue())
-        changes = [
-            Change(KINDS[type(entity)], entity.name, entity)
-            for entity in entities
-        ]
-        await store.append(known.version, changes, 'test')
+
+        async def is_appended() -> bool:
+            known = await store.load(Catalogue())
+            with contextlib.suppress(ConfigConflictError):
+                await store.append(known.version, changes, 'test')
+                return True
+            return False
+
+        await wait_until(is_appended)
 
     async def announce(self, engines: Sequence[str]) -> None:
         """Tell the router that these engines hold model and adapter."""
