--- a/mimosaworks/members/publisher.py
+++ b/mimosaworks/members/publisher.py
@@ -33,9 +33,17 @@
             barrier = barrier or await self._open(version)
             if barrier and await self._is_passed(barrier):
                 return True
+            if version == 0 and barrier and self._has_new_voters(barrier):
+                # After a restart of many members the first view still shows
+                # their predecessors, which can't give a majority any more.
+                barrier = None
             await asyncio.sleep(PUSH_EVERY_S)
         return False
 
+    def _has_new_voters(self, barrier: Barrier) -> bool:
+        view = self.core.freshness.view
+        return view.serving_ids() != barrier.view.serving_ids()
+
     async def _open(self, version: int) -> Barrier | None:
         try:
             state = await self.registry.read(self.core.catalogue)
@@ -65,9 +73,10 @@
 
     async def _push(self, barrier: Barrier, member: MemberId) -> None:
         asked_s = self.core.now()
+        push = self.core.push_to(member)
         try:
             ack = await self.peers.call(
-                member.address, self.core.push(), PushAck, PUSH_TIMEOUT_S
+                member.address, push, PushAck, PUSH_TIMEOUT_S
             )
         except PeerRefusedError:
             self.core.freshness.on_refused(
@@ -76,6 +85,5 @@
         except PeerError:
             return
         else:
-            barrier.on_ack(
-                MemberId(member.address, ack.boot_nonce), ack.version, ack.view
-            )
+            answered = self.core.on_ack(member, ack)
+            barrier.on_ack(answered, ack.version, ack.view)
--- a/mimosaworks/placement/policy.py
+++ b/mimosaworks/placement/policy.py
@@ -117,6 +117,7 @@
             checkpoint=model.checkpoint,
             size_bytes=model.size_bytes,
             fence=self.fence,
+            checks_fence=target.checks_fence,
         )
         self.state.ledger.put(intent, self.now)
         runners_up = tuple(other.describe() for other in found[1:4])
@@ -124,6 +125,10 @@
         self._note(DecisionKind.LOAD, intent, reason, runners_up)
 
     def _make_room(self, model: Model) -> None:
+        # Room that is made sooner than it can be loaded into costs warm
+        # models. The models that waited longest come first.
+        if len(self.promised) >= self.state.rules.loads_at_once:
+            return
         plan = plan_eviction(
             self.state, model, self.promised, self.minute, self.now
         )
