--- a/mimosaworks/members/barrier.py
+++ b/mimosaworks/members/barrier.py
@@ -27,22 +27,12 @@
     view: View
     own: MemberId
     confirmed: set[MemberId] = attrs.field(factory=set)
-    _views: dict[MemberId, int] = attrs.field(factory=dict)
 
     def on_ack(self, member: MemberId, version: int, view: int) -> None:
         """Note what a member has in force."""
-        self._views[member] = view
         if version >= self.version and view >= self.view.version:
             self.confirmed.add(member)
 
-    def known_view(self, member: MemberId) -> int:
-        """Return the view version that a member is taken to have.
-
-        A view in which nobody is joining has most likely reached it already.
-        """
-        assumed = 0 if self.view.joining_ids() else self.view.version
-        return self._views.get(member, assumed)
-
     def unconfirmed(self) -> frozenset[MemberId]:
         """Return the other members whose confirmation is missing."""
         members = self.view.serving_ids() | self.view.joining_ids()
--- a/mimosaworks/members/publisher.py
+++ b/mimosaworks/members/publisher.py
@@ -85,5 +85,8 @@
         except PeerError:
             return
         else:
+            self.core.freshness.evidence.on_answer(
+                asked_s, self.core.now(), member, ack.boot_nonce
+            )
             answered = self.core.on_ack(member, ack)
             barrier.on_ack(answered, ack.version, ack.view)
--- a/tests/member_world.py
+++ b/tests/member_world.py
@@ -12,7 +12,6 @@
 from mimosaworks.members.schedule import Schedule
 from mimosaworks.members.table_state import TableState
 from mimosaworks.members.view import view_of
-from mimosaworks.wire import PushAck
 from tests.member_process import MemberProcess, run_plain
 
 TABLE = 'table'
@@ -304,12 +303,16 @@
     def _push(
         self, proc: MemberProcess, barrier: Barrier, peer: MemberId
     ) -> None:
+        asked_s = proc.now_s()
         pushed = proc.core.push_to(peer)
 
         def arrive(listener: MemberProcess) -> None:
             ack = run_plain(listener.core.on_push(pushed))
 
             def confirm() -> None:
+                proc.freshness.evidence.on_answer(
+                    asked_s, proc.now_s(), peer, ack.boot_nonce
+                )
                 answered = proc.core.on_ack(peer, ack)
                 barrier.on_ack(answered, ack.version, ack.view)
 
