--- a/mimosaworks/placement/adapter_policy.py
+++ b/mimosaworks/placement/adapter_policy.py
@@ -56,7 +56,7 @@
     free = {host.target: _free(state, host) for host in hosts}
     best = max(hosts, key=lambda host: free[host.target])
     if free[best.target] < adapter.size_bytes:
-        return _make_room(state, best, adapter.size_bytes)
+        return _make_room(state, best, adapter.size_bytes, now)
     intent = _intent(adapter, best, fence, order_id)
     state.ledger.put(intent, now)
     others = tuple(f'{target}/{size}' for target, size in free.items())
@@ -102,7 +102,7 @@
 
 
 def _make_room(
-    state: ShardState, host: Intent, size_bytes: int
+    state: ShardState, host: Intent, size_bytes: int, now: float
 ) -> Decision | None:
     on_target = state.ledger.on_target(host.target)
     leaving = sum(
@@ -116,7 +116,7 @@
     if not idle:
         return None
     victim = min(idle, key=lambda intent: _last_use(state, intent))
-    state.ledger.pending[victim.order_id] = unloading(victim)
+    state.ledger.put(unloading(victim), now)
     return Decision(
         DecisionKind.UNLOAD,
         victim.model,
--- a/mimosaworks/placement/choice.py
+++ b/mimosaworks/placement/choice.py
@@ -53,6 +53,7 @@
         target
         for target in state.engines(model.pool)
         if state.is_reachable(target.name, now)
+        and not state.is_leaving(target.url)
         and find(target.name, model.name) is None
     ]
 
--- a/mimosaworks/placement/evidence.py
+++ b/mimosaworks/placement/evidence.py
@@ -58,7 +58,7 @@
         return False
     track = ledger.tracks[intent.order_id]
     span_s = quarantine_s * (1 + DRIFT)
-    if view.asked_s < track.load_sent_s + span_s:
+    if not is_settled(track, quarantine_s, view.asked_s):
         return False
     is_unload_known = track.unload_id in view.report.orders
     is_guarded = is_unload_known or is_load_known(ledger, intent)
@@ -67,6 +67,11 @@
     return is_unload_known or view.asked_s >= track.unload_sent_s + span_s
 
 
+def is_settled(track: Track, quarantine_s: float, now: float) -> bool:
+    """Whether no load order can be on its way any more."""
+    return now >= track.load_sent_s + quarantine_s * (1 + DRIFT)
+
+
 def is_load_known(ledger: Ledger, intent: Intent) -> bool:
     """Whether the target has the load order, so that a copy has no effect."""
     return _order_report(ledger, intent) is not None
--- a/mimosaworks/placement/ledger.py
+++ b/mimosaworks/placement/ledger.py
@@ -5,6 +5,7 @@
 import attrs
 
 from mimosaworks.placement.intent import Intent
+from mimosaworks.placement.intent_index import IntentIndex, index_intents
 from mimosaworks.placement.target_view import TargetView
 from mimosaworks.placement.track import Track, adopted_track
 
@@ -25,26 +26,30 @@
     pending: Changes = attrs.field(factory=dict)
     tracks: dict[str, Track] = attrs.field(factory=dict)
     views: dict[str, TargetView] = attrs.field(factory=dict)
+    _index: IntentIndex | None = None
+    _taken: dict[str, int] = attrs.field(factory=dict)
 
-    def intents(self) -> dict[str, Intent]:
+    def index(self) -> IntentIndex:
         """Return the newest state of each intent that still reserves."""
-        merged = dict(self.rows)
-        for changes in (self.sent, self.pending):
-            puts = changes.items()
-            merged.update({
-                order_id: intent
-                for order_id, intent in puts
-                if intent is not None
-            })
-        return merged
+        if self._index is None:
+            merged = dict(self.rows)
+            for changes in (self.sent, self.pending):
+                puts = changes.items()
+                merged.update({key: put for key, put in puts if put})
+            self._index = index_intents(merged)
+        return self._index
+
+    def intents(self) -> Mapping[str, Intent]:
+        """Return the intents by order id."""
+        return self.index().intents
 
     def on_target(self, target: str) -> list[Intent]:
         """Return the intents for one target."""
-        return [
-            intent
-            for intent in self.intents().values()
-            if intent.target == target
-        ]
+        return self.index().by_target.get(target, [])
+
+    def replicas(self, model: str) -> list[Intent]:
+        """Return the intents for a model, without those for adapters."""
+        return self.index().by_model.get(model, [])
 
     def find(self, target: str, model: str, adapter: str = '') -> Intent | None:
         """Return the intent for a model or adapter on a target."""
@@ -58,6 +63,7 @@
 
     def adopt(self, rows: Mapping[str, Intent], now: float) -> None:
         """Start over with the rows that earlier holders left."""
+        self._forget_sums()
         self.rows = dict(rows)
         self.sent = {}
         self.pending = {}
@@ -65,6 +71,7 @@
 
     def put(self, intent: Intent, now: float) -> None:
         """Add or change an intent; it takes effect with the next batch."""
+        self._forget_sums()
         self.pending[intent.order_id] = intent
         self.tracks.setdefault(intent.order_id, Track(now))
 
@@ -80,6 +87,7 @@
 
     def committed(self) -> None:
         """Take in that the sent changes are in the table."""
+        self._forget_sums()
         for order_id, intent in self.sent.items():
             if intent is None:
                 self.rows.pop(order_id, None)
@@ -101,13 +109,16 @@
 
         What a target loaded without an intent counts too.
         """
-        intents = self.on_target(target)
-        strays = self.strays(target, intents)
-        reserved = sum(intent.size_bytes for intent in intents)
-        unasked = sum(size for _, _, size in strays)
-        view = self.views.get(target)
-        used = 0 if view is None else view.report.used_bytes
-        return max(reserved + unasked, used)
+        if target not in self._taken:
+            self._taken[target] = self._sum_taken(target)
+        return self._taken[target]
+
+    def see(self, target: str, view: TargetView) -> None:
+        """Take in a report, unless a newer one is known."""
+        known = self.views.get(target)
+        if known is None or known.asked_s <= view.asked_s:
+            self.views[target] = view
+            self._taken.pop(target, None)
 
     def strays(
         self, target: str, intents: list[Intent]
@@ -122,3 +133,16 @@
         loaded = [(name, False, held.size_bytes) for name, held in models]
         loaded += [(name, True, held.size_bytes) for name, held in adapters]
         return [stray for stray in loaded if stray[:2] not in known]
+
+    def _sum_taken(self, target: str) -> int:
+        intents = self.on_target(target)
+        strays = self.strays(target, intents)
+        reserved = sum(intent.size_bytes for intent in intents)
+        unasked = sum(size for _, _, size in strays)
+        view = self.views.get(target)
+        used = 0 if view is None else view.report.used_bytes
+        return max(reserved + unasked, used)
+
+    def _forget_sums(self) -> None:
+        self._index = None
+        self._taken = {}
--- a/mimosaworks/placement/policy.py
+++ b/mimosaworks/placement/policy.py
@@ -20,7 +20,7 @@
 from mimosaworks.placement.intent import Intent, IntentState
 from mimosaworks.placement.keep_alive import keep_alive_s
 from mimosaworks.placement.shard_state import ShardState
-from mimosaworks.placement.wants import wanted_replicas
+from mimosaworks.placement.wants import unwanted_reason, wanted_replicas
 
 COLD_START_S = 10.0
 
@@ -68,22 +68,23 @@
     def _keep_draining(self, model: Model, missing: int) -> int:
         kept = 0
         ledger = self.state.ledger
-        for intent in ledger.intents().values():
+        for intent in ledger.replicas(model.name):
             if kept >= missing:
                 break
-            if self._can_keep(intent, model):
+            if self._can_keep(intent):
                 track_of(ledger, intent).cancel_drain()
                 self._note(DecisionKind.KEEP, intent, 'wanted again')
                 kept += 1
         return kept
 
-    def _can_keep(self, intent: Intent, model: Model) -> bool:
-        if intent.adapter or intent.model != model.name:
+    def _can_keep(self, intent: Intent) -> bool:
+        if unwanted_reason(self.state, intent):
             return False
-        if intent.target not in self.state.catalogue.target:
+        track = track_of(self.state.ledger, intent)
+        # A starved model keeps its claim, or a busy one would never go.
+        if self.state.demand.waiting(track.room_for):
             return False
-        is_loaded = intent.state is IntentState.LOAD
-        return is_loaded and track_of(self.state.ledger, intent).is_draining
+        return intent.state is IntentState.LOAD and track.is_draining
 
     def _place(self, model: Model) -> bool:
         found = candidates(self.state, model, self.promised, self.now)
@@ -131,7 +132,7 @@
         if plan is None:
             return
         for intent in plan.victims:
-            self._drain(intent, f'room for {model.name}')
+            self._drain(intent, f'room for {model.name}', model.name)
         self._promise(plan.target, model)
 
     def _promise(self, target: str, model: Model) -> None:
@@ -152,8 +153,9 @@
         if self.now - max(since, last_use) > keep_s:
             self._drain(ready[-1], f'idle for {keep_s:.1f} s')
 
-    def _drain(self, intent: Intent, reason: str) -> None:
-        track_of(self.state.ledger, intent).start_drain(self.now)
+    def _drain(self, intent: Intent, reason: str, room_for: str = '') -> None:
+        track = track_of(self.state.ledger, intent)
+        track.start_drain(self.now, room_for)
         self._note(DecisionKind.DRAIN, intent, reason)
 
     def _note(
--- a/mimosaworks/placement/service.py
+++ b/mimosaworks/placement/service.py
@@ -20,6 +20,7 @@
 from mimosaworks.placement.shard_placer import ShardPlacer
 from mimosaworks.placement.shard_writer import ShardWriter
 from mimosaworks.placement.target_poller import TargetPoller
+from mimosaworks.placement.vm_watch import VmWatch
 from mimosaworks.serving import start_task
 from mimosaworks.wire import Ack, Demand
 
@@ -38,6 +39,7 @@
     sender: OrderSender
     poller: TargetPoller
     pusher: MapPusher
+    vms: VmWatch
     wake: asyncio.Event
     metrics: MetricsClient
     was_holder: bool = False
@@ -49,9 +51,9 @@
     async def __aenter__(self) -> Self:
         """Start the tasks."""
         self.stack.push_async_callback(self.writer.release)
-        jobs = (self._run(), self.poller.run(), self.pusher.run())
-        for job in (*jobs, self._measure()):
-            start_task(job, self.stack)
+        jobs = (self._run, self._measure, self.poller.run, self.pusher.run)
+        for job in (*jobs, self.vms.run):
+            start_task(job(), self.stack)
         return self
 
     async def __aexit__(self, *_exc: Any) -> None:
--- a/mimosaworks/placement/shard_placer.py
+++ b/mimosaworks/placement/shard_placer.py
@@ -49,9 +49,7 @@
 
     def on_report(self, target: str, report: Report, asked_s: float) -> None:
         """Take in a target's report, asked for at asked_s."""
-        known = self.state.ledger.views.get(target)
-        if known is None or known.asked_s <= asked_s:
-            self.state.ledger.views[target] = TargetView(report, asked_s)
+        self.state.ledger.see(target, TargetView(report, asked_s))
 
     def on_rows(self, rows: Mapping[str, Row], now: float) -> None:
         """Take in one consistent read of the lease and the intents."""
--- a/mimosaworks/placement/shard_state.py
+++ b/mimosaworks/placement/shard_state.py
@@ -1,5 +1,8 @@
 """All that a shard's holder decides from."""
 
+import functools
+from urllib.parse import urlsplit
+
 import attrs
 
 from mimosaworks.entities import Catalogue, Target
@@ -17,6 +20,14 @@
 
 REPORT_TTL_S = 3.0
 ENGINE = 'engine'
+VM_LEAVING = 'leaving'
+VM_GONE = 'gone'
+
+
+@functools.cache
+def _vm_names(url: str) -> tuple[str, str]:
+    parts = urlsplit(url)
+    return parts.netloc, parts.hostname or ''
 
 
 @attrs.define
@@ -24,7 +35,8 @@
     """The configuration, intents, reports and demand of one shard.
 
     surplus_since maps a model to when it began to have
-    more replicas than wanted.
+    more replicas than wanted. vm_states maps IP numbers, or IP numbers and
+    ports, to the platform's state of the VM.
     """
 
     rules: PlacementRules
@@ -33,11 +45,21 @@
     ledger: Ledger = attrs.field(factory=Ledger)
     demand: DemandBook = attrs.field(factory=DemandBook)
     surplus_since: dict[str, float] = attrs.field(factory=dict)
+    vm_states: dict[str, str] = attrs.field(factory=dict)
 
     def on_catalogue(self, catalogue: Catalogue) -> None:
         """Take in a version of the configuration."""
         self.catalogue = catalogue
 
+    def vm_state(self, url: str) -> str:
+        """Return the state of the VM at a base URL; empty if not listed."""
+        netloc, host = _vm_names(url)
+        return self.vm_states.get(netloc) or self.vm_states.get(host, '')
+
+    def is_leaving(self, url: str) -> bool:
+        """Whether the VM at a base URL is to get no new work."""
+        return self.vm_state(url) in {VM_LEAVING, VM_GONE}
+
     def engines(self, pool: str) -> list[Target]:
         """Return the configured engines of a pool."""
         return [
@@ -55,10 +77,8 @@
         """Return a model's replicas that are or will be of use."""
         return [
             intent
-            for intent in self.ledger.intents().values()
-            if intent.model == model
-            and not intent.adapter
-            and self.is_live(intent, now)
+            for intent in self.ledger.replicas(model)
+            if self.is_live(intent, now)
         ]
 
     def is_live(self, intent: Intent, now: float) -> bool:
@@ -67,6 +87,8 @@
             return False
         if track_of(self.ledger, intent).is_draining:
             return False
+        if self.is_leaving(intent.url):
+            return False
         is_over = is_ended(self.ledger, intent)
         return not is_over and self.is_reachable(intent.target, now)
 
@@ -91,10 +113,9 @@
     def running(self, model: str) -> int:
         """Return the requests running on a model, by reports or routers."""
         reported = 0
-        for intent in self.ledger.intents().values():
-            if intent.model == model and not intent.adapter:
-                held = held_state(self.ledger, intent)
-                reported += 0 if held is None else held.running
+        for intent in self.ledger.replicas(model):
+            held = held_state(self.ledger, intent)
+            reported += 0 if held is None else held.running
         return max(reported, self.demand.running(model))
 
     def free_bytes(self, target: Target) -> int:
--- a/mimosaworks/placement/target_poller.py
+++ b/mimosaworks/placement/target_poller.py
@@ -20,7 +20,7 @@
 class TargetPoller:
     """Asks each target, more often while an order to it is unresolved.
 
-    on_report is called after each report was taken in.
+    on_report is called after each report on an unresolved order.
     """
 
     reader: ReportReader
@@ -90,5 +90,7 @@
         report = await self.reader.read(url)
         self.polled.discard(target)
         if report is not None and self.placer.is_holder:
+            is_awaited = self._is_busy(target)
             self.placer.on_report(target, report, asked_s)
-            self.on_report()
+            if is_awaited:
+                self.on_report()
--- a/mimosaworks/placement/wants.py
+++ b/mimosaworks/placement/wants.py
@@ -1,6 +1,7 @@
 """How many replicas each model should have."""
 
 from mimosaworks.entities import Model
+from mimosaworks.placement.intent import Intent
 from mimosaworks.placement.shard_state import ShardState
 
 
@@ -16,6 +17,19 @@
     return max(scheduled, min(for_demand, model.replicas_max))
 
 
+def unwanted_reason(state: ShardState, intent: Intent) -> str:
+    """Return why a replica has to go whatever the demand; empty if not."""
+    model = state.catalogue.model.get(intent.model)
+    target = state.catalogue.target.get(intent.target)
+    if model is None or target is None:
+        return 'no longer configured'
+    if state.is_leaving(intent.url):
+        return 'its VM is leaving'
+    if model.checkpoint != intent.checkpoint or model.pool != target.pool:
+        return 'configured otherwise'
+    return ''
+
+
 def is_scheduled(model: Model, minute: int) -> bool:
     """Whether the model's schedule holds it ready at this minute.
 
--- a/mimosaworks/placement/wiring.py
+++ b/mimosaworks/placement/wiring.py
@@ -23,7 +23,8 @@
 from mimosaworks.placement.shard_state import ShardState
 from mimosaworks.placement.shard_writer import ShardWriter
 from mimosaworks.placement.target_poller import TargetPoller
-from mimosaworks.platform import ObjectClient, TableClient
+from mimosaworks.placement.vm_watch import VmWatch
+from mimosaworks.platform import ObjectClient, TableClient, VmListClient
 from mimosaworks.serving import serve_app, start_task, stop_event
 from mimosaworks.wire import Demand, PeerClient, add_peer_handler, new_peer_app
 
@@ -110,6 +111,7 @@
         sender=OrderSender(session, placer.may_send),
         poller=TargetPoller(ReportReader(session), placer, wake.set),
         pusher=MapPusher(PeerClient(session), placer, routers),
+        vms=VmWatch(VmListClient(session, cfg.platform_url), placer.state),
         wake=wake,
         metrics=metrics,
     )
--- a/tests/test_placement_processes.py
+++ b/tests/test_placement_processes.py
@@ -303,3 +303,39 @@
     await site.wait_fence(2)
     await site.router.wait_ready('m')
     assert (await site.loads())['m'] == 1
+
+
+async def test_replicas_move_off_a_leaving_vm_and_a_gone_one_is_forgotten(
+    site: Site,
+) -> None:
+    targets = await site.add_engines('t1', 't2')
+    await site.configure(*targets, model('m'))
+    await site.start_placer('--keep-alive=fixed')
+    await site.router.wait_ready('m')
+    old = site.router.entry('m')
+    assert old is not None
+    address = site.engines[old.target].address
+    vm = {'address': address, 'data_centre': 'dc1', 'state': 'leaving'}
+    await site.cluster.control(site.cluster.platform, vms=[vm], vms_lag_s=0)
+
+    async def is_moved() -> bool:
+        await site.router.ask('m')
+        entry = site.router.entry('m')
+        is_ready = entry is not None and entry.state == 'ready'
+        return is_ready and entry != old and await site.intents() == 1
+
+    await wait_until(is_moved)
+    new = site.router.entry('m')
+    assert new is not None
+    node = site.engines.pop(new.target)
+    await node.process.kill()
+    vm = {'address': node.address, 'data_centre': 'dc1', 'state': 'gone'}
+    await site.cluster.control(site.cluster.platform, vms=[vm], vms_lag_s=0)
+
+    async def is_forgotten() -> bool:
+        await site.router.ask('m')
+        entry = site.router.entry('m')
+        return entry == old and await site.intents() == 1
+
+    await wait_until(is_forgotten)
+    await site.check_memory()
