--- a/tests/placement_world.py
+++ b/tests/placement_world.py
@@ -296,8 +296,9 @@
         if proc.placer.is_holder:
             for target in self.targets.values():
                 self._poll(proc, target)
-        self._at(0, lambda: None)
         self._deliver()
+        if self._chance(0.05):
+            self.crash(proc)
 
     def _call_table(self, proc: Proc) -> None:
         if proc.is_calling and proc.call_until_s > self.now_s:
--- a/tests/test_placement_policy.py
+++ b/tests/test_placement_policy.py
@@ -7,6 +7,8 @@
 from mimosaworks.placement import (
     Decision,
     DecisionKind,
+    Intent,
+    IntentState,
     KeepAliveRules,
     LoadBudget,
     MapMaker,
@@ -18,7 +20,11 @@
     keep_alive_s,
 )
 from mimosaworks.placement.keep_alive import ArrivalHistogram
-from mimosaworks.placement.report import CachedCheckpoints, LoadedState
+from mimosaworks.placement.report import (
+    CachedCheckpoints,
+    LoadedState,
+    OrderReport,
+)
 from mimosaworks.platform import Row
 from mimosaworks.wire import Demand, ModelDemand
 
@@ -286,3 +292,35 @@
     other.observe(first.released_row(), 2, 105)
     assert other.may_claim(105)
     assert other.next_row().fence == 2
+
+
+def test_a_checking_target_learns_the_number_before_a_reservation_ends() -> (
+    None
+):
+    intent = Intent(
+        's-1-1',
+        IntentState.UNLOAD,
+        'm',
+        '',
+        't1',
+        'http://t',
+        'm.ckpt',
+        10,
+        1,
+        checks_fence=True,
+    )
+    bench = Bench(rules(), [model('m')])
+    ledger = bench.placer.state.ledger
+    ledger.adopt({intent.order_id: intent}, bench.now)
+    bench.step(10)
+    bench.step(10)
+    assert not bench.where('m')
+    assert intent.order_id in ledger.rows
+    order = ledger.tracks[intent.order_id].unload_id
+    seen = {order: OrderReport('done')}
+    bench.now += 1
+    report = Report(0, bench.memory, orders=seen)
+    bench.placer.on_report('t1', report, bench.now)
+    bench.placer.decide(bench.now, NOON)
+    bench.commit()
+    assert not ledger.rows
