--- a/mimosaworks/limits/holder.py
+++ b/mimosaworks/limits/holder.py
@@ -16,7 +16,7 @@
     TokenGrant,
 )
 
-REPORT_PART = 0.125  # of a share's cap; smaller deviations are not reported
+REPORT_PART = 0.25  # of a share's cap; smaller deviations are not reported
 DEBT_PARTS = 4  # a reported debt is at most so many caps
 
 
@@ -42,7 +42,6 @@
         self, epoch: int, addresses: Collection[str], now: float
     ) -> None:
         """Learn the holder set of an epoch; shares shrink at once."""
-        self.book.tick(now)
         if self.book.learn_holders(epoch, addresses):
             self.balances.replace_peers(set(addresses) - {self.address})
         self.book.tick(now)
--- a/mimosaworks/placement/report.py
+++ b/mimosaworks/placement/report.py
@@ -1,5 +1,6 @@
 """An engine's report as placement reads it."""
 
+import functools
 from collections.abc import Mapping
 from typing import Any
 
@@ -62,7 +63,9 @@
         raise ValueError(f'not a report: {exc!r}') from exc
 
 
+@functools.cache
 def _converter() -> cattrs.Converter:
+    # Made once: a converter compiles a function for each type that it meets.
     converter = cattrs.Converter()
     converter.register_structure_hook(str | int, lambda raw, _: raw)
     converter.register_structure_hook(
