relay: a router without a configuration yet answers config_stale, not 404

Cause: the route was looked up before freshness, and a router that has just started knows no route; callers were told 404 unknown_route for a route that was configured all the time. Change: an unknown route is told only by a router that is fresh. Measured: the new test failed before (404 instead of 503) and passes now, with the rest of tests/test_answers_refusals.py (4 passed).

--- a/mimosaworks/relay/frontend.py
+++ b/mimosaworks/relay/frontend.py
@@ -92,7 +92,7 @@
     async def _serve(
         self, req: web.Request, request_id: str
     ) -> web.StreamResponse:
-        route = find_route(self.view.catalogue, req.path)
+        route = self._find_route(req)
         workspace = self._admit(req, route)
         deadline = read_deadline(req.headers, route, now_s())
         body = await read_body(req, self.max_body_bytes, self.body_timeout_s)
@@ -124,13 +124,25 @@
             exchange.run,
         )
 
-    def _admit(self, req: web.Request, route: Route) -> Workspace | None:
-        if route.is_open:
-            return None
+    def _find_route(self, req: web.Request) -> Route:
+        try:
+            return find_route(self.view.catalogue, req.path)
+        except RequestError as exc:
+            # A router that has just started knows no route at all.
+            if exc.kind is ErrorKind.UNKNOWN_ROUTE:
+                self._require_fresh()
+            raise
+
+    def _require_fresh(self) -> None:
         if not self.view.is_fresh():
             raise RequestError(
                 ErrorKind.CONFIG_STALE, 'configuration may be out of date'
             )
+
+    def _admit(self, req: web.Request, route: Route) -> Workspace | None:
+        if route.is_open:
+            return None
+        self._require_fresh()
         secret = find_credentials(req.headers, req.query).secret
         workspace = self.keys.workspace_of(self.view.catalogue, secret)
         check_route_access(route, workspace)
@@ -139,7 +151,7 @@
     def _check_again(self, req: web.Request, ticket: Ticket) -> None:
         # Runs right before the first byte leaves: the process may have been
         # paused, or the key withdrawn, while the request waited.
-        route = find_route(self.view.catalogue, req.path)
+        route = self._find_route(req)
         self._admit(req, route)
         if ticket.deadline.has_passed(now_s()):
             raise RequestError(
--- a/tests/test_answers_refusals.py
+++ b/tests/test_answers_refusals.py
@@ -6,7 +6,7 @@
 from http import HTTPStatus
 from typing import Any
 
-from tests.harness import in_turn
+from tests.harness import Cluster, in_turn
 from tests.harness_entry import BEARER, CHAT, PLOTS, Answer, Entry, chat
 
 TOO_LARGE = b'x' * 100_001
@@ -97,3 +97,13 @@
     statuses = await in_turn(_send_raw(entry, raw) for raw in BROKEN_HTTP)
     assert all(b' 400 ' in status for status in statuses)
     assert not entry.runs()
+
+
+async def test_a_router_that_knows_no_configuration_yet_says_so(
+    cluster: Cluster,
+) -> None:
+    await cluster.control(cluster.platform, outage=True)
+    router = await cluster.start_program('router')
+    async with cluster.http.post(router.url + PLOTS) as resp:
+        answer = Answer(resp.status, resp.headers, await resp.read())
+    _require(answer, 503, 'config_stale')
