--- a/mimosaworks/placement/wiring.py
+++ b/mimosaworks/placement/wiring.py
@@ -6,9 +6,13 @@
 
 from aiohttp import ClientSession, web
 
-from mimosaworks.admin.removal import fail_when_removed
 from mimosaworks.events import Event, log_event, start_logging
-from mimosaworks.members import Member, MemberRole, MemberService
+from mimosaworks.members import (
+    Member,
+    MemberRole,
+    MemberService,
+    fail_when_removed,
+)
 from mimosaworks.metrics import MetricsClient, open_metrics
 from mimosaworks.placement.budget import LoadBudget
 from mimosaworks.placement.debug import add_debug_handler
