--- a/mimosaworks/router/program.py
+++ b/mimosaworks/router/program.py
@@ -151,14 +151,17 @@
     _handle_replica_maps(peer_app, dispatcher.targets.replicas)
     members.subscribe(tokens.set_grants)
     members.subscribe(lambda _catalogue: dispatcher.targets.replicas.notify())
+    store = ConfigStore(table, snapshots)
+    holders = HolderSync(members, store, tokens, dispatcher.rng)
+    # Each applied set is passed on: a holder that misses an epoch has no
+    # tokens until the next one is confirmed.
+    members.subscribe(lambda _catalogue: holders.apply())
     return Router(
         members=members,
         tokens=tokens,
         dispatcher=dispatcher,
         leaving=leaving,
-        holders=HolderSync(
-            members, ConfigStore(table, snapshots), tokens, dispatcher.rng
-        ),
+        holders=holders,
         sender=DemandSender(cfg.peer_address, dispatcher, peers),
         crashes=_new_crash_watch(session, peers, peer_app, dispatcher, members),
         claimed=ClaimedRuns(_new_claim_book(table, members)),
