platform: one set of clients for every composition root; the placer's members know the VM list

Cause: three roots built the clients each for itself, and the placer left the VM list out, so that a vanished VM held each acceptance for 3 s there. Measured: members, admin, placement, streams and demo tests pass.

--- a/mimosaworks/admin/process.py
+++ b/mimosaworks/admin/process.py
@@ -16,7 +16,7 @@
 from mimosaworks.members import Member, MemberRole, MemberService
 from mimosaworks.members.removal import fail_when_removed
 from mimosaworks.metrics import MetricsClient, open_metrics
-from mimosaworks.platform import ObjectClient, TableClient, VmListClient
+from mimosaworks.platform import platform_clients
 from mimosaworks.serving import serve_app, start_task, stop_event
 from mimosaworks.wire import PeerClient, new_peer_app
 
@@ -62,8 +62,7 @@
     stack: contextlib.AsyncExitStack,
 ) -> AdminService:
     session = await stack.enter_async_context(ClientSession())
-    table = TableClient(session, cfg.platform_url)
-    object_client = ObjectClient(session, cfg.platform_url)
+    platform = platform_clients(session, cfg.platform_url)
     peer_app = new_peer_app()
     own = Member(
         address=cfg.peer_address,
@@ -71,19 +70,12 @@
         role=MemberRole.ADMIN,
         data_centre=cfg.data_centre,
     )
-    members = MemberService(
-        table,
-        object_client,
-        PeerClient(session),
-        peer_app,
-        own,
-        VmListClient(session, cfg.platform_url),
-    )
+    members = MemberService(platform, PeerClient(session), peer_app, own)
     await serve_app(peer_app, cfg.peer_address, stack)
     await stack.enter_async_context(members)
     return AdminService(
-        ConfigStore(table, object_client),
+        ConfigStore(platform.table, platform.snapshots),
         members,
-        member_reader(table),
+        member_reader(platform.table),
         metrics,
     )
--- a/mimosaworks/members/registrar.py
+++ b/mimosaworks/members/registrar.py
@@ -30,7 +30,7 @@
     registry: Registry
     publisher: Publisher
     poller: Poller
-    vms: VmListClient | None
+    vms: VmListClient
     _heartbeats: dict[MemberId, int] = attrs.field(factory=dict)
 
     async def run(self) -> None:
@@ -108,8 +108,6 @@
         return previous == member.heartbeat and not is_own
 
     async def _note_gone(self, members: list[Member]) -> None:
-        if self.vms is None:
-            return
         states = await self.vms.states()
         now_s = self.core.now()
         for member in members:
--- a/mimosaworks/members/service.py
+++ b/mimosaworks/members/service.py
@@ -21,7 +21,7 @@
 from mimosaworks.members.registry import Registry
 from mimosaworks.members.role import MemberRole
 from mimosaworks.members.state import MemberState
-from mimosaworks.platform import ObjectClient, TableClient, VmListClient
+from mimosaworks.platform import PlatformClients
 from mimosaworks.wire import (
     FreshAsk,
     PeerClient,
@@ -44,20 +44,19 @@
 
     def __init__(
         self,
-        table: TableClient,
-        object_client: ObjectClient,
+        platform: PlatformClients,
         peers: PeerClient,
         peer_app: web.Application,
         own: Member,
-        vms: VmListClient | None = None,
     ) -> None:
         core = MemberCore(Freshness(own), now_s)
-        registry = Registry(table, ConfigStore(table, object_client), now_s)
+        store = ConfigStore(platform.table, platform.snapshots)
+        registry = Registry(platform.table, store, now_s)
         self._core = core
         self._publisher = Publisher(core, registry, peers)
         self._poller = Poller(core, registry, peers)
         self._registrar = Registrar(
-            core, registry, self._publisher, self._poller, vms
+            core, registry, self._publisher, self._poller, platform.vm_list
         )
         self._stack = contextlib.AsyncExitStack()
         add_peer_handler(peer_app, FreshAsk, core.on_ask)
--- a/mimosaworks/placement/wiring.py
+++ b/mimosaworks/placement/wiring.py
@@ -24,7 +24,7 @@
 from mimosaworks.placement.shard_writer import ShardWriter
 from mimosaworks.placement.target_poller import TargetPoller
 from mimosaworks.placement.vm_watch import VmWatch
-from mimosaworks.platform import ObjectClient, TableClient, VmListClient
+from mimosaworks.platform import TableClient, VmListClient, platform_clients
 from mimosaworks.serving import serve_app, start_task, stop_event
 from mimosaworks.wire import Demand, PeerClient, add_peer_handler, new_peer_app
 
@@ -72,13 +72,8 @@
         role=MemberRole.PLACER,
         data_centre=cfg.data_centre,
     )
-    return MemberService(
-        TableClient(session, cfg.platform_url),
-        ObjectClient(session, cfg.platform_url),
-        PeerClient(session),
-        app,
-        own,
-    )
+    platform = platform_clients(session, cfg.platform_url)
+    return MemberService(platform, PeerClient(session), app, own)
 
 
 def _make_placer(cfg: PlacerSettings) -> ShardPlacer:
--- a/mimosaworks/platform/__init__.py
+++ b/mimosaworks/platform/__init__.py
@@ -1,5 +1,6 @@
 """Clients of the platform's services."""
 
+from mimosaworks.platform.clients import PlatformClients, platform_clients
 from mimosaworks.platform.group_commit import GroupCommit
 from mimosaworks.platform.objects import ObjectClient
 from mimosaworks.platform.row import Row, RowAssert, RowWrite
@@ -9,9 +10,11 @@
 __all__ = [
     'GroupCommit',
     'ObjectClient',
+    'PlatformClients',
     'Row',
     'RowAssert',
     'RowWrite',
     'TableClient',
     'VmListClient',
+    'platform_clients',
 ]
--- a/mimosaworks/router/program.py
+++ b/mimosaworks/router/program.py
@@ -22,9 +22,8 @@
 from mimosaworks.metrics import MetricsClient, open_metrics
 from mimosaworks.platform import (
     GroupCommit,
-    ObjectClient,
     TableClient,
-    VmListClient,
+    platform_clients,
 )
 from mimosaworks.relay import (
     ClaimBook,
@@ -133,25 +132,23 @@
     metrics: MetricsClient,
 ) -> Router:
     peers = PeerClient(session)
-    table = TableClient(session, cfg.platform_url)
-    snapshots = ObjectClient(session, cfg.platform_url)
+    platform = platform_clients(session, cfg.platform_url)
     own = Member(
         address=cfg.peer_address,
         http_address=cfg.http_address,
         role=MemberRole.ROUTER,
         data_centre=cfg.data_centre,
     )
-    vm_list = VmListClient(session, cfg.platform_url)
-    members = MemberService(table, snapshots, peers, peer_app, own, vm_list)
+    members = MemberService(platform, peers, peer_app, own)
     tokens = TokenService(peers, cfg.peer_address)
     tokens.add_handlers(peer_app)
-    leaving = LeavingTargets(vm_list)
+    leaving = LeavingTargets(platform.vm_list)
     pool = _new_target_pool(cfg, members, leaving)
     dispatcher = Dispatcher(pool, tokens, random.SystemRandom(), metrics)
     _handle_replica_maps(peer_app, dispatcher.targets.replicas)
     members.subscribe(tokens.set_grants)
     members.subscribe(lambda _catalogue: dispatcher.targets.replicas.notify())
-    store = ConfigStore(table, snapshots)
+    store = ConfigStore(platform.table, platform.snapshots)
     holders = HolderSync(members, store, tokens, dispatcher.rng)
     # Each applied set is passed on: a holder that misses an epoch has no
     # tokens until the next one is confirmed.
@@ -164,7 +161,7 @@
         holders=holders,
         sender=DemandSender(cfg.peer_address, dispatcher, peers),
         crashes=_new_crash_watch(session, peers, peer_app, dispatcher, members),
-        claimed=ClaimedRuns(_new_claim_book(table, members)),
+        claimed=ClaimedRuns(_new_claim_book(platform.table, members)),
     )
 
 
--- a/tests/member_node.py
+++ b/tests/member_node.py
@@ -8,7 +8,7 @@
 
 from mimosaworks.configs import ConfigStore
 from mimosaworks.members import Member, MemberRole, MemberService
-from mimosaworks.platform import ObjectClient, TableClient
+from mimosaworks.platform import platform_clients
 from mimosaworks.wire import PeerClient, new_peer_app
 from standins.addresses import reserve_address
 from standins.serving import split_address
@@ -30,15 +30,17 @@
     address = address or reserve_address()
     async with contextlib.AsyncExitStack() as stack:
         session = await stack.enter_async_context(ClientSession())
-        table = TableClient(session, platform_url, timeout_s=1.0)
-        objects = ObjectClient(session, platform_url)
+        platform = platform_clients(session, platform_url)
+        platform.table.timeout_s = 1.0
         app = new_peer_app()
         own = Member(address, address, role, 'dc1')
-        service = MemberService(table, objects, PeerClient(session), app, own)
+        service = MemberService(platform, PeerClient(session), app, own)
         runner = web.AppRunner(app, access_log=None)
         await runner.setup()
         stack.push_async_callback(runner.cleanup)
         host, port = split_address(address)
         await web.TCPSite(runner, host, port).start()
         await stack.enter_async_context(service)
-        yield MemberNode(service, ConfigStore(table, objects))
+        yield MemberNode(
+            service, ConfigStore(platform.table, platform.snapshots)
+        )
