--- a/bench/chaos_oracle.py
+++ b/bench/chaos_oracle.py
@@ -3,9 +3,11 @@
 import types
 
 from bench import chaos_oracle_calls as calls
+from bench import chaos_oracle_loads as engines
 from bench import chaos_oracle_system as system
 from bench.chaos_record import ChaosRecord
 
+REPLICAS = 'no model has more replicas than decided'
 PROMISES = types.MappingProxyType({
     'a service call and an idempotency key run at most once': calls.runs_once,
     'what was answered not-run has not run': calls.not_run_is_true,
@@ -15,11 +17,12 @@
     "no target sees a caller's key": calls.keys_stay_here,
     'a withdrawn key admits nothing': calls.withdrawn_keys_rest,
     'a workspace gets no more than its grant': system.grants_hold,
-    'no engine is filled beyond its memory': system.memory_holds,
-    'no model has more replicas than decided': system.replicas_hold,
+    'no engine is filled beyond its memory': engines.memory_holds,
+    REPLICAS: engines.replicas_hold,
     'no member goes back to an older version': system.versions_grow,
     'no accepted change is lost': system.changes_stay,
     'the system serves again after the faults': system.serves_again,
+    'no model is loaded without an intent': engines.loads_are_decided,
 })
 
 
--- a/bench/chaos_oracle_system.py
+++ b/bench/chaos_oracle_system.py
@@ -4,12 +4,10 @@
 from collections.abc import Iterator
 
 from bench.chaos_ask import ChaosAsk
-from bench.chaos_plan import MODELS, WORKSPACES
+from bench.chaos_plan import WORKSPACES
 from bench.chaos_record import ChaosRecord
 from bench.chaos_system import (
-    ENGINE_BYTES,
     GRANTS,
-    REPLICAS_MAX,
     SERVICE_COST_TOKENS,
 )
 from mimosaworks.members.member_id import MemberId
@@ -35,29 +33,6 @@
                 break
 
 
-def memory_holds(record: ChaosRecord) -> Iterator[str]:
-    """Yield engines that had more loaded, or ordered, than they can hold."""
-    for name, _, stats in record.system.watch.boots:
-        if stats['peak_bytes'] > ENGINE_BYTES or stats['overcommits']:
-            peak, over = stats['peak_bytes'], stats['overcommits']
-            yield f'{name}: peak {peak} bytes, {over} orders did not fit'
-
-
-def replicas_hold(record: ChaosRecord) -> Iterator[str]:
-    """Yield models with more replicas ready at once than replicas_max."""
-    steps = sorted(_replica_steps(record))
-    ready: dict[str, set[str]] = {name: set() for name in MODELS}
-    most = dict(zip(MODELS, REPLICAS_MAX, strict=True))
-    for at_s, what, engine, model in steps:
-        held = [ready[model]] if model else list(ready.values())
-        for engines in held:
-            engines.discard(engine)
-        if what == 'ready':
-            ready[model].add(engine)
-            if len(ready[model]) > most[model]:
-                yield f'{model} at {at_s:.2f} on {sorted(ready[model])}'
-
-
 def versions_grow(record: ChaosRecord) -> Iterator[str]:
     """Yield processes whose applied version went back."""
     latest: dict[MemberId, int] = {}
@@ -118,19 +93,3 @@
         if total > allowed:
             return f'{total} of {allowed:.0f} tokens in {window_s:.2f} s'
     return ''
-
-
-def _replica_steps(
-    record: ChaosRecord,
-) -> Iterator[tuple[float, str, str, str]]:
-    boots = {
-        (name, tuple(stats['history'][0])): (name, stats['history'])
-        for name, _, stats in record.system.watch.boots
-        if stats['history']
-    }
-    for name, history in boots.values():
-        for at_s, what, model in history:
-            yield at_s, what, name, model
-    for unit in record.system.engines():
-        for down_s, _ in unit.down:
-            yield down_s, 'killed', unit.name, ''
--- a/bench/chaos_plan.py
+++ b/bench/chaos_plan.py
@@ -21,7 +21,13 @@
 STREAM_SHARE = 0.8
 CLAIM_SHARE = 0.6
 RESENT_SHARE = 0.7
-PROXY_FAULTS = ('cut', 'freeze', 'drop_to_upstream', 'drop_to_client')
+PROXY_FAULTS = (
+    'cut',
+    'freeze',
+    'drop_to_upstream',
+    'drop_to_client',
+    'drop_replies',
+)
 SHORT_S = (1.0, 4.0)
 PAUSE_S = (3.0, 6.0)
 OUTAGE_S = (2.0, 6.0)
@@ -103,6 +109,8 @@
         ('platform', 'drop_replies', SHORT_S),
         (_one(rng, 'engine', ENGINES), rng.choice(PROXY_FAULTS), SHORT_S),
         (_one(rng, 'service', SERVICES), rng.choice(PROXY_FAULTS), SHORT_S),
+        (_one(rng, 'service', SERVICES), 'drop_replies', SHORT_S),
+        (_one(rng, 'service', SERVICES), 'cut', SHORT_S),
     ))
     return ChaosFault(at_s, part, kind, rng.uniform(*lasts_s))
 
--- a/bench/chaos_record.py
+++ b/bench/chaos_record.py
@@ -57,6 +57,7 @@
             'runs': runs.total(),
             'runs_of_unknown_calls': runs[''],
             'targets_not_read': dict(self.system.watch.missed),
+            'table_readings': len(self.system.watch.intents),
             'keys_added': len(keys.added),
             'keys_withdrawn_in_force': len(keys.withdrawn),
             'key_changes_unknown': len(keys.unknown),
--- a/bench/chaos_run.py
+++ b/bench/chaos_run.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 import random
-from collections.abc import AsyncGenerator, Coroutine
+from collections.abc import AsyncGenerator, Coroutine, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -49,7 +49,7 @@
         await stack.enter_async_context(
             _background(
                 system.watch.follow_runs(),
-                system.watch.follow_versions(),
+                system.watch.follow_table(),
                 keys.churn('left-'),
                 keys.churn('right-'),
             )
@@ -120,9 +120,15 @@
 ) -> AsyncGenerator[None, None]:
     """Run works until the block ends."""
     tasks = [asyncio.create_task(work) for work in works]
-    try:
+    async with AsyncExitStack() as stack:
+        stack.push_async_callback(_end, tasks)
         yield
-    finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _end(tasks: Sequence[asyncio.Task[None]]) -> None:
+    """Cancel the tasks; raises what made one of them end before."""
+    for task in tasks:
+        task.cancel()
+    for ended in await asyncio.gather(*tasks, return_exceptions=True):
+        if isinstance(ended, Exception):
+            raise ended
--- a/bench/chaos_watch.py
+++ b/bench/chaos_watch.py
@@ -11,6 +11,7 @@
 import attrs
 
 from mimosaworks.clock import now_s
+from mimosaworks.errors import PlatformError
 from mimosaworks.members import member_from_json
 from mimosaworks.members.member import MEMBERS_PREFIX
 from mimosaworks.members.member_id import MemberId
@@ -19,8 +20,11 @@
 from standins.node import Node
 
 POLL_S = 0.05
-VERSIONS_EVERY_S = 0.5
+TABLE_EVERY_S = 0.3
 STATS_TIMEOUT_S = 2.0
+INTENTS_PREFIX = 'shards/main/intents/'
+Loaded = tuple[str, str]
+Reading = tuple[float, float, set[Loaded]]
 
 
 @attrs.frozen
@@ -38,7 +42,8 @@
 
     records holds what targets told of each request id; boots holds the
     engines' memory statistics with the time of each reading; versions are
-    (process, version) as read in order.
+    (process, version) as read in order; intents the (target, model)
+    that had an intent, with the times before and after the reading.
     """
 
     cluster: Cluster
@@ -47,6 +52,7 @@
     records: dict[str, dict[str, Any]] = attrs.Factory(dict)
     boots: list[tuple[str, float, Any]] = attrs.Factory(list)
     versions: list[tuple[MemberId, int]] = attrs.Factory(list)
+    intents: list[Reading] = attrs.Factory(list)
     missed: Counter[str] = attrs.Factory(Counter)
     _read: Counter[str] = attrs.Factory(Counter)
 
@@ -75,19 +81,13 @@
                 for line in whole.splitlines()
             )
 
-    async def follow_versions(self) -> None:
-        """Read the members' applied versions until cancelled."""
+    async def follow_table(self) -> None:
+        """Read members and intents in the table until cancelled."""
         table = TableClient(self.cluster.http, self.cluster.platform.url)
         while True:
-            with contextlib.suppress(Exception):
-                rows = await table.read([], [MEMBERS_PREFIX])
-                for row in rows.values():
-                    member = member_from_json(row.content)
-                    self.versions.append((
-                        member.id,
-                        member.applied_version,
-                    ))
-            await asyncio.sleep(VERSIONS_EVERY_S)
+            with contextlib.suppress(PlatformError):
+                await self._read_table(table)
+            await asyncio.sleep(TABLE_EVERY_S)
 
     async def read_target(self, name: str, node: Node) -> None:
         """Take over what a target knows of its requests."""
@@ -116,3 +116,17 @@
     def seen_text(self) -> str:
         """Return all that targets saw, as text."""
         return json.dumps(self.records)
+
+    async def _read_table(self, table: TableClient) -> None:
+        asked_s = now_s()
+        rows = await table.read([], [MEMBERS_PREFIX, INTENTS_PREFIX])
+        told_s = now_s()
+        held: set[Loaded] = set()
+        for key, row in rows.items():
+            if key.startswith(INTENTS_PREFIX):
+                intent = json.loads(row.content)
+                held.add((intent['target'], intent['model']))
+            else:
+                member = member_from_json(row.content)
+                self.versions.append((member.id, member.applied_version))
+        self.intents.append((asked_s, told_s, held))
