bench: key changes of a chaos run are waited for and unknown until told

Cause: a mimosactl that was given up at the run's end was left behind (its transport was closed after the event loop), and a withdrawal under way while the final configuration was read would have counted as a lost change.

--- a/bench/chaos_keys.py
+++ b/bench/chaos_keys.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from bench.control import run_mimosactl
+from bench.control import ControlResult, run_mimosactl
 from mimosaworks.clock import now_s
 
 IN_FORCE, PENDING = 0, 3
@@ -19,7 +19,7 @@
 
     withdrawn maps a key to the time when its withdrawal was told to be in
     force; added and removed hold the names of accepted changes; unknown
-    those whose change was answered with an error.
+    those whose change is under way or was answered with an error.
     """
 
     admin_url: str
@@ -29,6 +29,7 @@
     removed: set[str] = attrs.Factory(set)
     unknown: set[str] = attrs.Factory(set)
     churned: list[str] = attrs.Factory(list)
+    _running: set[asyncio.Task[ControlResult]] = attrs.Factory(set)
 
     def pick(self, rng: random.Random) -> str:
         """Return a key that is or was in use, a recent one more often."""
@@ -42,6 +43,10 @@
             number += 1
             await self._use(f'{prefix}{number}')
 
+    async def close(self) -> None:
+        """Wait for changes that were given up, so that no child is left."""
+        await asyncio.gather(*self._running)
+
     async def _use(self, name: str) -> None:
         told = await self._change('add', name, '--workspace=wide')
         if told is None:
@@ -58,10 +63,17 @@
             self.withdrawn[name] = now_s()
 
     async def _change(self, verb: str, name: str, *words: str) -> Any:
-        result = await run_mimosactl(
-            self.admin_url, '--output=json', 'key', verb, name, *words
-        )
-        if result.exit_code in {IN_FORCE, PENDING}:
-            return result.fields
+        # Unknown until told: the configuration may be read meanwhile.
         self.unknown.add(name)
-        return None
+        task = asyncio.create_task(
+            run_mimosactl(
+                self.admin_url, '--output=json', 'key', verb, name, *words
+            )
+        )
+        self._running.add(task)
+        result = await asyncio.shield(task)
+        self._running.discard(task)
+        if result.exit_code not in {IN_FORCE, PENDING}:
+            return None
+        self.unknown.discard(name)
+        return result.fields
--- a/bench/chaos_run.py
+++ b/bench/chaos_run.py
@@ -40,6 +40,7 @@
         session = await stack.enter_async_context(_callers_session())
         system = ChaosSystem(cluster, ChaosWatch(cluster, journals))
         keys = await system.start()
+        stack.push_async_callback(keys.close)
         load = ChaosLoad(
             session, system.routers(), keys, random.Random(seed + 1)
         )
