placement: replicas that may still be loaded count against replicas_max

Cost: a model with one replica on a cut-off target waits until the target answers, restarts or is listed as gone. Change: loads are decided only below replicas_max by all intents that have not ended, those on their way out included. mimosa-bench gains chaos, escrow.

--- a/bench/escrow.py
+++ b/bench/escrow.py
@@ -31,7 +31,7 @@
     show_default=True,
     help='Simulated seconds.',
 )
-def main(seeds: int, duration_s: float) -> None:
+def escrow(seeds: int, duration_s: float) -> None:
     """Print the share refused and messages a request for each case."""
     rate = WORKSPACE.rate_tokens_per_s
     burst = WORKSPACE.burst_tokens
@@ -73,4 +73,4 @@
 
 
 if __name__ == '__main__':
-    main()
+    escrow()
--- a/bench/main.py
+++ b/bench/main.py
@@ -2,6 +2,8 @@
 
 import click
 
+from bench.chaos_command import chaos
+from bench.escrow import escrow
 from bench.run_command import run
 from bench.slopes import slopes
 from mimosaworks import __version__
@@ -13,6 +15,8 @@
     """Measure the system on stand-ins; loads this machine only."""
 
 
+main.add_command(chaos)
+main.add_command(escrow)
 main.add_command(run)
 main.add_command(slopes)
 
--- a/mimosaworks/placement/policy.py
+++ b/mimosaworks/placement/policy.py
@@ -61,6 +61,10 @@
 
     def _raise_by(self, model: Model, missing: int) -> None:
         missing -= self._keep_draining(model, missing)
+        # A replica that can't be reached, or that is on its way out, may
+        # still be loaded: a replacement would exceed what operators allow.
+        allowed = max(model.replicas_max, model.replicas_min)
+        missing = min(missing, allowed - self.state.held(model.name))
         for _ in range(missing):
             if not self._place(model):
                 return
--- a/mimosaworks/placement/shard_state.py
+++ b/mimosaworks/placement/shard_state.py
@@ -81,6 +81,13 @@
             if self.is_live(intent, now)
         ]
 
+    def held(self, model: str) -> int:
+        """Return how many replicas of a model may be loaded somewhere."""
+        return sum(
+            not is_ended(self.ledger, intent)
+            for intent in self.ledger.replicas(model)
+        )
+
     def is_live(self, intent: Intent, now: float) -> bool:
         """Whether an intent is or will be of use to requests."""
         if intent.target not in self.catalogue.target:
