relay: a plain service's 429 or 503 is no word that a call did not run

Cause: found by reading. Ruled out: trusting 503 for services by setting; a service that knows can send Mimosa-Run: not-run. Change: status and error code count for engines only.

--- a/bench/catalogue_writer.py
+++ b/bench/catalogue_writer.py
@@ -1,16 +1,13 @@
 """Writes a configuration of a given size straight into the table."""
 
 import asyncio
-import types
 from collections.abc import Iterator, Sequence
 
 import attrs
 
 from mimosaworks.configs import ConfigStore
 from mimosaworks.entities import (
-    Adapter,
     Catalogue,
-    Change,
     Entity,
     Key,
     Model,
@@ -18,6 +15,7 @@
     Target,
     Workspace,
     digest_key,
+    put_change,
 )
 from mimosaworks.errors import StoreConflictError
 from mimosaworks.platform import ObjectClient, TableClient
@@ -32,14 +30,6 @@
 ENGINE_MEMORY_BYTES = 16000000000
 WORKSPACE = 'bench'
 SECRET = 'bench-secret'  # noqa: S105 - a key of the stand-in configuration
-_KINDS = types.MappingProxyType({
-    Workspace: 'workspace',
-    Key: 'key',
-    Model: 'model',
-    Adapter: 'adapter',
-    Target: 'target',
-    Route: 'route',
-})
 
 
 @attrs.frozen
@@ -50,10 +40,7 @@
 
     async def put(self, entities: Sequence[Entity]) -> None:
         """Append entities in batches; a lost race is tried again."""
-        changes = [
-            Change(_KINDS[type(entity)], entity.name, entity)
-            for entity in entities
-        ]
+        changes = [put_change(entity) for entity in entities]
         starts = range(0, len(changes), BATCH)
         batches = [changes[start : start + BATCH] for start in starts]
         while batches:
--- a/mimosaworks/admin/answers.py
+++ b/mimosaworks/admin/answers.py
@@ -8,6 +8,7 @@
 from mimosaworks.admin.outcome import Outcome
 from mimosaworks.admin.refusals import InvalidChangeError, VersionConflictError
 from mimosaworks.errors import ErrorKind, RequestError
+from mimosaworks.serving import error_fields, error_headers
 
 VERSIONS_PATH = '/admin/v1/versions'
 
@@ -35,16 +36,8 @@
 
 def error_response(exc: RequestError, request_id: str) -> web.Response:
     """Return the answer that the error table gives for the error's kind."""
-    content: dict[str, object] = {
-        'error': {
-            'code': exc.kind.value,
-            'message': exc.message,
-            'request_id': request_id,
-        }
-    }
-    headers = {'Mimosa-Run': exc.run_state.value, 'X-Request-Id': request_id}
-    if exc.retry_after_s is not None:
-        headers['Retry-After'] = str(int(exc.retry_after_s))
+    content = error_fields(exc, request_id)
+    headers = error_headers(exc, request_id)
     if exc.kind is ErrorKind.UNAUTHENTICATED:
         headers['WWW-Authenticate'] = 'Bearer'
     if isinstance(exc, InvalidChangeError):
--- a/mimosaworks/cmdline/ctl_keys.py
+++ b/mimosaworks/cmdline/ctl_keys.py
@@ -7,7 +7,13 @@
 from mimosaworks.cmdline.ctl_changes import make_changes, read_config
 from mimosaworks.cmdline.ctl_output import show_outcome, show_table
 from mimosaworks.cmdline.ctl_settings import CtlSettings
-from mimosaworks.entities import Catalogue, Change, Key, digest_key
+from mimosaworks.entities import (
+    Catalogue,
+    Change,
+    Key,
+    digest_key,
+    put_change,
+)
 
 KEY_PREFIX = 'mw-'
 SECRET_BYTES = 32
@@ -35,7 +41,7 @@
                 f'there is a key {name!r} already: withdraw it first'
             )
         entity = Key(name, digest_key(secret), workspace)
-        return [Change('key', name, entity)]
+        return [put_change(entity)]
 
     outcome = make_changes(cfg, decide)
     show_outcome(cfg, outcome, {'secret': secret})
--- a/mimosaworks/entities/__init__.py
+++ b/mimosaworks/entities/__init__.py
@@ -11,6 +11,7 @@
     Change,
     apply_changes,
     change_from_dict,
+    put_change,
 )
 from mimosaworks.entities.holder_set import HOLDER_SET_NAME, HolderSet
 from mimosaworks.entities.key import Key, digest_key
@@ -41,4 +42,5 @@
     'apply_changes',
     'change_from_dict',
     'digest_key',
+    'put_change',
 ]
--- a/mimosaworks/entities/change.py
+++ b/mimosaworks/entities/change.py
@@ -15,6 +15,9 @@
 
 _ALL_TYPES = types.MappingProxyType({**ENTITY_TYPES, **INTERNAL_TYPES})
 
+_KIND_BY_TYPE = types.MappingProxyType({
+    entity_type: kind for kind, entity_type in _ALL_TYPES.items()
+})
 # Made once: a converter compiles a function for each type that it meets.
 _CONVERTER = cattrs.Converter(forbid_extra_keys=True)
 
@@ -33,6 +36,11 @@
         return {'kind': self.kind, 'name': self.name, 'entity': fields}
 
 
+def put_change(entity: Entity) -> Change:
+    """Return the change that puts an entity under its own kind and name."""
+    return Change(_KIND_BY_TYPE[type(entity)], entity.name, entity)
+
+
 def change_from_dict(fields: dict[str, object]) -> Change:
     """Return the change that to_dict described.
 
--- a/mimosaworks/relay/caller_stream.py
+++ b/mimosaworks/relay/caller_stream.py
@@ -6,14 +6,11 @@
 from aiohttp import ClientResponse, web
 
 from mimosaworks.errors import RequestError
-from mimosaworks.relay.answers import (
-    COLD_HEADER,
-    REQUEST_ID_HEADER,
-    error_fields,
-)
+from mimosaworks.relay.answers import COLD_HEADER
 from mimosaworks.relay.attempt_error import CallerGoneError
 from mimosaworks.relay.headers import copy_answer_headers
 from mimosaworks.relay.sse import EventCounter
+from mimosaworks.serving import REQUEST_ID_HEADER, error_fields
 
 
 @attrs.define
--- a/mimosaworks/relay/claimed_run.py
+++ b/mimosaworks/relay/claimed_run.py
@@ -9,13 +9,13 @@
 from multidict import CIMultiDict
 
 from mimosaworks.errors import ErrorKind, MimosaError, RequestError, RunState
-from mimosaworks.relay.answers import REQUEST_ID_HEADER
 from mimosaworks.relay.claim import (
     Claim,
     StoredAnswer,
     stored_answer,
 )
 from mimosaworks.relay.claim_book import ClaimBook
+from mimosaworks.serving import REQUEST_ID_HEADER
 
 MAX_STORED_BYTES = 262144  # 256 KiB
 REPLAYED_HEADER = 'Idempotency-Replayed'
--- a/mimosaworks/relay/exchange.py
+++ b/mimosaworks/relay/exchange.py
@@ -10,7 +10,7 @@
 from mimosaworks.errors import ErrorKind, RequestError, RunState
 from mimosaworks.events import Event, log_event
 from mimosaworks.metrics import Metric, MetricsClient
-from mimosaworks.relay.answers import COLD_HEADER, REQUEST_ID_HEADER
+from mimosaworks.relay.answers import COLD_HEADER
 from mimosaworks.relay.attempt_error import (
     AttemptInDoubtError,
     AttemptNotRunError,
@@ -30,6 +30,7 @@
     Slot,
     Ticket,
 )
+from mimosaworks.serving import REQUEST_ID_HEADER
 
 SSE_TYPE = 'text/event-stream'
 _TRANSPORT_ERRORS = (ClientError, OSError, TimeoutError)
@@ -123,7 +124,7 @@
         left_s = self.ticket.deadline.remaining_s(now_s())
         try:
             async with asyncio.timeout(left_s) as limit, sending as resp:
-                await self._verify(resp)
+                await self._verify(slot, resp)
                 self._measure_first_byte()
                 if resp.content_type == SSE_TYPE:
                     limit.reschedule(None)
@@ -134,11 +135,11 @@
                 raise self._give_up(slot, guard) from exc
             raise
 
-    async def _verify(self, resp: ClientResponse) -> None:
+    async def _verify(self, slot: Slot, resp: ClientResponse) -> None:
         answered = resp.headers.get(REQUEST_ID_HEADER, self.ticket.request_id)
         if answered != self.ticket.request_id:
             raise AttemptInDoubtError(f'answer belongs to {answered}')
-        if await says_not_run(resp):
+        if await says_not_run(resp, slot.target):
             raise AttemptRefusedError(f'target answered {resp.status}')
         is_resumed = self.stream.resp is not None
         if is_resumed and resp.content_type != SSE_TYPE:
--- a/mimosaworks/relay/not_run.py
+++ b/mimosaworks/relay/not_run.py
@@ -5,24 +5,29 @@
 
 from aiohttp import ClientResponse
 
+from mimosaworks.entities import Target
 from mimosaworks.errors import RunState
-from mimosaworks.relay.answers import RUN_HEADER
+from mimosaworks.serving import RUN_HEADER
 
 MODEL_NOT_LOADED = 'model_not_loaded'
+ENGINE = 'engine'
 _REFUSALS = frozenset((
     HTTPStatus.TOO_MANY_REQUESTS,
     HTTPStatus.SERVICE_UNAVAILABLE,
 ))
 
 
-async def says_not_run(resp: ClientResponse) -> bool:
+async def says_not_run(resp: ClientResponse, target: Target) -> bool:
     """Tell whether the target refused before it ran anything.
 
-    That is by the run header, by status 429 or 503, or by an engine's error
-    code for a model that it does not hold.
+    That is by the run header; for an engine also by status 429 or 503, or by
+    the error code for a model that it does not hold. A plain service may
+    answer 503 after it has begun to run a call.
     """
     if resp.headers.get(RUN_HEADER) == RunState.NOT_RUN.value:
         return True
+    if target.kind != ENGINE:
+        return False
     if resp.status in _REFUSALS:
         return True
     if resp.status != HTTPStatus.NOT_FOUND:
--- a/mimosaworks/router/holder_sync.py
+++ b/mimosaworks/router/holder_sync.py
@@ -8,7 +8,7 @@
 
 from mimosaworks.clock import DRIFT, now_s
 from mimosaworks.configs import ConfigStore
-from mimosaworks.entities import HOLDER_SET_NAME, Change, HolderSet
+from mimosaworks.entities import HOLDER_SET_NAME, HolderSet, put_change
 from mimosaworks.errors import PlatformError
 from mimosaworks.limits import TokenService
 from mimosaworks.members import FRESHNESS_S, MemberRole, MemberService
@@ -81,7 +81,7 @@
             return
         applied = self._applied()
         wanted = HolderSet(epoch=applied.epoch + 1, addresses=self._wanted())
-        change = Change('holder_set', HOLDER_SET_NAME, wanted)
+        change = put_change(wanted)
         try:
             await self.store.append(
                 self.members.catalogue.version, [change], AUTHOR
--- a/mimosaworks/serving/__init__.py
+++ b/mimosaworks/serving/__init__.py
@@ -1,5 +1,19 @@
 """Serving parts that all programs share."""
 
+from mimosaworks.serving.error_answers import (
+    REQUEST_ID_HEADER,
+    RUN_HEADER,
+    error_fields,
+    error_headers,
+)
 from mimosaworks.serving.serving import serve_app, start_task, stop_event
 
-__all__ = ['serve_app', 'start_task', 'stop_event']
+__all__ = [
+    'REQUEST_ID_HEADER',
+    'RUN_HEADER',
+    'error_fields',
+    'error_headers',
+    'serve_app',
+    'start_task',
+    'stop_event',
+]
--- a/standins/service/app.py
+++ b/standins/service/app.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+from http import HTTPStatus
 
 from aiohttp import web
 
@@ -30,7 +31,11 @@
             'path': req.path,
             'sha256': hashlib.sha256(body).hexdigest(),
         }
-        return web.json_response(echo, headers={REQUEST_ID: request_id})
+        return web.json_response(
+            echo,
+            status=int(req.headers.get('X-Status', HTTPStatus.OK)),
+            headers={REQUEST_ID: request_id},
+        )
 
     app = web.Application(client_max_size=MAX_BODY_BYTES)
     app.router.add_get('/counts', counts)
--- a/tests/harness_entry.py
+++ b/tests/harness_entry.py
@@ -24,6 +24,7 @@
     Target,
     Workspace,
     digest_key,
+    put_change,
 )
 from mimosaworks.platform import ObjectClient, TableClient
 from mimosaworks.wire import Ack, PeerClient, ReplicaEntry, ReplicaMap
@@ -39,14 +40,6 @@
 OPEN = '/open'
 HUGE_RATE = 1e9
 PEER_TIMEOUT_S = 5.0
-KINDS = types.MappingProxyType({
-    Workspace: 'workspace',
-    Key: 'key',
-    Model: 'model',
-    Adapter: 'adapter',
-    Target: 'target',
-    Route: 'route',
-})
 # A short drain, and bounds that a test can reach.
 ROUTER_FLAGS = (
     '--directory-max-age-s=0.5',
@@ -150,12 +143,7 @@
 
     async def configure(self, *entities: Entity) -> None:
         """Append one version that puts the entities."""
-        await self.change(
-            *(
-                Change(KINDS[type(entity)], entity.name, entity)
-                for entity in entities
-            )
-        )
+        await self.change(*(put_change(entity) for entity in entities))
 
     async def change(self, *changes: Change) -> None:
         """Append one version; the routers write versions of their own."""
--- a/tests/test_answers_run_state.py
+++ b/tests/test_answers_run_state.py
@@ -192,3 +192,15 @@
         entry.call(CHAT, chat(f'prompt {turn}')) for turn in range(6)
     )
     assert {answer.status for answer in answers} == {HTTPStatus.OK}
+
+
+async def test_a_service_that_answers_503_may_have_run_and_is_not_asked_again(
+    entry: Entry,
+) -> None:
+    await entry.add_service('s1')
+    await entry.add_service('s2')
+    await entry.open()
+    answer = await entry.call(PLOTS, b'x', headers={'X-Status': '503'})
+    assert answer.status == HTTPStatus.SERVICE_UNAVAILABLE
+    assert answer.run != 'not-run'
+    assert entry.runs() == [answer.request_id]
