routing: only lanes with waiting requests are pumped; idle lanes are dropped

Cause: found by reading. Each released place went through all lanes ever used and scanned the replica map for each; with 9,900 adapters lanes were never dropped. Change: a map of lanes with waiting requests; lanes that stayed idle between two looks, 300 s apart, go.

--- a/mimosaworks/routing/dispatcher.py
+++ b/mimosaworks/routing/dispatcher.py
@@ -22,6 +22,7 @@
 OPEN_WEIGHT = 100.0
 MAX_WAITING = 2000  # requests in one lane of one router
 MIN_COST_TOKENS = 1.0
+DROP_IDLE_S = 300.0
 RECHECK_S = 0.05  # while a target's cool-down or exclusive run ends
 
 
@@ -34,6 +35,7 @@
     rng: random.Random
     metrics: MetricsClient
     lanes: dict[LaneKey, Lane] = attrs.field(factory=dict)
+    _waiting: dict[LaneKey, Lane] = attrs.field(factory=dict)
 
     async def acquire(self, ticket: Ticket) -> Slot:
         """Wait for the ticket's turn, tokens and target.
@@ -72,16 +74,23 @@
 
     def pump(self) -> None:
         """Let requests go on that targets have room for."""
-        for key, lane in self.lanes.items():
+        for key, lane in tuple(self._waiting.items()):
             lane.note_serving(self.targets.is_served(key), now_s())
             lane.pump()
+            if not len(lane):
+                self._waiting.pop(key)
 
     async def run(self) -> None:
         """Pump after each change of the replicas and at least each RECHECK_S.
 
-        A target's cool-down ends without a message that would tell.
+        A target's cool-down ends without a message that would tell. Lanes
+        that were idle for DROP_IDLE_S are dropped: adapters are many.
         """
+        drop_at_s = now_s() + DROP_IDLE_S
         while True:
+            if now_s() > drop_at_s:
+                drop_at_s = now_s() + DROP_IDLE_S
+                self._drop_idle()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(RECHECK_S):
                     await self.targets.replicas.wait_changed()
@@ -96,6 +105,12 @@
             )
         return self.lanes[key]
 
+    def _drop_idle(self) -> None:
+        for key, lane in tuple(self.lanes.items()):
+            if lane.is_idle:
+                self.lanes.pop(key)
+            lane.is_idle = not len(lane) and not lane.running
+
     def _check_feasible(self, ticket: Ticket) -> None:
         # A request that can't be served in time is told so on arrival.
         left_s = ticket.deadline.remaining_s(now_s())
@@ -127,6 +142,8 @@
         ticket.was_cold = ticket.was_cold or not self.targets.is_served(
             ticket.lane_key
         )
+        lane.is_idle = False
+        self._waiting[ticket.lane_key] = lane
         left_s = ticket.deadline.remaining_s(now_s())
         if not await lane.wait_turn(waiter, left_s):
             raise self._too_late(ticket)
--- a/mimosaworks/routing/lane.py
+++ b/mimosaworks/routing/lane.py
@@ -23,7 +23,8 @@
     """The queue of one model and adapter, or of one service pool.
 
     has_room tells whether a target can take one more request now; the owner
-    calls pump whenever that may have changed. waiting_tokens, arrivals and
+    calls pump whenever that may have changed, and sets is_idle when nothing
+    came since its last look. waiting_tokens, arrivals and
     running count for demand messages. _granted counts turns that were given
     and not yet used or returned.
     """
@@ -33,6 +34,7 @@
     waiting_tokens: float = 0
     arrivals: int = 0
     running: int = 0
+    is_idle: bool = False
     estimate: WaitEstimate = attrs.field(factory=WaitEstimate)
     _cold_since_s: float | None = None
     _granted: int = 0
@@ -70,6 +72,8 @@
 
     def note_serving(self, is_served: bool, now_s: float) -> None:
         """Follow when waiting requests have no replica, and how long."""
+        if not len(self):
+            self._cold_since_s = None
         if is_served and self._cold_since_s is not None:
             self.estimate.note_cold_start(now_s - self._cold_since_s)
             self._cold_since_s = None
