--- a/bench/load_run.py
+++ b/bench/load_run.py
@@ -52,7 +52,7 @@
         try:
             async with self.session.post(
                 router + _path(ask),
-                json=_body(ask),
+                data=ask.body(),
                 headers=self._headers(ask),
                 timeout=limit,
             ) as resp:
@@ -94,17 +94,6 @@
     return '/v1/chat/completions' if ask.model else '/calls'
 
 
-def _body(ask: PlannedRequest) -> dict[str, object]:
-    if not ask.model:
-        return {'credit': 1}
-    return {
-        'model': ask.model,
-        'messages': [{'role': 'user', 'content': ask.prompt}],
-        'max_tokens': ask.max_tokens,
-        'stream': True,
-    }
-
-
 def _code(ask: PlannedRequest, status: int, body: bytes) -> str:
     if status != HTTPStatus.OK:
         return str(json.loads(body)['error']['code'])
--- a/bench/planned_request.py
+++ b/bench/planned_request.py
@@ -1,7 +1,11 @@
 """One request of a planned load."""
 
+import json
+
 import attrs
 
+from mimosaworks.admission.model_call import BYTES_PER_TOKEN
+
 
 @attrs.frozen
 class PlannedRequest:
@@ -20,4 +24,18 @@
     @property
     def cost_tokens(self) -> int:
         """Tokens that the request takes from its workspace's grant."""
-        return max(self.max_tokens, 1)
+        if not self.model:
+            return 1
+        return len(self.body()) // BYTES_PER_TOKEN + self.max_tokens
+
+    def body(self) -> bytes:
+        """Return the JSON body that is sent."""
+        fields: dict[str, object] = {'credit': 1}
+        if self.model:
+            fields = {
+                'model': self.model,
+                'messages': [{'role': 'user', 'content': self.prompt}],
+                'max_tokens': self.max_tokens,
+                'stream': True,
+            }
+        return json.dumps(fields).encode()
