Stand-ins: engines take an order for a version

Change: set_version fetches the checkpoint while the old one serves; the report names the checkpoint.

--- a/standins/engine/order.py
+++ b/standins/engine/order.py
@@ -11,6 +11,7 @@
     'load_adapter',
     'unload_adapter',
     'set_role',
+    'set_version',
 ))
 
 
--- a/standins/engine/orders.py
+++ b/standins/engine/orders.py
@@ -46,6 +46,7 @@
             'load_adapter': self._load_adapter,
             'unload_adapter': self._unload_adapter,
             'set_role': self._set_role,
+            'set_version': self._set_version,
         }
         async with self._locks[order.name]:
             try:
@@ -110,6 +111,16 @@
         self.engine.role = order.role
         return ''
 
+    async def _set_version(self, order: Order) -> str:
+        # The old checkpoint serves until the new one has been fetched.
+        loaded = self.engine.models.get(order.model)
+        if loaded is None:
+            return 'model not loaded'
+        size_bytes = order.size_bytes or loaded.size_bytes
+        await self.engine.checkpoints.load(order.checkpoint, size_bytes)
+        loaded.checkpoint = order.checkpoint
+        return ''
+
     async def _drain(self, name: str) -> None:
         if self.engine.batch.count_of(name):
             self.engine.unloads_while_running += 1
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -183,3 +183,18 @@
     assert answer['error']['code'] == 'model_not_loaded'
     stats = await cluster.get_json(engine, '/stats')
     assert not stats['requests']
+
+
+async def test_a_version_order_replaces_the_checkpoint(
+    cluster: Cluster,
+) -> None:
+    engine = await cluster.start_engine(*PRELOAD)
+    status = await _order(
+        cluster, engine, 'o1', 'set_version', model='m', checkpoint='c-2'
+    )
+    assert status == HTTPStatus.ACCEPTED
+    assert await _finish(cluster, engine, 'o1') == 'done'
+    report = await cluster.get_json(engine, '/report')
+    assert report['models']['m']['checkpoint'] == 'c-2'
+    await _order(cluster, engine, 'o2', 'set_version', model='absent')
+    assert await _finish(cluster, engine, 'o2') == 'failed'
