--- a/bench/load_run.py
+++ b/bench/load_run.py
@@ -31,22 +31,17 @@
     routers: Sequence[str]
     started_s: float = 0
 
-    async def send_all(
-        self, plan: Sequence[PlannedRequest], inside: Sequence[bool]
-    ) -> list[Outcome]:
+    async def send_all(self, plan: Sequence[PlannedRequest]) -> list[Outcome]:
         """Return the outcome of each planned request."""
         self.started_s = time.monotonic()
         turns = itertools.cycle(self.routers)
         async with asyncio.TaskGroup() as group:
             tasks = [
-                group.create_task(self._send(ask, is_inside, next(turns)))
-                for ask, is_inside in zip(plan, inside, strict=True)
+                group.create_task(self._send(ask, next(turns))) for ask in plan
             ]
         return [task.result() for task in tasks]
 
-    async def _send(
-        self, ask: PlannedRequest, is_inside: bool, router: str
-    ) -> Outcome:
+    async def _send(self, ask: PlannedRequest, router: str) -> Outcome:
         await asyncio.sleep(self.started_s + ask.at_s - time.monotonic())
         limit = aiohttp.ClientTimeout(total=ask.deadline_s + GRACE_S)
         try:
@@ -56,23 +51,19 @@
                 headers=self._headers(ask),
                 timeout=limit,
             ) as resp:
-                return await self._read(ask, is_inside, resp)
+                return await self._read(ask, resp)
         except (aiohttp.ClientError, TimeoutError):
             now_s = self._elapsed_s(ask)
-            return Outcome(ask, is_inside, 0, UNREACHED, False, now_s, now_s)
+            return Outcome(ask, 0, UNREACHED, False, now_s, now_s)
 
     async def _read(
-        self,
-        ask: PlannedRequest,
-        is_inside: bool,
-        resp: aiohttp.ClientResponse,
+        self, ask: PlannedRequest, resp: aiohttp.ClientResponse
     ) -> Outcome:
         body = await resp.content.readany()
         first_s = self._elapsed_s(ask)
         body += await resp.read()
         return Outcome(
             ask=ask,
-            is_inside=is_inside,
             status=resp.status,
             code=_code(ask, resp.status, body),
             was_cold='Mimosa-Cold' in resp.headers,
--- a/bench/outcome.py
+++ b/bench/outcome.py
@@ -16,13 +16,17 @@
     """
 
     ask: PlannedRequest
-    is_inside: bool
     status: int
     code: str
     was_cold: bool
     first_s: float
     total_s: float
 
+    @property
+    def decided_s(self) -> float:
+        """When the first byte came, in seconds after the run's start."""
+        return self.ask.at_s + self.first_s
+
     @property
     def is_answered(self) -> bool:
         """Whether the whole answer came."""
--- a/bench/run_command.py
+++ b/bench/run_command.py
@@ -13,7 +13,6 @@
 import uvloop
 
 from bench.fault_plan import FAULTS
-from bench.ideal_bucket import inside_rate
 from bench.idle_watch import IdleWatch
 from bench.load_plan import LoadPlanner
 from bench.load_run import LoadRun
@@ -94,7 +93,7 @@
         )
         idle = IdleWatch(cluster, system.engines)
         outcomes = await _load(experiment, system, idle)
-    summary = summarize(profile, outcomes, idle)
+    summary = summarize(profile, outcomes, idle, experiment.duration_s)
     _write(experiment, outcomes, summary)
     return summary
 
@@ -117,7 +116,7 @@
         asyncio.create_task(idle.run()),
         asyncio.create_task(_inject(experiment, system)),
     ]
-    outcomes = await sender.send_all(plan, inside_rate(profile, plan))
+    outcomes = await sender.send_all(plan)
     for task in background:
         task.cancel()
     await asyncio.gather(*background, return_exceptions=True)
