--- a/bench/chaos_command.py
+++ b/bench/chaos_command.py
@@ -5,10 +5,10 @@
 import tempfile
 
 import click
-import uvloop
 
 from bench.chaos_oracle import violations
 from bench.chaos_run import run_chaos
+from standins.running import run_tool
 
 DEFAULT_SEED = 1
 DEFAULT_DURATION_S = 25.0
@@ -31,7 +31,7 @@
     with tempfile.TemporaryDirectory() as dropped:
         folder = out or pathlib.Path(dropped)
         folder.mkdir(parents=True, exist_ok=True)
-        record = uvloop.run(run_chaos(seed, duration_s, folder))
+        record = run_tool(run_chaos(seed, duration_s, folder))
         click.echo(json.dumps(record.summary(), indent=2))
         broken = violations(record)
     for line in broken:
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -7,7 +7,6 @@
 from contextlib import AsyncExitStack
 
 import click
-import uvloop
 
 from bench.demo_result import DemoResult
 from bench.demo_steps import (
@@ -20,6 +19,7 @@
     stop_router_under_load,
 )
 from bench.demo_system import DemoSystem, open_demo_system
+from standins.running import run_tool
 
 Say = Callable[[str], None]
 
@@ -48,7 +48,7 @@
     """Show the main job on stand-ins; takes less than a minute."""
     started_s = time.monotonic()
     with tempfile.TemporaryDirectory() as log_dir:
-        uvloop.run(run_demo(pathlib.Path(log_dir), click.echo))
+        run_tool(run_demo(pathlib.Path(log_dir), click.echo))
     took_s = time.monotonic() - started_s
     click.echo(f'done in {took_s:.1f} s')
 
--- a/bench/run_command.py
+++ b/bench/run_command.py
@@ -10,7 +10,6 @@
 
 import attrs
 import click
-import uvloop
 
 from bench.fault_plan import FAULTS
 from bench.idle_watch import IdleWatch
@@ -24,6 +23,7 @@
 from bench.run_summary import RunSummary, summarize
 from bench.run_system import RunSystem, secret_of, start_run_system
 from standins.cluster import open_cluster
+from standins.running import run_tool
 
 DEFAULT_DURATION_S = 90.0
 DEFAULT_SEED = 20261203
@@ -70,7 +70,7 @@
 def run(profile: str, **given: Any) -> None:
     """Load a deployment on stand-ins and print its measures."""
     experiment = Experiment(profile=read_profile(profile), **given)
-    summary = uvloop.run(run_experiment(experiment))
+    summary = run_tool(run_experiment(experiment))
     click.echo(json.dumps(attrs.asdict(summary), indent=2))
 
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -1,6 +1,5 @@
 """Measures the slopes of docs/CAPACITY.md again."""
 
-import asyncio
 import pathlib
 import tempfile
 import types
@@ -13,6 +12,7 @@
 from bench.slopes_requests import measure_requests
 from bench.slopes_state import measure_state
 from bench.slopes_targets import measure_targets
+from standins.running import run_tool
 
 PARTS = types.MappingProxyType({
     'members': measure_members,
@@ -37,5 +37,5 @@
     with tempfile.TemporaryDirectory() as log_dir:
         for name in parts or PARTS:
             click.echo(f'measuring {name}', err=True)
-            asyncio.run(PARTS[name](pathlib.Path(log_dir), report))
+            run_tool(PARTS[name](pathlib.Path(log_dir), report))
     click.echo(report.table())
