bench: served requests and tokens beside an ideal bucket, by workspace

Cause: counting by request misjudges an overloaded workspace in either way: a queue serves other requests than a greedy bucket, and tokens that are there may be promised to requests that wait. Change: numbers are compared by workspace. Measured: three tests.

--- a/bench/ideal_bucket.py
+++ b/bench/ideal_bucket.py
@@ -1,10 +1,11 @@
-"""Tells which refused requests were inside their workspace's rate."""
+"""What one ideal bucket for each workspace would have admitted."""
 
 from collections.abc import Iterable, Sequence
 
 import attrs
 
 from bench.outcome import Outcome
+from bench.planned_request import PlannedRequest
 from bench.profile import Profile, Tenant
 
 
@@ -12,8 +13,7 @@
 class IdealBucket:
     """One token bucket for a workspace over all VMs, without any delay.
 
-    It begins full; its level may go below zero, since tokens are counted at
-    the first byte, a little after they were taken.
+    It begins full and admits on arrival whatever it has the tokens for.
     """
 
     rate: float
@@ -21,45 +21,75 @@
     level: float
     at_s: float = 0
 
-    def advance(self, at_s: float) -> None:
-        """Refill until a time in seconds."""
-        gained = max(at_s - self.at_s, 0) * self.rate
+    def admits(self, at_s: float, tokens: float) -> bool:
+        """Take the tokens if they are there; return whether they were."""
+        gained = (at_s - self.at_s) * self.rate
         self.level = min(self.burst, self.level + gained)
-        self.at_s = max(at_s, self.at_s)
+        self.at_s = at_s
+        if tokens > self.level:
+            return False
+        self.level -= tokens
+        return True
 
 
-def refused_inside_rate(
-    profile: Profile, outcomes: Iterable[Outcome]
-) -> list[Outcome]:
-    """Return the requests that were refused although their tokens were there.
+@attrs.frozen
+class Served:
+    """Requests and tokens of a workspace, by the system and by the ideal."""
 
-    The answered requests are replayed against one ideal bucket for each
-    workspace; a refused one was inside the rate if the bucket had its tokens
-    when it was refused.
-    """
-    buckets = {tenant.name: _bucket(tenant) for tenant in profile.tenants}
-    found = []
-    for outcome in sorted(outcomes, key=lambda out: out.decided_s):
-        bucket = buckets[outcome.ask.workspace]
-        bucket.advance(outcome.decided_s)
-        if outcome.is_answered:
-            bucket.level -= outcome.ask.cost_tokens
-        elif outcome.ask.cost_tokens <= bucket.level:
-            found.append(outcome)
-    return found
-
-
-def served_share(
-    tenant: Tenant, outcomes: Sequence[Outcome], duration_s: float
-) -> float:
-    """Return the tokens served of those offered within the grant."""
-    own = [out for out in outcomes if out.ask.workspace == tenant.name]
-    offered = sum(out.ask.cost_tokens for out in own)
-    granted = tenant.burst_tokens + tenant.rate_tokens_per_s * duration_s
-    got = sum(out.ask.cost_tokens for out in own if out.is_answered)
-    return got / min(offered, granted) if offered else 1
-
-
-def _bucket(tenant: Tenant) -> IdealBucket:
+    requests: int
+    tokens: float
+    ideal_requests: int
+    ideal_tokens: float
+
+    @property
+    def share(self) -> float:
+        """Tokens served of those that the ideal served, at most 1."""
+        if not self.ideal_tokens:
+            return 1
+        return min(self.tokens / self.ideal_tokens, 1)
+
+    @property
+    def wrongful(self) -> int:
+        """Requests that the ideal served beyond those that were answered.
+
+        A queue serves other requests of an overloaded workspace than a bucket
+        that admits on arrival, so numbers are compared and not requests.
+        """
+        return max(self.ideal_requests - self.requests, 0)
+
+
+def count_served(
+    profile: Profile, outcomes: Sequence[Outcome]
+) -> dict[str, Served]:
+    """Return what each workspace got, beside the ideal, by its name."""
+    return {
+        tenant.name: _count(
+            tenant,
+            [out for out in outcomes if out.ask.workspace == tenant.name],
+        )
+        for tenant in profile.tenants
+    }
+
+
+def ideally_admitted(
+    tenant: Tenant, plan: Iterable[PlannedRequest]
+) -> list[PlannedRequest]:
+    """Return the requests of one workspace that an ideal bucket admits."""
     burst = tenant.burst_tokens
-    return IdealBucket(tenant.rate_tokens_per_s, burst, burst)
+    bucket = IdealBucket(tenant.rate_tokens_per_s, burst, burst)
+    return [ask for ask in plan if bucket.admits(ask.at_s, ask.cost_tokens)]
+
+
+def _count(tenant: Tenant, outcomes: Sequence[Outcome]) -> Served:
+    ideal = ideally_admitted(tenant, [out.ask for out in outcomes])
+    answered = [out.ask for out in outcomes if out.is_answered]
+    return Served(
+        requests=len(answered),
+        tokens=_tokens(answered),
+        ideal_requests=len(ideal),
+        ideal_tokens=_tokens(ideal),
+    )
+
+
+def _tokens(plan: Iterable[PlannedRequest]) -> float:
+    return sum(ask.cost_tokens for ask in plan)
--- a/bench/outcome.py
+++ b/bench/outcome.py
@@ -22,11 +22,6 @@
     first_s: float
     total_s: float
 
-    @property
-    def decided_s(self) -> float:
-        """When the first byte came, in seconds after the run's start."""
-        return self.ask.at_s + self.first_s
-
     @property
     def is_answered(self) -> bool:
         """Whether the whole answer came."""
--- a/bench/run_command.py
+++ b/bench/run_command.py
@@ -93,7 +93,7 @@
         )
         idle = IdleWatch(cluster, system.engines)
         outcomes = await _load(experiment, system, idle)
-    summary = summarize(profile, outcomes, idle, experiment.duration_s)
+    summary = summarize(profile, outcomes, idle)
     _write(experiment, outcomes, summary)
     return summary
 
--- a/tests/test_bench_ideal_bucket.py
+++ b/tests/test_bench_ideal_bucket.py
@@ -1,8 +1,9 @@
-"""Tests of the bench's count of wrongful refusals."""
+"""Tests of the bench's comparison with an ideal bucket."""
 
 import attrs
+import pytest
 
-from bench.ideal_bucket import refused_inside_rate, served_share
+from bench.ideal_bucket import count_served
 from bench.outcome import Outcome
 from bench.planned_request import PlannedRequest
 from bench.profile import Tenant
@@ -18,18 +19,20 @@
     return Outcome(ask, status, code, False, 0, 0)
 
 
-def test_a_refusal_counts_if_the_tokens_were_there() -> None:
-    outcomes = [
-        _outcome(0),
-        _outcome(0),
-        _outcome(0.5, 'rate_exceeded'),
-        _outcome(1.5, 'rate_exceeded'),
-    ]
-    found = refused_inside_rate(PROFILE, outcomes)
-    assert [out.ask.at_s for out in found] == [1.5]
+def test_a_refusal_outside_the_rate_is_not_wrongful() -> None:
+    outcomes = [_outcome(0), _outcome(0), _outcome(0, 'rate_exceeded')]
+    served = count_served(PROFILE, outcomes)['w']
+    assert not served.wrongful
+    assert served.share == pytest.approx(1)
 
 
-def test_the_share_counts_what_was_offered_within_the_grant() -> None:
-    outcomes = [_outcome(0), _outcome(0), _outcome(0, 'rate_exceeded')]
-    assert served_share(TENANT, outcomes, 0) == 1
-    assert served_share(TENANT, outcomes, 1) == 2 / 3
+def test_it_does_not_matter_which_of_too_many_requests_is_served() -> None:
+    outcomes = [_outcome(0, 'rate_exceeded'), _outcome(0), _outcome(0)]
+    assert not count_served(PROFILE, outcomes)['w'].wrongful
+
+
+def test_a_refusal_inside_the_rate_is_wrongful() -> None:
+    outcomes = [_outcome(0), _outcome(0, 'model_not_ready')]
+    served = count_served(PROFILE, outcomes)['w']
+    assert served.wrongful == 1
+    assert served.share == pytest.approx(0.5)
