placement: the model whose requests waited most together is loaded first

Cause: under a burst of cold models the weight store is the bottleneck (3 loads a second), and loads went by the longest single wait. Ruled out: more loads at once (the store's limit). Change: urgency is the number of waiting requests times the longest wait. The new test fails without the change.

--- a/mimosaworks/placement/policy.py
+++ b/mimosaworks/placement/policy.py
@@ -56,8 +56,15 @@
         return self.decisions
 
     def _urgency(self, model: Model) -> tuple[float, str]:
+        # The weight store is the bottleneck of a burst: the model whose
+        # requests have waited most, all together, is loaded first. A single
+        # request is overtaken only until its own wait adds up.
         demand = self.state.demand
-        return (demand.wait_start_s(model.name), model.name)
+        waiting = demand.waiting(model.name)
+        if not waiting:
+            return (0, model.name)
+        waited_s = self.now - demand.wait_start_s(model.name)
+        return (-waiting * waited_s, model.name)
 
     def _raise_by(self, model: Model, missing: int) -> None:
         missing -= self._keep_draining(model, missing)
--- a/tests/test_placement_policy.py
+++ b/tests/test_placement_policy.py
@@ -159,6 +159,22 @@
     assert len(bench.where('m')) == 2
 
 
+def test_the_model_whose_requests_waited_most_together_is_loaded_first() -> (
+    None
+):
+    models = [model('early', 1), model('busy', 1)]
+    bench = Bench(rules(loads_at_once=1, loads_per_s=0), models)
+    bench.ask(waits('early'))
+    bench.step()
+    bench.ask(waits('early'), waits('busy', count=20))
+    bench.step()
+    bench.now += 1
+    bench.placer.state.budget.loads_per_s = 100
+    bench.ask(waits('early'), waits('busy', count=20))
+    decisions = bench.step()
+    assert [one.model for one in decisions] == ['busy']
+
+
 def test_the_weight_store_gets_no_more_loads_at_once_than_its_budget() -> None:
     models = [model(f'm{index}', 1) for index in range(10)]
     bench = Bench(rules(loads_at_once=2, loads_per_s=100), models)
