--- a/bench/demo_steps.py
+++ b/bench/demo_steps.py
@@ -25,8 +25,6 @@
 LONG_TOKENS = 150
 STREAMS = 12
 BYTES_PER_MB = 1000000
-FRESH_WAIT_S = 15.0
-POLL_S = 0.1
 
 
 async def apply_sheet(system: DemoSystem, result: DemoResult) -> None:
--- a/bench/slopes_changes.py
+++ b/bench/slopes_changes.py
@@ -6,10 +6,11 @@
 from statistics import fmean
 
 from bench.curves import Curves
+from bench.size_sweep import sweep_sizes
 from bench.slope_report import SlopeReport
 from bench.slopes_members import start_routers
 from bench.usage import Usage, mean_usage, read_usage
-from standins.cluster import OPERATOR_TOKEN, Cluster, open_cluster
+from standins.cluster import OPERATOR_TOKEN, Cluster
 from standins.node import Node
 
 COUNTS = (4, 16)
@@ -21,14 +22,7 @@
 
 async def measure_changes(log_dir: pathlib.Path, report: SlopeReport) -> None:
     """Measure time to be in force, processor and bytes for each change."""
-    curves = Curves()
-    pending = list(COUNTS)
-    while pending:
-        count = pending.pop(0)
-        path = log_dir / f'changes-{count}'
-        path.mkdir()
-        async with open_cluster(path) as cluster:
-            await _measure(cluster, count, curves)
+    curves = await sweep_sizes(log_dir, COUNTS, _measure)
     curves.report_points(report, 'routers')
     slope = curves.slopes()[ADMIN_FIGURE]
     report.add(f'{ADMIN_FIGURE}, for each member', slope.increase, '')
--- a/bench/slopes_members.py
+++ b/bench/slopes_members.py
@@ -5,9 +5,10 @@
 
 from bench.catalogue_writer import base_entities, writer_for
 from bench.curves import Curves
+from bench.size_sweep import sweep_sizes
 from bench.slope_report import SlopeReport
 from bench.usage import Usage, mean_usage, read_usage
-from standins.cluster import Cluster, open_cluster
+from standins.cluster import Cluster
 from standins.node import Node
 
 COUNTS = (4, 8, 16, 32)
@@ -19,24 +20,16 @@
 
 async def measure_members(log_dir: pathlib.Path, report: SlopeReport) -> None:
     """Measure idle routers in clusters of growing size."""
-    curves = Curves()
-    pending = list(COUNTS)
-    while pending:
-        count = pending.pop(0)
-        await _measure_count(log_dir / f'members-{count}', count, curves)
+    curves = await sweep_sizes(log_dir, COUNTS, _measure)
     curves.report_points(report, 'routers')
     for name, slope in curves.slopes().items():
         report.add(f'{name}: level', slope.level, '')
         report.add(f'{name}: for each member', slope.increase, '')
 
 
-async def _measure_count(
-    path: pathlib.Path, count: int, curves: Curves
-) -> None:
-    path.mkdir()
-    async with open_cluster(path) as cluster:
-        routers = await start_routers(cluster, count)
-        usage, stats = await _sample(cluster, routers)
+async def _measure(cluster: Cluster, count: int, curves: Curves) -> None:
+    routers = await start_routers(cluster, count)
+    usage, stats = await _sample(cluster, routers)
     _note(curves, count, usage, stats)
 
 
--- a/mimosaworks/admission/fair_queue.py
+++ b/mimosaworks/admission/fair_queue.py
@@ -48,12 +48,9 @@
         self._finish_tags[entry.workspace] = (
             entry.start_tag + entry.cost / entry.weight
         )
-        self._add(entry)
-
-    def push_back(self, entry: QueueEntry) -> None:
-        """Put back a popped request that could not be served, tag kept."""
-        entry.is_gone = False
-        self._add(entry)
+        order = (entry.priority, entry.start_tag, next(self._count), entry)
+        heapq.heappush(self._heap, order)
+        self._size += 1
 
     def pop(self) -> QueueEntry | None:
         """Remove and return the next request, or None when empty."""
@@ -73,11 +70,6 @@
             entry.is_gone = True
             self._size -= 1
 
-    def _add(self, entry: QueueEntry) -> None:
-        order = (entry.priority, entry.start_tag, next(self._count), entry)
-        heapq.heappush(self._heap, order)
-        self._size += 1
-
     def _forget_idle(self) -> None:
         # A finish tag at or below the virtual time has no effect any more.
         if self._size == 0:
--- a/mimosaworks/admission/model_call.py
+++ b/mimosaworks/admission/model_call.py
@@ -11,7 +11,6 @@
 DEFAULT_MAX_TOKENS = 256
 MAX_MAX_TOKENS = 1000000
 BYTES_PER_TOKEN = 4
-DEFAULT_PRIORITY = 10
 
 
 @attrs.frozen
--- a/mimosaworks/limits/holder_sets.py
+++ b/mimosaworks/limits/holder_sets.py
@@ -52,7 +52,3 @@
                 if known >= epoch
             }
         return min(self.parts.values(), default=0)
-
-    def next_due(self) -> float | None:
-        """Return when the part may next grow, in seconds; None for never."""
-        return min(self.due.values(), default=None)
--- a/mimosaworks/routing/lane.py
+++ b/mimosaworks/routing/lane.py
@@ -56,9 +56,9 @@
             async with asyncio.timeout(timeout_s):
                 await asyncio.shield(waiter.turn)
         except TimeoutError:
-            return self._has_turn(waiter)
+            return waiter.turn.done()
         except asyncio.CancelledError:
-            if self._has_turn(waiter):
+            if waiter.turn.done():
                 self.end_turn()
             raise
         finally:
@@ -87,6 +87,3 @@
             if isinstance(entry, Waiter) and not entry.turn.done():
                 self._granted += 1
                 entry.turn.set_result(None)
-
-    def _has_turn(self, waiter: Waiter) -> bool:
-        return waiter.turn.done()
