--- /dev/null
+++ b/mimosaworks/deployment/deployment.py
@@ -0,0 +1,70 @@
+"""One version of everything that operators configure."""
+
+import functools
+from collections.abc import Mapping
+
+import attrs
+
+from mimosaworks.deployment.route import ServiceRoute
+from mimosaworks.deployment.service import ServiceTerms
+from mimosaworks.deployment.workspace import Grant, WorkspaceTerms
+
+
+@attrs.frozen
+class RequestLimits:
+    """Bounds on what a caller sends: bytes, and seconds it may take."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4194304
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@attrs.define(eq=False)
+class Deployment:
+    """Routes, services and workspaces of one version; read only.
+
+    needs_key is false when no workspaces are configured.
+    """
+
+    version: int
+    routes: tuple[ServiceRoute, ...]
+    services: Mapping[str, ServiceTerms]
+    workspaces: Mapping[str, WorkspaceTerms]
+    limits: RequestLimits = RequestLimits()
+
+    @property
+    def needs_key(self) -> bool:
+        """Whether requests on routes that are not public need a key."""
+        return bool(self.workspaces)
+
+    def find_route(self, host: str, path: str) -> ServiceRoute | None:
+        """Return the host's route with the longest prefix of the path."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def find_grant(self, secret: str) -> Grant | None:
+        """Return whose key this is, or None for an unknown key."""
+        return self._grants.get(secret)
+
+    @functools.cached_property
+    def _by_host(self) -> dict[str, list[ServiceRoute]]:
+        by_host: dict[str, list[ServiceRoute]] = {}
+        longest_first = sorted(self.routes, key=_prefix_length, reverse=True)
+        for route in longest_first:
+            by_host.setdefault(route.host, []).append(route)
+        return by_host
+
+    @functools.cached_property
+    def _grants(self) -> dict[str, Grant]:
+        return {
+            secret: Grant(terms.name, terms.priority)
+            for terms in self.workspaces.values()
+            for secret in terms.keys
+        }
+
+
+def _prefix_length(route: ServiceRoute) -> int:
+    return len(route.prefix)
--- /dev/null
+++ b/mimosaworks/dispatch/__init__.py
@@ -0,0 +1,25 @@
+"""Decisions on where requests run and what is loaded; no input or output."""
+
+from mimosaworks.dispatch.dispatcher import Decided, Dispatcher, ResendTerms
+from mimosaworks.dispatch.engine_pool import EnginePool
+from mimosaworks.dispatch.engine_target import EngineTarget, Step
+from mimosaworks.dispatch.job import Ask, Assignment, Job, Refusal
+from mimosaworks.dispatch.outcome import CallOutcome
+from mimosaworks.dispatch.plain_pool import PlainPool
+from mimosaworks.dispatch.reconcile import adopt_models
+
+__all__ = [
+    'Ask',
+    'Assignment',
+    'CallOutcome',
+    'Decided',
+    'Dispatcher',
+    'EnginePool',
+    'EngineTarget',
+    'Job',
+    'PlainPool',
+    'Refusal',
+    'ResendTerms',
+    'Step',
+    'adopt_models',
+]
--- /dev/null
+++ b/mimosaworks/dispatch/engine_target.py
@@ -0,0 +1,170 @@
+"""A target with engines, as the holder sees it."""
+
+import math
+from collections import deque
+
+import attrs
+
+from mimosaworks.deployment import EngineModel, EngineTerms, TargetEntry
+from mimosaworks.dispatch.health import Health
+from mimosaworks.dispatch.job import Job
+from mimosaworks.dispatch.prefix_cache import PrefixCache
+
+LESS_URGENT_SHARE = 0.3  # of a less urgent prompt that is read before
+
+
+@attrs.define(eq=False)
+class LoadedAdapter:
+    """An adapter beside its model; is_ready once its order has ended."""
+
+    name: str
+    used_s: float
+    is_ready: bool = True
+    jobs: int = 0
+
+
+@attrs.define(eq=False)
+class LoadedModel:
+    """A model in a target's memory, or on its way there.
+
+    ready_s is when its load should end; is_leaving marks one that is
+    ordered to be unloaded.
+    """
+
+    terms: EngineModel
+    used_s: float
+    ready_s: float = 0
+    is_ready: bool = True
+    is_leaving: bool = False
+    jobs: int = 0
+    adapters: dict[str, LoadedAdapter] = attrs.field(factory=dict)
+
+    @property
+    def size_mb(self) -> float:
+        """Memory of the model with its adapters."""
+        return self.terms.size_mb + len(self.adapters) * self.terms.adapter_mb
+
+
+@attrs.frozen
+class Step:
+    """One order that a target's queue holds."""
+
+    is_load: bool
+    model: str
+    adapter: str = ''
+    is_from_store: bool = False
+    duration_s: float = 0
+
+
+@attrs.define(eq=False)
+class EngineTarget:
+    """Models, orders and requests of one target.
+
+    orders is the count of accepted orders, is_synced whether it and the
+    models were confirmed since this process became holder. steps_end_s is
+    when the queued orders should have ended.
+    """
+
+    entry: TargetEntry
+    terms: EngineTerms
+    cache: PrefixCache
+    health: Health = attrs.field(factory=Health)
+    models: dict[str, LoadedModel] = attrs.field(factory=dict)
+    jobs: dict[str, Job] = attrs.field(factory=dict)
+    steps: deque[Step] = attrs.field(factory=deque)
+    in_memory: set[str] = attrs.field(factory=set)
+    on_disk: set[str] = attrs.field(factory=set)
+    orders: int = 0
+    steps_end_s: float = 0
+    is_synced: bool = False
+    is_ordering: bool = False
+
+    @property
+    def used_mb(self) -> float:
+        """Memory of all models, those that are leaving included."""
+        return sum(loaded.size_mb for loaded in self.models.values())
+
+    @property
+    def adapter_count(self) -> int:
+        """Adapters loaded or on their way."""
+        return sum(len(loaded.adapters) for loaded in self.models.values())
+
+    @property
+    def kv_tokens(self) -> int:
+        """Cache memory that the requests need at their end."""
+        return sum(
+            job.ask.facts.tokens_in + job.ask.facts.expected_out
+            for job in self.jobs.values()
+        )
+
+    def backlog_tokens(self, priority: int) -> float:
+        """Prompt tokens to read before a new request of this priority."""
+        return math.fsum(
+            job.prefill_tokens * _share_before(job, priority)
+            for job in self.jobs.values()
+            if not job.is_started
+        )
+
+    def load_s(self, model: EngineModel) -> float:
+        """Return the load time from where the weights lie."""
+        if model.name in self.in_memory:
+            return model.memory_load_s
+        if model.name in self.on_disk:
+            return model.disk_load_s
+        return model.store_load_s
+
+    def needs_store(self, model: EngineModel) -> bool:
+        """Tell whether a load would use the weight store."""
+        return model.name not in self.in_memory | self.on_disk
+
+    def is_ready_for(self, job: Job) -> bool:
+        """Tell whether a request's model and adapter are loaded."""
+        loaded = self.models.get(job.ask.facts.model)
+        if loaded is None or not loaded.is_ready:
+            return False
+        wanted = job.ask.facts.adapter
+        if not wanted:
+            return True
+        adapter = loaded.adapters.get(wanted)
+        return adapter is not None and adapter.is_ready
+
+    def add_job(self, job: Job, now: float) -> None:
+        """Book a request on this target."""
+        facts = job.ask.facts
+        self.jobs[job.ask.call] = job
+        job.target = self.entry.name
+        loaded = self.models.get(facts.model)
+        if loaded is not None:
+            loaded.jobs += 1
+            loaded.used_s = now
+            adapter = loaded.adapters.get(facts.adapter)
+            if adapter is not None:
+                adapter.jobs += 1
+                adapter.used_s = now
+
+    def drop_job(self, job: Job) -> None:
+        """Take a request off this target's books."""
+        if self.jobs.pop(job.ask.call, None) is None:
+            return
+        loaded = self.models.get(job.ask.facts.model)
+        if loaded is not None:
+            loaded.jobs = max(loaded.jobs - 1, 0)
+            adapter = loaded.adapters.get(job.ask.facts.adapter)
+            if adapter is not None:
+                adapter.jobs = max(adapter.jobs - 1, 0)
+
+    def count_jobs(self) -> None:
+        """Count the requests of each model and adapter anew."""
+        for loaded in self.models.values():
+            facts = [
+                job.ask.facts
+                for job in self.jobs.values()
+                if job.ask.facts.model == loaded.terms.name
+            ]
+            loaded.jobs = len(facts)
+            for name, adapter in loaded.adapters.items():
+                adapter.jobs = sum(name == fact.adapter for fact in facts)
+
+
+def _share_before(job: Job, priority: int) -> float:
+    return 1.0 if job.ask.priority <= priority else LESS_URGENT_SHARE
--- /dev/null
+++ b/mimosaworks/dispatch/estimate.py
@@ -0,0 +1,138 @@
+"""Predicts when a target would answer a request."""
+
+import attrs
+
+from mimosaworks.dispatch.engine_target import EngineTarget, Step
+from mimosaworks.dispatch.job import Job
+from mimosaworks.dispatch.swap import (
+    ADAPTER_LOAD_S,
+    SwapPlanner,
+    plan_adapter,
+)
+
+PREFILL_TOKENS_PER_S = 38_000.0  # the engines' rate before any measurement
+STEP_S = 0.008  # one step of an engine's batch
+PACE_WEIGHT = 0.15  # how fast measured times correct the predictions
+MAX_PACE = 8.0
+FULL_S = 1.0  # expected wait for a slot of a full engine
+KV_OVERFLOW_S = 4.0  # cost of a preemption, for a memory of overflow
+OTHER_CENTRE_S = 0.006  # two round trips, and bytes between data centres
+ORDER_S = 0.01  # an order's own cost
+FAILURE_S = 1.5  # loss when the target fails the request
+
+
+@attrs.frozen
+class Option:
+    """One way to serve a request; wait_s is the time to its first event."""
+
+    target: EngineTarget
+    steps: tuple[Step, ...]
+    wait_s: float
+    cost_s: float
+    prefill_tokens: int
+
+
+@attrs.define
+class Estimator:
+    """Predicts waits, and learns each model's pace from measured ones."""
+
+    swaps: SwapPlanner
+    paces: dict[str, float] = attrs.field(factory=dict)
+
+    def pace(self, model: str) -> float:
+        """Return how slow a model is, against the engines' rate."""
+        return self.paces.get(model, 1.0)
+
+    def option(
+        self, target: EngineTarget, job: Job, now: float
+    ) -> Option | None:
+        """Return what it takes to serve a request on a target, or None."""
+        plan = self._plan_model(target, job, now)
+        if plan is None:
+            return None
+        steps, ready_s, loss_s = plan
+        facts = job.ask.facts
+        cached = target.cache.cached_tokens(
+            facts.model, facts.adapter, facts.parts
+        )
+        tokens = max(facts.tokens_in - cached, 1)
+        wait_s = max(ready_s, self.backlog_s(target, job.ask.priority))
+        wait_s += self.read_s(target, facts.model, tokens)
+        extra_s = loss_s + len(steps) * ORDER_S + _penalty_s(target, job, now)
+        return Option(target, steps, wait_s, wait_s + extra_s, tokens)
+
+    def backlog_s(self, target: EngineTarget, priority: int) -> float:
+        """Return how long prompts before this priority's take."""
+        tokens = target.backlog_tokens(priority)
+        return tokens / PREFILL_TOKENS_PER_S * target.health.slowness
+
+    def read_s(self, target: EngineTarget, model: str, tokens: int) -> float:
+        """Return how long a target reads a prompt of a model."""
+        alone_s = tokens / PREFILL_TOKENS_PER_S + STEP_S
+        return alone_s * self.pace(model) * target.health.slowness
+
+    def learn(self, target: EngineTarget, job: Job, measured_s: float) -> None:
+        """Correct the paces of model and target by a measured wait."""
+        error = measured_s / max(job.estimate_s, STEP_S)
+        model = job.ask.facts.model
+        pace = self.pace(model) * error**PACE_WEIGHT
+        self.paces[model] = min(max(pace, 1 / MAX_PACE), MAX_PACE)
+        slowness = target.health.slowness * error**PACE_WEIGHT
+        target.health.slowness = min(max(slowness, 1 / 2), MAX_PACE)
+
+    def _plan_model(
+        self, target: EngineTarget, job: Job, now: float
+    ) -> tuple[tuple[Step, ...], float, float] | None:
+        facts = job.ask.facts
+        queued_s = max(target.steps_end_s - now, 0)
+        loaded = target.models.get(facts.model)
+        if loaded is not None and not loaded.is_leaving:
+            ready_s = 0 if loaded.is_ready else max(loaded.ready_s - now, 0)
+            if not facts.adapter or facts.adapter in loaded.adapters:
+                return ((), ready_s, 0)
+            steps = plan_adapter(target, loaded, facts.adapter)
+            if steps is None:
+                return None
+            return (steps, max(ready_s, queued_s) + ADAPTER_LOAD_S, 0)
+        if loaded is not None:
+            return None
+        return self._plan_swap(target, job, queued_s, now)
+
+    def _plan_swap(
+        self, target: EngineTarget, job: Job, queued_s: float, now: float
+    ) -> tuple[tuple[Step, ...], float, float] | None:
+        facts = job.ask.facts
+        model = target.terms.models.get(facts.model)
+        if model is None:
+            return None
+        swap = self.swaps.plan_model(target, model, now)
+        if swap is None:
+            return None
+        ready_s = queued_s + swap.duration_s
+        steps = swap.steps
+        if facts.adapter:
+            adapter = Step(
+                is_load=True,
+                model=model.name,
+                adapter=facts.adapter,
+                duration_s=ADAPTER_LOAD_S,
+            )
+            steps = (*steps, adapter)
+            ready_s += ADAPTER_LOAD_S
+            if target.adapter_count >= target.terms.adapter_slots:
+                return None
+        return (steps, ready_s, swap.loss_s)
+
+
+def _penalty_s(target: EngineTarget, job: Job, now: float) -> float:
+    ask = job.ask
+    penalty = FAILURE_S * target.health.failures(now)
+    if target.entry.data_centre != ask.data_centre:
+        penalty += OTHER_CENTRE_S
+    if len(target.jobs) >= target.terms.slots:
+        penalty += FULL_S
+    needed = ask.facts.tokens_in + ask.facts.expected_out
+    overflow = target.kv_tokens + needed - target.terms.kv_tokens
+    if overflow > 0:
+        penalty += KV_OVERFLOW_S * overflow / target.terms.kv_tokens + FULL_S
+    return penalty
--- /dev/null
+++ b/mimosaworks/dispatch/job.py
@@ -0,0 +1,65 @@
+"""A request in the holder's books, and what is decided about it."""
+
+import attrs
+
+from mimosaworks.deployment import CallFacts
+from mimosaworks.errors import ErrorKind
+
+
+@attrs.frozen
+class Ask:
+    """Asks for a target; times are on the asked process's clock in seconds.
+
+    call names this ask. cost is in the workspace's unit. A request that
+    comes again has a resend count and the targets that failed it.
+    """
+
+    call: str
+    node: str
+    service: str
+    workspace: str
+    cost: float
+    priority: int
+    facts: CallFacts
+    data_centre: str
+    target_s: float
+    give_up_s: float
+    resends: int = 0
+    excluded: frozenset[str] = frozenset()
+
+
+@attrs.frozen
+class Assignment:
+    """The target of a request, and the engine's priority for it."""
+
+    target: str
+    address: str
+    priority: int
+    reason: str = ''
+
+
+@attrs.frozen
+class Refusal:
+    """Why a request gets no target, and when the caller may come back."""
+
+    kind: ErrorKind
+    retry_after_s: float
+    reason: str
+
+
+@attrs.define(eq=False)
+class Job:
+    """A request that waits for a target or runs there.
+
+    prefill_tokens are the prompt's tokens that the target has to read.
+    is_started: its first event has come.
+    """
+
+    ask: Ask
+    arrived_s: float
+    target: str = ''
+    granted_s: float = 0
+    prefill_tokens: int = 0
+    estimate_s: float = 0
+    is_granted: bool = False
+    is_started: bool = False
--- /dev/null
+++ b/mimosaworks/dispatch/outcome.py
@@ -0,0 +1,15 @@
+"""How a request's stay at a target ended."""
+
+import enum
+
+
+class CallOutcome(enum.Enum):
+    """The value is on the wire between nodes and the holder."""
+
+    ANSWERED = 'answered'
+    FAILED = 'failed'
+    BROKEN = 'broken'
+    UNREACHABLE = 'unreachable'
+    REFUSED = 'refused'
+    TIMED_OUT = 'timed_out'
+    CALLER_LEFT = 'caller_left'
--- /dev/null
+++ b/mimosaworks/dispatch/reconcile.py
@@ -0,0 +1,83 @@
+"""Brings the holder's view of a target in line with its own account."""
+
+from collections.abc import Iterable
+
+from mimosaworks.deployment import Residence, TargetEntry
+from mimosaworks.dispatch.engine_target import (
+    EngineTarget,
+    LoadedAdapter,
+    LoadedModel,
+)
+
+SETTLE_S = 2.5  # two heartbeat intervals of the targets
+
+
+def adopt_entry(target: EngineTarget, entry: TargetEntry, now: float) -> None:
+    """Take over an entry; its models only when no order is younger."""
+    target.entry = entry
+    target.in_memory.update(entry.in_memory)
+    target.on_disk.update(entry.on_disk)
+    if not target.is_synced and not target.steps:
+        adopt_models(target, entry.residences, entry.orders, now)
+        return
+    has_orders = target.is_ordering or target.steps
+    is_settled = now - target.steps_end_s > SETTLE_S
+    if not has_orders and is_settled and entry.orders >= target.orders:
+        adopt_models(target, entry.residences, entry.orders, now)
+
+
+def adopt_models(
+    target: EngineTarget,
+    residences: Iterable[Residence],
+    orders: int,
+    now: float,
+) -> None:
+    """Replace the models by those that the target names.
+
+    What queued orders will change stays expected.
+    """
+    target.orders = orders
+    named = {residence.model: residence for residence in residences}
+    for name, held in list(target.models.items()):
+        if held.is_ready and name not in named:
+            forget_model(target, name)
+    leaving = {
+        step.model
+        for step in target.steps
+        if not step.is_load and not step.adapter
+    }
+    for residence in named.values():
+        terms = target.terms.models.get(residence.model)
+        if terms is None:
+            continue
+        loaded = target.models.setdefault(
+            residence.model, LoadedModel(terms, used_s=0)
+        )
+        loaded.is_ready = True
+        loaded.is_leaving = residence.model in leaving
+        _adopt_adapters(loaded, residence)
+        target.in_memory.add(residence.model)
+        target.on_disk.add(residence.model)
+    target.count_jobs()
+
+
+def forget_model(target: EngineTarget, model: str) -> None:
+    """Remove a model that the target no longer holds."""
+    target.models.pop(model, None)
+    target.cache.drop_model(model)
+
+
+def _adopt_adapters(loaded: LoadedModel, residence: Residence) -> None:
+    kept = loaded.adapters
+    pending = {
+        name: adapter
+        for name, adapter in kept.items()
+        if not adapter.is_ready and name not in residence.adapters
+    }
+    held = {
+        name: kept.get(name) or LoadedAdapter(name, used_s=0)
+        for name in residence.adapters
+    }
+    for adapter in held.values():
+        adapter.is_ready = True
+    loaded.adapters = held | pending
--- /dev/null
+++ b/mimosaworks/dispatch/swap.py
@@ -0,0 +1,163 @@
+"""Makes room for a model or an adapter on a target."""
+
+import math
+
+import attrs
+
+from mimosaworks.deployment import EngineModel
+from mimosaworks.dispatch.demand import ModelDemand
+from mimosaworks.dispatch.engine_target import (
+    EngineTarget,
+    LoadedAdapter,
+    LoadedModel,
+    Step,
+)
+
+UNLOAD_S = 0.02  # an idle model leaves at the engine's next step
+ADAPTER_LOAD_S = 0.02  # two to three times the published 5 to 10 ms
+REUSE_HORIZON_S = 10.0  # about how long a model stays unless it makes way
+MAX_VICTIMS = 3
+
+
+@attrs.frozen
+class Swap:
+    """The orders that bring a model in, and what the victims' loss costs.
+
+    duration_s is the time of all orders, loss_s the expected seconds that
+    later requests wait for the victims.
+    """
+
+    steps: tuple[Step, ...]
+    duration_s: float
+    loss_s: float
+
+
+@attrs.define
+class SwapPlanner:
+    """Plans orders; copies gives the number of replicas of a model."""
+
+    demand: ModelDemand
+    copies: dict[str, int]
+
+    def plan_model(
+        self, target: EngineTarget, model: EngineModel, now: float
+    ) -> Swap | None:
+        """Return the cheapest swap, or None when nothing can make way."""
+        victims = self._victims(target, model, now)
+        if victims is None:
+            return None
+        load_s = target.load_s(model)
+        unloads = [
+            Step(is_load=False, model=victim.terms.name, duration_s=UNLOAD_S)
+            for victim in victims
+        ]
+        load = Step(
+            is_load=True,
+            model=model.name,
+            is_from_store=target.needs_store(model),
+            duration_s=load_s,
+        )
+        return Swap(
+            steps=(*unloads, load),
+            duration_s=load_s + UNLOAD_S * len(victims),
+            loss_s=math.fsum(
+                self.loss_s(target, victim, now) for victim in victims
+            ),
+        )
+
+    def loss_s(
+        self, target: EngineTarget, victim: LoadedModel, now: float
+    ) -> float:
+        """Return the expected wait that a missing replica causes later."""
+        name = victim.terms.name
+        asked = self.demand.per_s(name, now) * REUSE_HORIZON_S
+        copies = max(self.copies.get(name, 1), 1)
+        reload_s = victim.terms.disk_load_s
+        recency = math.exp(-max(now - victim.used_s, 0) / REUSE_HORIZON_S)
+        return reload_s * (asked / copies**2 + recency / REUSE_HORIZON_S)
+
+    def _victims(
+        self, target: EngineTarget, model: EngineModel, now: float
+    ) -> list[LoadedModel] | None:
+        staying = [
+            loaded
+            for loaded in target.models.values()
+            if not loaded.is_leaving
+        ]
+        free_mb = target.terms.weights_mb - sum(
+            loaded.size_mb for loaded in staying
+        )
+        idle = [
+            loaded
+            for loaded in staying
+            if loaded.is_ready and not loaded.jobs
+        ]
+        idle.sort(key=lambda loaded: self.loss_s(target, loaded, now))
+        return _cover(idle, model.size_mb - free_mb)
+
+
+def plan_adapter(
+    target: EngineTarget, loaded: LoadedModel, adapter: str
+) -> tuple[Step, ...] | None:
+    """Return the orders that bring an adapter in, or None."""
+    steps: list[Step] = []
+    if not _has_adapter_room(target, loaded):
+        found = _idle_adapter(target)
+        if found is None:
+            return None
+        steps.append(Step(is_load=False, model=found[0], adapter=found[1]))
+    steps.append(
+        Step(
+            is_load=True,
+            model=loaded.terms.name,
+            adapter=adapter,
+            duration_s=ADAPTER_LOAD_S,
+        )
+    )
+    return tuple(steps)
+
+
+def _cover(
+    idle: list[LoadedModel], missing_mb: float
+) -> list[LoadedModel] | None:
+    if missing_mb <= 0:
+        return []
+    for victim in idle:
+        if victim.size_mb >= missing_mb:
+            return [victim]
+    chosen: list[LoadedModel] = []
+    for victim in idle[:MAX_VICTIMS]:
+        chosen.append(victim)
+        missing_mb -= victim.size_mb
+        if missing_mb <= 0:
+            return chosen
+    return None
+
+
+def _has_adapter_room(target: EngineTarget, loaded: LoadedModel) -> bool:
+    staying_mb = sum(
+        other.size_mb
+        for other in target.models.values()
+        if not other.is_leaving
+    )
+    return (
+        target.adapter_count < target.terms.adapter_slots
+        and staying_mb + loaded.terms.adapter_mb <= target.terms.weights_mb
+    )
+
+
+def _idle_adapter(target: EngineTarget) -> tuple[str, str] | None:
+    idle = [
+        (adapter.used_s, loaded.terms.name, adapter.name)
+        for loaded in target.models.values()
+        for adapter in loaded.adapters.values()
+        if _may_leave(loaded, adapter)
+    ]
+    if not idle:
+        return None
+    _, model, name = min(idle)
+    return (model, name)
+
+
+def _may_leave(loaded: LoadedModel, adapter: LoadedAdapter) -> bool:
+    return adapter.is_ready and not adapter.jobs and not loaded.is_leaving
--- a/mimosaworks/errors/__init__.py
+++ b/mimosaworks/errors/__init__.py
@@ -12,6 +12,7 @@
     RequestError,
     SettingError,
     StoreConflictError,
+    StoreHistoryError,
     StoreInDoubtError,
     StoreUnavailableError,
 )
@@ -29,6 +30,7 @@
     'RunState',
     'SettingError',
     'StoreConflictError',
+    'StoreHistoryError',
     'StoreInDoubtError',
     'StoreUnavailableError',
 ]
--- a/mimosaworks/errors/tree.py
+++ b/mimosaworks/errors/tree.py
@@ -1,5 +1,8 @@
 """The exception tree of the package."""
 
+from collections.abc import Sequence
+from typing import Any
+
 from mimosaworks.errors.kind import ErrorKind
 from mimosaworks.errors.run_state import RunState
 from mimosaworks.errors.table import ERROR_ANSWERS, ErrorAnswer
@@ -26,7 +29,18 @@
 
 
 class StoreConflictError(PlatformError):
-    """An asserted row version did not hold; nothing took effect."""
+    """An asserted row version did not hold; nothing took effect.
+
+    rows holds the asserted rows as they are, where the store tells them.
+    """
+
+    def __init__(self, message: str, rows: Sequence[Any] = ()) -> None:
+        super().__init__(message)
+        self.rows = tuple(rows)
+
+
+class StoreHistoryError(PlatformError):
+    """Changes since a version are no longer known; read all rows anew."""
 
 
 class PeerError(MimosaError):
--- /dev/null
+++ b/mimosaworks/node/admission.py
@@ -0,0 +1,155 @@
+"""Decides whether a node takes a request, from the deployment in force."""
+
+import hashlib
+import random
+
+import attrs
+from aiohttp import web
+
+from mimosaworks.clock import now_s
+from mimosaworks.deployment import (
+    CallFacts,
+    Deployment,
+    Grant,
+    ServiceRoute,
+    WorkspaceTerms,
+)
+from mimosaworks.errors import ErrorKind, RequestError
+from mimosaworks.node.call import Call
+from mimosaworks.platform.headers import (
+    REQUEST_ID,
+    read_facts,
+    read_key,
+    read_time_left_s,
+)
+
+ANSWER_MARGIN_S = 0.02  # the way back to the caller
+MARK_BYTES = 16
+ROUTE_RANKS = 3  # route priorities that are told apart in a workspace
+NO_DEPLOYMENT_RETRY_S = 1.0
+
+
+async def admit(
+    req: web.BaseRequest, deployment: Deployment | None
+) -> Call:
+    """Return the request if the deployment allows it.
+
+    Raises RequestError, before anything was sent to a target.
+    """
+    arrived_s = now_s()
+    if deployment is None:
+        raise RequestError(
+            ErrorKind.CONFIG_STALE,
+            'this node knows no deployment yet',
+            retry_after_s=NO_DEPLOYMENT_RETRY_S,
+        )
+    route = _find_route(req, deployment)
+    grant = _find_grant(req, route, deployment)
+    facts, left_s = _read_fields(req)
+    timeout_s = route.timeout_s
+    if left_s is not None:
+        timeout_s = min(timeout_s, left_s - ANSWER_MARGIN_S)
+    deadline_s = arrived_s + timeout_s
+    body = await read_body(req, deployment.limits.body_bytes)
+    terms = None
+    if grant is not None:
+        terms = deployment.workspaces.get(grant.workspace)
+    return Call(
+        req=req,
+        request_id=req.headers.get(REQUEST_ID, ''),
+        route=route,
+        service=pick_service(route),
+        workspace=None if grant is None else grant.workspace,
+        cost=_cost(terms, facts),
+        priority=_priority(route, grant),
+        facts=facts,
+        body=body,
+        arrived_s=arrived_s,
+        deadline_s=deadline_s,
+        mark=_mark(req, grant, body),
+    )
+
+
+def pick_service(route: ServiceRoute) -> str:
+    """Return one of a route's services at random, by their weights."""
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    weights = [max(share.weight, 0) for share in route.shares]
+    if not any(weights):
+        return route.shares[0].service
+    return random.choices(route.shares, weights)[0].service
+
+
+async def read_body(req: web.BaseRequest, max_bytes: int) -> bytes:
+    """Return a request's body; raises RequestError when it is too large."""
+    if not req.body_exists:
+        return b''
+    chunks: list[bytes] = []
+    size = 0
+    async for chunk in req.content.iter_any():
+        size += len(chunk)
+        if size > max_bytes:
+            raise RequestError(
+                ErrorKind.BODY_TOO_LARGE, f'at most {max_bytes} bytes'
+            )
+        chunks.append(chunk)
+    return b''.join(chunks)
+
+
+def _find_route(
+    req: web.BaseRequest, deployment: Deployment
+) -> ServiceRoute:
+    host = req.headers.get('Host', '').partition(':')[0].lower()
+    path = req.raw_path.partition('?')[0]
+    route = deployment.find_route(host, path)
+    if route is None:
+        raise RequestError(
+            ErrorKind.UNKNOWN_ROUTE,
+            f'no route for {path} in version {deployment.version}',
+        )
+    return route
+
+
+def _find_grant(
+    req: web.BaseRequest, route: ServiceRoute, deployment: Deployment
+) -> Grant | None:
+    key = read_key(req.headers)
+    if not deployment.needs_key:
+        return None
+    grant = None if key is None else deployment.find_grant(key)
+    if grant is None and not route.is_public:
+        raise RequestError(
+            ErrorKind.UNAUTHENTICATED,
+            f'the key is not known in version {deployment.version}',
+        )
+    return grant
+
+
+def _read_fields(req: web.BaseRequest) -> tuple[CallFacts, float | None]:
+    try:
+        return (read_facts(req.headers), read_time_left_s(req.headers))
+    except ValueError as exc:
+        raise RequestError(ErrorKind.BAD_REQUEST, str(exc)) from exc
+
+
+def _cost(terms: WorkspaceTerms | None, facts: CallFacts) -> float:
+    return 0 if terms is None else terms.cost(facts.declared_tokens)
+
+
+def _priority(route: ServiceRoute, grant: Grant | None) -> int:
+    own = min(max(route.priority, 0), ROUTE_RANKS - 1)
+    if grant is None or grant.priority is None:
+        return own
+    # The workspace's priority goes first, the route's decides among equals.
+    return max(grant.priority, 0) * ROUTE_RANKS + own
+
+
+def _mark(
+    req: web.BaseRequest, grant: Grant | None, body: bytes
+) -> str:
+    workspace = '' if grant is None else grant.workspace
+    content = hashlib.blake2b(digest_size=MARK_BYTES)
+    content.update(f'{workspace}\0{req.method}\0{req.raw_path}\0'.encode())
+    content.update(body)
+    return content.hexdigest()
+
--- /dev/null
+++ b/mimosaworks/node/election.py
@@ -0,0 +1,227 @@
+"""Elects one node as the holder of the dispatch lease."""
+
+import asyncio
+import json
+import random
+from collections.abc import Callable
+
+import attrs
+
+from mimosaworks.clock import now_s
+from mimosaworks.errors import (
+    PlatformError,
+    StoreConflictError,
+    StoreInDoubtError,
+    StoreUnavailableError,
+)
+from mimosaworks.events import Event, log_event
+from mimosaworks.platform import (
+    RowChange,
+    RowName,
+    RowNeed,
+    StoreClient,
+    StoredRow,
+)
+
+LEASE_ROW = RowName('mimosaworks', 'dispatch-lease')
+LEASE_S = 1.5  # three renewals; fences guard the targets beyond it
+RENEWALS = 3  # in each lease
+POLL_S = 0.15  # pause between reads of the row while no holder is heard
+
+
+@attrs.frozen
+class Lease:
+    """The lease row: who holds it and where that process is reached.
+
+    nonce differs with each process; fence is the store's version at the
+    election, which grows from holder to holder.
+    """
+
+    holder: str
+    address: str
+    nonce: str
+    fence: int
+    version: int = 0
+
+    @property
+    def is_free(self) -> bool:
+        """Whether the last holder gave the lease back."""
+        return not self.holder
+
+
+@attrs.define(eq=False)
+class Election:
+    """Holds, watches or takes the lease; one for each node.
+
+    hears_holder tells whether the holder answers this node. may_hold is
+    false for a node that stops. survives tells whether the lease may be
+    used while the store can't be reached, which needs targets that check
+    fences.
+    """
+
+    store: StoreClient
+    name: str
+    address: str
+    nonce: str
+    hears_holder: Callable[[], bool]
+    on_taken: Callable[[Lease], None]
+    on_lost: Callable[[], None]
+    survives: bool
+    lease_s: float = LEASE_S
+    may_hold: bool = True
+    lease: Lease | None = None
+    is_holder: bool = False
+    _seen_s: float = 0
+    _renewed_s: float = 0
+
+    async def run(self) -> None:
+        """Take part until cancelled."""
+        while True:  # noqa: WPS457 -- ends when the task is cancelled
+            if self.is_holder:
+                await asyncio.sleep(self.lease_s / RENEWALS)
+                await self._renew()
+            elif self.hears_holder():
+                await asyncio.sleep(POLL_S)
+            else:
+                await self._look()
+                await asyncio.sleep(POLL_S * (1 + random.random()))
+
+    def heard(self, version: int) -> None:
+        """Note that the holder had renewed the row to this version."""
+        if self.lease is not None and version > self.lease.version:
+            self.lease = attrs.evolve(self.lease, version=version)
+            self._seen_s = now_s()
+
+    def step_down(self, reason: str) -> None:
+        """Stop holding the lease, which another process may have taken."""
+        if not self.is_holder:
+            return
+        self.is_holder = False
+        log_event(
+            Event.LEASE_LOST,
+            reason=reason,
+            fence=0 if self.lease is None else self.lease.fence,
+            age_s=now_s() - self._renewed_s,
+        )
+        self._seen_s = now_s()
+        self.on_lost()
+
+    async def give_back(self) -> None:
+        """Free the lease at a planned stop, so that it is taken at once."""
+        self.may_hold = False
+        lease = self.lease
+        if not self.is_holder or lease is None:
+            return
+        self.step_down('planned stop')
+        freed = attrs.evolve(lease, holder='', address='')
+        try:
+            await self._write(freed, lease.version)
+        except PlatformError as exc:
+            log_event(
+                Event.DEPENDENCY_LOST,
+                dependency='store:lease',
+                reason=str(exc),
+                age_s=now_s() - self._renewed_s,
+            )
+
+    async def _renew(self) -> None:
+        lease = self.lease
+        if lease is None or not self.is_holder:
+            return
+        begun_s = now_s()
+        try:
+            version = await self._write(lease, lease.version)
+        except StoreConflictError as exc:
+            self._on_conflict(exc, begun_s)
+        except (StoreUnavailableError, StoreInDoubtError) as exc:
+            if not self.survives and now_s() - self._renewed_s > self.lease_s:
+                self.step_down(f'not renewed: {exc}')
+        else:
+            self.lease = attrs.evolve(lease, version=version)
+            self._renewed_s = begun_s
+
+    def _on_conflict(self, exc: StoreConflictError, begun_s: float) -> None:
+        found = _lease_in(exc.rows)
+        if found is not None and found.nonce == self.nonce:
+            # The answer to an earlier renewal was lost.
+            self.lease = found
+            self._renewed_s = begun_s
+            return
+        self.step_down('another holder was elected')
+        self._believe(found)
+
+    async def _look(self) -> None:
+        try:
+            answer = await self.store.read(LEASE_ROW.table)
+        except PlatformError:
+            return  # The feeds log the loss of the store.
+        found = _lease_in(
+            row for row in answer.rows if row.name == LEASE_ROW
+        )
+        self._believe(found)
+        if self.may_hold and not self.hears_holder() and self._is_over():
+            await self._take()
+
+    def _is_over(self) -> bool:
+        lease = self.lease
+        if lease is None or lease.is_free or lease.holder == self.name:
+            return True
+        return now_s() - self._seen_s > self.lease_s
+
+    def _believe(self, found: Lease | None) -> None:
+        known = self.lease
+        if known is not None and found is not None:
+            if found.version <= known.version:
+                return
+        self.lease = found
+        self._seen_s = now_s()
+        if found is not None and (known is None or known.nonce != found.nonce):
+            log_event(
+                Event.HOLDER_BELIEVED,
+                holder=found.holder,
+                fence=found.fence,
+                row=found.version,
+            )
+
+    async def _take(self) -> None:
+        known = self.lease
+        version = 0 if known is None else known.version
+        wanted = Lease(self.name, self.address, self.nonce, fence=version + 1)
+        begun_s = now_s()
+        try:
+            taken = await self._write(wanted, version)
+        except StoreConflictError as exc:
+            self._believe(_lease_in(exc.rows))
+            return
+        except PlatformError:
+            return  # The next look shows whether the write took effect.
+        self.lease = attrs.evolve(wanted, version=taken)
+        self._renewed_s = begun_s
+        self.is_holder = True
+        log_event(
+            Event.LEASE_TAKEN,
+            fence=wanted.fence,
+            row=taken,
+            previous='' if known is None else known.holder,
+            silent_s=now_s() - self._seen_s if known else 0,
+        )
+        self.on_taken(self.lease)
+
+    async def _write(self, lease: Lease, version: int) -> int:
+        content = json.dumps({
+            'holder': lease.holder,
+            'address': lease.address,
+            'nonce': lease.nonce,
+            'fence': lease.fence,
+        }).encode()
+        return await self.store.commit(
+            [RowNeed(LEASE_ROW, version)], [RowChange(LEASE_ROW, content)]
+        )
+
+
+def _lease_in(rows: 'object') -> Lease | None:
+    for row in rows:  # type: ignore[attr-defined]
+        if isinstance(row, StoredRow) and row.content is not None:
+            fields = json.loads(row.content)
+            return Lease(**fields, version=row.version)
+    return None
--- /dev/null
+++ b/mimosaworks/node/holder.py
@@ -0,0 +1,296 @@
+"""What the holder of the dispatch lease does for all nodes."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+import attrs
+
+from mimosaworks.clock import now_s
+from mimosaworks.dispatch import (
+    Assignment,
+    CallOutcome,
+    Decided,
+    Dispatcher,
+    EnginePool,
+    EngineTarget,
+    Refusal,
+)
+from mimosaworks.errors import ErrorKind
+from mimosaworks.events import Event, log_event
+from mimosaworks.node.beliefs import Beliefs
+from mimosaworks.node.conversions import (
+    ask_of,
+    reply_of,
+    row_of_target,
+)
+from mimosaworks.node.order_runner import FencedError, OrderRunner
+from mimosaworks.routing import SuspectTable
+from mimosaworks.wire import (
+    Beat,
+    BeatReply,
+    CallAsk,
+    CallReply,
+    NodeRow,
+    Spent,
+)
+
+TICK_S = 0.05
+MEMBER_LOST_S = 2.0  # some beats; see BEAT_S
+BEAT_S = 0.25
+BEATS_PER_S = 200  # of all nodes together
+FORGET_S = 3.0  # after the moment at which a request is given up
+MAX_FENCED_WAIT_S = 60.0
+
+
+@attrs.define(eq=False)
+class Member:
+    """A node that sends beats."""
+
+    row: NodeRow
+    heard_s: float
+
+
+@attrs.define(eq=False)
+class Holder:
+    """Decides under one election, until its tasks are cancelled.
+
+    on_fenced is called when a target has seen a later holder.
+    """
+
+    beliefs: Beliefs
+    dispatcher: Dispatcher
+    orders: OrderRunner
+    on_fenced: Any
+    suspects: SuspectTable
+    members: dict[str, Member] = attrs.field(factory=dict)
+    lease_version: int = 0
+    _replies: dict[str, 'asyncio.Future[Assignment | Refusal]'] = attrs.field(
+        factory=dict
+    )
+    _tasks: set['asyncio.Task[None]'] = attrs.field(factory=set)
+    _deployment_version: int = 0
+    _targets_version: int = 0
+
+    def start(self) -> None:
+        """Begin to decide."""
+        self._refresh()
+        self._spawn(self._run_ticks())
+
+    def stop(self) -> None:
+        """Cancel all tasks; requests that wait are left to their nodes."""
+        for task in tuple(self._tasks):
+            task.cancel()
+        for fut in self._replies.values():
+            fut.cancel()
+        self._replies.clear()
+
+    async def on_ask(self, ask: CallAsk) -> CallReply:
+        """Choose a target for a request, once its model is loaded."""
+        now = now_s()
+        if ask.mark and self.suspects.is_refused(ask.mark):
+            refusal = Refusal(
+                ErrorKind.CRASH_SUSPECT, 0, 'it was running in crashes'
+            )
+            return reply_of(refusal)
+        self._refresh()
+        decided = self.dispatcher.submit(ask_of(ask, now), now)
+        self._start_orders()
+        if decided is not None:
+            _log_decided(ask.call, decided, 0)
+            return reply_of(decided)
+        job = self.dispatcher.jobs[ask.call]
+        log_event(
+            Event.CALL_QUEUED,
+            call=ask.call,
+            target=job.target,
+            model=ask.model,
+            adapter=ask.adapter,
+            left_s=ask.left_s,
+        )
+        return await self._wait(ask)
+
+    async def on_beat(self, beat: Beat) -> BeatReply:
+        """Take over what happened at a node; return this process's view."""
+        now = now_s()
+        self._note_member(beat, now)
+        for running in beat.running:
+            if running.ask.call not in self.dispatcher.jobs:
+                job = self.dispatcher.resume(
+                    ask_of(running.ask, now), running.target, now
+                )
+                job.is_started = running.is_started
+        for start in beat.starts:
+            self.dispatcher.started(start.call, start.first_s)
+        for end in beat.ends:
+            outcome = CallOutcome(end.outcome)
+            self._settle(
+                self.dispatcher.ended(end.call, outcome, end.duration_s, now)
+            )
+        self.dispatcher.limiter.charge(
+            (spent.workspace, spent.cost) for spent in beat.spent
+        )
+        self._start_orders()
+        return self._reply(beat, now)
+
+    def _reply(self, beat: Beat, now: float) -> BeatReply:
+        levels = self.dispatcher.limiter.levels(now)
+        version = self.beliefs.targets_version
+        rows = ()
+        if beat.targets_version != version:
+            rows = tuple(map(row_of_target, self.beliefs.targets.values()))
+        return BeatReply(
+            is_holder=True,
+            fence=self.orders.fence,
+            lease_version=self.lease_version,
+            members=tuple(member.row for member in self.members.values()),
+            levels=tuple(Spent(name, left) for name, left in levels.items()),
+            targets_version=version,
+            targets=rows,
+            interval_s=max(BEAT_S, len(self.members) / BEATS_PER_S),
+        )
+
+    async def _wait(self, ask: CallAsk) -> CallReply:
+        begun_s = now_s()
+        fut: asyncio.Future[Assignment | Refusal]
+        fut = asyncio.get_running_loop().create_future()
+        self._replies[ask.call] = fut
+        try:
+            decided = await fut
+        except asyncio.CancelledError:
+            # The node has hung up, or this process is no holder any more.
+            self._settle(self.dispatcher.withdraw(ask.call, now_s()))
+            raise
+        finally:
+            self._replies.pop(ask.call, None)
+        _log_decided(ask.call, decided, now_s() - begun_s)
+        return reply_of(decided)
+
+    def _settle(self, decided: list[Decided]) -> None:
+        for call, outcome in decided:
+            fut = self._replies.get(call)
+            if fut is not None and not fut.done():
+                fut.set_result(outcome)
+
+    async def _run_ticks(self) -> None:
+        while True:  # noqa: WPS457 -- ends when the task is cancelled
+            now = now_s()
+            self._refresh()
+            self._settle(self.dispatcher.tick(now))
+            self._forget(now)
+            self._start_orders()
+            await asyncio.sleep(TICK_S)
+
+    def _refresh(self) -> None:
+        now = now_s()
+        deployment = self.beliefs.deployment
+        if deployment is None:
+            return
+        is_new = deployment.version != self._deployment_version
+        if is_new:
+            self._deployment_version = deployment.version
+            self.dispatcher.set_deployment(deployment, now)
+        if is_new or self._targets_version != self.beliefs.targets_version:
+            self._targets_version = self.beliefs.targets_version
+            self._settle(
+                self.dispatcher.set_entries(self.beliefs.targets, now)
+            )
+
+    def _start_orders(self) -> None:
+        for name, pool in self.dispatcher.pools.items():
+            if isinstance(pool, EnginePool):
+                for target in pool.targets.values():
+                    needs_run = target.steps or not target.is_synced
+                    if needs_run and not target.is_ordering:
+                        target.is_ordering = True
+                        self._spawn(self._run_orders(name, pool, target))
+
+    async def _run_orders(
+        self, service: str, pool: EnginePool, target: EngineTarget
+    ) -> None:
+        try:
+            await self._run_queue(service, pool, target)
+        except FencedError as exc:
+            self.on_fenced(f'{exc} has seen a later holder')
+        finally:
+            target.is_ordering = False
+
+    async def _run_queue(
+        self, service: str, pool: EnginePool, target: EngineTarget
+    ) -> None:
+        if not target.is_synced:
+            await self.orders.sync(target)
+        while target.steps:
+            step = target.steps.popleft()
+            is_done = target.is_synced and pool.fits(target, step)
+            if is_done:
+                is_done = await self.orders.run(target, step)
+            report = (
+                self.dispatcher.step_done
+                if is_done
+                else self.dispatcher.step_failed
+            )
+            self._settle(report(service, target, step, now_s()))
+            if not is_done:
+                # Orders for other requests may wait at other targets now.
+                self._start_orders()
+                return
+
+    def _note_member(self, beat: Beat, now: float) -> None:
+        known = self.members.get(beat.row.name)
+        if known is None or known.row != beat.row:
+            log_event(
+                Event.MEMBER_JOINED,
+                node=beat.row.name,
+                front=beat.row.front_address,
+                is_stopping=beat.row.is_stopping,
+            )
+        self.members[beat.row.name] = Member(beat.row, now)
+
+    def _forget(self, now: float) -> None:
+        for name, member in list(self.members.items()):
+            if now - member.heard_s > MEMBER_LOST_S:
+                self.members.pop(name)
+                log_event(
+                    Event.MEMBER_LOST,
+                    node=name,
+                    silent_s=now - member.heard_s,
+                )
+                self._forget_jobs(name, now)
+        for call, job in list(self.dispatcher.jobs.items()):
+            if now > job.ask.give_up_s + FORGET_S:
+                log_event(Event.CALL_FORGOTTEN, call=call, node=job.ask.node)
+                self._settle(self.dispatcher.withdraw(call, now))
+
+    def _forget_jobs(self, node: str, now: float) -> None:
+        for call, job in list(self.dispatcher.jobs.items()):
+            if job.ask.node == node:
+                self._settle(self.dispatcher.withdraw(call, now))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _log_decided(
+    call: str, decided: Assignment | Refusal, waited_s: float
+) -> None:
+    if isinstance(decided, Refusal):
+        log_event(
+            Event.CALL_DECIDED,
+            call=call,
+            target='',
+            kind=decided.kind.value,
+            reason=decided.reason,
+            waited_s=waited_s,
+        )
+        return
+    log_event(
+        Event.CALL_DECIDED,
+        call=call,
+        target=decided.target,
+        kind='',
+        reason=decided.reason,
+        waited_s=waited_s,
+    )
--- /dev/null
+++ b/mimosaworks/node/local_choice.py
@@ -0,0 +1,124 @@
+"""Chooses targets from a node's own view while no holder is heard."""
+
+import random
+from collections.abc import Mapping
+
+import attrs
+
+from mimosaworks.deployment import (
+    CallFacts,
+    Deployment,
+    TargetEntry,
+    TargetState,
+)
+from mimosaworks.dispatch import Assignment, Refusal
+from mimosaworks.dispatch.limiter import Limiter
+from mimosaworks.errors import ErrorKind
+from mimosaworks.wire import CallAsk
+
+RETRY_S = 1.0  # about the time in which a new holder is elected
+DEFAULT_PRIORITY = 5
+
+
+@attrs.define(eq=False)
+class LocalChoice:
+    """This node's requests at targets, and its share of the rates.
+
+    It sends only to targets that hold a request's model, and takes no more
+    of a target's slots than one of members nodes may.
+    """
+
+    limiter: Limiter = attrs.field(factory=Limiter)
+    running: dict[str, int] = attrs.field(factory=dict)
+    _version: int = 0
+    _shares: int = 0
+
+    def note(self, target: str, change: int) -> None:
+        """Count a request that begins (1) or ends (-1) at a target."""
+        count = self.running.get(target, 0) + change
+        if count > 0:
+            self.running[target] = count
+        else:
+            self.running.pop(target, None)
+
+    def enter(
+        self,
+        deployment: Deployment,
+        levels: Mapping[str, float],
+        members: int,
+        now: float,
+    ) -> None:
+        """Take this node's share of the rates, from the levels known last."""
+        key = (deployment.version, members)
+        if key == (self._version, self._shares):
+            return
+        self._version, self._shares = key
+        terms = {
+            name: attrs.evolve(
+                one, rate=one.rate / members, burst=one.burst / members
+            )
+            for name, one in deployment.workspaces.items()
+        }
+        self.limiter.set_terms(terms, now)
+        self.limiter.set_levels(
+            {name: level / members for name, level in levels.items()}, now
+        )
+
+    def leave(self) -> None:
+        """Forget the shares: a holder counts again."""
+        self.limiter = Limiter()
+        self._version = 0
+
+    def choose(
+        self,
+        ask: CallAsk,
+        facts: CallFacts,
+        targets: Mapping[str, TargetEntry],
+        now: float,
+    ) -> Assignment | Refusal:
+        """Return a target that holds the model, or a refusal."""
+        wait_s = self.limiter.take(ask.workspace, ask.cost, now)
+        if wait_s:
+            return Refusal(
+                ErrorKind.RATE_EXCEEDED, wait_s, "this node's share is used up"
+            )
+        fitting = [
+            entry
+            for entry in targets.values()
+            if entry.service == ask.service
+            and entry.state is TargetState.READY
+            and entry.name not in ask.excluded
+            and _holds(entry, facts)
+            and self._has_slot(entry)
+        ]
+        if not fitting:
+            self.limiter.give_back(ask.workspace, ask.cost)
+            return Refusal(
+                ErrorKind.MODEL_NOT_READY if facts.model else (
+                    ErrorKind.NO_TARGET
+                ),
+                RETRY_S,
+                'no holder is heard, and no free target is known to fit',
+            )
+        pair = random.sample(fitting, min(2, len(fitting)))
+        chosen = min(pair, key=self._load)
+        return Assignment(
+            chosen.name, chosen.address, DEFAULT_PRIORITY, 'no holder is heard'
+        )
+
+    def _load(self, entry: TargetEntry) -> int:
+        return self.running.get(entry.name, 0)
+
+    def _has_slot(self, entry: TargetEntry) -> bool:
+        share = -(-entry.slots // max(self._shares, 1))
+        return self._load(entry) <= share
+
+
+def _holds(entry: TargetEntry, facts: CallFacts) -> bool:
+    if not facts.model:
+        return True
+    return any(
+        one.model == facts.model
+        and (not facts.adapter or facts.adapter in one.adapters)
+        for one in entry.residences
+    )
--- /dev/null
+++ b/mimosaworks/node/table_feed.py
@@ -0,0 +1,103 @@
+"""Follows a table of the platform's store."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import attrs
+
+from mimosaworks.clock import now_s
+from mimosaworks.errors import StoreHistoryError, StoreUnavailableError
+from mimosaworks.events import Event, log_event
+from mimosaworks.platform import StoreClient, StoredRow
+
+WAIT_S = 25.0  # the store allows 30 s
+FIRST_PAUSE_S = 0.2
+MAX_PAUSE_S = 1.5
+Rows = dict[str, StoredRow]
+
+
+@attrs.define(eq=False)
+class TableFeed:
+    """Keeps the rows of a table; calls on_rows with all after each change.
+
+    gap_s is the pause between two reads, in which changes are merged.
+    wanted, when given, pauses the feed. read_s is the time of the last
+    answer; outage_end_s that of the last answer after a failure.
+    """
+
+    store: StoreClient
+    table: str
+    on_rows: Callable[[Rows], None]
+    gap_s: float = 0
+    wait_s: float = WAIT_S
+    wanted: Callable[[], bool] | None = None
+    read_s: float = 0
+    outage_end_s: float = 0
+    is_lost: bool = False
+    _rows: Rows = attrs.field(factory=dict)
+    _version: int = 0
+    _pause_s: float = FIRST_PAUSE_S
+
+    async def run(self) -> None:
+        """Follow the table until cancelled."""
+        while True:  # noqa: WPS457 -- ends when the task is cancelled
+            if self.wanted is not None and not self.wanted():
+                await asyncio.sleep(FIRST_PAUSE_S)
+                continue
+            try:
+                await self._read()
+            except StoreHistoryError:
+                self._version = 0
+            except StoreUnavailableError as exc:
+                self._note_loss(exc)
+                await asyncio.sleep(self._pause_s * (1 + random.random()))
+                self._pause_s = min(self._pause_s * 2, MAX_PAUSE_S)
+            else:
+                self._note_answer()
+                await asyncio.sleep(self.gap_s)
+
+    async def _read(self) -> None:
+        if not self._version:
+            answer = await self.store.read(self.table)
+            self._rows = {row.name.key: row for row in answer.rows}
+        else:
+            answer = await self.store.follow(
+                self.table, self._version, self.wait_s
+            )
+            if not answer.rows:
+                self._version = max(self._version, answer.version)
+                return
+            for row in answer.rows:
+                self._apply(row)
+        self._version = answer.version
+        self.on_rows(self._rows)
+
+    def _apply(self, row: StoredRow) -> None:
+        if row.content is None:
+            self._rows.pop(row.name.key, None)
+        else:
+            self._rows[row.name.key] = row
+
+    def _note_loss(self, exc: StoreUnavailableError) -> None:
+        if not self.is_lost:
+            self.is_lost = True
+            log_event(
+                Event.DEPENDENCY_LOST,
+                dependency=f'store:{self.table}',
+                reason=str(exc),
+                age_s=now_s() - self.read_s,
+            )
+
+    def _note_answer(self) -> None:
+        now = now_s()
+        if self.is_lost:
+            self.is_lost = False
+            self.outage_end_s = now
+            log_event(
+                Event.DEPENDENCY_REGAINED,
+                dependency=f'store:{self.table}',
+                away_s=now - self.read_s,
+            )
+        self._pause_s = FIRST_PAUSE_S
+        self.read_s = now
--- a/mimosaworks/placement/budget.py
+++ b/mimosaworks/placement/budget.py
@@ -25,12 +25,16 @@
         self.tokens = 0
         self.filled_s = now
 
-    def try_take(self, now: float) -> bool:
-        """Take one load if there is one."""
+    def has_room(self, now: float) -> bool:
+        """Tell whether one load may be taken now."""
         grown = (now - self.filled_s) * self.loads_per_s
         self.tokens = min(self.tokens + grown, max(self.loads_per_s, 1))
         self.filled_s = now
-        if self.tokens < 1:
+        return self.tokens >= 1
+
+    def try_take(self, now: float) -> bool:
+        """Take one load if there is one."""
+        if not self.has_room(now):
             return False
         self.tokens -= 1
         return True
--- /dev/null
+++ b/mimosaworks/platform/directory.py
@@ -0,0 +1,38 @@
+"""Answers callers who ask which addresses to use."""
+
+from collections.abc import Callable, Iterable
+
+from aiohttp import web
+
+LOOKUP_PATH = '/v1/lookup'
+READY_PATH = '/v1/ready'
+MAX_ADDRESSES = 64
+
+
+def directory_app(
+    addresses: Callable[[str], Iterable[str]], ttl_s: float
+) -> web.Application:
+    """Return the directory; addresses gives those for a data centre.
+
+    Callers keep an answer for ttl_s seconds.
+    """
+
+    async def look_up(req: web.Request) -> web.Response:
+        listed = list(addresses(req.query.get('zone', '')))
+        answer = {'addresses': listed[:MAX_ADDRESSES], 'ttl-s': ttl_s}
+        return web.json_response(answer)
+
+    app = web.Application()
+    app.router.add_get(LOOKUP_PATH, look_up)
+    return app
+
+
+def ready_app(is_ready: Callable[[], bool]) -> web.Application:
+    """Return the readiness page of a process."""
+
+    async def tell(_: web.Request) -> web.Response:
+        return web.Response(status=200 if is_ready() else 503)
+
+    app = web.Application()
+    app.router.add_get(READY_PATH, tell)
+    return app
--- a/mimosaworks/wire/__init__.py
+++ b/mimosaworks/wire/__init__.py
@@ -2,6 +2,20 @@
 
 from mimosaworks.wire.ack import Ack
 from mimosaworks.wire.codec import decode, encode
+from mimosaworks.wire.dispatch_messages import (
+    Beat,
+    BeatReply,
+    CallAsk,
+    CallEnd,
+    CallReply,
+    CallStart,
+    NodeRow,
+    PartNote,
+    RunningCall,
+    Spent,
+    TargetModel,
+    TargetRow,
+)
 from mimosaworks.wire.limits_messages import (
     TokenAsk,
     TokenBalance,
@@ -27,6 +41,18 @@
 
 __all__ = [
     'Ack',
+    'Beat',
+    'BeatReply',
+    'CallAsk',
+    'CallEnd',
+    'CallReply',
+    'CallStart',
+    'NodeRow',
+    'PartNote',
+    'RunningCall',
+    'Spent',
+    'TargetModel',
+    'TargetRow',
     'Demand',
     'FreshAnswer',
     'FreshAsk',
--- /dev/null
+++ b/mimosaworks/wire/dispatch.capnp
@@ -0,0 +1,109 @@
+@0xb2d94f1c7e6a3058;
+# Messages between entry nodes and the holder of the dispatch lease.
+
+struct PartNote {
+  part @0 :Text;
+  tokens @1 :UInt32;
+}
+
+struct CallAsk {
+  # Answered with CallReply once a target is chosen and ready.
+  call @0 :Text;
+  node @1 :Text;
+  fence @2 :UInt64;
+  service @3 :Text;
+  workspace @4 :Text;
+  cost @5 :Float64;
+  priority @6 :Int32;
+  model @7 :Text;
+  adapter @8 :Text;
+  tokensIn @9 :UInt32;
+  tokensOut @10 :UInt32;
+  tokensHint @11 :UInt32;
+  parts @12 :List(PartNote);
+  dataCentre @13 :Text;
+  targetS @14 :Float64;
+  leftS @15 :Float64;
+  resends @16 :UInt32;
+  excluded @17 :List(Text);
+  mark @18 :Text;
+}
+
+struct CallReply {
+  # kind is empty when a target was chosen, else an error kind.
+  target @0 :Text;
+  address @1 :Text;
+  priority @2 :Int32;
+  reason @3 :Text;
+  kind @4 :Text;
+  retryAfterS @5 :Float64;
+}
+
+struct CallStart {
+  call @0 :Text;
+  firstS @1 :Float64;
+}
+
+struct CallEnd {
+  call @0 :Text;
+  outcome @1 :Text;
+  durationS @2 :Float64;
+}
+
+struct RunningCall {
+  ask @0 :CallAsk;
+  target @1 :Text;
+  isStarted @2 :Bool;
+}
+
+struct Spent {
+  workspace @0 :Text;
+  cost @1 :Float64;
+}
+
+struct NodeRow {
+  name @0 :Text;
+  frontAddress @1 :Text;
+  peerAddress @2 :Text;
+  dataCentre @3 :Text;
+  isStopping @4 :Bool;
+}
+
+struct TargetModel {
+  model @0 :Text;
+  adapters @1 :List(Text);
+}
+
+struct TargetRow {
+  name @0 :Text;
+  service @1 :Text;
+  address @2 :Text;
+  dataCentre @3 :Text;
+  slots @4 :UInt32;
+  state @5 :Text;
+  born @6 :UInt64;
+  models @7 :List(TargetModel);
+}
+
+struct Beat {
+  # Answered with BeatReply.
+  row @0 :NodeRow;
+  fence @1 :UInt64;
+  starts @2 :List(CallStart);
+  ends @3 :List(CallEnd);
+  running @4 :List(RunningCall);
+  spent @5 :List(Spent);
+  targetsVersion @6 :UInt64;
+}
+
+struct BeatReply {
+  # targets is empty when the node holds this version of them.
+  isHolder @0 :Bool;
+  fence @1 :UInt64;
+  members @2 :List(NodeRow);
+  levels @3 :List(Spent);
+  targetsVersion @4 :UInt64;
+  targets @5 :List(TargetRow);
+  intervalS @6 :Float64;
+  leaseVersion @7 :UInt64;
+}
--- /dev/null
+++ b/mimosaworks/wire/dispatch_messages.py
@@ -0,0 +1,154 @@
+"""Messages between entry nodes and the holder of the dispatch lease."""
+
+import attrs
+
+
+@attrs.frozen
+class PartNote:
+    """One part of a prompt."""
+
+    part: str
+    tokens: int
+
+
+@attrs.frozen
+class CallAsk:
+    """Asks for a target; the reply is a CallReply.
+
+    call names the ask for good. fence is the holder's that the node believes
+    in. left_s counts from the message's arrival; mark is the fingerprint of
+    the request's content. excluded are targets that failed the request.
+    """
+
+    call: str
+    node: str
+    fence: int
+    service: str
+    workspace: str
+    cost: float
+    priority: int
+    model: str
+    adapter: str
+    tokens_in: int
+    tokens_out: int
+    tokens_hint: int
+    parts: tuple[PartNote, ...]
+    data_centre: str
+    target_s: float
+    left_s: float
+    resends: int = 0
+    excluded: tuple[str, ...] = ()
+    mark: str = ''
+
+
+@attrs.frozen
+class CallReply:
+    """A target, or an error kind with the seconds to stay away."""
+
+    target: str = ''
+    address: str = ''
+    priority: int = 0
+    reason: str = ''
+    kind: str = ''
+    retry_after_s: float = 0
+
+
+@attrs.frozen
+class CallStart:
+    """The first event came first_s after the request was sent."""
+
+    call: str
+    first_s: float
+
+
+@attrs.frozen
+class CallEnd:
+    """A request left its target; outcome is a CallOutcome's value."""
+
+    call: str
+    outcome: str
+    duration_s: float
+
+
+@attrs.frozen
+class RunningCall:
+    """A request that runs at a target, told to a new holder."""
+
+    ask: CallAsk
+    target: str
+    is_started: bool
+
+
+@attrs.frozen
+class Spent:
+    """Tokens of a workspace: spent by a node, or left at the holder."""
+
+    workspace: str
+    cost: float
+
+
+@attrs.frozen
+class NodeRow:
+    """One entry node; is_stopping ones take no new callers."""
+
+    name: str
+    front_address: str
+    peer_address: str
+    data_centre: str
+    is_stopping: bool = False
+
+
+@attrs.frozen
+class TargetModel:
+    """A model on a target with its adapters."""
+
+    model: str
+    adapters: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class TargetRow:
+    """A target as the holder sees it; state is a TargetState's value."""
+
+    name: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    state: str
+    born: int
+    models: tuple[TargetModel, ...] = ()
+
+
+@attrs.frozen
+class Beat:
+    """What happened at a node since its last beat.
+
+    running is filled in the first beat to a holder, spent with the tokens
+    that the node admitted without one.
+    """
+
+    row: NodeRow
+    fence: int
+    starts: tuple[CallStart, ...] = ()
+    ends: tuple[CallEnd, ...] = ()
+    running: tuple[RunningCall, ...] = ()
+    spent: tuple[Spent, ...] = ()
+    targets_version: int = 0
+
+
+@attrs.frozen
+class BeatReply:
+    """The holder's view: members, token levels, and changed targets.
+
+    lease_version is the lease row's version at the last renewal.
+    """
+
+    is_holder: bool
+    fence: int = 0
+    lease_version: int = 0
+    members: tuple[NodeRow, ...] = ()
+    levels: tuple[Spent, ...] = ()
+    targets_version: int = 0
+    targets: tuple[TargetRow, ...] = ()
+    interval_s: float = 0
