Order counts are read from reports only

Ruled out: orders of two holders (one lease). Change: models are adopted from reports whose count is not older; copies at hand follow the entries, as they are evicted; a load that takes longer than predicted frees the requests that wait for it.

--- a/mimosaworks/deployment/target.py
+++ b/mimosaworks/deployment/target.py
@@ -22,7 +22,7 @@
 
 @attrs.frozen
 class TargetEntry:
-    """One target; orders counts the orders that it has accepted.
+    """One target.
 
     born is the Unix time of its start in milliseconds. in_memory and
     on_disk name models whose weights it can load without the weight store.
@@ -35,7 +35,6 @@
     slots: int
     state: TargetState
     born: int = 0
-    orders: int = 0
     residences: tuple[Residence, ...] = ()
     in_memory: tuple[str, ...] = ()
     on_disk: tuple[str, ...] = ()
--- a/mimosaworks/dispatch/dispatcher.py
+++ b/mimosaworks/dispatch/dispatcher.py
@@ -131,6 +131,7 @@
         decided: list[Decided] = []
         for pool in self.pools.values():
             if isinstance(pool, EnginePool):
+                decided += self.replace(pool.overdue(now), now)
                 continue
             for job, assignment in pool.next_grants(now):
                 decided.append((job.ask.call, assignment))
--- a/mimosaworks/dispatch/engine_pool.py
+++ b/mimosaworks/dispatch/engine_pool.py
@@ -25,6 +25,7 @@
 NO_TARGET_RETRY_S = 1.0
 # Engines take priorities 0 to 9, where 0 is first.
 LAST_PRIORITY = 9
+OVERDUE_S = 0.4  # about the time of a load from disk
 
 
 @attrs.define(eq=False)
@@ -58,6 +59,7 @@
             return option
         target = option.target
         self._enqueue(target, option.steps, now)
+        job.due_s = now + option.ready_s
         target.add_job(job, now)
         job.prefill_tokens = option.prefill_tokens
         if target.is_ready_for(job):
@@ -91,6 +93,15 @@
             if not job.is_granted and target.is_ready_for(job)
         ]
 
+    def overdue(self, now: float) -> list[Job]:
+        """Return waiting requests whose orders take longer than predicted."""
+        return [
+            job
+            for target in self.targets.values()
+            for job in _waiting(target)
+            if now > job.due_s + OVERDUE_S
+        ]
+
     def drop(self, job: Job) -> None:
         """Forget a request that ended or was withdrawn."""
         target = self.targets.get(job.target)
@@ -133,7 +144,10 @@
         )
         loaded = target.models.get(step.model)
         own_mb = 0 if loaded is None else loaded.size_mb
-        return held_mb + own_mb <= self.terms.weights_mb
+        return (
+            held_mb + own_mb <= self.terms.weights_mb
+            and target.adapter_count <= self.terms.adapter_slots
+        )
 
     def step_done(
         self, target: EngineTarget, step: Step, now: float
@@ -148,6 +162,7 @@
             loaded.is_ready = True
             target.in_memory.add(step.model)
             target.on_disk.add(step.model)
+            target.loaded_s = now
         left_s = sum(queued.duration_s for queued in target.steps)
         target.steps_end_s = now + left_s
         self._count_copies()
--- a/mimosaworks/dispatch/engine_target.py
+++ b/mimosaworks/dispatch/engine_target.py
@@ -62,7 +62,8 @@
 
     orders is the count of accepted orders, is_synced whether it and the
     models were confirmed since this process became holder. steps_end_s is
-    when the queued orders should have ended.
+    when the queued orders should have ended, loaded_s when the last load
+    did.
     """
 
     entry: TargetEntry
@@ -76,6 +77,7 @@
     on_disk: set[str] = attrs.field(factory=set)
     orders: int = 0
     steps_end_s: float = 0
+    loaded_s: float = 0
     is_synced: bool = False
     is_ordering: bool = False
 
--- a/mimosaworks/dispatch/estimate.py
+++ b/mimosaworks/dispatch/estimate.py
@@ -23,10 +23,15 @@
 
 @attrs.frozen
 class Option:
-    """One way to serve a request; wait_s is the time to its first event."""
+    """One way to serve a request.
+
+    ready_s is the time until its model is loaded, wait_s the time to its
+    first event.
+    """
 
     target: EngineTarget
     steps: tuple[Step, ...]
+    ready_s: float
     wait_s: float
     cost_s: float
     prefill_tokens: int
@@ -59,7 +64,9 @@
         wait_s = max(ready_s, self.backlog_s(target, job.ask.priority))
         wait_s += self.read_s(target, facts.model, tokens)
         extra_s = loss_s + len(steps) * ORDER_S + _penalty_s(target, job, now)
-        return Option(target, steps, wait_s, wait_s + extra_s, tokens)
+        return Option(
+            target, steps, ready_s, wait_s, wait_s + extra_s, tokens
+        )
 
     def backlog_s(self, target: EngineTarget, priority: int) -> float:
         """Return how long prompts before this priority's take."""
--- a/mimosaworks/dispatch/job.py
+++ b/mimosaworks/dispatch/job.py
@@ -52,13 +52,15 @@
     """A request that waits for a target or runs there.
 
     prefill_tokens are the prompt's tokens that the target has to read.
-    is_started: its first event has come.
+    due_s is when its model should be loaded. is_started: its first event
+    has come.
     """
 
     ask: Ask
     arrived_s: float
     target: str = ''
     granted_s: float = 0
+    due_s: float = 0
     prefill_tokens: int = 0
     estimate_s: float = 0
     is_granted: bool = False
--- a/mimosaworks/dispatch/reconcile.py
+++ b/mimosaworks/dispatch/reconcile.py
@@ -13,24 +13,23 @@
 
 
 def adopt_entry(target: EngineTarget, entry: TargetEntry, now: float) -> None:
-    """Take over an entry; its models only when no order is younger."""
+    """Take over an entry; its models only until the target was asked.
+
+    An entry says nothing of adapters that came or went since the target's
+    last order for a model, so a report is the better source.
+    """
     target.entry = entry
-    target.in_memory.update(entry.in_memory)
-    target.on_disk.update(entry.on_disk)
+    if now - target.loaded_s > SETTLE_S:
+        target.in_memory = set(entry.in_memory)
+        target.on_disk = set(entry.on_disk)
     if not target.is_synced and not target.steps:
-        adopt_models(target, entry.residences, entry.orders, now)
-        return
-    has_orders = target.is_ordering or target.steps
-    is_settled = now - target.steps_end_s > SETTLE_S
-    if not has_orders and is_settled and entry.orders >= target.orders:
-        adopt_models(target, entry.residences, entry.orders, now)
+        adopt_models(target, entry.residences, target.orders)
 
 
 def adopt_models(
     target: EngineTarget,
     residences: Iterable[Residence],
     orders: int,
-    now: float,
 ) -> None:
     """Replace the models by those that the target names.
 
@@ -56,8 +55,6 @@
         loaded.is_ready = True
         loaded.is_leaving = residence.model in leaving
         _adopt_adapters(loaded, residence)
-        target.in_memory.add(residence.model)
-        target.on_disk.add(residence.model)
     target.count_jobs()
 
 
--- a/mimosaworks/dispatch/swap.py
+++ b/mimosaworks/dispatch/swap.py
@@ -13,7 +13,7 @@
     Step,
 )
 
-UNLOAD_S = 0.02  # an idle model leaves at the engine's next step
+UNLOAD_S = 0.06  # an idle model leaves within some steps of the engine
 ADAPTER_LOAD_S = 0.02  # two to three times the published 5 to 10 ms
 REUSE_HORIZON_S = 10.0  # about how long a model stays unless it makes way
 MAX_VICTIMS = 3
--- a/mimosaworks/node/call.py
+++ b/mimosaworks/node/call.py
@@ -36,6 +36,13 @@
     target: str = ''
     is_started: bool = False
 
+    def may_resend(self) -> bool:
+        """Tell whether it may be sent again though it may have run."""
+        return (
+            self.route.may_repeat
+            and self.resends + 1 < self.route.max_attempts
+        )
+
     def left_s(self) -> float:
         """Return the seconds until the deadline; never below zero."""
         return max(self.deadline_s - now_s(), 0)
--- a/mimosaworks/node/exchange.py
+++ b/mimosaworks/node/exchange.py
@@ -53,7 +53,7 @@
                 return await self._pass_stream(call, resp, on_first, begun_s)
             body = await _read_all(resp)
         on_first(now_s() - begun_s)
-        if resp.status >= _FIRST_ERROR and call.route.may_repeat:
+        if resp.status >= _FIRST_ERROR and call.may_resend():
             raise AttemptError(
                 CallOutcome.FAILED,
                 f'the target answered {resp.status}',
--- a/mimosaworks/node/front.py
+++ b/mimosaworks/node/front.py
@@ -207,10 +207,7 @@
         self, call: Call, assignment: Assignment, exc: AttemptError
     ) -> None:
         """Return when the request may be sent once more, else raise."""
-        may_repeat = exc.is_not_run or (
-            call.route.may_repeat
-            and call.resends + 1 < call.route.max_attempts
-        )
+        may_repeat = exc.is_not_run or call.may_resend()
         self._log_broken(call, exc.reason)
         if not may_repeat or call.asks >= MAX_ASKS:
             raise RequestError(
--- a/mimosaworks/node/holder_link.py
+++ b/mimosaworks/node/holder_link.py
@@ -97,8 +97,9 @@
                 raise PeerError('the holder fell silent')
             return call.result()
         finally:
-            call.cancel()
             lost.cancel()
+            call.cancel()
+            call.add_done_callback(_forget_failure)
 
     def note_start(self, call: str, first_s: float) -> None:
         """Tell the holder of a first event with the next beat."""
@@ -219,3 +220,9 @@
             )
         self.fence = 0
         self._lost.set()
+
+
+def _forget_failure(call: 'asyncio.Future[CallReply]') -> None:
+    # Nobody waits for this answer any more; its failure is not news.
+    if not call.cancelled():
+        call.exception()
--- a/mimosaworks/node/order_runner.py
+++ b/mimosaworks/node/order_runner.py
@@ -19,6 +19,7 @@
 CONFLICT_PAUSE_S = 0.04
 REPORT_PAUSE_S = 0.25  # reports are some hundred milliseconds old
 SYNC_TRIES = 4
+BUSY_S = 1.0  # expected rest of an order that a target carries out
 STORE_LOAD_TRIES = 40  # loads from the weight store take longer together
 
 
@@ -41,10 +42,8 @@
         """
         for _ in range(SYNC_TRIES):
             report = await self._report(target)
-            if report is not None and not report.is_busy:
-                adopt_models(
-                    target, report.residences, report.orders, now_s()
-                )
+            if report is not None and self._is_current(target, report):
+                adopt_models(target, report.residences, report.orders)
                 target.is_synced = True
                 log_event(
                     Event.TARGET_SYNCED,
@@ -53,6 +52,7 @@
                     models=sorted(target.models),
                 )
                 return True
+            target.steps_end_s = now_s() + BUSY_S
             await asyncio.sleep(REPORT_PAUSE_S)
         return False
 
@@ -71,7 +71,7 @@
                 raise FencedError(target.entry.name)
             if answer is OrderAnswer.CONFLICT:
                 await asyncio.sleep(CONFLICT_PAUSE_S)
-            if not await self._recount(target):
+            if not await self._may_repeat(target):
                 break
         is_done = await self._finish(target, step, answer)
         log_event(
@@ -135,13 +135,25 @@
             await asyncio.sleep(REPORT_PAUSE_S)
         return False
 
-    async def _recount(self, target: EngineTarget) -> bool:
+    async def _may_repeat(self, target: EngineTarget) -> bool:
+        """Tell whether the target still has the expected count of orders.
+
+        An order that got no answer may have been accepted: then the count
+        is higher, or will be when the order arrives late.
+        """
         report = await self._report(target)
         if report is None or report.born != target.entry.born:
             return False
-        if not report.is_busy:
-            target.orders = max(report.orders, target.orders)
-        return True
+        return report.orders <= target.orders
+
+    def _is_current(
+        self, target: EngineTarget, report: TargetReport
+    ) -> bool:
+        # A report is some hundred milliseconds old, orders may be younger.
+        return not report.is_busy and (
+            report.orders >= target.orders
+            or report.born != target.entry.born
+        )
 
     async def _report(self, target: EngineTarget) -> TargetReport | None:
         entry = target.entry
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -48,7 +48,7 @@
 
 NONCE_BYTES = 6
 TARGETS_GAP_S = 0.4  # a third of the targets' heartbeat interval
-IDLE_TARGET_CONN_S = 2.0  # targets may close idle connections unannounced
+IDLE_TARGET_CONN_S = 6.0  # targets may close idle connections unannounced
 DIRECTORY_TTL_S = 2.0
 ACCEPT_SHARE = 0.75  # of the grace, in which callers still know the address
 END_SHARE = 0.92  # of the grace, after which nothing can be ended
--- a/mimosaworks/platform/entries.py
+++ b/mimosaworks/platform/entries.py
@@ -34,7 +34,6 @@
         slots=whole(fields, 'slots'),
         state=TargetState(text(fields, 'state')),
         born=whole(fields, 'born', 0),
-        orders=whole(fields, 'sequence', 0),
         residences=decode_residences(fields),
         in_memory=texts(at_hand, 'in-memory'),
         on_disk=texts(at_hand, 'on-disk'),
