--- a/mimosaworks/dispatch/__init__.py
+++ b/mimosaworks/dispatch/__init__.py
@@ -1,12 +1,13 @@
 """Decisions on where requests run and what is loaded; no input or output."""
 
-from mimosaworks.dispatch.dispatcher import Decided, Dispatcher, ResendTerms
+from mimosaworks.dispatch.dispatcher import Decided, Dispatcher
 from mimosaworks.dispatch.engine_pool import EnginePool
 from mimosaworks.dispatch.engine_target import EngineTarget, Step
 from mimosaworks.dispatch.job import Ask, Assignment, Job, Refusal
 from mimosaworks.dispatch.outcome import CallOutcome
 from mimosaworks.dispatch.plain_pool import PlainPool
 from mimosaworks.dispatch.reconcile import adopt_models
+from mimosaworks.dispatch.resend_budget import ResendBudgets, ResendTerms
 
 __all__ = [
     'Ask',
@@ -19,6 +20,7 @@
     'Job',
     'PlainPool',
     'Refusal',
+    'ResendBudgets',
     'ResendTerms',
     'Step',
     'adopt_models',
--- a/mimosaworks/dispatch/dispatcher.py
+++ b/mimosaworks/dispatch/dispatcher.py
@@ -10,26 +10,13 @@
 from mimosaworks.dispatch.job import Ask, Assignment, Job, Refusal
 from mimosaworks.dispatch.limiter import Limiter
 from mimosaworks.dispatch.outcome import CallOutcome
-from mimosaworks.dispatch.plain_pool import PlainPool
-from mimosaworks.dispatch.resend_budget import ResendBudget
+from mimosaworks.dispatch.plain_pool import PlainPool, PlainTarget
+from mimosaworks.dispatch.resend_budget import ResendBudgets
 from mimosaworks.errors import ErrorKind
 
 Decided = tuple[str, Assignment | Refusal]
 NO_BUDGET_RETRY_S = 1.0
-_UNHEALTHY = frozenset((
-    CallOutcome.FAILED,
-    CallOutcome.BROKEN,
-    CallOutcome.TIMED_OUT,
-))
-
-
-@attrs.frozen
-class ResendTerms:
-    """The promised bound on resends of a service; see ResendBudget."""
-
-    ratio: float
-    slack: float
-    window_s: float
+_UNUSED = frozenset((CallOutcome.REFUSED, CallOutcome.UNREACHABLE))
 
 
 @attrs.define(eq=False)
@@ -39,31 +26,28 @@
     Messages return what they decided for waiting requests, by call.
     """
 
-    resend_terms: ResendTerms
+    resends: ResendBudgets
     pools: dict[str, EnginePool | PlainPool] = attrs.field(factory=dict)
     jobs: dict[str, Job] = attrs.field(factory=dict)
     limiter: Limiter = attrs.field(factory=Limiter)
-    resends: dict[str, ResendBudget] = attrs.field(factory=dict)
-    entries: dict[str, TargetEntry] = attrs.field(factory=dict)
 
-    def set_deployment(self, deployment: Deployment, now: float) -> None:
+    def follow_deployment(self, deployment: Deployment, now: float) -> None:
         """Follow a new version of the deployment."""
         for name in self.pools.keys() - deployment.services.keys():
             self.pools.pop(name)
         for service in deployment.services.values():
-            self._set_service(service)
-        self.limiter.set_terms(deployment.workspaces, now)
+            self._follow_service(service)
+        self.limiter.follow_terms(deployment.workspaces, now)
 
-    def set_entries(
+    def follow_entries(
         self, entries: dict[str, TargetEntry], now: float
     ) -> list[Decided]:
         """Follow what the targets say of themselves."""
-        self.entries = entries
         displaced: list[Job] = []
         for name, pool in self.pools.items():
             own = (one for one in entries.values() if one.service == name)
             displaced += pool.adopt(own, now)
-        return [*self.replace(displaced, now), *self.tick(now)]
+        return [*self._replace(displaced, now), *self.tick(now)]
 
     def submit(self, ask: Ask, now: float) -> Assignment | Refusal | None:
         """Decide for a request; None while it has to wait."""
@@ -72,7 +56,7 @@
             return Refusal(
                 ErrorKind.NO_TARGET, NO_BUDGET_RETRY_S, 'unknown service'
             )
-        refusal = self._check_resend(ask, now) or self._check_rate(ask, now)
+        refusal = _check_bounds(self, ask, now)
         if refusal is not None:
             return refusal
         job = Job(ask, now)
@@ -86,12 +70,9 @@
         """Book a request that runs since before this holder's time."""
         job = Job(ask, now, is_granted=True)
         self.jobs[ask.call] = job
-        found = self.target(ask.service, target)
-        if isinstance(found, EngineTarget):
+        found = self.find_target(ask.service, target)
+        if found is not None:
             found.add_job(job, now)
-        elif found is not None:
-            found.jobs[ask.call] = job
-            job.target = target
         return job
 
     def withdraw(self, call: str, now: float) -> list[Decided]:
@@ -118,11 +99,11 @@
             return []
         pool = self.pools.get(job.ask.service)
         if pool is not None:
-            self._note_health(job, outcome, now)
+            self._note_outcome(job, outcome, now)
             if outcome is CallOutcome.ANSWERED and isinstance(pool, PlainPool):
                 pool.note_work(job, duration_s)
             pool.drop(job)
-        if outcome in {CallOutcome.REFUSED, CallOutcome.UNREACHABLE}:
+        if outcome in _UNUSED:
             self.limiter.give_back(job.ask.workspace, job.ask.cost)
         return self.tick(now)
 
@@ -131,18 +112,9 @@
         decided: list[Decided] = []
         for pool in self.pools.values():
             if isinstance(pool, EnginePool):
-                decided += self.replace(pool.overdue(now), now)
-                continue
-            for job, assignment in pool.next_grants(now):
-                decided.append((job.ask.call, assignment))
-            for late in pool.hopeless(now):
-                self._give_up(late)
-                refusal = Refusal(
-                    ErrorKind.DEADLINE_UNREACHABLE,
-                    pool.work_s,
-                    'no slot came free in time',
-                )
-                decided.append((late.ask.call, refusal))
+                decided += self._replace(pool.overdue(now), now)
+            else:
+                decided += self._tick_plain(pool, now)
         return decided
 
     def step_done(
@@ -152,10 +124,9 @@
         pool = self.pools.get(service)
         if not isinstance(pool, EnginePool) or not pool.holds(target):
             return []
-        pool.step_done(target, step, now)
         return [
             (job.ask.call, pool.grant(job, now))
-            for job in pool.ready_jobs(target)
+            for job in pool.step_done(target, step, now)
         ]
 
     def step_failed(
@@ -165,9 +136,16 @@
         pool = self.pools.get(service)
         if not isinstance(pool, EnginePool) or not pool.holds(target):
             return []
-        return self.replace(pool.step_failed(target, step, now), now)
+        return self._replace(pool.step_failed(target, step, now), now)
 
-    def replace(self, jobs: Iterable[Job], now: float) -> list[Decided]:
+    def find_target(
+        self, service: str, name: str
+    ) -> EngineTarget | PlainTarget | None:
+        """Return a service's target by its name, or None."""
+        pool = self.pools.get(service)
+        return None if pool is None else pool.targets.get(name)
+
+    def _replace(self, jobs: Iterable[Job], now: float) -> list[Decided]:
         """Choose again for requests whose target fell away."""
         decided: list[Decided] = []
         for job in jobs:
@@ -180,10 +158,20 @@
                 decided.append((job.ask.call, outcome))
         return decided
 
-    def target(self, service: str, name: str) -> object:
-        """Return a service's target by its name, or None."""
-        pool = self.pools.get(service)
-        return None if pool is None else pool.targets.get(name)
+    def _tick_plain(self, pool: PlainPool, now: float) -> list[Decided]:
+        decided: list[Decided] = [
+            (job.ask.call, assignment)
+            for job, assignment in pool.next_grants(now)
+        ]
+        for late in pool.hopeless(now):
+            self._give_up(late)
+            refusal = Refusal(
+                ErrorKind.DEADLINE_UNREACHABLE,
+                pool.work_s,
+                'no slot came free in time',
+            )
+            decided.append((late.ask.call, refusal))
+        return decided
 
     def _give_up(self, job: Job) -> None:
         self.jobs.pop(job.ask.call, None)
@@ -192,60 +180,43 @@
         if pool is not None:
             pool.drop(job)
 
-    def _check_resend(self, ask: Ask, now: float) -> Refusal | None:
-        budget = self.resends.setdefault(
-            ask.service,
-            ResendBudget(
-                self.resend_terms.ratio,
-                self.resend_terms.slack,
-                self.resend_terms.window_s,
-            ),
-        )
-        if not ask.resends:
-            budget.note_request(now)
-            return None
-        if budget.try_spend(now):
-            return None
-        return Refusal(
-            ErrorKind.NO_TARGET,
-            NO_BUDGET_RETRY_S,
-            'the budget for resends is used up',
-        )
-
-    def _check_rate(self, ask: Ask, now: float) -> Refusal | None:
-        wait_s = self.limiter.take(ask.workspace, ask.cost, now)
-        if not wait_s:
-            return None
-        return Refusal(
-            ErrorKind.RATE_EXCEEDED,
-            wait_s,
-            f'{ask.cost:.0f} tokens are there in {wait_s:.2f} s',
-        )
+    def _note_outcome(self, job: Job, outcome: CallOutcome, now: float) -> None:
+        target = self.find_target(job.ask.service, job.target)
+        if target is None:
+            return
+        target.health.note_outcome(outcome, now)
+        is_refused = outcome is CallOutcome.REFUSED
+        if is_refused and isinstance(target, EngineTarget):
+            target.is_synced = False
 
-    def _set_service(self, service: ServiceTerms) -> None:
+    def _follow_service(self, service: ServiceTerms) -> None:
         pool = self.pools.get(service.name)
         if service.engine is None:
             if not isinstance(pool, PlainPool):
                 self.pools[service.name] = PlainPool()
         elif isinstance(pool, EnginePool):
-            pool.set_terms(service.engine)
+            pool.follow_terms(service.engine)
         else:
             self.pools[service.name] = EnginePool(service.engine)
 
-    def _note_health(
-        self, job: Job, outcome: CallOutcome, now: float
-    ) -> None:
-        target = self.target(job.ask.service, job.target)
-        if target is None:
-            return
-        health = target.health  # type: ignore[attr-defined]
-        if outcome is CallOutcome.ANSWERED:
-            health.note_success(now)
-        elif outcome is CallOutcome.UNREACHABLE:
-            health.note_unreachable(now)
-        elif outcome in _UNHEALTHY:
-            health.note_failure(now)
-        elif outcome is CallOutcome.REFUSED and isinstance(
-            target, EngineTarget
-        ):
-            target.is_synced = False
+
+def _check_bounds(
+    dispatcher: Dispatcher, ask: Ask, now: float
+) -> Refusal | None:
+    """Refuse a request beyond the bound on resends or its workspace's rate."""
+    if not dispatcher.resends.admit(
+        ask.service, now, is_resend=bool(ask.resends)
+    ):
+        return Refusal(
+            ErrorKind.NO_TARGET,
+            NO_BUDGET_RETRY_S,
+            'the budget for resends is used up',
+        )
+    wait_s = dispatcher.limiter.take(ask.workspace, ask.cost, now)
+    if not wait_s:
+        return None
+    return Refusal(
+        ErrorKind.RATE_EXCEEDED,
+        wait_s,
+        f'{ask.cost:.0f} tokens are there in {wait_s:.2f} s',
+    )
--- a/mimosaworks/dispatch/engine_pool.py
+++ b/mimosaworks/dispatch/engine_pool.py
@@ -6,17 +6,21 @@
 
 from mimosaworks.deployment import EngineTerms, TargetEntry, TargetState
 from mimosaworks.dispatch.demand import ModelDemand
-from mimosaworks.dispatch.engine_target import (
-    EngineTarget,
-    LoadedAdapter,
-    LoadedModel,
-    Step,
-)
+from mimosaworks.dispatch.engine_target import EngineTarget, Step
 from mimosaworks.dispatch.estimate import Estimator, Option
 from mimosaworks.dispatch.job import Assignment, Job, Refusal
 from mimosaworks.dispatch.prefix_cache import PrefixCache
-from mimosaworks.dispatch.reconcile import adopt_entry, forget_model
-from mimosaworks.dispatch.swap import SwapPlanner
+from mimosaworks.dispatch.reconcile import adopt_entry
+from mimosaworks.dispatch.swap import SwapPlanner, count_copies
+from mimosaworks.dispatch.target_books import (
+    clear_target,
+    drop_steps,
+    expect_step,
+    finish_step,
+    overdue_jobs,
+    stranded_jobs,
+    waiting_jobs,
+)
 from mimosaworks.errors import ErrorKind
 from mimosaworks.placement.budget import LoadBudget
 
@@ -28,7 +32,6 @@
 # One target in this many may load from the weight store: the load keeps it
 # from loading anything else for seconds.
 STORE_LOAD_SHARE = 4
-OVERDUE_S = 0.4  # about the time of a load from disk
 
 
 @attrs.define(eq=False)
@@ -46,17 +49,17 @@
         self.budget = LoadBudget(self.terms.loads_per_s)
         self.estimator = Estimator(SwapPlanner(self.demand, self.copies))
 
-    def holds(self, target: EngineTarget) -> bool:
-        """Tell whether a target is still the one of its name."""
-        return self.targets.get(target.entry.name) is target
-
-    def set_terms(self, terms: EngineTerms) -> None:
+    def follow_terms(self, terms: EngineTerms) -> None:
         """Follow new bounds and models."""
         self.terms = terms
         self.budget.loads_per_s = terms.loads_per_s
         for target in self.targets.values():
             target.terms = terms
 
+    def holds(self, target: EngineTarget) -> bool:
+        """Tell whether a target is still the one of its name."""
+        return self.targets.get(target.entry.name) is target
+
     def submit(self, job: Job, now: float) -> Assignment | Refusal | None:
         """Choose a target; None while the request waits for its model."""
         if not job.ask.resends:
@@ -66,8 +69,8 @@
             return option
         target = option.target
         self._enqueue(target, option.steps, now)
-        job.due_s = now + option.ready_s
         target.add_job(job, now)
+        job.due_s = now + option.ready_s
         job.prefill_tokens = option.prefill_tokens
         if target.is_ready_for(job):
             return self.grant(job, now)
@@ -77,13 +80,9 @@
         """Return the assignment of a request whose model is loaded."""
         target = self.targets[job.target]
         facts = job.ask.facts
-        others_s = self.estimator.backlog_s(target, job.ask.priority)
-        own_s = job.prefill_tokens / self.terms.kv_tokens
-        job.estimate_s = max(others_s - own_s, 0) + self.estimator.read_s(
-            target, facts.model, job.prefill_tokens
-        )
         job.is_granted = True
         job.granted_s = now
+        job.estimate_s = self.estimator.first_s(target, job)
         target.cache.note(facts.model, facts.adapter, facts.parts)
         return Assignment(
             target=target.entry.name,
@@ -92,29 +91,14 @@
             reason=f'predicted {job.estimate_s:.3f} s to the first event',
         )
 
-    def ready_jobs(self, target: EngineTarget) -> list[Job]:
-        """Return the waiting requests whose model is loaded now."""
-        return [
-            job
-            for job in target.jobs.values()
-            if not job.is_granted and target.is_ready_for(job)
-        ]
-
     def overdue(self, now: float) -> list[Job]:
         """Return waiting requests whose orders take longer than predicted.
 
         They are not placed on the same target again.
         """
-        late = [
-            job
-            for target in self.targets.values()
-            for job in _waiting(target)
-            if now > job.due_s + OVERDUE_S
-        ]
-        for job in late:
-            job.ask = attrs.evolve(
-                job.ask, excluded=job.ask.excluded | {job.target}
-            )
+        late: list[Job] = []
+        for target in self.targets.values():
+            late.extend(overdue_jobs(target, now))
         return late
 
     def drop(self, job: Job) -> None:
@@ -135,70 +119,37 @@
         displaced: list[Job] = []
         known = {entry.name: entry for entry in entries}
         for name in self.targets.keys() - known.keys():
-            displaced += _clear(self.targets.pop(name))
+            displaced.extend(clear_target(self.targets.pop(name)))
         for entry in known.values():
             target = self.targets.get(entry.name)
-            if target is None or target.entry.born != entry.born:
-                if target is not None:
-                    displaced += _clear(target)
-                target = self._new_target(entry)
+            if target is not None and target.entry.born != entry.born:
+                displaced.extend(clear_target(target))
+                target = None
+            if target is None:
+                cache = PrefixCache(self.terms.kv_tokens)
+                target = EngineTarget(entry, self.terms, cache)
                 self.targets[entry.name] = target
             adopt_entry(target, entry, now)
+            if entry.state is not TargetState.READY:
+                displaced.extend(waiting_jobs(target))
         self._count_copies()
         return displaced
 
-    def fits(self, target: EngineTarget, step: Step) -> bool:
-        """Tell whether a target has the memory that an order needs."""
-        if not step.is_load:
-            return True
-        held_mb = sum(
-            loaded.size_mb
-            for loaded in target.models.values()
-            if loaded.is_ready and loaded.terms.name != step.model
-        )
-        loaded = target.models.get(step.model)
-        own_mb = 0 if loaded is None else loaded.size_mb
-        return (
-            held_mb + own_mb <= self.terms.weights_mb
-            and target.adapter_count <= self.terms.adapter_slots
-        )
-
     def step_done(
         self, target: EngineTarget, step: Step, now: float
-    ) -> None:
-        """Note that an order was carried out."""
-        loaded = target.models.get(step.model)
-        if step.adapter:
-            _adapter_done(loaded, step)
-        elif not step.is_load:
-            forget_model(target, step.model)
-        elif loaded is not None:
-            loaded.is_ready = True
-            target.in_memory.add(step.model)
-            target.on_disk.add(step.model)
-            target.loaded_s = now
-        if step.is_from_store:
-            target.is_store_loading = False
-        left_s = sum(queued.duration_s for queued in target.steps)
-        target.steps_end_s = now + left_s
+    ) -> list[Job]:
+        """Note that an order was carried out; return what it made ready."""
+        finish_step(target, step, now)
         self._count_copies()
+        return [job for job in waiting_jobs(target) if target.is_ready_for(job)]
 
     def step_failed(
         self, target: EngineTarget, step: Step, now: float
     ) -> list[Job]:
-        """Drop all orders of a target; return requests to place anew.
-
-        The target has to be asked what it holds before the next order.
-        """
-        dropped = (step, *target.steps)
-        target.steps.clear()
-        target.steps_end_s = now
-        target.is_store_loading = False
-        target.is_synced = False
-        for undone in dropped:
-            _undo(target, undone)
+        """Drop all orders of a target; return requests to place anew."""
+        drop_steps(target, step, now)
         self._count_copies()
-        return _stranded(target)
+        return stranded_jobs(target)
 
     def _choose(self, job: Job, now: float) -> Option | Refusal:
         usable = [
@@ -221,26 +172,22 @@
             return Refusal(
                 ErrorKind.MODEL_NOT_READY,
                 NO_TARGET_RETRY_S,
-                'no target has room for the model',
-            )
-        left_s = job.ask.give_up_s - now - self.estimator.write_s(job)
-        if best.wait_s >= left_s:
-            return Refusal(
-                ErrorKind.DEADLINE_UNREACHABLE,
-                min(max(best.wait_s - left_s, MIN_RETRY_S), MAX_RETRY_S),
-                f'predicted {best.wait_s:.2f} s, {left_s:.2f} s left',
+                f'none of {len(usable)} targets can load the model now',
             )
-        return best
+        write_s = self.estimator.write_s(job)
+        return _check_time(best, job.ask.give_up_s - now - write_s)
 
     def _has_budget(self, option: Option, now: float) -> bool:
         if not any(step.is_from_store for step in option.steps):
             return True
-        loading = sum(
-            target.is_store_loading for target in self.targets.values()
-        )
+        loading = [
+            target
+            for target in self.targets.values()
+            if target.is_store_loading
+        ]
         return (
-            loading < max(len(self.targets) // STORE_LOAD_SHARE, 1)
-            and not option.target.is_store_loading
+            len(loading) < max(len(self.targets) // STORE_LOAD_SHARE, 1)
+            and option.target not in loading
             and self.budget.has_room(now)
         )
 
@@ -255,21 +202,13 @@
             if step.is_from_store:
                 target.is_store_loading = True
                 self.budget.try_take(now)
-            _expect(target, step, end_s, now)
+            expect_step(target, step, end_s, now)
         target.steps_end_s = end_s
         self._count_copies()
 
-    def _new_target(self, entry: TargetEntry) -> EngineTarget:
-        return EngineTarget(
-            entry, self.terms, PrefixCache(self.terms.kv_tokens)
-        )
-
     def _count_copies(self) -> None:
         self.copies.clear()
-        for target in self.targets.values():
-            for name, loaded in target.models.items():
-                if not loaded.is_leaving:
-                    self.copies[name] = self.copies.get(name, 0) + 1
+        self.copies.update(count_copies(self.targets.values()))
 
 
 def _is_usable(target: EngineTarget, job: Job, now: float) -> bool:
@@ -284,70 +223,9 @@
     return option.cost_s
 
 
-def _waiting(target: EngineTarget) -> list[Job]:
-    return [job for job in target.jobs.values() if not job.is_granted]
-
-
-def _clear(target: EngineTarget) -> list[Job]:
-    """Empty a target that ended; return the requests that waited there."""
-    waiting = _waiting(target)
-    target.jobs.clear()
-    target.steps.clear()
-    return waiting
-
-
-def _stranded(target: EngineTarget) -> list[Job]:
-    """Return waiting requests whose model or adapter will not come."""
-    return [job for job in _waiting(target) if not _will_come(target, job)]
-
-
-def _will_come(target: EngineTarget, job: Job) -> bool:
-    facts = job.ask.facts
-    loaded = target.models.get(facts.model)
-    if loaded is None or loaded.is_leaving:
-        return False
-    return not facts.adapter or facts.adapter in loaded.adapters
-
-
-def _expect(
-    target: EngineTarget, step: Step, end_s: float, now: float
-) -> None:
-    """Change the target's models to what the order will bring."""
-    if step.adapter:
-        loaded = target.models[step.model]
-        if step.is_load:
-            loaded.adapters[step.adapter] = LoadedAdapter(
-                step.adapter, now, is_ready=False
-            )
-        else:
-            # It leaves at once, in the order of the queue.
-            loaded.adapters.pop(step.adapter, None)
-    elif step.is_load:
-        target.models[step.model] = LoadedModel(
-            target.terms.models[step.model], now, end_s, is_ready=False
-        )
-    else:
-        target.models[step.model].is_leaving = True
-
-
-def _adapter_done(loaded: LoadedModel | None, step: Step) -> None:
-    if loaded is None or not step.is_load:
-        return
-    adapter = loaded.adapters.get(step.adapter)
-    if adapter is not None:
-        adapter.is_ready = True
-
-
-def _undo(target: EngineTarget, step: Step) -> None:
-    """Take back what was expected of an order that will not be sent."""
-    loaded = target.models.get(step.model)
-    if loaded is None:
-        return
-    if step.adapter:
-        adapter = loaded.adapters.get(step.adapter)
-        if adapter is not None and not adapter.is_ready:
-            loaded.adapters.pop(step.adapter)
-    elif not step.is_load:
-        loaded.is_leaving = False
-    elif not loaded.is_ready:
-        forget_model(target, step.model)
+def _check_time(best: Option, left_s: float) -> Option | Refusal:
+    if best.wait_s < left_s:
+        return best
+    retry_s = min(max(best.wait_s - left_s, MIN_RETRY_S), MAX_RETRY_S)
+    reason = f'predicted {best.wait_s:.2f} s, {left_s:.2f} s left'
+    return Refusal(ErrorKind.DEADLINE_UNREACHABLE, retry_s, reason)
--- a/mimosaworks/dispatch/engine_target.py
+++ b/mimosaworks/dispatch/engine_target.py
@@ -77,7 +77,7 @@
     on_disk: set[str] = attrs.field(factory=set)
     orders: int = 0
     steps_end_s: float = 0
-    loaded_s: float = 0
+    loaded_s: float = -math.inf
     is_synced: bool = False
     is_ordering: bool = False
     is_store_loading: bool = False
@@ -120,6 +120,20 @@
         """Tell whether a load would use the weight store."""
         return model.name not in self.in_memory | self.on_disk
 
+    def has_memory_for(self, step: Step) -> bool:
+        """Tell whether the target has the memory that an order needs."""
+        if not step.is_load:
+            return True
+        needed_mb = math.fsum(
+            loaded.size_mb
+            for loaded in self.models.values()
+            if loaded.is_ready or loaded.terms.name == step.model
+        )
+        return (
+            needed_mb <= self.terms.weights_mb
+            and self.adapter_count <= self.terms.adapter_slots
+        )
+
     def is_ready_for(self, job: Job) -> bool:
         """Tell whether a request's model and adapter are loaded."""
         loaded = self.models.get(job.ask.facts.model)
--- a/mimosaworks/dispatch/estimate.py
+++ b/mimosaworks/dispatch/estimate.py
@@ -24,6 +24,8 @@
 HELD_UP_SHARE = 0.5
 FAILURE_S = 1.5  # loss when the target fails the request
 
+Plan = tuple[tuple[Step, ...], float, float]  # orders, ready_s, loss_s
+
 
 @attrs.frozen
 class Option:
@@ -74,9 +76,7 @@
         extra_s = loss_s + _penalty_s(target, job, now)
         rate = self.order_rates.per_s(target.entry.name, now)
         extra_s += sum(_order_cost_s(step, rate) for step in steps)
-        return Option(
-            target, steps, ready_s, wait_s, wait_s + extra_s, tokens
-        )
+        return Option(target, steps, ready_s, wait_s, wait_s + extra_s, tokens)
 
     def backlog_s(self, target: EngineTarget, priority: int) -> float:
         """Return how long prompts before this priority's take."""
@@ -88,6 +88,13 @@
         alone_s = tokens / PREFILL_TOKENS_PER_S + STEP_S
         return alone_s * self.pace(model) * target.health.slowness
 
+    def first_s(self, target: EngineTarget, job: Job) -> float:
+        """Return the predicted time to the first event of a booked job."""
+        others = target.backlog_tokens(job.ask.priority) - job.prefill_tokens
+        others_s = max(others, 0) / PREFILL_TOKENS_PER_S
+        own_s = self.read_s(target, job.ask.facts.model, job.prefill_tokens)
+        return others_s * target.health.slowness + own_s
+
     def write_s(self, job: Job) -> float:
         """Return how long an engine generates the rest of an answer."""
         facts = job.ask.facts
@@ -104,25 +111,25 @@
 
     def _plan_model(
         self, target: EngineTarget, job: Job, now: float
-    ) -> tuple[tuple[Step, ...], float, float] | None:
+    ) -> Plan | None:
         facts = job.ask.facts
         queued_s = max(target.steps_end_s - now, 0)
         loaded = target.models.get(facts.model)
-        if loaded is not None and not loaded.is_leaving:
-            ready_s = 0 if loaded.is_ready else max(loaded.ready_s - now, 0)
-            if not facts.adapter or facts.adapter in loaded.adapters:
-                return ((), ready_s, 0)
-            steps = plan_adapter(target, loaded, facts.adapter)
-            if steps is None:
-                return None
-            return (steps, max(ready_s, queued_s) + ADAPTER_LOAD_S, 0)
-        if loaded is not None:
+        if loaded is None:
+            return self._plan_swap(target, job, queued_s, now)
+        if loaded.is_leaving:
             return None
-        return self._plan_swap(target, job, queued_s, now)
+        ready_s = 0 if loaded.is_ready else max(loaded.ready_s - now, 0)
+        if not facts.adapter or facts.adapter in loaded.adapters:
+            return ((), ready_s, 0)
+        steps = plan_adapter(target, loaded, facts.adapter)
+        if steps is None:
+            return None
+        return (steps, max(ready_s, queued_s) + ADAPTER_LOAD_S, 0)
 
     def _plan_swap(
         self, target: EngineTarget, job: Job, queued_s: float, now: float
-    ) -> tuple[tuple[Step, ...], float, float] | None:
+    ) -> Plan | None:
         facts = job.ask.facts
         model = target.terms.models.get(facts.model)
         if model is None:
@@ -131,25 +138,26 @@
         if swap is None:
             return None
         ready_s = queued_s + swap.duration_s
-        steps = swap.steps
-        if facts.adapter:
-            adapter = Step(
-                is_load=True,
-                model=model.name,
-                adapter=facts.adapter,
-                duration_s=ADAPTER_LOAD_S,
-            )
-            steps = (*steps, adapter)
-            ready_s += ADAPTER_LOAD_S
-            if target.adapter_count >= target.terms.adapter_slots:
-                return None
-        return (steps, ready_s, swap.loss_s)
+        if not facts.adapter:
+            return (swap.steps, ready_s, swap.loss_s)
+        if target.adapter_count >= target.terms.adapter_slots:
+            return None
+        adapter = Step(
+            is_load=True,
+            model=model.name,
+            adapter=facts.adapter,
+            duration_s=ADAPTER_LOAD_S,
+        )
+        steps = (*swap.steps, adapter)
+        return (steps, ready_s + ADAPTER_LOAD_S, swap.loss_s)
 
 
 def _order_cost_s(step: Step, rate: float) -> float:
     held_up = rate * step.duration_s
     cost_s = ORDER_S + held_up * step.duration_s * HELD_UP_SHARE
-    return cost_s + (STORE_LOAD_S if step.is_from_store else 0)
+    if step.is_from_store:
+        cost_s += STORE_LOAD_S
+    return cost_s
 
 
 def _penalty_s(target: EngineTarget, job: Job, now: float) -> float:
--- a/mimosaworks/dispatch/health.py
+++ b/mimosaworks/dispatch/health.py
@@ -2,13 +2,21 @@
 
 import attrs
 
+from mimosaworks.dispatch.outcome import CallOutcome
+
 FAILURE_WEIGHT = 0.15  # share of the newest outcome in the average
 FAILURE_HALF_LIFE_S = 4.0
 FIRST_DOWN_S = 0.6  # about half a heartbeat interval of the targets
 MAX_DOWN_S = 4.0  # about three heartbeat intervals: then the entry lapses
 SPEED_WEIGHT = 0.2
+MIN_EXPECTED_S = 0.001
 MIN_SPEED = 0.3
 MAX_SPEED = 12.0
+_UNHEALTHY = frozenset((
+    CallOutcome.FAILED,
+    CallOutcome.BROKEN,
+    CallOutcome.TIMED_OUT,
+))
 
 
 @attrs.define
@@ -34,6 +42,15 @@
         age_s = max(now - self._failed_s, 0)
         return float(self._failures * 2 ** (-age_s / FAILURE_HALF_LIFE_S))
 
+    def note_outcome(self, outcome: CallOutcome, now: float) -> None:
+        """Learn from how a request left the target."""
+        if outcome is CallOutcome.ANSWERED:
+            self.note_success(now)
+        elif outcome is CallOutcome.UNREACHABLE:
+            self.note_unreachable(now)
+        elif outcome in _UNHEALTHY:
+            self.note_failure(now)
+
     def note_unreachable(self, now: float) -> None:
         """Leave the target out, longer at each failure in a row."""
         if self.is_down(now):
@@ -56,6 +73,6 @@
 
     def note_duration(self, measured_s: float, expected_s: float) -> None:
         """Compare a measured with the expected duration."""
-        ratio = measured_s / max(expected_s, 1e-3)
+        ratio = measured_s / max(expected_s, MIN_EXPECTED_S)
         ratio = min(max(ratio, MIN_SPEED), MAX_SPEED)
         self.slowness += SPEED_WEIGHT * (ratio - self.slowness)
--- a/mimosaworks/dispatch/limiter.py
+++ b/mimosaworks/dispatch/limiter.py
@@ -18,7 +18,7 @@
 
     buckets: dict[str, Bucket] = attrs.field(factory=dict)
 
-    def set_terms(
+    def follow_terms(
         self, terms: Mapping[str, WorkspaceTerms], now: float
     ) -> None:
         """Follow the configured rates; a lower one binds from now on."""
@@ -27,7 +27,7 @@
         for workspace in terms.values():
             self._set_one(workspace, now)
 
-    def set_levels(self, levels: Mapping[str, float], now: float) -> None:
+    def cap_levels(self, levels: Mapping[str, float], now: float) -> None:
         """Lower the buckets to known levels."""
         for name, level in levels.items():
             bucket = self.buckets.get(name)
@@ -37,9 +37,11 @@
 
     def levels(self, now: float) -> dict[str, float]:
         """Return the tokens of each workspace."""
-        for bucket in self.buckets.values():
+        levels: dict[str, float] = {}
+        for name, bucket in self.buckets.items():
             bucket.advance(now)
-        return {name: bucket.level for name, bucket in self.buckets.items()}
+            levels[name] = bucket.level
+        return levels
 
     def take(self, workspace: str, cost: float, now: float) -> float:
         """Take a request's cost; return 0, or the seconds until it is there.
@@ -54,7 +56,7 @@
         if bucket.level >= needed:
             bucket.level -= cost
             return 0
-        return (needed - bucket.level) / max(bucket.rate, 1e-9)
+        return (needed - bucket.level) / bucket.rate
 
     def give_back(self, workspace: str, cost: float) -> None:
         """Return what a request took that did not run."""
--- a/mimosaworks/dispatch/plain_pool.py
+++ b/mimosaworks/dispatch/plain_pool.py
@@ -1,5 +1,6 @@
 """Chooses targets for requests to plain services."""
 
+import statistics
 from collections.abc import Iterable
 
 import attrs
@@ -31,6 +32,11 @@
         """Whether another request would start at once."""
         return len(self.jobs) < self.entry.slots
 
+    def add_job(self, job: Job, now: float) -> None:
+        """Book a request on this target."""
+        self.jobs[job.ask.call] = job
+        job.target = self.entry.name
+
 
 @attrs.define(eq=False)
 class PlainPool:
@@ -64,18 +70,17 @@
 
     def wait_s(self, job: Job, usable: list[PlainTarget]) -> float:
         """Return the expected wait behind requests that go first."""
-        before = sum(_order(other) <= _order(job) for other in self.waiting)
+        own = _order(job)
+        before = [other for other in self.waiting if _order(other) <= own]
         slots = sum(target.entry.slots for target in usable)
-        return (before + 1) * self.work_s / max(slots, 1)
+        return (len(before) + 1) * self.work_s / max(slots, 1)
 
     def next_grants(self, now: float) -> list[tuple[Job, Assignment]]:
         """Give free slots to waiting requests, the most urgent first."""
         grants = []
         for job in sorted(self.waiting, key=_order):
             free = [
-                target
-                for target in self._usable(job, now)
-                if target.has_slot
+                target for target in self._usable(job, now) if target.has_slot
             ]
             if free:
                 self.waiting.remove(job)
@@ -123,10 +128,7 @@
 
     def _usable(self, job: Job, now: float) -> list[PlainTarget]:
         ready = [
-            target
-            for target in self.targets.values()
-            if target.entry.state is TargetState.READY
-            and target.entry.name not in job.ask.excluded
+            target for target in self.targets.values() if _takes(target, job)
         ]
         reachable = [
             target for target in ready if not target.health.is_down(now)
@@ -136,28 +138,34 @@
     def _grant(
         self, job: Job, free: list[PlainTarget], now: float
     ) -> Assignment:
-        mean = sum(target.health.failures(now) for target in free) / len(free)
+        usual = statistics.fmean(target.health.failures(now) for target in free)
 
         def load(target: PlainTarget) -> float:
+            excess = target.health.failures(now) - usual * REST_SHARE
             busy = (len(target.jobs) + 1) * target.health.slowness
-            excess = target.health.failures(now) - mean * REST_SHARE
-            away = target.entry.data_centre != job.ask.data_centre
-            return (
-                busy + FAILURE_LOAD * max(excess, 0) + OTHER_CENTRE_LOAD * away
-            )
+            if target.entry.data_centre != job.ask.data_centre:
+                busy += OTHER_CENTRE_LOAD
+            return busy + FAILURE_LOAD * max(excess, 0)
 
         chosen = min(free, key=load)
-        chosen.jobs[job.ask.call] = job
-        job.target = chosen.entry.name
+        slots = chosen.entry.slots
+        chosen.add_job(job, now)
         job.is_granted = True
         job.granted_s = now
         return Assignment(
             chosen.entry.name,
             chosen.entry.address,
             job.ask.priority,
-            f'{len(chosen.jobs)} of {chosen.entry.slots} slots',
+            f'slot {len(chosen.jobs)} of {slots}',
         )
 
 
+def _takes(target: PlainTarget, job: Job) -> bool:
+    return (
+        target.entry.state is TargetState.READY
+        and target.entry.name not in job.ask.excluded
+    )
+
+
 def _order(job: Job) -> tuple[int, float]:
     return (job.ask.priority, job.arrived_s)
--- a/mimosaworks/dispatch/prefix_cache.py
+++ b/mimosaworks/dispatch/prefix_cache.py
@@ -47,5 +47,6 @@
 
     def drop_model(self, model: str) -> None:
         """Forget all parts that were read for a model."""
-        for key in [key for key in self._kept if key[0] == model]:
+        dropped = [key for key in self._kept if key[0] == model]
+        for key in dropped:
             self._tokens -= self._kept.pop(key)
--- a/mimosaworks/dispatch/resend_budget.py
+++ b/mimosaworks/dispatch/resend_budget.py
@@ -7,17 +7,24 @@
 SAFETY = 0.6  # share of the promised budget that is used
 
 
+@attrs.frozen
+class ResendTerms:
+    """The promised bound on resends of a service; see ResendBudget."""
+
+    ratio: float
+    slack: float
+    window_s: float
+
+
 @attrs.define
 class ResendBudget:
     """Requests and resends of one service in a sliding window.
 
-    ratio is resends for each request, slack what is allowed on top, both
-    over window_s seconds.
+    terms.ratio is resends for each request, terms.slack what is allowed on
+    top, both over terms.window_s seconds.
     """
 
-    ratio: float
-    slack: float
-    window_s: float
+    terms: ResendTerms
     _requests: deque[float] = attrs.field(factory=deque)
     _resends: deque[float] = attrs.field(factory=deque)
 
@@ -29,7 +36,7 @@
     def try_spend(self, now: float) -> bool:
         """Take one resend if the window has room for it."""
         self._forget(now)
-        allowed = self.ratio * len(self._requests) + self.slack
+        allowed = self.terms.ratio * len(self._requests) + self.terms.slack
         if len(self._resends) + 1 > allowed * SAFETY:
             return False
         self._resends.append(now)
@@ -37,5 +44,21 @@
 
     def _forget(self, now: float) -> None:
         for times in (self._requests, self._resends):
-            while times and times[0] < now - self.window_s:
+            while times and times[0] < now - self.terms.window_s:
                 times.popleft()
+
+
+@attrs.define
+class ResendBudgets:
+    """The budget of each service."""
+
+    terms: ResendTerms
+    _budgets: dict[str, ResendBudget] = attrs.field(factory=dict)
+
+    def admit(self, service: str, now: float, *, is_resend: bool) -> bool:
+        """Count a send; return whether it is within the budget."""
+        budget = self._budgets.setdefault(service, ResendBudget(self.terms))
+        if is_resend:
+            return budget.try_spend(now)
+        budget.note_request(now)
+        return True
--- a/mimosaworks/dispatch/swap.py
+++ b/mimosaworks/dispatch/swap.py
@@ -1,6 +1,8 @@
 """Makes room for a model or an adapter on a target."""
 
 import math
+from collections import Counter
+from collections.abc import Iterable
 
 import attrs
 
@@ -73,29 +75,36 @@
         asked = self.demand.per_s(name, now) * REUSE_HORIZON_S
         copies = max(self.copies.get(name, 1), 1)
         reload_s = victim.terms.disk_load_s
-        recency = math.exp(-max(now - victim.used_s, 0) / REUSE_HORIZON_S)
-        return reload_s * (asked / copies**2 + recency / REUSE_HORIZON_S)
+        unused_s = max(now - victim.used_s, 0)
+        recency = math.exp(-unused_s / REUSE_HORIZON_S)
+        expected = asked / copies**2 + recency / REUSE_HORIZON_S
+        return reload_s * expected
 
     def _victims(
         self, target: EngineTarget, model: EngineModel, now: float
     ) -> list[LoadedModel] | None:
         staying = [
-            loaded
-            for loaded in target.models.values()
-            if not loaded.is_leaving
+            loaded for loaded in target.models.values() if not loaded.is_leaving
         ]
-        free_mb = target.terms.weights_mb - sum(
-            loaded.size_mb for loaded in staying
-        )
+        staying_mb = sum(loaded.size_mb for loaded in staying)
+        free_mb = target.terms.weights_mb - staying_mb
         idle = [
-            loaded
-            for loaded in staying
-            if loaded.is_ready and not loaded.jobs
+            loaded for loaded in staying if loaded.is_ready and not loaded.jobs
         ]
         idle.sort(key=lambda loaded: self.loss_s(target, loaded, now))
         return _cover(idle, model.size_mb - free_mb)
 
 
+def count_copies(targets: Iterable[EngineTarget]) -> dict[str, int]:
+    """Return the number of replicas of each model."""
+    return Counter(
+        name
+        for target in targets
+        for name, loaded in target.models.items()
+        if not loaded.is_leaving
+    )
+
+
 def plan_adapter(
     target: EngineTarget, loaded: LoadedModel, adapter: str
 ) -> tuple[Step, ...] | None:
@@ -105,16 +114,15 @@
         found = _idle_adapter(target)
         if found is None:
             return None
-        steps.append(Step(is_load=False, model=found[0], adapter=found[1]))
-    steps.append(
-        Step(
-            is_load=True,
-            model=loaded.terms.name,
-            adapter=adapter,
-            duration_s=ADAPTER_LOAD_S,
-        )
+        model, idle = found
+        steps.append(Step(is_load=False, model=model, adapter=idle))
+    load = Step(
+        is_load=True,
+        model=loaded.terms.name,
+        adapter=adapter,
+        duration_s=ADAPTER_LOAD_S,
     )
-    return tuple(steps)
+    return (*steps, load)
 
 
 def _cover(
@@ -135,7 +143,7 @@
 
 
 def _has_adapter_room(target: EngineTarget, loaded: LoadedModel) -> bool:
-    staying_mb = sum(
+    staying_mb = math.fsum(
         other.size_mb
         for other in target.models.values()
         if not other.is_leaving
--- a/mimosaworks/events/json_stream.py
+++ b/mimosaworks/events/json_stream.py
@@ -20,11 +20,25 @@
 
 @attrs.define
 class _Window:
-    """Lines of one event in the present second."""
+    """Lines of one event in the present second.
+
+    dropped_before counts those that were left out in the last one.
+    """
 
     second: int = 0
     written: int = 0
     dropped: int = 0
+    dropped_before: int = 0
+
+    def begin(self, second: int) -> bool:
+        """Follow the time; tell whether lines were left out before."""
+        if second == self.second:
+            return False
+        self.dropped_before = self.dropped
+        self.second = second
+        self.written = 0
+        self.dropped = 0
+        return bool(self.dropped_before)
 
 
 @attrs.define(eq=False)
@@ -47,24 +61,22 @@
     ) -> None:
         """Queue one line; now is Unix time in seconds."""
         window = self._windows.setdefault(event, _Window())
-        skipped = 0
-        if int(now) != window.second:
-            skipped = window.dropped
-            window.second = int(now)
-            window.written = 0
-            window.dropped = 0
-        limit = (
-            FAILURE_LINES_PER_S if event in self.failures else LINES_PER_S
-        )
+        line: dict[str, object] = {
+            't': round(now, 3),
+            'e': event.value,
+            'event': event.name.lower(),
+        }
+        if window.begin(int(now)):
+            line[DROPPED] = window.dropped_before
+        is_failure = event in self.failures
+        limit = FAILURE_LINES_PER_S if is_failure else LINES_PER_S
         if window.written >= limit:
             self._drop(window)
             return
         window.written += 1
-        line = {'t': round(now, 3), 'e': event.value, 'event': _name(event)}
-        if skipped:
-            line[DROPPED] = skipped
+        line.update(fields)
         try:
-            self._lines.put_nowait(_render({**line, **fields}))
+            self._lines.put_nowait(_render(line))
         except queue.Full:
             self._drop(window)
 
@@ -77,7 +89,7 @@
             try:
                 self._write_batch(line)
             except (OSError, ValueError):
-                # The reader of the output has gone: nobody to tell.
+                # The reader of the output has gone: nobody can be told.
                 self.dropped += 1
 
     def stop(self) -> None:
@@ -110,10 +122,6 @@
         thread.join(FLUSH_S)
 
 
-def _name(event: Event) -> str:
-    return event.name.lower()
-
-
 def _render(line: Mapping[str, object]) -> str:
     rounded = {
         name: round(field, 4) if isinstance(field, float) else field
--- a/mimosaworks/node/admission.py
+++ b/mimosaworks/node/admission.py
@@ -1,9 +1,9 @@
 """Decides whether a node takes a request, from the deployment in force."""
 
+import asyncio
 import hashlib
 import random
 
-import attrs
 from aiohttp import web
 
 from mimosaworks.clock import now_s
@@ -14,7 +14,7 @@
     ServiceRoute,
     WorkspaceTerms,
 )
-from mimosaworks.errors import ErrorKind, RequestError
+from mimosaworks.errors import ErrorKind, RequestError, RunState
 from mimosaworks.node.call import Call
 from mimosaworks.platform.headers import (
     REQUEST_ID,
@@ -29,9 +29,7 @@
 NO_DEPLOYMENT_RETRY_S = 1.0
 
 
-async def admit(
-    req: web.BaseRequest, deployment: Deployment | None
-) -> Call:
+async def admit(req: web.BaseRequest, deployment: Deployment | None) -> Call:
     """Return the request if the deployment allows it.
 
     Raises RequestError, before anything was sent to a target.
@@ -50,16 +48,23 @@
     if left_s is not None:
         timeout_s = min(timeout_s, left_s - ANSWER_MARGIN_S)
     deadline_s = arrived_s + timeout_s
-    body = await read_body(req, deployment.limits.body_bytes)
-    terms = None
-    if grant is not None:
-        terms = deployment.workspaces.get(grant.workspace)
+    try:
+        async with asyncio.timeout(timeout_s):
+            body = await read_body(req, deployment.limits.body_bytes)
+    except TimeoutError as exc:
+        raise RequestError(
+            ErrorKind.DEADLINE_EXCEEDED,
+            'the body did not come in time',
+            run_state=RunState.NOT_RUN,
+        ) from exc
+    workspace = None if grant is None else grant.workspace
+    terms = deployment.workspaces.get(workspace or '')
     return Call(
         req=req,
         request_id=req.headers.get(REQUEST_ID, ''),
         route=route,
         service=pick_service(route),
-        workspace=None if grant is None else grant.workspace,
+        workspace=workspace,
         cost=_cost(terms, facts),
         priority=_priority(route, grant),
         facts=facts,
@@ -96,12 +101,10 @@
     return b''.join(chunks)
 
 
-def _find_route(
-    req: web.BaseRequest, deployment: Deployment
-) -> ServiceRoute:
-    host = req.headers.get('Host', '').partition(':')[0].lower()
-    path = req.raw_path.partition('?')[0]
-    route = deployment.find_route(host, path)
+def _find_route(req: web.BaseRequest, deployment: Deployment) -> ServiceRoute:
+    host, _, _ = req.headers.get('Host', '').partition(':')
+    path, _, _ = req.raw_path.partition('?')
+    route = deployment.find_route(host.lower(), path)
     if route is None:
         raise RequestError(
             ErrorKind.UNKNOWN_ROUTE,
@@ -144,12 +147,9 @@
     return max(grant.priority, 0) * ROUTE_RANKS + own
 
 
-def _mark(
-    req: web.BaseRequest, grant: Grant | None, body: bytes
-) -> str:
+def _mark(req: web.BaseRequest, grant: Grant | None, body: bytes) -> str:
     workspace = '' if grant is None else grant.workspace
     content = hashlib.blake2b(digest_size=MARK_BYTES)
     content.update(f'{workspace}\0{req.method}\0{req.raw_path}\0'.encode())
     content.update(body)
     return content.hexdigest()
-
--- a/mimosaworks/node/attempt_error.py
+++ b/mimosaworks/node/attempt_error.py
@@ -1,4 +1,4 @@
-"""A send to a target that brought no answer to pass on."""
+"""How a send to a target, or the way back to the caller, failed."""
 
 from mimosaworks.dispatch import CallOutcome
 from mimosaworks.errors import MimosaError
@@ -8,7 +8,7 @@
     """One send failed; is_not_run when the target surely did not run it."""
 
     def __init__(
-        self, outcome: CallOutcome, reason: str, *, is_not_run: bool
+        self, outcome: CallOutcome, reason: str, *, is_not_run: bool = False
     ) -> None:
         super().__init__(reason)
         self.outcome = outcome
@@ -16,5 +16,5 @@
         self.is_not_run = is_not_run
 
 
-class StreamCutError(MimosaError):
-    """A stream ended early after a part of it went to the caller."""
+class CallerLeftError(MimosaError):
+    """The caller's connection was lost while its answer was passed on."""
--- a/mimosaworks/node/call.py
+++ b/mimosaworks/node/call.py
@@ -1,20 +1,58 @@
 """One request of a caller at an entry node."""
 
 import attrs
-from aiohttp import web
+from aiohttp import ClientError, web
 
 from mimosaworks.clock import now_s
 from mimosaworks.deployment import CallFacts, ServiceRoute
+from mimosaworks.node.attempt_error import CallerLeftError
+from mimosaworks.node.event_buffer import EventBuffer
 from mimosaworks.wire import CallAsk
 
 
+@attrs.define(eq=False)
+class PassedStream:
+    """The part of a stream that went to the caller.
+
+    out keeps the head of the first target's answer when the stream goes on
+    at another target.
+    """
+
+    out: web.StreamResponse
+    buffer: EventBuffer = attrs.field(factory=EventBuffer)
+    is_ended: bool = False
+
+    async def write(self, req: web.BaseRequest, chunk: bytes) -> None:
+        """Pass bytes on, behind the head; raises CallerLeftError."""
+        try:
+            await self._write(req, chunk)
+        except (ClientError, OSError) as exc:
+            raise CallerLeftError(repr(exc)) from exc
+
+    async def end(self, req: web.BaseRequest) -> None:
+        """Complete the answer."""
+        await self.write(req, self.buffer.end())
+        self.is_ended = True
+        try:
+            await self.out.write_eof()
+        except (ClientError, OSError) as exc:
+            raise CallerLeftError(repr(exc)) from exc
+
+    async def _write(self, req: web.BaseRequest, chunk: bytes) -> None:
+        if not self.out.prepared:
+            await self.out.prepare(req)
+        if chunk:
+            await self.out.write(chunk)
+
+
 @attrs.define(eq=False)
 class Call:
     """A request that was admitted, with its body.
 
     deadline_s is on this process's clock; time after it helps nobody.
     asks counts the times a target was asked for, resends the sends after
-    the first; target is where it runs now.
+    the first; target is where it runs now. passed is what the caller has
+    of a stream.
     """
 
     req: web.BaseRequest
@@ -35,13 +73,12 @@
     ask: CallAsk | None = None
     target: str = ''
     is_started: bool = False
+    passed: PassedStream | None = None
 
     def may_resend(self) -> bool:
         """Tell whether it may be sent again though it may have run."""
-        return (
-            self.route.may_repeat
-            and self.resends + 1 < self.route.max_attempts
-        )
+        may_repeat = self.route.may_repeat or self.route.is_resumable
+        return may_repeat and self.resends + 1 < self.route.max_attempts
 
     def left_s(self) -> float:
         """Return the seconds until the deadline; never below zero."""
--- /dev/null
+++ b/mimosaworks/node/call_log.py
@@ -0,0 +1,113 @@
+"""One log line for each decision that touches a request."""
+
+from mimosaworks.dispatch import Assignment, CallOutcome
+from mimosaworks.errors import RequestError
+from mimosaworks.events import Event, log_event
+from mimosaworks.node.call import Call
+
+
+def log_admitted(call: Call, version: int) -> None:
+    """Tell that the deployment of a version allows a request."""
+    log_event(
+        Event.CALL_ADMITTED,
+        request_id=call.request_id,
+        route=call.route.name,
+        service=call.service,
+        workspace=call.workspace or '',
+        model=call.facts.model,
+        adapter=call.facts.adapter,
+        tokens=call.facts.declared_tokens,
+        left_s=call.left_s(),
+        version=version,
+    )
+
+
+def log_refused(
+    request_id: str, exc: RequestError, version: int, holder_age_s: float
+) -> None:
+    """Tell why a request is answered with an error."""
+    log_event(
+        Event.CALL_REFUSED,
+        request_id=request_id,
+        kind=exc.kind.value,
+        run=exc.run_state.value,
+        reason=exc.message,
+        retry_after_s=exc.retry_after_s,
+        version=version,
+        holder_age_s=holder_age_s,
+    )
+
+
+def log_sent(call: Call, assignment: Assignment, fence: int) -> None:
+    """Tell which target a request goes to, and who decided that."""
+    log_event(
+        Event.CALL_SENT,
+        request_id=call.request_id,
+        call='' if call.ask is None else call.ask.call,
+        target=assignment.target,
+        reason=assignment.reason,
+        waited_s=call.age_s(),
+        left_s=call.left_s(),
+        resends=call.resends,
+        fence=fence,
+    )
+
+
+def log_started(call: Call, first_s: float) -> None:
+    """Tell that the answer's first bytes came first_s after the send."""
+    log_event(
+        Event.CALL_STARTED,
+        request_id=call.request_id,
+        target=call.target,
+        first_s=first_s,
+        age_s=call.age_s(),
+    )
+
+
+def log_answered(call: Call, assignment: Assignment, status: int) -> None:
+    """Tell that the whole answer went to the caller."""
+    log_event(
+        Event.CALL_ANSWERED,
+        request_id=call.request_id,
+        target=assignment.target,
+        status=status,
+        seconds=call.age_s(),
+        resends=call.resends,
+    )
+
+
+def log_broken(call: Call, reason: str) -> None:
+    """Tell how a send ended without the whole answer."""
+    log_event(
+        Event.CALL_BROKEN,
+        request_id=call.request_id,
+        target=call.target,
+        is_started=call.is_started,
+        reason=reason,
+        age_s=call.age_s(),
+    )
+
+
+def log_resent(call: Call, outcome: CallOutcome) -> None:
+    """Tell that a request is sent once more after an outcome."""
+    log_event(
+        Event.CALL_RESENT,
+        request_id=call.request_id,
+        target=call.target,
+        outcome=outcome.value,
+        resends=call.resends,
+        left_s=call.left_s(),
+    )
+
+
+def log_abandoned(call: Call, outcome: CallOutcome) -> None:
+    """Tell that a request ends because its caller left or its time did."""
+    log_event(
+        Event.CALL_ABANDONED,
+        request_id=call.request_id,
+        target=call.target,
+        outcome=outcome.value,
+        is_started=call.is_started,
+        age_s=call.age_s(),
+        left_s=call.left_s(),
+    )
--- /dev/null
+++ b/mimosaworks/node/chooser.py
@@ -0,0 +1,144 @@
+"""Finds a target for a request, with the holder or without it."""
+
+import asyncio
+import itertools
+from collections.abc import Iterator
+
+import attrs
+
+from mimosaworks.clock import now_s
+from mimosaworks.dispatch import Assignment, CallOutcome, Refusal
+from mimosaworks.errors import ErrorKind, PeerError, RequestError
+from mimosaworks.events import Event, log_event
+from mimosaworks.node.beliefs import Beliefs
+from mimosaworks.node.call import Call
+from mimosaworks.node.conversions import parts_of
+from mimosaworks.node.holder_link import HolderLink
+from mimosaworks.node.local_choice import LocalChoice
+from mimosaworks.wire import CallAsk
+
+HOLDER_WAIT_S = 2.5  # a lease, and the time to notice and to elect
+HOLDER_POLL_S = 0.1
+MIN_ASK_S = 0.03  # less time than this serves nobody
+_WORTH_WAITING = frozenset((
+    ErrorKind.MODEL_NOT_READY,
+    ErrorKind.NO_TARGET,
+))
+
+
+@attrs.define(eq=False)
+class Chooser:
+    """Asks the holder; decides from this node's own view without one.
+
+    node, nonce and data_centre name this process and its place.
+    """
+
+    node: str
+    nonce: str
+    data_centre: str
+    beliefs: Beliefs
+    link: HolderLink
+    local: LocalChoice
+    _numbers: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
+
+    async def choose(self, call: Call) -> Assignment:
+        """Return a target; raises RequestError with the refusal."""
+        decided = await self._decide(call)
+        if isinstance(decided, Refusal):
+            raise RequestError(
+                decided.kind,
+                decided.reason,
+                retry_after_s=decided.retry_after_s,
+            )
+        return decided
+
+    async def _decide(self, call: Call) -> Assignment | Refusal:
+        """Ask until a holder answers or waiting for one does not help."""
+        give_up_s = now_s() + min(HOLDER_WAIT_S, call.left_s() / 2)
+        while True:  # noqa: WPS457 -- ends with a decision
+            # A new name for each ask: the last holder may know the old one.
+            ask = self._make_ask(call)
+            call.ask = ask
+            try:
+                return await self._ask_holder(ask)
+            except PeerError as exc:
+                reason = str(exc)
+            alone = self._decide_alone(call, ask)
+            if not _may_wait(alone) or now_s() > give_up_s:
+                self._log_alone(call, alone, reason)
+                return alone
+            await asyncio.sleep(HOLDER_POLL_S)
+
+    async def _ask_holder(self, ask: CallAsk) -> Assignment | Refusal:
+        try:
+            reply = await self.link.ask(ask)
+        except (asyncio.CancelledError, PeerError):
+            # A decision that is on its way books a target for nobody.
+            self.link.note_end(ask.call, CallOutcome.CALLER_LEFT.value, 0)
+            raise
+        if reply.kind:
+            return Refusal(
+                ErrorKind(reply.kind), reply.retry_after_s, reply.reason
+            )
+        return Assignment(
+            reply.target, reply.address, reply.priority, reply.reason
+        )
+
+    def _decide_alone(self, call: Call, ask: CallAsk) -> Assignment | Refusal:
+        deployment = self.beliefs.deployment
+        if deployment is None:
+            return Refusal(
+                ErrorKind.CONFIG_STALE, HOLDER_WAIT_S, 'no deployment'
+            )
+        now = now_s()
+        members = max(len(self.link.members), 1)
+        targets = self.beliefs.targets or self.link.targets
+        self.local.enter(deployment, self.link.levels, members, now)
+        decided = self.local.choose(ask, call.facts, targets, now)
+        if isinstance(decided, Assignment):
+            self.link.note_spent(ask.workspace, ask.cost)
+        return decided
+
+    def _log_alone(
+        self, call: Call, decided: Assignment | Refusal, reason: str
+    ) -> None:
+        log_event(
+            Event.CALL_DECIDED_ALONE,
+            request_id=call.request_id,
+            target='' if isinstance(decided, Refusal) else decided.target,
+            reason=f'{reason}; {decided.reason}',
+            silent_s=self.link.silent_s(),
+            members=len(self.link.members),
+            targets_age_s=now_s() - self.beliefs.targets_read_s,
+            waited_s=call.age_s(),
+        )
+
+    def _make_ask(self, call: Call) -> CallAsk:
+        facts = call.facts
+        return CallAsk(
+            call=f'{self.nonce}-{next(self._numbers)}',
+            node=self.node,
+            fence=self.link.fence,
+            service=call.service,
+            workspace=call.workspace or '',
+            cost=call.cost,
+            priority=call.priority,
+            model=facts.model,
+            adapter=facts.adapter,
+            tokens_in=facts.tokens_in,
+            tokens_out=facts.tokens_out,
+            tokens_hint=facts.tokens_hint,
+            parts=parts_of(facts),
+            data_centre=self.data_centre,
+            target_s=call.route.target_s,
+            left_s=max(call.left_s(), MIN_ASK_S),
+            resends=call.resends,
+            excluded=tuple(sorted(call.excluded)),
+            mark=call.mark,
+            request_id=call.request_id,
+        )
+
+
+def _may_wait(decided: Assignment | Refusal) -> bool:
+    """Tell whether the next holder may find a target."""
+    return isinstance(decided, Refusal) and decided.kind in _WORTH_WAITING
--- a/mimosaworks/node/election.py
+++ b/mimosaworks/node/election.py
@@ -26,7 +26,7 @@
 LEASE_ROW = RowName('mimosaworks', 'dispatch-lease')
 LEASE_S = 1.5  # three renewals; fences guard the targets beyond it
 RENEWALS = 3  # in each lease
-POLL_S = 0.15  # pause between reads of the row while no holder is heard
+POLL_S = 0.1  # pause between reads of the row while no holder is heard
 
 
 @attrs.frozen
@@ -155,9 +155,7 @@
             answer = await self.store.read(LEASE_ROW.table)
         except PlatformError:
             return  # The feeds log the loss of the store.
-        found = _lease_in(
-            row for row in answer.rows if row.name == LEASE_ROW
-        )
+        found = _lease_in(row for row in answer.rows if row.name == LEASE_ROW)
         self._believe(found)
         if self.may_hold and not self.hears_holder() and self._is_over():
             await self._take()
@@ -170,9 +168,13 @@
 
     def _believe(self, found: Lease | None) -> None:
         known = self.lease
-        if known is not None and found is not None:
-            if found.version <= known.version:
-                return
+        is_older = (
+            known is not None
+            and found is not None
+            and found.version <= known.version
+        )
+        if is_older:
+            return
         self.lease = found
         self._seen_s = now_s()
         if found is not None and (known is None or known.nonce != found.nonce):
--- a/mimosaworks/node/event_buffer.py
+++ b/mimosaworks/node/event_buffer.py
@@ -26,7 +26,8 @@
             self._rest = gathered
             return b''
         end += len(_END_OF_EVENT)
-        whole, self._rest = gathered[:end], gathered[end:]
+        self._rest = gathered[end:]
+        whole = gathered[:end]
         ids = _ID_LINE.findall(whole)
         if ids:
             self.last_id = ids[-1].decode('latin-1')
@@ -34,7 +35,8 @@
 
     def end(self) -> bytes:
         """Return what follows the last event of a complete stream."""
-        rest, self._rest = self._rest, b''
+        rest = self._rest
+        self._rest = b''
         return rest
 
     def drop(self) -> None:
--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -7,6 +7,7 @@
 import attrs
 
 from mimosaworks.clock import now_s
+from mimosaworks.deployment import TargetEntry
 from mimosaworks.dispatch import (
     Assignment,
     CallOutcome,
@@ -98,11 +99,12 @@
         decided = self.dispatcher.submit(ask_of(ask, now), now)
         self._start_orders()
         if decided is not None:
-            _log_decided(ask.call, decided, 0)
+            _log_decided(ask, decided, 0)
             return reply_of(decided)
         job = self.dispatcher.jobs[ask.call]
         log_event(
             Event.CALL_QUEUED,
+            request_id=ask.request_id,
             call=ask.call,
             target=job.target,
             model=ask.model,
@@ -137,9 +139,9 @@
     def _reply(self, beat: Beat, now: float) -> BeatReply:
         levels = self.dispatcher.limiter.levels(now)
         version = self.beliefs.targets_version
-        rows = ()
+        changed: tuple[TargetEntry, ...] = ()
         if beat.targets_version != version:
-            rows = tuple(map(row_of_target, self.beliefs.targets.values()))
+            changed = tuple(self.beliefs.targets.values())
         return BeatReply(
             is_holder=True,
             fence=self.orders.fence,
@@ -147,7 +149,7 @@
             members=tuple(member.row for member in self.members.values()),
             levels=tuple(Spent(name, left) for name, left in levels.items()),
             targets_version=version,
-            targets=rows,
+            targets=tuple(map(row_of_target, changed)),
             interval_s=max(BEAT_S, len(self.members) / BEATS_PER_S),
         )
 
@@ -164,7 +166,7 @@
             raise
         finally:
             self._replies.pop(ask.call, None)
-        _log_decided(ask.call, decided, now_s() - begun_s)
+        _log_decided(ask, decided, now_s() - begun_s)
         return reply_of(decided)
 
     def _settle(self, decided: list[Decided]) -> None:
@@ -190,21 +192,21 @@
         is_new = deployment.version != self._deployment_version
         if is_new:
             self._deployment_version = deployment.version
-            self.dispatcher.set_deployment(deployment, now)
+            self.dispatcher.follow_deployment(deployment, now)
         if is_new or self._targets_version != self.beliefs.targets_version:
             self._targets_version = self.beliefs.targets_version
             self._settle(
-                self.dispatcher.set_entries(self.beliefs.targets, now)
+                self.dispatcher.follow_entries(self.beliefs.targets, now)
             )
 
     def _start_orders(self) -> None:
         for name, pool in self.dispatcher.pools.items():
-            if isinstance(pool, EnginePool):
-                for target in tuple(pool.targets.values()):
-                    needs_run = target.steps or not target.is_synced
-                    if needs_run and not target.is_ordering:
-                        target.is_ordering = True
-                        self._spawn(self._run_orders(name, pool, target))
+            if not isinstance(pool, EnginePool):
+                continue
+            for target in tuple(pool.targets.values()):
+                if _needs_run(target):
+                    target.is_ordering = True
+                    self._spawn(self._run_orders(name, pool, target))
 
     async def _run_orders(
         self, service: str, pool: EnginePool, target: EngineTarget
@@ -223,7 +225,7 @@
             await self.orders.sync(target)
         while target.steps and pool.holds(target):
             step = target.steps.popleft()
-            is_done = target.is_synced and pool.fits(target, step)
+            is_done = target.is_synced and target.has_memory_for(step)
             if is_done:
                 is_done = await self.orders.run(target, step)
             report = (
@@ -274,24 +276,23 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _needs_run(target: EngineTarget) -> bool:
+    has_work = bool(target.steps) or not target.is_synced
+    return has_work and not target.is_ordering
+
+
 def _log_decided(
-    call: str, decided: Assignment | Refusal, waited_s: float
+    ask: CallAsk, decided: Assignment | Refusal, waited_s: float
 ) -> None:
-    if isinstance(decided, Refusal):
-        log_event(
-            Event.CALL_DECIDED,
-            call=call,
-            target='',
-            kind=decided.kind.value,
-            reason=decided.reason,
-            waited_s=waited_s,
-        )
-        return
     log_event(
         Event.CALL_DECIDED,
-        call=call,
-        target=decided.target,
-        kind='',
+        request_id=ask.request_id,
+        call=ask.call,
+        node=ask.node,
+        target='' if isinstance(decided, Refusal) else decided.target,
+        kind=decided.kind.value if isinstance(decided, Refusal) else '',
         reason=decided.reason,
         waited_s=waited_s,
+        left_s=ask.left_s - waited_s,
+        excluded=list(ask.excluded),
     )
--- a/mimosaworks/node/holder_link.py
+++ b/mimosaworks/node/holder_link.py
@@ -1,6 +1,7 @@
 """A node's connection to the holder: asks, beats, and what it was told."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import Protocol
 
@@ -89,17 +90,15 @@
             self.peers.call(lease.address, ask, CallReply, ask.left_s)
         )
         lost = asyncio.ensure_future(self._lost.wait())
-        try:
+        with contextlib.ExitStack() as stack:
+            stack.callback(_abandon, call)
+            stack.callback(lost.cancel)
             await asyncio.wait(
                 {call, lost}, return_when=asyncio.FIRST_COMPLETED
             )
-            if not call.done():
-                raise PeerError('the holder fell silent')
-            return call.result()
-        finally:
-            lost.cancel()
-            call.cancel()
-            call.add_done_callback(_forget_failure)
+            if call.done():
+                return call.result()
+        raise PeerError('the holder fell silent')
 
     def note_start(self, call: str, first_s: float) -> None:
         """Tell the holder of a first event with the next beat."""
@@ -185,8 +184,8 @@
     def _keep(self, beat: Beat) -> None:
         # The holder may have taken the beat: it ignores what it knows. Its
         # tokens may be charged twice, which is on the safe side.
-        self._starts[:0] = beat.starts
-        self._ends[:0] = beat.ends
+        self._starts = [*beat.starts, *self._starts]
+        self._ends = [*beat.ends, *self._ends]
         for spent in beat.spent:
             self.note_spent(spent.workspace, spent.cost)
 
@@ -222,6 +221,11 @@
         self._lost.set()
 
 
+def _abandon(call: 'asyncio.Future[CallReply]') -> None:
+    call.cancel()
+    call.add_done_callback(_forget_failure)
+
+
 def _forget_failure(call: 'asyncio.Future[CallReply]') -> None:
     # Nobody waits for this answer any more; its failure is not news.
     if not call.cancelled():
--- a/mimosaworks/node/local_choice.py
+++ b/mimosaworks/node/local_choice.py
@@ -22,7 +22,7 @@
 
 @attrs.define(eq=False)
 class LocalChoice:
-    """This node's requests at targets, and its share of the rates.
+    """The requests of one node at targets, and its share of the rates.
 
     It sends only to targets that hold a request's model, and takes no more
     of a target's slots than one of members nodes may.
@@ -52,15 +52,16 @@
         key = (deployment.version, members)
         if key == (self._version, self._shares):
             return
-        self._version, self._shares = key
+        self._version = deployment.version
+        self._shares = members
         terms = {
             name: attrs.evolve(
                 one, rate=one.rate / members, burst=one.burst / members
             )
             for name, one in deployment.workspaces.items()
         }
-        self.limiter.set_terms(terms, now)
-        self.limiter.set_levels(
+        self.limiter.follow_terms(terms, now)
+        self.limiter.cap_levels(
             {name: level / members for name, level in levels.items()}, now
         )
 
@@ -83,29 +84,29 @@
                 ErrorKind.RATE_EXCEEDED, wait_s, "this node's share is used up"
             )
         fitting = [
-            entry
-            for entry in targets.values()
-            if entry.service == ask.service
-            and entry.state is TargetState.READY
-            and entry.name not in ask.excluded
-            and _holds(entry, facts)
-            and self._has_slot(entry)
+            entry for entry in targets.values() if self._fits(entry, ask, facts)
         ]
         if not fitting:
             self.limiter.give_back(ask.workspace, ask.cost)
-            return Refusal(
-                ErrorKind.MODEL_NOT_READY if facts.model else (
-                    ErrorKind.NO_TARGET
-                ),
-                RETRY_S,
-                'no holder is heard, and no free target is known to fit',
-            )
+            kind = ErrorKind.NO_TARGET
+            if facts.model:
+                kind = ErrorKind.MODEL_NOT_READY
+            reason = 'no holder is heard, and no free target is known to fit'
+            return Refusal(kind, RETRY_S, reason)
         pair = random.sample(fitting, min(2, len(fitting)))
         chosen = min(pair, key=self._load)
         return Assignment(
             chosen.name, chosen.address, DEFAULT_PRIORITY, 'no holder is heard'
         )
 
+    def _fits(self, entry: TargetEntry, ask: CallAsk, facts: CallFacts) -> bool:
+        is_usable = (
+            entry.service == ask.service
+            and entry.state is TargetState.READY
+            and entry.name not in ask.excluded
+        )
+        return is_usable and _holds(entry, facts) and self._has_slot(entry)
+
     def _load(self, entry: TargetEntry) -> int:
         return self.running.get(entry.name, 0)
 
--- a/mimosaworks/node/meters.py
+++ b/mimosaworks/node/meters.py
@@ -32,7 +32,9 @@
     def __attrs_post_init__(self) -> None:
         reg = self.registry
         self.answers = Counter(
-            'mimosa_answers', 'Answers passed on.', ['service', 'status'],
+            'mimosa_answers',
+            'Answers passed on.',
+            ['service', 'status'],
             registry=reg,
         )
         self.refusals = Counter(
@@ -42,23 +44,34 @@
             'mimosa_sends', 'Sends to targets.', ['outcome'], registry=reg
         )
         self.wait = Histogram(
-            'mimosa_wait_seconds', 'From arrival to a target.', ['service'],
-            registry=reg, buckets=_SECONDS,
+            'mimosa_wait_seconds',
+            'From arrival to a target.',
+            ['service'],
+            registry=reg,
+            buckets=_SECONDS,
         )
         self.first = Histogram(
-            'mimosa_first_seconds', 'From arrival to the first bytes.',
-            ['service'], registry=reg, buckets=_SECONDS,
+            'mimosa_first_seconds',
+            'From arrival to the first bytes.',
+            ['service'],
+            registry=reg,
+            buckets=_SECONDS,
         )
         self.whole = Histogram(
-            'mimosa_whole_seconds', 'From arrival to the end.', ['service'],
-            registry=reg, buckets=_SECONDS,
+            'mimosa_whole_seconds',
+            'From arrival to the end.',
+            ['service'],
+            registry=reg,
+            buckets=_SECONDS,
         )
         self.running = Gauge(
             'mimosa_running', 'Requests in progress.', registry=reg
         )
         self.ages = Gauge(
-            'mimosa_view_age_seconds', 'Age of what the node believes.',
-            ['view'], registry=reg,
+            'mimosa_view_age_seconds',
+            'Age of what the node believes.',
+            ['view'],
+            registry=reg,
         )
         self.dropped_lines = Gauge(
             'mimosa_dropped_log_lines', 'Log lines left out.', registry=reg
--- /dev/null
+++ b/mimosaworks/node/node.py
@@ -0,0 +1,149 @@
+"""The parts of an entry node and how they call each other."""
+
+import asyncio
+
+import attrs
+from aiohttp import web
+
+from mimosaworks.clock import now_s
+from mimosaworks.dispatch import Dispatcher, ResendBudgets, ResendTerms
+from mimosaworks.errors import PeerError, SettingError
+from mimosaworks.events import Event, log_event
+from mimosaworks.node.beliefs import Beliefs
+from mimosaworks.node.election import Election, Lease
+from mimosaworks.node.front import Front
+from mimosaworks.node.holder import Holder
+from mimosaworks.node.holder_link import HolderLink
+from mimosaworks.node.meters import Meters
+from mimosaworks.node.order_runner import OrderRunner
+from mimosaworks.node.table_feed import Rows, TableFeed
+from mimosaworks.platform import (
+    BootSettings,
+    EngineCalls,
+    StoreClient,
+    read_boot,
+)
+from mimosaworks.routing import SuspectTable
+from mimosaworks.wire import Beat, BeatReply, CallAsk, CallReply, NodeRow
+
+METERS_PERIOD_S = 1.0
+
+
+@attrs.define(eq=False)
+class Node:
+    """The parts of an entry node, once they are wired."""
+
+    cfg: BootSettings
+    nonce: str
+    beliefs: Beliefs
+    store: StoreClient
+    calls: EngineCalls
+    meters: Meters
+    targets_feed: TableFeed = attrs.field(init=False)
+    election: Election = attrs.field(init=False)
+    link: HolderLink = attrs.field(init=False)
+    front: Front = attrs.field(init=False)
+    holder: Holder | None = None
+    is_stopping: bool = False
+
+    def row(self) -> NodeRow:
+        """Return what this node says of itself."""
+        return NodeRow(
+            name=self.cfg.name,
+            front_address=self.cfg.front_address,
+            peer_address=self.cfg.peer_address,
+            data_centre=self.cfg.data_centre,
+            is_stopping=self.is_stopping,
+        )
+
+    def addresses(self, _: str) -> list[str]:
+        """Return the addresses that callers may use, this node's first."""
+        listed = {
+            row.front_address
+            for row in self.link.members.values()
+            if not row.is_stopping and row.name != self.cfg.name
+        }
+        if self.is_stopping and listed:
+            return sorted(listed)
+        return [self.cfg.front_address, *sorted(listed)]
+
+    def is_ready(self) -> bool:
+        """Tell whether callers may come."""
+        return self.beliefs.deployment is not None and not self.is_stopping
+
+    def take_lease(self, lease: Lease) -> None:
+        """Begin to decide for all nodes."""
+        bounds = self.cfg.bounds
+        terms = ResendTerms(
+            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
+        )
+        self.holder = Holder(
+            beliefs=self.beliefs,
+            dispatcher=Dispatcher(ResendBudgets(terms)),
+            orders=OrderRunner(self.calls, self.cfg.name, lease.fence),
+            on_fenced=self.election.step_down,
+            suspects=SuspectTable(),
+            lease_version=lease.version,
+        )
+        self.holder.start()
+        levels = self.link.levels
+        self.holder.dispatcher.limiter.cap_levels(levels, now_s())
+
+    def lose_lease(self) -> None:
+        """Stop deciding."""
+        if self.holder is not None:
+            self.holder.stop()
+            self.holder = None
+
+    async def on_ask(self, ask: CallAsk) -> CallReply:
+        """Answer a node's request for a target."""
+        if self.holder is None:
+            raise web.HTTPConflict(text='not the holder')
+        try:
+            return await self.holder.on_ask(ask)
+        except PeerError as exc:
+            raise web.HTTPConflict(text=str(exc)) from exc
+
+    async def on_beat(self, beat: Beat) -> BeatReply:
+        """Answer a node's beat."""
+        if self.holder is None:
+            return BeatReply(is_holder=False)
+        lease = self.election.lease
+        if lease is not None:
+            self.holder.lease_version = lease.version
+        return await self.holder.on_beat(beat)
+
+    def on_desired(self, rows: Rows) -> None:
+        """Take over a desired state."""
+        self.beliefs.apply_desired(rows)
+
+    def on_targets(self, rows: Rows) -> None:
+        """Take over the targets' entries."""
+        self.beliefs.apply_entries(rows, self.targets_feed.outage_end_s)
+
+    def wants_targets(self) -> bool:
+        """Tell whether this node has to read the targets' entries itself."""
+        return self.holder is not None or not self.link.is_up()
+
+    def reload(self, boot_path: str) -> None:
+        """Read the settings file again; addresses stay until a restart."""
+        try:
+            cfg = read_boot(boot_path)
+        except SettingError as exc:
+            log_event(Event.SETTINGS_READ, is_changed=False, reason=str(exc))
+            return
+        is_changed = cfg != self.cfg
+        log_event(Event.SETTINGS_READ, is_changed=is_changed, reason='SIGHUP')
+        self.cfg = attrs.evolve(
+            self.cfg, bounds=cfg.bounds, memory_mb=cfg.memory_mb
+        )
+
+    async def run_meters(self) -> None:
+        """Keep the gauges of what this node believes."""
+        while True:  # noqa: WPS457 -- ends when the task is cancelled
+            now = now_s()
+            self.meters.ages.labels('holder').set(self.link.silent_s())
+            self.meters.ages.labels('targets').set(
+                now - self.beliefs.targets_read_s
+            )
+            await asyncio.sleep(METERS_PERIOD_S)
--- a/mimosaworks/node/order_runner.py
+++ b/mimosaworks/node/order_runner.py
@@ -7,6 +7,7 @@
 
 from mimosaworks.clock import now_s
 from mimosaworks.dispatch import EngineTarget, Step, adopt_models
+from mimosaworks.errors import MimosaError
 from mimosaworks.events import Event, log_event
 from mimosaworks.platform import (
     EngineCalls,
@@ -21,9 +22,14 @@
 SYNC_TRIES = 4
 BUSY_S = 1.0  # expected rest of an order that a target carries out
 STORE_LOAD_TRIES = 40  # loads from the weight store take longer together
+_WORTH_REPEATING = frozenset((
+    OrderAnswer.CONFLICT,
+    OrderAnswer.UNANSWERED,
+))
+_NO_REPORT = (aiohttp.ClientError, TimeoutError, ValueError, TypeError)
 
 
-class FencedError(Exception):
+class FencedError(MimosaError):
     """A target has seen an order of a later holder."""
 
 
@@ -35,14 +41,16 @@
     holder: str
     fence: int
 
-    async def sync(self, target: EngineTarget) -> bool:
-        """Ask a target what it holds; return whether it answered.
+    async def sync(self, target: EngineTarget) -> None:
+        """Ask a target what it holds; it is synced if it answered.
 
         Waits for an order that the target still carries out.
         """
-        for _ in range(SYNC_TRIES):
+        tries = SYNC_TRIES
+        while tries:
+            tries -= 1
             report = await self._report(target)
-            if report is not None and self._is_current(target, report):
+            if report is not None and _is_current(target, report):
                 adopt_models(target, report.residences, report.orders)
                 target.is_synced = True
                 log_event(
@@ -51,10 +59,9 @@
                     orders=report.orders,
                     models=sorted(target.models),
                 )
-                return True
+                return
             target.steps_end_s = now_s() + BUSY_S
             await asyncio.sleep(REPORT_PAUSE_S)
-        return False
 
     async def run(self, target: EngineTarget, step: Step) -> bool:
         """Send one order until it is carried out; False when it can't be.
@@ -62,17 +69,7 @@
         Raises FencedError when another holder has been elected.
         """
         begun_s = now_s()
-        answer = OrderAnswer.UNANSWERED
-        for _ in range(ORDER_TRIES):
-            answer = await self._send(target, step)
-            if answer in {OrderAnswer.ACCEPTED, OrderAnswer.HOLDS}:
-                break
-            if answer is OrderAnswer.FENCED:
-                raise FencedError(target.entry.name)
-            if answer is OrderAnswer.CONFLICT:
-                await asyncio.sleep(CONFLICT_PAUSE_S)
-            if not await self._may_repeat(target):
-                break
+        answer = await self._repeat(target, step)
         is_done = await self._finish(target, step, answer)
         log_event(
             Event.STEP_ENDED,
@@ -86,6 +83,20 @@
         )
         return is_done
 
+    async def _repeat(self, target: EngineTarget, step: Step) -> OrderAnswer:
+        tries = ORDER_TRIES
+        answer = await self._send(target, step)
+        while tries and answer in _WORTH_REPEATING:
+            tries -= 1
+            if answer is OrderAnswer.CONFLICT:
+                await asyncio.sleep(CONFLICT_PAUSE_S)
+            if not await self._may_repeat(target):
+                break
+            answer = await self._send(target, step)
+        if answer is OrderAnswer.FENCED:
+            raise FencedError(target.entry.name)
+        return answer
+
     async def _send(self, target: EngineTarget, step: Step) -> OrderAnswer:
         order = TargetOrder(
             is_load=step.is_load,
@@ -124,13 +135,15 @@
         return False
 
     async def _await_model(self, target: EngineTarget, step: Step) -> bool:
-        for _ in range(STORE_LOAD_TRIES):
+        tries = STORE_LOAD_TRIES
+        while tries:
+            tries -= 1
             report = await self._report(target)
             if report is not None:
                 held = {one.model for one in report.residences}
                 if step.model in held:
                     return True
-                if not report.is_busy and report.orders >= target.orders:
+                if _is_current(target, report):
                     return False
             await asyncio.sleep(REPORT_PAUSE_S)
         return False
@@ -146,19 +159,18 @@
             return False
         return report.orders <= target.orders
 
-    def _is_current(
-        self, target: EngineTarget, report: TargetReport
-    ) -> bool:
-        # A report is some hundred milliseconds old, orders may be younger.
-        return not report.is_busy and (
-            report.orders >= target.orders
-            or report.born != target.entry.born
-        )
-
     async def _report(self, target: EngineTarget) -> TargetReport | None:
         entry = target.entry
         try:
             return await self.calls.report(entry.name, entry.address)
-        except (aiohttp.ClientError, TimeoutError, ValueError, TypeError):
+        except _NO_REPORT:
             # Logged by the caller: the order ends without an answer.
             return None
+
+
+def _is_current(target: EngineTarget, report: TargetReport) -> bool:
+    # A report is some hundred milliseconds old, orders may be younger.
+    if report.is_busy:
+        return False
+    is_reborn = report.born != target.entry.born
+    return is_reborn or report.orders >= target.orders
--- /dev/null
+++ b/mimosaworks/node/sessions.py
@@ -0,0 +1,47 @@
+"""Client sessions of a node."""
+
+import contextlib
+import socket
+import types
+
+import aiohttp
+
+from mimosaworks.node.exchange import CONNECT_TIMEOUT_S
+
+FIELD_BYTES = 65536  # callers list all parts of a prompt in one field
+# Unacknowledged bytes for this long (ms) close a connection that fell silent.
+SILENCE_MS = 3000
+_OPTIONS = types.MappingProxyType({
+    socket.TCP_NODELAY: 1,
+    socket.TCP_USER_TIMEOUT: SILENCE_MS,
+})
+AddrInfo = tuple[int, int, int, str, object]
+
+
+async def open_session(
+    stack: contextlib.AsyncExitStack, idle_s: float
+) -> aiohttp.ClientSession:
+    """Return a session that keeps idle connections for idle_s seconds."""
+    connector = aiohttp.TCPConnector(
+        limit=0, keepalive_timeout=idle_s, socket_factory=_make_socket
+    )
+    session = aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_S
+        ),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        read_bufsize=FIELD_BYTES,
+        max_line_size=FIELD_BYTES,
+        max_field_size=FIELD_BYTES,
+    )
+    return await stack.enter_async_context(session)
+
+
+def _make_socket(info: AddrInfo) -> socket.socket:
+    family, kind, proto = info[:3]
+    sock = socket.socket(family, kind, proto)
+    for name, setting in _OPTIONS.items():
+        sock.setsockopt(socket.IPPROTO_TCP, name, setting)
+    return sock
--- a/mimosaworks/node/table_feed.py
+++ b/mimosaworks/node/table_feed.py
@@ -42,36 +42,40 @@
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:  # noqa: WPS457 -- ends when the task is cancelled
-            if self.wanted is not None and not self.wanted():
-                await asyncio.sleep(FIRST_PAUSE_S)
-                continue
-            try:
-                await self._read()
-            except StoreHistoryError:
-                self._version = 0
-            except StoreUnavailableError as exc:
-                self._note_loss(exc)
-                await asyncio.sleep(self._pause_s * (1 + random.random()))
-                self._pause_s = min(self._pause_s * 2, MAX_PAUSE_S)
-            else:
-                self._note_answer()
-                await asyncio.sleep(self.gap_s)
+            is_wanted = self.wanted is None or self.wanted()
+            pause_s = await self._step() if is_wanted else FIRST_PAUSE_S
+            await asyncio.sleep(pause_s)
+
+    async def _step(self) -> float:
+        """Read once; return the seconds until the next read."""
+        try:
+            await self._read()
+        except StoreHistoryError:
+            self._version = 0
+            return 0
+        except StoreUnavailableError as exc:
+            self._note_loss(exc)
+            pause_s = random.uniform(self._pause_s, 2 * self._pause_s)
+            self._pause_s = min(self._pause_s * 2, MAX_PAUSE_S)
+            return pause_s
+        self._note_answer()
+        return self.gap_s
 
     async def _read(self) -> None:
-        if not self._version:
-            answer = await self.store.read(self.table)
-            self._rows = {row.name.key: row for row in answer.rows}
-        else:
+        if self._version:
             answer = await self.store.follow(
                 self.table, self._version, self.wait_s
             )
-            if not answer.rows:
-                self._version = max(self._version, answer.version)
-                return
-            for row in answer.rows:
-                self._apply(row)
-        self._version = answer.version
-        self.on_rows(self._rows)
+            is_changed = bool(answer.rows)
+        else:
+            answer = await self.store.read(self.table)
+            self._rows = {}
+            is_changed = True
+        self._version = max(self._version, answer.version)
+        for row in answer.rows:
+            self._apply(row)
+        if is_changed:
+            self.on_rows(self._rows)
 
     def _apply(self, row: StoredRow) -> None:
         if row.content is None:
--- a/mimosaworks/platform/__init__.py
+++ b/mimosaworks/platform/__init__.py
@@ -18,12 +18,12 @@
 from mimosaworks.platform.group_commit import GroupCommit
 from mimosaworks.platform.objects import ObjectClient
 from mimosaworks.platform.row import Row, RowAssert, RowWrite
-from mimosaworks.platform.store import (
+from mimosaworks.platform.store import StoreClient
+from mimosaworks.platform.stored_rows import (
     RowChange,
     RowName,
     RowNeed,
     RowsAnswer,
-    StoreClient,
     StoredRow,
 )
 from mimosaworks.platform.table import TableClient
--- a/mimosaworks/platform/desired.py
+++ b/mimosaworks/platform/desired.py
@@ -27,7 +27,7 @@
 
 DESIRED_TABLE = 'op'
 DESIRED_KEY = 'config'
-_TOKEN_UNIT = 'token_stream'
+_COUNTS_TOKENS = 'token_stream'
 _REPEATS = {  # noqa: WPS407 -- read only
     'idempotent': Repeat.IDEMPOTENT,
     'non_idempotent': Repeat.ONCE,
@@ -139,5 +139,5 @@
         burst=fields.get('burst', 0),
         plain_tokens=fields.get('plain-tokens', 0),
         priority=priority if isinstance(priority, int) else None,
-        counts_tokens=fields.get('unit') == _TOKEN_UNIT,
+        counts_tokens=fields.get('unit') == _COUNTS_TOKENS,
     )
--- a/mimosaworks/platform/directory.py
+++ b/mimosaworks/platform/directory.py
@@ -31,7 +31,9 @@
     """Return the readiness page of a process."""
 
     async def tell(_: web.Request) -> web.Response:
-        return web.Response(status=200 if is_ready() else 503)
+        if is_ready():
+            return web.Response()
+        raise web.HTTPServiceUnavailable
 
     app = web.Application()
     app.router.add_get(READY_PATH, tell)
--- a/mimosaworks/platform/store.py
+++ b/mimosaworks/platform/store.py
@@ -16,53 +16,18 @@
     StoreUnavailableError,
 )
 from mimosaworks.platform.boot import MS_PER_S
+from mimosaworks.platform.stored_rows import (
+    RowChange,
+    RowName,
+    RowNeed,
+    RowsAnswer,
+    StoredRow,
+)
 
 CALL_TIMEOUT_S = 2.0
 _FEED_SLACK_S = 1.0
 
 
-@attrs.frozen
-class RowName:
-    """The table, part and key of a row."""
-
-    table: str
-    key: str
-    part: str = ''
-
-
-@attrs.frozen
-class StoredRow:
-    """A row as of one version; content is None for one that was removed."""
-
-    name: RowName
-    version: int
-    content: bytes | None
-
-
-@attrs.frozen
-class RowChange:
-    """Sets a row's content, or removes the row when content is None."""
-
-    name: RowName
-    content: bytes | None
-
-
-@attrs.frozen
-class RowNeed:
-    """Requires a row to be at a version; 0 requires that it is absent."""
-
-    name: RowName
-    version: int
-
-
-@attrs.frozen
-class RowsAnswer:
-    """Rows, and the newest version of the store when they were read."""
-
-    rows: tuple[StoredRow, ...]
-    version: int
-
-
 @attrs.define
 class StoreClient:
     """Reads, changes and follows rows; used by every program.
@@ -88,11 +53,10 @@
             rows.extend(page)
             if not reply.get('more-pages') or not page:
                 return RowsAnswer(tuple(rows), reply['ver'])
-            start = f'{page[-1].name.key}\0'
+            last = page[-1].name.key
+            start = f'{last}\0'
 
-    async def follow(
-        self, table: str, after: int, wait_s: float
-    ) -> RowsAnswer:
+    async def follow(self, table: str, after: int, wait_s: float) -> RowsAnswer:
         """Wait for rows of a table that changed after a version.
 
         Returns without rows when nothing changed in wait_s seconds. Raises
@@ -193,11 +157,14 @@
 
 
 def _row(fields: dict[str, Any]) -> StoredRow:
-    name = RowName(fields['table'], fields['key'], fields.get('part', ''))
+    part = fields.get('part', '')
+    name = RowName(fields['table'], fields['key'], part)
     # A row that a commit needs and that does not exist has no value.
-    is_gone = fields.get('removed') or not fields.get('ver')
-    content = None if is_gone else base64.b64decode(fields.get('value', ''))
-    return StoredRow(name, fields.get('ver', 0), content)
+    version = fields.get('ver', 0)
+    if fields.get('removed') or not version:
+        return StoredRow(name, version, None)
+    content = base64.b64decode(fields.get('value', ''))
+    return StoredRow(name, version, content)
 
 
 def _name(name: RowName) -> dict[str, str]:
--- a/mimosaworks/wire/dispatch.capnp
+++ b/mimosaworks/wire/dispatch.capnp
@@ -27,6 +27,7 @@
   resends @16 :UInt32;
   excluded @17 :List(Text);
   mark @18 :Text;
+  requestId @19 :Text;
 }
 
 struct CallReply {
--- a/mimosaworks/wire/dispatch_messages.py
+++ b/mimosaworks/wire/dispatch_messages.py
@@ -39,6 +39,7 @@
     resends: int = 0
     excluded: tuple[str, ...] = ()
     mark: str = ''
+    request_id: str = ''
 
 
 @attrs.frozen
--- /dev/null
+++ b/standins/agency/replica.py
@@ -0,0 +1,184 @@
+"""A target of the agency's platform: orders, reports and requests."""
+
+import asyncio
+import base64
+import json
+from http import HTTPStatus
+from typing import Any
+
+import attrs
+from aiohttp import web
+
+from standins.agency.store import Store
+
+FIRST_S = 0.01
+EVENT_S = 0.005
+EVENTS = 5
+
+
+@attrs.define(eq=False)
+class Replica:
+    """State of one target; runs lists the ids of requests that it ran.
+
+    models maps each loaded model to its adapters. breaks_after cuts streams
+    after that many events; crashes_on names a model whose requests reset
+    every connection. overloads counts orders beyond the memory.
+    """
+
+    name: str
+    service: str
+    data_centre: str
+    address: str = ''
+    weights_mb: float = 140000.0
+    sizes_mb: dict[str, float] = attrs.field(factory=dict)
+    models: dict[str, set[str]] = attrs.field(factory=dict)
+    on_disk: list[str] = attrs.field(factory=list)
+    load_s: float = 0.05
+    slots: int = 64
+    state: str = 'ready'
+    born: int = 1
+    orders: int = 0
+    fence: int = 0
+    is_busy: bool = False
+    runs: list[str] = attrs.field(factory=list)
+    headers: list[dict[str, str]] = attrs.field(factory=list)
+    cancelled: list[str] = attrs.field(factory=list)
+    breaks_after: int = 0
+    event_s: float = EVENT_S
+    overloads: int = 0
+
+    def register(self, store: Store) -> None:
+        """Write the entry of this target to the store."""
+        entry = {
+            'service': self.service,
+            'address': self.address,
+            'zone': self.data_centre,
+            'version': 'v1',
+            'slots': self.slots,
+            'state': self.state,
+            'cold-left-ms': 0,
+            'stage': 'colocated',
+            'models': self._listed(),
+            'at-hand': {'in-memory': [], 'on-disk': self.on_disk},
+            'sequence': 0,
+            'born': self.born,
+        }
+        content = base64.b64encode(json.dumps(entry).encode()).decode()
+        row = {'table': 'servers', 'key': self.name, 'value': content}
+        store.commit({'put': [row]})
+
+    def report(self) -> dict[str, Any]:
+        """Return the report of this target."""
+        return {
+            'stage': 'colocated',
+            'models': self._listed(),
+            'busy': self.is_busy,
+            'sequence': self.orders,
+            'born': self.born,
+        }
+
+    async def order(self, ask: dict[str, Any]) -> int:
+        """Carry out an order; return the status of the answer."""
+        if ask['fencing-token'] < self.fence:
+            return HTTPStatus.PRECONDITION_FAILED
+        self.fence = ask['fencing-token']
+        if self.is_busy or ask.get('expected', self.orders) != self.orders:
+            return HTTPStatus.CONFLICT
+        self.orders += 1
+        if ask.get('adapter'):
+            return self._change_adapter(ask)
+        self.is_busy = True
+        asyncio.get_running_loop().create_task(self._change_model(ask))
+        return HTTPStatus.ACCEPTED
+
+    def _change_adapter(self, ask: dict[str, Any]) -> int:
+        adapters = self.models.setdefault(ask['model'], set())
+        if ask['operation'] == 'load':
+            adapters.add(ask['adapter'])
+        else:
+            adapters.discard(ask['adapter'])
+        return HTTPStatus.ACCEPTED
+
+    async def _change_model(self, ask: dict[str, Any]) -> None:
+        if ask['operation'] == 'load':
+            await asyncio.sleep(self.load_s)
+            self.models[ask['model']] = set()
+        else:
+            self.models.pop(ask['model'], None)
+        held_mb = sum(self.sizes_mb.get(name, 0) for name in self.models)
+        self.overloads += held_mb > self.weights_mb
+        self.is_busy = False
+
+    def _listed(self) -> list[dict[str, Any]]:
+        return [
+            {'name': name, 'version': 1, 'adapters': sorted(adapters)}
+            for name, adapters in self.models.items()
+        ]
+
+
+def replica_app(replica: Replica) -> web.Application:
+    """Return the application of one target."""
+
+    async def order(req: web.Request) -> web.Response:
+        return web.Response(status=await replica.order(await req.json()))
+
+    async def report(_: web.Request) -> web.Response:
+        return web.json_response(replica.report())
+
+    async def serve(req: web.Request) -> web.StreamResponse:
+        expected = req.headers.get('X-Expect-Instance', replica.name)
+        model, _, adapter = req.headers.get('X-Model', '').partition('/')
+        if expected != replica.name or not _holds(replica, model, adapter):
+            return web.Response(status=HTTPStatus.MISDIRECTED_REQUEST)
+        request_id = req.headers['X-Request-Id']
+        await req.read()
+        replica.runs.append(request_id)
+        replica.headers.append(dict(req.headers))
+        try:
+            return await _run(replica, req, model)
+        except asyncio.CancelledError:
+            replica.cancelled.append(request_id)
+            raise
+
+    app = web.Application()
+    app.router.add_post('/v1/order', order)
+    app.router.add_get('/v1/report', report)
+    app.router.add_route('*', '/{tail:.*}', serve)
+    return app
+
+
+def _holds(replica: Replica, model: str, adapter: str) -> bool:
+    if not model:
+        return True
+    held = replica.models.get(model)
+    return held is not None and (not adapter or adapter in held)
+
+
+async def _run(
+    replica: Replica, req: web.Request, model: str
+) -> web.StreamResponse:
+    head = {
+        'X-Request-Id': req.headers['X-Request-Id'],
+        'X-Server-Seal': f'seal-{replica.name}',
+    }
+    await asyncio.sleep(FIRST_S)
+    if not model:
+        return web.Response(body=b'plain answer', headers=head)
+    out = web.StreamResponse(headers=head)
+    out.content_type = 'text/event-stream'
+    await out.prepare(req)
+    number = int(req.headers.get('Last-Event-Id') or 0)
+    while number < EVENTS:
+        number += 1
+        if replica.breaks_after and number > replica.breaks_after:
+            _break(req)
+        await out.write(f'id: {number}\ndata: piece {number}\n\n'.encode())
+        await asyncio.sleep(replica.event_s)
+    await out.write_eof()
+    return out
+
+
+def _break(req: web.Request) -> None:
+    if req.transport is not None:
+        req.transport.abort()
+    raise ConnectionResetError
--- /dev/null
+++ b/standins/agency/store.py
@@ -0,0 +1,96 @@
+"""Rows with versions, transactions and a bounded history."""
+
+import asyncio
+import itertools
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+
+RowKey = tuple[str, str, str]  # table, part, key
+
+
+class ConflictError(Exception):
+    """A row has another version; holds the rows as they are."""
+
+    def __init__(self, rows: list[dict[str, Any]]) -> None:
+        super().__init__('conflict')
+        self.rows = rows
+
+
+class HistoryGoneError(Exception):
+    """The changes after a version are no longer kept."""
+
+
+@attrs.define(eq=False)
+class Store:
+    """All rows; a removed one stays in the history as a mark."""
+
+    version: int = 0
+    rows: dict[RowKey, tuple[int, str]] = attrs.field(factory=dict)
+    forgotten: int = 0
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _history: list[dict[str, Any]] = attrs.field(factory=list)
+
+    def commit(self, ask: dict[str, Any]) -> int:
+        """Apply a transaction; raises ConflictError when a need fails."""
+        self._check(ask.get('expected', []))
+        self.version += 1
+        for put in ask.get('put', []):
+            self.rows[_key(put)] = (self.version, put['value'])
+            self._history.append(self._shown(_key(put)))
+        for removed in ask.get('remove', []):
+            self.rows.pop(_key(removed), None)
+            mark = {**_names(_key(removed)), 'ver': self.version}
+            self._history.append({**mark, 'removed': True})
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return self.version
+
+    def read(self, table: str, part: str) -> list[dict[str, Any]]:
+        """Return the rows of one part of a table in the order of keys."""
+        return [
+            self._shown(key)
+            for key in sorted(self.rows)
+            if key[:2] == (table, part)
+        ]
+
+    def changes(self, table: str, after: int) -> list[dict[str, Any]]:
+        """Return a table's changes; raises HistoryGoneError."""
+        if after < self.forgotten:
+            raise HistoryGoneError
+        newest = {
+            _key(entry): entry
+            for entry in self._history
+            if entry['table'] == table and entry['ver'] > after
+        }
+        return sorted(newest.values(), key=lambda entry: entry['ver'])
+
+    def forget(self) -> None:
+        """Drop the whole history."""
+        self.forgotten = self.version
+        self._history.clear()
+
+    def numbers(self) -> Iterator[int]:
+        """Return a counter of versions, for writers in tests."""
+        return itertools.count(self.version + 1)
+
+    def _check(self, needs: list[dict[str, Any]]) -> None:
+        for need in needs:
+            current, _ = self.rows.get(_key(need), (0, ''))
+            if current != need['ver']:
+                raise ConflictError([self._shown(_key(one)) for one in needs])
+
+    def _shown(self, key: RowKey) -> dict[str, Any]:
+        if key not in self.rows:
+            return {**_names(key), 'ver': 0}
+        version, content = self.rows[key]
+        return {**_names(key), 'ver': version, 'value': content}
+
+
+def _key(fields: dict[str, Any]) -> RowKey:
+    return (fields['table'], fields.get('part', ''), fields['key'])
+
+
+def _names(key: RowKey) -> dict[str, str]:
+    return dict(zip(('table', 'part', 'key'), key, strict=True))
--- /dev/null
+++ b/tests/agency_world.py
@@ -0,0 +1,307 @@
+"""A platform of stand-ins with real entry nodes."""
+
+import base64
+import contextlib
+import json
+import socket
+import types
+from collections.abc import AsyncGenerator
+from pathlib import Path
+from typing import Any
+
+import attrs
+from aiohttp import ClientSession, web
+
+from standins.addresses import reserve_address
+from standins.agency import (
+    Replica,
+    Store,
+    StoreFaults,
+    replica_app,
+    store_app,
+)
+from standins.process import Process
+from standins.processes import ProcessRunner
+
+HOST = 'camp.example'
+KEY = 'key-1'
+OTHER_KEY = 'key-2'
+MODELS = ('alpha', 'beta', 'gamma', 'delta')
+SIZE_MB = 60000.0
+PORTS_A_NODE = 5
+
+
+def desired(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Return a desired state with a model service and a plain one."""
+    models = [
+        {
+            'name': name,
+            'weights-mb': SIZE_MB,
+            'load-time-s': 0.3,
+            'adapters': 3,
+            'adapter-size-mb': 40.0,
+            'warm-s': 0.05,
+            'disk-s': 0.06,
+        }
+        for name in MODELS
+    ]
+    engine = {
+        'slots': 64,
+        'kv-capacity': 232000,
+        'models': models,
+        'weights-mb': 140000.0,
+        'adapter-slots': 2,
+        'loads-per-s': 4.0,
+    }
+    stream = {'host': HOST, 'service': 'engines', 'kind': 'streaming'}
+    plain = {'host': HOST, 'service': 'ledger', 'timeout-ms': 2000}
+    return {
+        'version': version,
+        'routes': [
+            {
+                **stream,
+                'name': 'draft',
+                'prefix': '/draft/',
+                'timeout-ms': 4000,
+                'target-latency-ms': 800,
+                'max-attempts': 2,
+                'resumable': True,
+            },
+            {
+                **stream,
+                'name': 'chat',
+                'prefix': '/chat/',
+                'timeout-ms': 4000,
+                'target-latency-ms': 500,
+            },
+            {**plain, 'name': 'post', 'prefix': '/post/', 'kind': 'once'},
+            {
+                **plain,
+                'name': 'look',
+                'prefix': '/look/',
+                'kind': 'idempotent',
+                'max-attempts': 2,
+            },
+        ],
+        'services': [
+            {
+                'name': 'engines',
+                'health-path': '/health',
+                'max-conns': 300,
+                'engine': engine,
+            },
+            {'name': 'ledger', 'health-path': '/health', 'max-conns': 90},
+        ],
+        'limits': {
+            'max-header-bytes': 16384,
+            'max-body-bytes': 65536,
+            'header-timeout-ms': 3000,
+            'idle-timeout-ms': 15000,
+        },
+        'tenants': [
+            {
+                'name': 'agency',
+                'api-keys': [KEY],
+                'unit': 'token_stream',
+                'plain-tokens': 200,
+                'rate-per-s': 1000000,
+                'burst': 1000000,
+            },
+            {
+                'name': 'small',
+                'api-keys': [OTHER_KEY],
+                'unit': 'token_stream',
+                'plain-tokens': 200,
+                'rate-per-s': 100,
+                'burst': 1500,
+            },
+        ],
+        **changes,
+    }
+
+
+@attrs.define(eq=False)
+class NodeHandle:
+    """A real node: its process and its addresses."""
+
+    process: Process
+    boot: dict[str, Any]
+
+    @property
+    def front(self) -> str:
+        """Where callers connect."""
+        return str(self.boot['listen']['front'])
+
+    @property
+    def directory(self) -> str:
+        """Where callers ask for addresses."""
+        return str(self.boot['listen']['directory'])
+
+    @property
+    def ready(self) -> str:
+        """Where the platform asks for readiness."""
+        return str(self.boot['listen']['ready'])
+
+    @property
+    def metrics(self) -> str:
+        """Where the metrics are."""
+        last = self.boot['internal-ports'][1]
+        host = self.boot['ip']
+        return f'{host}:{last}'
+
+    def events(self, name: str) -> list[dict[str, Any]]:
+        """Return the node's log lines of one event."""
+        return [line for line in self.lines() if line['event'] == name]
+
+    def lines(self) -> list[dict[str, Any]]:
+        """Return all structured log lines."""
+        return [
+            json.loads(line)
+            for line in self.process.read_log().splitlines()
+            if line.startswith('{')
+        ]
+
+
+@attrs.define(eq=False)
+class AgencyWorld:
+    """The store, the targets and the nodes of one test."""
+
+    stack: contextlib.AsyncExitStack
+    runner: ProcessRunner
+    folder: Path
+    session: ClientSession
+    store: Store = attrs.field(factory=Store)
+    faults: StoreFaults = attrs.field(factory=StoreFaults)
+    store_address: str = ''
+    replicas: dict[str, Replica] = attrs.field(factory=dict)
+    nodes: list[NodeHandle] = attrs.field(factory=list)
+
+    async def open(self) -> None:
+        """Serve the store with a first desired state."""
+        app = store_app(self.store, self.faults)
+        self.store_address = await self.serve(app)
+        self.configure(desired())
+
+    def configure(self, state: dict[str, Any]) -> None:
+        """Write a desired state, as the operator does."""
+        content = base64.b64encode(json.dumps(state).encode()).decode()
+        row = {'table': 'op', 'key': 'config', 'value': content}
+        self.store.commit({'put': [row]})
+
+    async def add_replica(self, name: str, **facts: Any) -> Replica:
+        """Serve a target and register it."""
+        replica = Replica(
+            name=name,
+            service=facts.pop('service', 'engines'),
+            data_centre=facts.pop('data_centre', 'north'),
+            sizes_mb=dict.fromkeys(MODELS, SIZE_MB),
+            on_disk=facts.pop('on_disk', list(MODELS)),
+            **facts,
+        )
+        replica.address = await self.serve(replica_app(replica))
+        replica.register(self.store)
+        self.replicas[name] = replica
+        return replica
+
+    async def add_node(self, name: str) -> NodeHandle:
+        """Start a real node and wait until it serves callers."""
+        boot = self._boot(name)
+        path = self.folder / f'{name}.json'
+        path.write_text(json.dumps(boot))
+        process = await self.runner.start(
+            name,
+            'mimosaworks.cmdline.node',
+            boot['listen']['front'],
+            '--boot',
+            str(path),
+        )
+        node = NodeHandle(process, boot)
+        self.nodes.append(node)
+        return node
+
+    async def serve(self, app: web.Application) -> str:
+        """Serve an application; return its address."""
+        runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=0, handler_cancellation=True
+        )
+        await runner.setup()
+        self.stack.push_async_callback(runner.cleanup)
+        address = reserve_address()
+        host, _, port = address.rpartition(':')
+        await web.TCPSite(runner, host, int(port)).start()
+        return address
+
+    def request(
+        self, node: NodeHandle, path: str, request_id: str, **extra: str
+    ) -> Any:
+        """Send a request as a caller does."""
+        headers = {
+            'Host': HOST,
+            'X-Request-Id': request_id,
+            'X-Deadline': '4000',
+            'Authorization': f'Bearer {KEY}',
+            **{name.replace('_', '-'): text for name, text in extra.items()},
+        }
+        url = f'http://{node.front}{path}'
+        return self.session.post(url, headers=headers, data=b'{}')
+
+    def _boot(self, name: str) -> dict[str, Any]:
+        host, _, _ = reserve_address().rpartition(':')
+        ports = _free_ports(host)
+        address = {
+            use: f'{host}:{port}'
+            for use, port in zip(
+                ('front', 'ready', 'directory'), ports, strict=False
+            )
+        }
+        return {
+            'node-name': name,
+            'ip': host,
+            'zone': 'north',
+            'listen': address,
+            'internal-ports': ports[3:],
+            'limits': {'memory-mb': 300, 'max-fds': 4100},
+            'heartbeat-ms': 1200,
+            'bounds': dict(BOUNDS),
+            'platform': {
+                'address': self.store_address,
+                'writes-per-s': 400,
+                'reads-per-s': 2000,
+            },
+        }
+
+
+BOUNDS = types.MappingProxyType({
+    'drain-ms': 2000,
+    'config-apply-ms': 2000,
+    'grace-s': 2,
+    'contact-ms': 3000,
+    'lease-ms': 3000,
+    'addr-reuse-s': 2,
+    'retry-budget-ratio': 0.2,
+    'budget-slack': 50,
+    'budget-window-s': 10,
+    'ttl_max_s': 5,
+    'ceiling-window-s': 5,
+    'fence-required': True,
+})
+
+
+def _free_ports(host: str) -> list[int]:
+    with contextlib.ExitStack() as stack:
+        socks = [
+            stack.enter_context(socket.create_server((host, 0)))
+            for _ in range(PORTS_A_NODE)
+        ]
+        return [sock.getsockname()[1] for sock in socks]
+
+
+@contextlib.asynccontextmanager
+async def open_agency(folder: Path) -> AsyncGenerator[AgencyWorld, None]:
+    """Open a platform without targets and nodes."""
+    async with contextlib.AsyncExitStack() as stack:
+        session = await stack.enter_async_context(ClientSession())
+        runner = ProcessRunner(stack, folder)
+        world = AgencyWorld(stack, runner, folder, session)
+        await world.open()
+        yield world
--- /dev/null
+++ b/tests/dispatch_world.py
@@ -0,0 +1,104 @@
+"""Makes jobs and targets for tests of decisions; time is given."""
+
+import itertools
+from typing import Any
+
+from mimosaworks.deployment import (
+    CallFacts,
+    EngineModel,
+    EngineTerms,
+    PromptPart,
+    Residence,
+    TargetEntry,
+    TargetState,
+)
+from mimosaworks.dispatch import Ask, EnginePool, EngineTarget, Job, Step
+
+SIZE_MB = 60.0
+ADAPTER_MB = 1.0
+WEIGHTS_MB = 140.0  # two models with their adapters
+DISK_S = 0.5
+STORE_S = 6.0
+SLOTS = 8
+_numbers = itertools.count()
+
+
+def terms(models: int = 12) -> EngineTerms:
+    """Return engines for models m0, m1 and so on."""
+    named = [
+        EngineModel(
+            f'm{number}', SIZE_MB, 20, ADAPTER_MB, STORE_S, DISK_S, DISK_S
+        )
+        for number in range(models)
+    ]
+    return EngineTerms(
+        slots=64,
+        kv_tokens=200000,
+        weights_mb=WEIGHTS_MB,
+        adapter_slots=4,
+        loads_per_s=4.0,
+        models={model.name: model for model in named},
+    )
+
+
+def entry(name: str, *models: str, **facts: Any) -> TargetEntry:
+    """Return a target that holds these models; all lie on its disk."""
+    on_disk = facts.pop('on_disk', tuple(f'm{one}' for one in range(12)))
+    return TargetEntry(
+        name=name,
+        service=facts.pop('service', 'engines'),
+        address=f'{name}:1',
+        data_centre=facts.pop('data_centre', 'north'),
+        slots=facts.pop('slots', SLOTS),
+        state=facts.pop('state', TargetState.READY),
+        residences=tuple(Residence(model) for model in models),
+        on_disk=on_disk,
+        **facts,
+    )
+
+
+def make_pool(*entries: TargetEntry) -> EnginePool:
+    """Return a pool whose targets were asked what they hold."""
+    pool = EnginePool(terms())
+    pool.adopt(entries, 0)
+    for target in pool.targets.values():
+        target.is_synced = True
+    return pool
+
+
+def make_ask(model: str = '', adapter: str = '', **facts: Any) -> Ask:
+    """Return an ask of a caller with 10 seconds of patience at time 0."""
+    parts = tuple(
+        PromptPart(part, tokens)
+        for part, tokens in facts.pop('parts', (('own', 1000),))
+    )
+    tokens_in = sum(part.tokens for part in parts)
+    return Ask(
+        call=f'call-{next(_numbers)}',
+        node=facts.pop('node', 'node-1'),
+        service=facts.pop('service', 'engines' if model else 'ledger'),
+        workspace=facts.pop('workspace', 'agency'),
+        cost=facts.pop('cost', 1.0),
+        priority=facts.pop('priority', 0),
+        facts=CallFacts(model, adapter, tokens_in, 20, 20, parts),
+        data_centre=facts.pop('data_centre', 'north'),
+        target_s=facts.pop('target_s', 1.0),
+        give_up_s=facts.pop('give_up_s', 10.0),
+        **facts,
+    )
+
+
+def make_job(model: str = '', adapter: str = '', **facts: Any) -> Job:
+    """Return a job that arrived at the time now (0 without one)."""
+    now = facts.pop('now', 0)
+    return Job(make_ask(model, adapter, **facts), now)
+
+
+def carry_out(pool: EnginePool, target: EngineTarget, now: float) -> list[Job]:
+    """Let a target's queued orders succeed; return what became ready."""
+    ready: list[Job] = []
+    while target.steps:
+        step: Step = target.steps.popleft()
+        assert target.has_memory_for(step)
+        ready.extend(pool.step_done(target, step, now))
+    return ready
--- /dev/null
+++ b/tests/test_dispatch_engine_pool.py
@@ -0,0 +1,227 @@
+"""Where model requests go and what is loaded, without network.
+
+Each test names the pattern of load or failure that it answers.
+"""
+
+import attrs
+
+from mimosaworks.deployment import TargetState
+from mimosaworks.dispatch import Assignment, EnginePool, Refusal
+from mimosaworks.errors import ErrorKind
+from tests.dispatch_world import (
+    STORE_S,
+    carry_out,
+    entry,
+    make_job,
+    make_pool,
+)
+
+
+def submit_all(pool: EnginePool, *jobs: object, now: float = 0) -> list[object]:
+    return [pool.submit(job, now) for job in jobs]  # type: ignore[arg-type]
+
+
+def test_a_loaded_model_is_answered_at_once() -> None:
+    pool = make_pool(entry('t1', 'm0'), entry('t2', 'm1'))
+    decided = pool.submit(make_job('m1'), 0)
+    assert isinstance(decided, Assignment)
+    assert decided.target == 't2'
+
+
+def test_rare_models_asked_at_once_are_spread_over_the_targets() -> None:
+    pool = make_pool(*(entry(f't{one}', 'm0') for one in range(4)))
+    jobs = [make_job(f'm{number}') for number in range(1, 5)]
+    assert submit_all(pool, *jobs) == [None, None, None, None]
+    assert {job.target for job in jobs} == {'t0', 't1', 't2', 't3'}
+
+
+def test_a_rare_model_goes_where_its_weights_lie() -> None:
+    pool = make_pool(
+        entry('t1', 'm0', on_disk=('m0',)), entry('t2', 'm0', on_disk=('m5',))
+    )
+    job = make_job('m5')
+    pool.submit(job, 0)
+    assert job.target == 't2'
+
+
+def test_the_model_that_is_not_in_use_makes_way() -> None:
+    pool = make_pool(entry('t1', 'm0', 'm1'))
+    running = make_job('m0')
+    pool.submit(running, 0)
+    pool.submit(make_job('m2'), 0)
+    orders = [(step.is_load, step.model) for step in pool.targets['t1'].steps]
+    assert orders == [(False, 'm1'), (True, 'm2')]
+
+
+def test_a_request_waits_until_its_model_is_loaded() -> None:
+    pool = make_pool(entry('t1', 'm0', 'm1'))
+    job = make_job('m2')
+    assert pool.submit(job, 0) is None
+    assert carry_out(pool, pool.targets['t1'], 0.6) == [job]
+    assert pool.grant(job, 0.6).target == 't1'
+
+
+def test_a_burst_of_unknown_models_leaves_targets_for_swaps_from_disk() -> None:
+    # While a target loads from the weight store it can load nothing else.
+    pool = make_pool(
+        *(entry(f't{one}', 'm0', on_disk=('m0', 'm1')) for one in range(8))
+    )
+    pool.budget.tokens = 100
+    pool.budget.loads_per_s = 100
+    jobs = [make_job(f'm{number}') for number in range(2, 12)]
+    decided = submit_all(pool, *jobs)
+    waiting = [job for job, one in zip(jobs, decided, strict=True) if not one]
+    assert len(waiting) == 2
+    refused = [one for one in decided if isinstance(one, Refusal)]
+    assert {one.kind for one in refused} == {ErrorKind.MODEL_NOT_READY}
+    swap = make_job('m1')
+    assert pool.submit(swap, 0) is None
+    assert swap.target not in {job.target for job in waiting}
+
+
+def test_loads_from_the_weight_store_keep_to_its_rate() -> None:
+    pool = make_pool(*(entry(f't{one}', 'm0', on_disk=()) for one in range(40)))
+    for number in range(1, 12):
+        pool.submit(make_job(f'm{number}'), 0)
+    loads = [
+        step
+        for target in pool.targets.values()
+        for step in target.steps
+        if step.is_from_store
+    ]
+    assert not loads  # a new holder begins with an empty bucket
+
+
+def test_what_cannot_be_in_time_is_refused_at_once() -> None:
+    pool = make_pool(entry('t1', 'm0', on_disk=()))
+    pool.budget.tokens = 4
+    decided = pool.submit(make_job('m3', give_up_s=STORE_S / 2), 0)
+    assert isinstance(decided, Refusal)
+    assert decided.kind is ErrorKind.DEADLINE_UNREACHABLE
+    assert decided.retry_after_s > 0
+    assert not pool.targets['t1'].steps
+
+
+def test_a_busy_model_gets_a_second_copy_when_its_queue_costs_more() -> None:
+    pool = make_pool(entry('t1', 'm0', 'm1'), entry('t2', 'm2', 'm3'))
+    jobs = [
+        make_job('m0', parts=((f'part-{number}', 9000),))
+        for number in range(12)
+    ]
+    submit_all(pool, *jobs)
+    assert {job.target for job in jobs} == {'t1', 't2'}
+
+
+def test_prompts_with_a_shared_part_go_to_the_target_that_read_it() -> None:
+    pool = make_pool(entry('t1', 'm0'), entry('t2', 'm0'))
+    shared = ('shared', 6000)
+    first = make_job('m0', parts=(shared, ('a', 500)))
+    pool.submit(first, 0)
+    pool.started(first, 0.2)
+    pool.drop(first)
+    second = make_job('m0', parts=(shared, ('b', 500)))
+    pool.submit(second, 1)
+    assert second.target == first.target
+    assert second.prefill_tokens == 500
+
+
+def test_adapters_never_exceed_a_targets_places() -> None:
+    pool = make_pool(entry('t1', 'm0'))
+    target = pool.targets['t1']
+    for number in range(12):
+        job = make_job('m0', f'a{number}')
+        pool.submit(job, number)
+        carry_out(pool, target, number)
+        assert target.adapter_count <= target.terms.adapter_slots
+        pool.drop(job)
+
+
+def test_adapters_in_use_do_not_make_way() -> None:
+    pool = make_pool(entry('t1', 'm0'))
+    target = pool.targets['t1']
+    jobs = [make_job('m0', f'a{number}') for number in range(5)]
+    for job in jobs[:4]:
+        pool.submit(job, 0)
+    carry_out(pool, target, 0)
+    assert isinstance(pool.submit(jobs[4], 0), Refusal)
+
+
+def test_a_draining_target_passes_its_waiting_requests_on() -> None:
+    pool = make_pool(entry('t1', 'm0'), entry('t2', 'm1'))
+    job = make_job('m2')
+    pool.submit(job, 0)
+    leaving, staying = job.target, {'t1': 't2', 't2': 't1'}[job.target]
+    entries = [
+        attrs.evolve(
+            target.entry,
+            state=(
+                TargetState.DRAINING if name == leaving else TargetState.READY
+            ),
+        )
+        for name, target in pool.targets.items()
+    ]
+    assert pool.adopt(entries, 1) == [job]
+    pool.drop(job)
+    pool.submit(job, 1)
+    assert job.target == staying
+
+
+def test_a_crashed_target_passes_its_waiting_requests_on() -> None:
+    pool = make_pool(entry('t1', 'm0'), entry('t2', 'm1'))
+    job = make_job('m2')
+    pool.submit(job, 0)
+    reborn = [
+        attrs.evolve(target.entry, born=7, residences=())
+        for target in pool.targets.values()
+    ]
+    assert pool.adopt(reborn, 1) == [job]
+    assert not any(target.jobs for target in pool.targets.values())
+
+
+def test_a_load_that_takes_too_long_is_left_for_another_target() -> None:
+    pool = make_pool(entry('t1', 'm0'), entry('t2', 'm1'))
+    job = make_job('m2')
+    pool.submit(job, 0)
+    first = job.target
+    assert not pool.overdue(0.5)
+    assert pool.overdue(2.0) == [job]
+    pool.drop(job)
+    pool.submit(job, 2.0)
+    assert job.target != first
+
+
+def test_a_failed_order_drops_the_queue_behind_it() -> None:
+    pool = make_pool(entry('t1', 'm0', 'm1'))
+    target = pool.targets['t1']
+    job = make_job('m2')
+    pool.submit(job, 0)
+    unload = target.steps.popleft()
+    assert pool.step_failed(target, unload, 1) == [job]
+    assert not target.steps
+    assert not target.is_synced
+    assert not target.models['m1'].is_leaving
+
+
+def test_entries_do_not_replace_what_a_target_itself_reported() -> None:
+    # Entries say nothing of adapters that were loaded since the last beat.
+    pool = make_pool(entry('t1', 'm0'))
+    target = pool.targets['t1']
+    pool.submit(make_job('m0', 'a1'), 0)
+    carry_out(pool, target, 0)
+    pool.adopt([target.entry], 30)
+    assert set(target.models['m0'].adapters) == {'a1'}
+
+
+def test_a_slow_target_is_avoided_after_some_answers() -> None:
+    pool = make_pool(entry('t1', 'm0'), entry('t2', 'm0'))
+    slow = pool.targets['t1']
+    for _ in range(20):
+        job = make_job('m0')
+        pool.submit(job, 0)
+        factor = 8.0 if job.target == 't1' else 1.0
+        pool.started(job, job.estimate_s * factor)
+        pool.drop(job)
+    last = make_job('m0', parts=(('fresh', 4000),))
+    pool.submit(last, 0)
+    assert last.target == 't2'
+    assert slow.health.slowness > 1
