Models that callers can't wait for are loaded ahead; patience bounds waits

Refusing them at once was right for each, but a busy model whose only copy was lost was then refused for half a minute. Before the bound such requests waited in vain and loaded it by the way. Ruled out: wrong predictions (median measured 0.024 to 0.34 s where 0.05 to 0.8 s were predicted, none near 3 s). Change: a second ask in 15 s begins the load; the refusal tells when it is done. Backlogs end by their predicted time too, as nodes tell of first events late. Orders are sent again after 0.25 s: some are carried out seconds late, and then refused by their count.

--- a/mimosaworks/deployment/route.py
+++ b/mimosaworks/deployment/route.py
@@ -4,6 +4,11 @@
 
 import attrs
 
+# Callers leave a stream after the longest of these silences.
+MIN_PATIENCE_S = 2.0
+PATIENCE_IN_TARGETS = 4
+PATIENCE_IN_GAPS = 8
+
 
 class Repeat(enum.Enum):
     """What may be repeated of a request on a route."""
@@ -44,6 +49,18 @@
     is_resumable: bool = False
     gap_s: float = 0
 
+    @property
+    def patience_s(self) -> float:
+        """How long a caller waits for a stream's first event."""
+        if self.repeat is not Repeat.STREAM:
+            return self.timeout_s
+        longest_s = max(
+            MIN_PATIENCE_S,
+            PATIENCE_IN_TARGETS * self.target_s,
+            PATIENCE_IN_GAPS * self.gap_s,
+        )
+        return min(longest_s, self.timeout_s)
+
     @property
     def may_repeat(self) -> bool:
         """Whether a request that may have run can be sent once more."""
--- a/mimosaworks/dispatch/engine_pool.py
+++ b/mimosaworks/dispatch/engine_pool.py
@@ -32,6 +32,9 @@
 # One target in this many may load from the weight store: the load keeps it
 # from loading anything else for seconds.
 STORE_LOAD_SHARE = 4
+# A model is loaded ahead when it was asked for this often in this time.
+LOAD_AHEAD_S = 15.0
+LOAD_AHEAD_REQUESTS = 1.5
 
 
 @attrs.define(eq=False)
@@ -82,7 +85,8 @@
         facts = job.ask.facts
         job.is_granted = True
         job.granted_s = now
-        job.estimate_s = self.estimator.first_s(target, job)
+        job.estimate_s = self.estimator.first_s(target, job, now)
+        target.read_until_s = now + job.estimate_s
         target.cache.note(facts.model, facts.adapter, facts.parts)
         return Assignment(
             target=target.entry.name,
@@ -172,10 +176,24 @@
             return Refusal(
                 ErrorKind.MODEL_NOT_READY,
                 NO_TARGET_RETRY_S,
-                f'none of {len(usable)} targets can load the model now',
+                _describe(usable, job),
             )
         write_s = self.estimator.write_s(job)
-        return _check_time(best, job.ask.give_up_s - now - write_s)
+        refusal = _check_time(best, job, write_s, now)
+        if refusal is None:
+            return best
+        self._load_ahead(best, job, now)
+        return refusal
+
+    def _load_ahead(self, option: Option, job: Job, now: float) -> None:
+        """Load a model for later requests when it is asked for again.
+
+        Callers that come too early for a load from the weight store would
+        else be refused for ever.
+        """
+        expected = self.demand.per_s(job.ask.facts.model, now) * LOAD_AHEAD_S
+        if expected >= LOAD_AHEAD_REQUESTS:
+            self._enqueue(option.target, option.steps, now)
 
     def _has_budget(self, option: Option, now: float) -> bool:
         if not any(step.is_from_store for step in option.steps):
@@ -219,13 +237,31 @@
     )
 
 
+def _describe(usable: list[EngineTarget], job: Job) -> str:
+    model = job.ask.facts.model
+    at_hand = [
+        target
+        for target in usable
+        if model in target.in_memory or model in target.on_disk
+    ]
+    return (
+        f'none of {len(usable)} targets can load the model now, '
+        f'{len(at_hand)} have its weights at hand'
+    )
+
+
 def _cost(option: Option) -> float:
     return option.cost_s
 
 
-def _check_time(best: Option, left_s: float) -> Option | Refusal:
+def _check_time(
+    best: Option, job: Job, write_s: float, now: float
+) -> Refusal | None:
+    """Refuse when the first event or the whole answer would come too late."""
+    ask = job.ask
+    left_s = min(ask.first_by_s, ask.give_up_s - write_s) - now
     if best.wait_s < left_s:
-        return best
-    retry_s = min(max(best.wait_s - left_s, MIN_RETRY_S), MAX_RETRY_S)
+        return None
+    retry_s = min(max(best.ready_s, MIN_RETRY_S), MAX_RETRY_S)
     reason = f'predicted {best.wait_s:.2f} s, {left_s:.2f} s left'
     return Refusal(ErrorKind.DEADLINE_UNREACHABLE, retry_s, reason)
--- a/mimosaworks/dispatch/engine_target.py
+++ b/mimosaworks/dispatch/engine_target.py
@@ -63,7 +63,8 @@
     orders is the count of accepted orders, is_synced whether it and the
     models were confirmed since this process became holder. steps_end_s is
     when the queued orders should have ended, loaded_s when the last load
-    did. is_store_loading: a load from the weight store is queued or runs.
+    did, read_until_s when the granted prompts should be read.
+    is_store_loading: a load from the weight store is queued or runs.
     """
 
     entry: TargetEntry
@@ -78,6 +79,7 @@
     orders: int = 0
     steps_end_s: float = 0
     loaded_s: float = -math.inf
+    read_until_s: float = 0
     is_synced: bool = False
     is_ordering: bool = False
     is_store_loading: bool = False
--- a/mimosaworks/dispatch/estimate.py
+++ b/mimosaworks/dispatch/estimate.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from mimosaworks.deployment import CallFacts
 from mimosaworks.dispatch.demand import ModelDemand
 from mimosaworks.dispatch.engine_target import EngineTarget, Step
 from mimosaworks.dispatch.job import Job
@@ -67,33 +68,37 @@
             return None
         steps, ready_s, loss_s = plan
         facts = job.ask.facts
-        cached = target.cache.cached_tokens(
-            facts.model, facts.adapter, facts.parts
-        )
-        tokens = max(facts.tokens_in - cached, 1)
-        wait_s = max(ready_s, self.backlog_s(target, job.ask.priority))
+        tokens = _tokens_to_read(target, facts)
+        before = target.backlog_tokens(job.ask.priority)
+        wait_s = max(ready_s, self.backlog_s(target, before, now))
         wait_s += self.read_s(target, facts.model, tokens)
         extra_s = loss_s + _penalty_s(target, job, now)
         rate = self.order_rates.per_s(target.entry.name, now)
         extra_s += sum(_order_cost_s(step, rate) for step in steps)
         return Option(target, steps, ready_s, wait_s, wait_s + extra_s, tokens)
 
-    def backlog_s(self, target: EngineTarget, priority: int) -> float:
-        """Return how long prompts before this priority's take."""
-        tokens = target.backlog_tokens(priority)
-        return tokens / PREFILL_TOKENS_PER_S * target.health.slowness
+    def backlog_s(
+        self, target: EngineTarget, tokens: float, now: float
+    ) -> float:
+        """Return how long tokens take that are read before a new prompt.
+
+        Nodes tell of first events a little later than they come, so that
+        the prompts' predicted end bounds the wait as well.
+        """
+        read_s = tokens / PREFILL_TOKENS_PER_S * target.health.slowness
+        return min(read_s, max(target.read_until_s - now, 0))
 
     def read_s(self, target: EngineTarget, model: str, tokens: int) -> float:
         """Return how long a target reads a prompt of a model."""
         alone_s = tokens / PREFILL_TOKENS_PER_S + STEP_S
         return alone_s * self.pace(model) * target.health.slowness
 
-    def first_s(self, target: EngineTarget, job: Job) -> float:
+    def first_s(self, target: EngineTarget, job: Job, now: float) -> float:
         """Return the predicted time to the first event of a booked job."""
         others = target.backlog_tokens(job.ask.priority) - job.prefill_tokens
-        others_s = max(others, 0) / PREFILL_TOKENS_PER_S
-        own_s = self.read_s(target, job.ask.facts.model, job.prefill_tokens)
-        return others_s * target.health.slowness + own_s
+        others_s = self.backlog_s(target, max(others, 0), now)
+        model = job.ask.facts.model
+        return others_s + self.read_s(target, model, job.prefill_tokens)
 
     def write_s(self, job: Job) -> float:
         """Return how long an engine generates the rest of an answer."""
@@ -152,6 +157,11 @@
         return (steps, ready_s + ADAPTER_LOAD_S, swap.loss_s)
 
 
+def _tokens_to_read(target: EngineTarget, facts: CallFacts) -> int:
+    cached = target.cache.cached_tokens(facts.model, facts.adapter, facts.parts)
+    return max(facts.tokens_in - cached, 1)
+
+
 def _order_cost_s(step: Step, rate: float) -> float:
     held_up = rate * step.duration_s
     cost_s = ORDER_S + held_up * step.duration_s * HELD_UP_SHARE
--- a/mimosaworks/dispatch/job.py
+++ b/mimosaworks/dispatch/job.py
@@ -10,8 +10,10 @@
 class Ask:
     """Asks for a target; times are on the asked process's clock in seconds.
 
-    call names this ask. cost is in the workspace's unit. A request that
-    comes again has a resend count and the targets that failed it.
+    call names this ask. give_up_s is when the whole answer must be there,
+    first_by_s when the first event must. cost is in the workspace's unit.
+    A request that comes again has a resend count and the targets that
+    failed it.
     """
 
     call: str
@@ -24,6 +26,7 @@
     data_centre: str
     target_s: float
     give_up_s: float
+    first_by_s: float
     resends: int = 0
     excluded: frozenset[str] = frozenset()
 
--- a/mimosaworks/node/call.py
+++ b/mimosaworks/node/call.py
@@ -84,6 +84,11 @@
         """Return the seconds until the deadline; never below zero."""
         return max(self.deadline_s - now_s(), 0)
 
+    def first_left_s(self) -> float:
+        """Return the seconds in which the first event still helps."""
+        patience_s = self.route.patience_s - self.age_s()
+        return max(min(patience_s, self.left_s()), 0)
+
     def age_s(self) -> float:
         """Return the seconds since the request arrived."""
         return now_s() - self.arrived_s
--- a/mimosaworks/node/chooser.py
+++ b/mimosaworks/node/chooser.py
@@ -54,7 +54,7 @@
 
     async def _decide(self, call: Call) -> Assignment | Refusal:
         """Ask until a holder answers or waiting for one does not help."""
-        give_up_s = now_s() + min(HOLDER_WAIT_S, call.left_s() / 2)
+        give_up_s = now_s() + min(HOLDER_WAIT_S, call.first_left_s() / 2)
         while True:  # noqa: WPS457 -- ends with a decision
             # A new name for each ask: the last holder may know the old one.
             ask = self._make_ask(call)
@@ -132,6 +132,7 @@
             data_centre=self.data_centre,
             target_s=call.route.target_s,
             left_s=max(call.left_s(), MIN_ASK_S),
+            first_left_s=max(call.first_left_s(), MIN_ASK_S),
             resends=call.resends,
             excluded=tuple(sorted(call.excluded)),
             mark=call.mark,
--- a/mimosaworks/node/conversions.py
+++ b/mimosaworks/node/conversions.py
@@ -39,6 +39,7 @@
         data_centre=message.data_centre,
         target_s=message.target_s,
         give_up_s=now + message.left_s,
+        first_by_s=now + message.first_left_s,
         resends=message.resends,
         excluded=frozenset(message.excluded),
     )
--- a/mimosaworks/node/order_runner.py
+++ b/mimosaworks/node/order_runner.py
@@ -16,7 +16,7 @@
     TargetReport,
 )
 
-ORDER_TRIES = 6
+ORDER_TRIES = 10
 CONFLICT_PAUSE_S = 0.04
 REPORT_PAUSE_S = 0.25  # reports are some hundred milliseconds old
 SYNC_TRIES = 4
@@ -125,34 +125,38 @@
         if answer is OrderAnswer.ACCEPTED:
             target.orders += 1
             await asyncio.sleep(step.duration_s)
-            if step.is_from_store:
-                return await self._await_model(target, step)
-            return True
+            return not step.is_from_store or await self._await_effect(
+                target, step
+            )
         if answer is OrderAnswer.HOLDS:
             if step.adapter and not step.is_load:
                 target.orders += 1
             return True
-        return False
+        return answer is OrderAnswer.UNANSWERED and await self._await_effect(
+            target, step
+        )
 
-    async def _await_model(self, target: EngineTarget, step: Step) -> bool:
+    async def _await_effect(self, target: EngineTarget, step: Step) -> bool:
+        """Read reports until they show that an order was carried out."""
         tries = STORE_LOAD_TRIES
         while tries:
             tries -= 1
             report = await self._report(target)
-            if report is not None:
-                held = {one.model for one in report.residences}
-                if step.model in held:
-                    return True
-                if _is_current(target, report):
-                    return False
+            if report is None:
+                return False
+            if _shows(report, step):
+                target.orders = max(target.orders, report.orders)
+                return True
+            if _is_current(target, report):
+                return False
             await asyncio.sleep(REPORT_PAUSE_S)
         return False
 
     async def _may_repeat(self, target: EngineTarget) -> bool:
         """Tell whether the target still has the expected count of orders.
 
-        An order that got no answer may have been accepted: then the count
-        is higher, or will be when the order arrives late.
+        A send that got no answer may have been accepted: then the models
+        show whether the order was carried out.
         """
         report = await self._report(target)
         if report is None or report.born != target.entry.born:
@@ -174,3 +178,10 @@
         return False
     is_reborn = report.born != target.entry.born
     return is_reborn or report.orders >= target.orders
+
+
+def _shows(report: TargetReport, step: Step) -> bool:
+    held = {one.model: one.adapters for one in report.residences}
+    if not step.adapter:
+        return (step.model in held) == step.is_load
+    return (step.adapter in held.get(step.model, ())) == step.is_load
--- a/mimosaworks/platform/engine_calls.py
+++ b/mimosaworks/platform/engine_calls.py
@@ -13,7 +13,9 @@
 from mimosaworks.platform.fields import flag, whole
 from mimosaworks.platform.headers import EXPECTED_TARGET
 
-ORDER_TIMEOUT_S = 1.0
+# Orders are answered within some steps; a second send of one that was
+# accepted is refused by its count.
+ORDER_TIMEOUT_S = 0.25
 REPORT_TIMEOUT_S = 0.6
 
 
--- a/mimosaworks/wire/dispatch.capnp
+++ b/mimosaworks/wire/dispatch.capnp
@@ -28,6 +28,7 @@
   excluded @17 :List(Text);
   mark @18 :Text;
   requestId @19 :Text;
+  firstLeftS @20 :Float64;
 }
 
 struct CallReply {
--- a/mimosaworks/wire/dispatch_messages.py
+++ b/mimosaworks/wire/dispatch_messages.py
@@ -16,7 +16,8 @@
     """Asks for a target; the reply is a CallReply.
 
     call names the ask for good. fence is the holder's that the node believes
-    in. left_s counts from the message's arrival; mark is the fingerprint of
+    in. left_s is the time for the whole answer, first_left_s that for its
+    first event, both from the message's arrival; mark is the fingerprint of
     the request's content. excluded are targets that failed the request.
     """
 
@@ -36,6 +37,7 @@
     data_centre: str
     target_s: float
     left_s: float
+    first_left_s: float
     resends: int = 0
     excluded: tuple[str, ...] = ()
     mark: str = ''
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -84,6 +84,7 @@
         data_centre=facts.pop('data_centre', 'north'),
         target_s=facts.pop('target_s', 1.0),
         give_up_s=facts.pop('give_up_s', 10.0),
+        first_by_s=facts.pop('first_by_s', 1000.0),
         **facts,
     )
 
--- a/tests/test_dispatch_engine_pool.py
+++ b/tests/test_dispatch_engine_pool.py
@@ -102,6 +102,35 @@
     assert not pool.targets['t1'].steps
 
 
+def test_a_model_on_no_disk_is_loaded_ahead_when_it_is_asked_for_again() -> (
+    None
+):
+    # Callers that leave sooner than the weight store needs, one after the
+    # other: the load begins though none of them can wait for it.
+    pool = make_pool(entry('t1', 'm0', on_disk=()))
+    pool.budget.tokens = 4
+    first, second = make_job('m3', first_by_s=3), make_job('m3', first_by_s=3)
+    assert isinstance(pool.submit(first, 0), Refusal)
+    assert not pool.targets['t1'].steps
+    refusal = pool.submit(second, 0)
+    assert isinstance(refusal, Refusal)
+    assert [step.model for step in pool.targets['t1'].steps] == ['m3']
+    assert refusal.retry_after_s > 1
+    late = make_job('m3', first_by_s=8, now=STORE_S - 1)
+    assert pool.submit(late, STORE_S - 1) is None
+
+
+def test_a_prompt_that_should_be_read_by_now_delays_no_other() -> None:
+    pool = make_pool(entry('t1', 'm0'))
+    pool.submit(make_job('m0', parts=(('big', 30000),)), 0)
+    soon = make_job('m0')
+    pool.submit(soon, 0.1)
+    late = make_job('m0')
+    pool.submit(late, 5.0)
+    assert soon.estimate_s > 0.5
+    assert late.estimate_s < 0.1
+
+
 def test_a_busy_model_gets_a_second_copy_when_its_queue_costs_more() -> None:
     pool = make_pool(entry('t1', 'm0', 'm1'), entry('t2', 'm2', 'm3'))
     jobs = [
