Short waits for a workspace's tokens instead of refusals

And a load that was expected from disk took 6 s: rows were ignored for 2.5 s after each load, so evicted copies stayed believed. Change: tokens are taken up to 0.3 s in advance, the same for all; copies at hand follow the entries, own loads of 2.5 s added.

--- a/mimosaworks/dispatch/dispatcher.py
+++ b/mimosaworks/dispatch/dispatcher.py
@@ -15,7 +15,10 @@
 from mimosaworks.errors import ErrorKind
 
 Decided = tuple[str, Assignment | Refusal]
-NO_BUDGET_RETRY_S = 1.0
+RETRY_S = 1.0
+# The longest wait for tokens: the same for all, so that patient requests
+# do not take the tokens of urgent ones in advance.
+TOKEN_WAIT_S = 0.3
 _UNUSED = frozenset((CallOutcome.REFUSED, CallOutcome.UNREACHABLE))
 
 
@@ -49,16 +52,35 @@
             displaced += pool.adopt(own, now)
         return [*self._replace(displaced, now), *self.tick(now)]
 
+    def admit(self, ask: Ask, now: float) -> float | Refusal:
+        """Charge a request; return the seconds until its tokens are there.
+
+        A short wait serves the caller sooner than coming back would.
+        """
+        if not self.resends.admit(
+            ask.service, now, is_resend=bool(ask.resends)
+        ):
+            return Refusal(
+                ErrorKind.NO_TARGET,
+                RETRY_S,
+                'the budget for resends is used up',
+            )
+        patience_s = min(TOKEN_WAIT_S, ask.first_by_s - now)
+        taken = self.limiter.take(ask.workspace, ask.cost, now, patience_s)
+        if taken.is_taken:
+            return taken.wait_s
+        return Refusal(
+            ErrorKind.RATE_EXCEEDED,
+            taken.wait_s,
+            f'{ask.cost:.0f} tokens are there in {taken.wait_s:.2f} s',
+        )
+
     def submit(self, ask: Ask, now: float) -> Assignment | Refusal | None:
-        """Decide for a request; None while it has to wait."""
+        """Decide for an admitted request; None while it has to wait."""
         pool = self.pools.get(ask.service)
         if pool is None:
-            return Refusal(
-                ErrorKind.NO_TARGET, NO_BUDGET_RETRY_S, 'unknown service'
-            )
-        refusal = _check_bounds(self, ask, now)
-        if refusal is not None:
-            return refusal
+            self.limiter.give_back(ask.workspace, ask.cost)
+            return Refusal(ErrorKind.NO_TARGET, RETRY_S, 'unknown service')
         job = Job(ask, now)
         self.jobs[ask.call] = job
         decided = pool.submit(job, now)
@@ -70,7 +92,7 @@
         """Book a request that runs since before this holder's time."""
         job = Job(ask, now, is_granted=True)
         self.jobs[ask.call] = job
-        found = self.find_target(ask.service, target)
+        found = _find_target(self, ask.service, target)
         if found is not None:
             found.add_job(job, now)
         return job
@@ -114,7 +136,11 @@
             if isinstance(pool, EnginePool):
                 decided += self._replace(pool.overdue(now), now)
             else:
-                decided += self._tick_plain(pool, now)
+                granted = pool.next_grants(now)
+                decided += [(job.ask.call, one) for job, one in granted]
+                decided += [
+                    self._refuse_late(job) for job in pool.hopeless(now)
+                ]
         return decided
 
     def step_done(
@@ -138,13 +164,6 @@
             return []
         return self._replace(pool.step_failed(target, step, now), now)
 
-    def find_target(
-        self, service: str, name: str
-    ) -> EngineTarget | PlainTarget | None:
-        """Return a service's target by its name, or None."""
-        pool = self.pools.get(service)
-        return None if pool is None else pool.targets.get(name)
-
     def _replace(self, jobs: Iterable[Job], now: float) -> list[Decided]:
         """Choose again for requests whose target fell away."""
         decided: list[Decided] = []
@@ -158,20 +177,11 @@
                 decided.append((job.ask.call, outcome))
         return decided
 
-    def _tick_plain(self, pool: PlainPool, now: float) -> list[Decided]:
-        decided: list[Decided] = [
-            (job.ask.call, assignment)
-            for job, assignment in pool.next_grants(now)
-        ]
-        for late in pool.hopeless(now):
-            self._give_up(late)
-            refusal = Refusal(
-                ErrorKind.DEADLINE_UNREACHABLE,
-                pool.work_s,
-                'no slot came free in time',
-            )
-            decided.append((late.ask.call, refusal))
-        return decided
+    def _refuse_late(self, job: Job) -> Decided:
+        self._give_up(job)
+        reason = 'no slot came free in time'
+        refusal = Refusal(ErrorKind.DEADLINE_UNREACHABLE, RETRY_S, reason)
+        return (job.ask.call, refusal)
 
     def _give_up(self, job: Job) -> None:
         self.jobs.pop(job.ask.call, None)
@@ -181,7 +191,7 @@
             pool.drop(job)
 
     def _note_outcome(self, job: Job, outcome: CallOutcome, now: float) -> None:
-        target = self.find_target(job.ask.service, job.target)
+        target = _find_target(self, job.ask.service, job.target)
         if target is None:
             return
         target.health.note_outcome(outcome, now)
@@ -200,23 +210,8 @@
             self.pools[service.name] = EnginePool(service.engine)
 
 
-def _check_bounds(
-    dispatcher: Dispatcher, ask: Ask, now: float
-) -> Refusal | None:
-    """Refuse a request beyond the bound on resends or its workspace's rate."""
-    if not dispatcher.resends.admit(
-        ask.service, now, is_resend=bool(ask.resends)
-    ):
-        return Refusal(
-            ErrorKind.NO_TARGET,
-            NO_BUDGET_RETRY_S,
-            'the budget for resends is used up',
-        )
-    wait_s = dispatcher.limiter.take(ask.workspace, ask.cost, now)
-    if not wait_s:
-        return None
-    return Refusal(
-        ErrorKind.RATE_EXCEEDED,
-        wait_s,
-        f'{ask.cost:.0f} tokens are there in {wait_s:.2f} s',
-    )
+def _find_target(
+    dispatcher: Dispatcher, service: str, name: str
+) -> EngineTarget | PlainTarget | None:
+    pool = dispatcher.pools.get(service)
+    return None if pool is None else pool.targets.get(name)
--- a/mimosaworks/dispatch/engine_target.py
+++ b/mimosaworks/dispatch/engine_target.py
@@ -62,8 +62,8 @@
 
     orders is the count of accepted orders, is_synced whether it and the
     models were confirmed since this process became holder. steps_end_s is
-    when the queued orders should have ended, loaded_s when the last load
-    did, read_until_s when the granted prompts should be read.
+    when the queued orders should have ended, loads_s when each model was
+    loaded by this holder, read_until_s when the granted prompts should be read.
     is_store_loading: a load from the weight store is queued or runs.
     """
 
@@ -78,7 +78,7 @@
     on_disk: set[str] = attrs.field(factory=set)
     orders: int = 0
     steps_end_s: float = 0
-    loaded_s: float = -math.inf
+    loads_s: dict[str, float] = attrs.field(factory=dict)
     read_until_s: float = 0
     is_synced: bool = False
     is_ordering: bool = False
--- a/mimosaworks/dispatch/limiter.py
+++ b/mimosaworks/dispatch/limiter.py
@@ -8,6 +8,14 @@
 from mimosaworks.limits import Bucket
 
 
+@attrs.frozen
+class TokenWait:
+    """When a request's tokens are there; is_taken once they are its own."""
+
+    wait_s: float
+    is_taken: bool
+
+
 @attrs.define
 class Limiter:
     """One bucket for each workspace with a rate.
@@ -43,20 +51,25 @@
             levels[name] = bucket.level
         return levels
 
-    def take(self, workspace: str, cost: float, now: float) -> float:
-        """Take a request's cost; return 0, or the seconds until it is there.
+    def take(
+        self, workspace: str, cost: float, now: float, patience_s: float = 0
+    ) -> TokenWait:
+        """Take a request's cost, now or within patience_s seconds.
 
-        A request larger than the burst passes when the bucket is full.
+        Tokens that are not there yet are taken in advance: the request has
+        to wait until they are. A request larger than the burst passes when
+        the bucket is full.
         """
         bucket = self.buckets.get(workspace)
         if bucket is None:
-            return 0
+            return TokenWait(0, is_taken=True)
         bucket.advance(now)
-        needed = min(cost, bucket.cap)
-        if bucket.level >= needed:
+        missing = min(cost, bucket.cap) - bucket.level
+        wait_s = max(missing, 0) / bucket.rate
+        is_taken = wait_s <= patience_s
+        if is_taken:
             bucket.level -= cost
-            return 0
-        return (needed - bucket.level) / bucket.rate
+        return TokenWait(wait_s, is_taken=is_taken)
 
     def give_back(self, workspace: str, cost: float) -> None:
         """Return what a request took that did not run."""
--- a/mimosaworks/dispatch/reconcile.py
+++ b/mimosaworks/dispatch/reconcile.py
@@ -19,9 +19,15 @@
     last order for a model, so a report is the better source.
     """
     target.entry = entry
-    if now - target.loaded_s > SETTLE_S:
-        target.in_memory = set(entry.in_memory)
-        target.on_disk = set(entry.on_disk)
+    # An entry may be older than the last loads, but it tells of copies that
+    # had to make way for them.
+    recent = {
+        model
+        for model, loaded_s in target.loads_s.items()
+        if now - loaded_s < SETTLE_S
+    }
+    target.in_memory = recent.union(entry.in_memory)
+    target.on_disk = recent.union(entry.on_disk)
     if not target.is_synced and not target.steps:
         adopt_models(target, entry.residences, target.orders)
 
--- a/mimosaworks/dispatch/target_books.py
+++ b/mimosaworks/dispatch/target_books.py
@@ -68,7 +68,7 @@
         loaded.is_ready = True
         target.in_memory.add(step.model)
         target.on_disk.add(step.model)
-        target.loaded_s = now
+        target.loads_s[step.model] = now
     durations = (queued.duration_s for queued in target.steps)
     target.steps_end_s = now + sum(durations)
 
--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -25,6 +25,7 @@
     reply_of,
     row_of_target,
 )
+from mimosaworks.node.members import Member, drop_silent, note_member
 from mimosaworks.node.order_runner import FencedError, OrderRunner
 from mimosaworks.routing import SuspectTable
 from mimosaworks.wire import (
@@ -32,24 +33,13 @@
     BeatReply,
     CallAsk,
     CallReply,
-    NodeRow,
     Spent,
 )
 
 TICK_S = 0.05
-MEMBER_LOST_S = 2.0  # some beats; see BEAT_S
 BEAT_S = 0.25
 BEATS_PER_S = 200  # of all nodes together
 FORGET_S = 3.0  # after the moment at which a request is given up
-MAX_FENCED_WAIT_S = 60.0
-
-
-@attrs.define(eq=False)
-class Member:
-    """A node that sends beats."""
-
-    row: NodeRow
-    heard_s: float
 
 
 @attrs.define(eq=False)
@@ -72,6 +62,7 @@
     _tasks: set['asyncio.Task[None]'] = attrs.field(factory=set)
     _deployment_version: int = 0
     _targets_version: int = 0
+    _is_stopped: bool = False
 
     def start(self) -> None:
         """Begin to decide."""
@@ -80,6 +71,7 @@
 
     def stop(self) -> None:
         """Cancel all tasks; requests that wait are left to their nodes."""
+        self._is_stopped = True
         for task in tuple(self._tasks):
             task.cancel()
         for fut in self._replies.values():
@@ -96,27 +88,18 @@
             )
             return reply_of(refusal)
         self._refresh()
-        decided = self.dispatcher.submit(ask_of(ask, now), now)
-        self._start_orders()
-        if decided is not None:
-            _log_decided(ask, decided, 0)
-            return reply_of(decided)
-        job = self.dispatcher.jobs[ask.call]
-        log_event(
-            Event.CALL_QUEUED,
-            request_id=ask.request_id,
-            call=ask.call,
-            target=job.target,
-            model=ask.model,
-            adapter=ask.adapter,
-            left_s=ask.left_s,
-        )
-        return await self._wait(ask)
+        admitted = self.dispatcher.admit(ask_of(ask, now), now)
+        if isinstance(admitted, Refusal):
+            _log_decided(ask, admitted, 0)
+            return reply_of(admitted)
+        if admitted:
+            await self._await_tokens(ask, admitted)
+        return await self._place(ask, now)
 
     async def on_beat(self, beat: Beat) -> BeatReply:
         """Take over what happened at a node; return this process's view."""
         now = now_s()
-        self._note_member(beat, now)
+        note_member(self.members, beat.row, now)
         for running in beat.running:
             if running.ask.call not in self.dispatcher.jobs:
                 job = self.dispatcher.resume(
@@ -136,6 +119,42 @@
         self._start_orders()
         return self._reply(beat, now)
 
+    async def _await_tokens(self, ask: CallAsk, wait_s: float) -> None:
+        log_event(
+            Event.CALL_POSTPONED,
+            request_id=ask.request_id,
+            call=ask.call,
+            workspace=ask.workspace,
+            cost=ask.cost,
+            wait_s=wait_s,
+        )
+        try:
+            await asyncio.sleep(wait_s)
+        except asyncio.CancelledError:
+            self.dispatcher.limiter.give_back(ask.workspace, ask.cost)
+            raise
+        if self._is_stopped:
+            raise PeerError('the holder changed')
+
+    async def _place(self, ask: CallAsk, asked_s: float) -> CallReply:
+        # The time left counts from the arrival of the ask.
+        decided = self.dispatcher.submit(ask_of(ask, asked_s), now_s())
+        self._start_orders()
+        if decided is not None:
+            _log_decided(ask, decided, 0)
+            return reply_of(decided)
+        job = self.dispatcher.jobs[ask.call]
+        log_event(
+            Event.CALL_QUEUED,
+            request_id=ask.request_id,
+            call=ask.call,
+            target=job.target,
+            model=ask.model,
+            adapter=ask.adapter,
+            left_s=ask.left_s,
+        )
+        return await self._wait(ask)
+
     def _reply(self, beat: Beat, now: float) -> BeatReply:
         levels = self.dispatcher.limiter.levels(now)
         version = self.beliefs.targets_version
@@ -239,37 +258,14 @@
                 self._start_orders()
                 return
 
-    def _note_member(self, beat: Beat, now: float) -> None:
-        known = self.members.get(beat.row.name)
-        if known is None or known.row != beat.row:
-            log_event(
-                Event.MEMBER_JOINED,
-                node=beat.row.name,
-                front=beat.row.front_address,
-                is_stopping=beat.row.is_stopping,
-            )
-        self.members[beat.row.name] = Member(beat.row, now)
-
     def _forget(self, now: float) -> None:
-        for name, member in list(self.members.items()):
-            if now - member.heard_s > MEMBER_LOST_S:
-                self.members.pop(name)
-                log_event(
-                    Event.MEMBER_LOST,
-                    node=name,
-                    silent_s=now - member.heard_s,
-                )
-                self._forget_jobs(name, now)
+        lost = drop_silent(self.members, now)
         for call, job in list(self.dispatcher.jobs.items()):
-            if now > job.ask.give_up_s + FORGET_S:
+            is_untold = now > job.ask.give_up_s + FORGET_S
+            if is_untold or job.ask.node in lost:
                 log_event(Event.CALL_FORGOTTEN, call=call, node=job.ask.node)
                 self._settle(self.dispatcher.withdraw(call, now))
 
-    def _forget_jobs(self, node: str, now: float) -> None:
-        for call, job in list(self.dispatcher.jobs.items()):
-            if job.ask.node == node:
-                self._settle(self.dispatcher.withdraw(call, now))
-
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
--- a/mimosaworks/node/local_choice.py
+++ b/mimosaworks/node/local_choice.py
@@ -78,11 +78,10 @@
         now: float,
     ) -> Assignment | Refusal:
         """Return a target that holds the model, or a refusal."""
-        wait_s = self.limiter.take(ask.workspace, ask.cost, now)
-        if wait_s:
-            return Refusal(
-                ErrorKind.RATE_EXCEEDED, wait_s, "this node's share is used up"
-            )
+        taken = self.limiter.take(ask.workspace, ask.cost, now)
+        if not taken.is_taken:
+            reason = "this node's share is used up"
+            return Refusal(ErrorKind.RATE_EXCEEDED, taken.wait_s, reason)
         fitting = [
             entry for entry in targets.values() if self._fits(entry, ask, facts)
         ]
