A node that stops refuses what it could not end

Change: a request whose predicted duration exceeds the time that is left is refused as not run, to be sent elsewhere at once. Test with a real node.

--- a/mimosaworks/node/front.py
+++ b/mimosaworks/node/front.py
@@ -26,16 +26,23 @@
 RETRY_AFTER_HEADER = 'Retry-After'
 REFUSED_PAUSE_S = 0.05  # an engine's order usually ends within some of these
 MAX_ASKS = 8
+STREAM_TOKEN_S = 0.02  # about twice the engines' time for a token
+MIN_CALL_S = 0.5
+ELSEWHERE_S = 0.05  # another node takes the request at once
 
 
 @attrs.define(eq=False)
 class Front:
-    """Serves callers at one node; is_stopping closes their connections."""
+    """Serves callers at one node.
+
+    stop_left_s gives the seconds until a node that stops ends what is left;
+    None for one that does not stop. Connections are closed meanwhile.
+    """
 
     chooser: Chooser
     exchange: Exchange
     meters: Meters
-    is_stopping: Callable[[], bool]
+    stop_left_s: Callable[[], float | None]
     calls: dict[str, Call] = attrs.field(factory=dict)
 
     async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
@@ -48,7 +55,7 @@
             except CallerLeftError as exc:
                 # There is nobody to answer; the server ends the handler.
                 raise asyncio.CancelledError from exc
-        if self.is_stopping() and not answer.prepared:
+        if self.stop_left_s() is not None and not answer.prepared:
             answer.force_close()
         return answer
 
@@ -63,6 +70,7 @@
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
         call = await admit(req, self.chooser.beliefs.deployment)
         call_log.log_admitted(call, self._version())
+        _check_stop(call, self.stop_left_s())
         try:
             async with asyncio.timeout(call.left_s()):
                 return await self._serve(call)
@@ -181,6 +189,19 @@
         return 0 if deployment is None else deployment.version
 
 
+def _check_stop(call: Call, left_s: float | None) -> None:
+    """Refuse a request that would be cut when a node that stops ends."""
+    if left_s is None:
+        return
+    expected_s = call.facts.expected_out * STREAM_TOKEN_S + MIN_CALL_S
+    if expected_s > left_s:
+        raise RequestError(
+            ErrorKind.STOPPING,
+            f'the node ends in {left_s:.2f} s',
+            retry_after_s=ELSEWHERE_S,
+        )
+
+
 def _out_of_time(call: Call) -> RequestError:
     may_have_run = bool(call.target) or call.is_started
     return RequestError(
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -44,7 +44,16 @@
     link: HolderLink = attrs.field(init=False)
     front: Front = attrs.field(init=False)
     holder: Holder | None = None
-    is_stopping: bool = False
+    stop_end_s: float | None = None
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the node was told to stop."""
+        return self.stop_end_s is not None
+
+    def stop_left_s(self) -> float | None:
+        """Return the seconds that a node that stops has left."""
+        return None if self.stop_end_s is None else self.stop_end_s - now_s()
 
     def row(self) -> NodeRow:
         """Return what this node says of itself."""
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -115,7 +115,7 @@
         chooser=chooser,
         exchange=Exchange(target_session),
         meters=node.meters,
-        is_stopping=lambda: node.is_stopping,
+        stop_left_s=node.stop_left_s,
     )
     return node
 
@@ -135,7 +135,7 @@
 
 async def _stop(node: Node) -> None:
     end_s = now_s() + node.cfg.bounds.grace_s * END_SHARE
-    node.is_stopping = True
+    node.stop_end_s = end_s
     log_event(
         Event.NODE_STOPPING,
         node=node.cfg.name,
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -264,6 +264,22 @@
     assert len(leaving.runs) == before
 
 
+async def test_a_stopping_node_refuses_what_it_could_not_end(
+    world: AgencyWorld,
+) -> None:
+    # The node ends 1.8 s after SIGTERM; 200 tokens take longer.
+    first, _ = await open_pair(world)
+    first.process.terminate()
+    await until(lambda: bool(first.events('node_stopping')))
+    async with world.request(
+        first, '/chat/a', 'long', X_Model='alpha', X_Token_Counts='100,200'
+    ) as resp:
+        assert resp.status == 503
+        assert float(resp.headers['Retry-After']) < 1
+    async with world.request(first, '/look/x', 'short') as resp:
+        assert resp.status == 200
+
+
 async def test_directory_and_readiness_follow_a_planned_stop(
     world: AgencyWorld,
 ) -> None:
