A node without a holder uses the fresher view and a known share of rates

Change: the view confirmed last; the number of nodes stands in the lease row, 100 are assumed without it; six strong nodes look often, the next holder tells the others; entries are read after 1.5 s without a holder; weak VMs campaign later.

--- a/mimosaworks/node/chooser.py
+++ b/mimosaworks/node/chooser.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import itertools
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator, Mapping
 
 import attrs
 
 from mimosaworks.clock import now_s
+from mimosaworks.deployment import TargetEntry
 from mimosaworks.dispatch import Assignment, CallOutcome, Refusal
 from mimosaworks.errors import ErrorKind, PeerError, RequestError
 from mimosaworks.events import Event, log_event
@@ -21,6 +22,8 @@
 HOLDER_POLL_S = 0.1
 ANSWER_S = 0.7  # a swap from disk and a prompt, once a holder is there
 MIN_ASK_S = 0.03  # less time than this serves nobody
+# A node that knows of no other admits this share of a rate.
+UNKNOWN_MEMBERS = 100
 _WORTH_WAITING = frozenset((
     ErrorKind.MODEL_NOT_READY,
     ErrorKind.NO_TARGET,
@@ -31,7 +34,8 @@
 class Chooser:
     """Asks the holder; decides from this node's own view without one.
 
-    node, nonce and data_centre name this process and its place.
+    node, nonce and data_centre name this process and its place; members
+    gives the number of nodes, 0 when it is not known.
     """
 
     node: str
@@ -40,6 +44,7 @@
     beliefs: Beliefs
     link: HolderLink
     local: LocalChoice
+    members: Callable[[], int]
     _numbers: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
 
     async def choose(self, call: Call) -> Assignment:
@@ -92,14 +97,20 @@
                 ErrorKind.CONFIG_STALE, HOLDER_WAIT_S, 'no deployment'
             )
         now = now_s()
-        members = max(len(self.link.members), 1)
-        targets = self.beliefs.targets or self.link.targets
+        members = self.members() or UNKNOWN_MEMBERS
+        targets = self._targets()
         self.local.enter(deployment, self.link.levels, members, now)
         decided = self.local.choose(ask, call.facts, targets, now)
         if isinstance(decided, Assignment):
             self.link.note_spent(ask.workspace, ask.cost)
         return decided
 
+    def _targets(self) -> Mapping[str, TargetEntry]:
+        """Return the view of the targets that was confirmed last."""
+        if self.beliefs.targets_read_s > self.link.heard_s:
+            return self.beliefs.targets
+        return self.link.targets
+
     def _log_alone(
         self, call: Call, decided: Assignment | Refusal, reason: str
     ) -> None:
@@ -109,7 +120,7 @@
             target='' if isinstance(decided, Refusal) else decided.target,
             reason=f'{reason}; {decided.reason}',
             silent_s=self.link.silent_s(),
-            members=len(self.link.members),
+            members=self.members(),
             targets_age_s=now_s() - self.beliefs.targets_read_s,
             waited_s=call.age_s(),
         )
--- a/mimosaworks/node/election.py
+++ b/mimosaworks/node/election.py
@@ -26,6 +26,8 @@
 LEASE_ROW = RowName('mimosaworks', 'dispatch-lease')
 LEASE_S = 1.5  # three renewals; fences guard the targets beyond it
 RENEWALS = 3  # in each lease
+EAGER_NODES = 6
+LAZY_POLL_S = 0.8
 POLL_S = 0.1  # pause between reads of the row while no holder is heard
 
 
@@ -34,13 +36,15 @@
     """The lease row: who holds it and where that process is reached.
 
     nonce differs with each process; fence is the store's version at the
-    election, which grows from holder to holder.
+    election, which grows from holder to holder. members is the number of
+    nodes at the last renewal.
     """
 
     holder: str
     address: str
     nonce: str
     fence: int
+    members: int = 0
     version: int = 0
 
     @property
@@ -56,7 +60,9 @@
     hears_holder tells whether the holder answers this node. may_hold is
     false for a node that stops. survives tells whether the lease may be
     used while the store can't be reached, which needs targets that check
-    fences.
+    fences. members gives the number of nodes, eagerness this node's place
+    among those that may hold the lease, the strongest first; handicap_s
+    delays weak ones at their start, when the others are not known.
     """
 
     store: StoreClient
@@ -67,6 +73,9 @@
     on_taken: Callable[[Lease], None]
     on_lost: Callable[[], None]
     survives: bool
+    members: Callable[[], int]
+    eagerness: Callable[[], int]
+    handicap_s: float
     lease_s: float = LEASE_S
     may_hold: bool = True
     lease: Lease | None = None
@@ -76,6 +85,7 @@
 
     async def run(self) -> None:
         """Take part until cancelled."""
+        await asyncio.sleep(self.handicap_s)
         while True:  # noqa: WPS457 -- ends when the task is cancelled
             if self.is_holder:
                 await asyncio.sleep(self.lease_s / RENEWALS)
@@ -84,7 +94,13 @@
                 await asyncio.sleep(POLL_S)
             else:
                 await self._look()
-                await asyncio.sleep(POLL_S * (1 + random.random()))
+                await asyncio.sleep(self._pause_s())
+
+    def believe(self, lease: Lease) -> None:
+        """Take over what a new holder tells of its election."""
+        known = self.lease
+        if not self.is_holder and (known is None or known.fence < lease.fence):
+            self._believe(lease)
 
     def heard(self, version: int) -> None:
         """Note that the holder had renewed the row to this version."""
@@ -124,10 +140,19 @@
                 age_s=now_s() - self._renewed_s,
             )
 
+    def _pause_s(self) -> float:
+        """Return the time to the next look at the row.
+
+        Some strong nodes look often and take the lease; the others hear of
+        the next holder from itself.
+        """
+        pause_s = POLL_S if self.eagerness() < EAGER_NODES else LAZY_POLL_S
+        return random.uniform(pause_s, 2 * pause_s)
+
     async def _renew(self) -> None:
-        lease = self.lease
-        if lease is None or not self.is_holder:
+        if self.lease is None or not self.is_holder:
             return
+        lease = attrs.evolve(self.lease, members=self.members())
         begun_s = now_s()
         try:
             version = await self._write(lease, lease.version)
@@ -215,6 +240,7 @@
             'address': lease.address,
             'nonce': lease.nonce,
             'fence': lease.fence,
+            'members': lease.members,
         }).encode()
         return await self.store.commit(
             [RowNeed(LEASE_ROW, version)], [RowChange(LEASE_ROW, content)]
--- a/mimosaworks/node/holder_link.py
+++ b/mimosaworks/node/holder_link.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 import attrs
 
@@ -14,12 +14,14 @@
 from mimosaworks.node.conversions import target_of_row
 from mimosaworks.node.election import Lease
 from mimosaworks.wire import (
+    Ack,
     Beat,
     BeatReply,
     CallAsk,
     CallEnd,
     CallReply,
     CallStart,
+    LeaseNotice,
     NodeRow,
     PeerClient,
     RunningCall,
@@ -47,6 +49,7 @@
 
     lease gives the believed lease, local the holder when it is this process,
     row what this node says of itself, running its requests at targets.
+    heard_s is when the holder last confirmed what it told.
     """
 
     peers: PeerClient
@@ -59,11 +62,12 @@
     levels: dict[str, float] = attrs.field(factory=dict)
     targets: dict[str, TargetEntry] = attrs.field(factory=dict)
     fence: int = 0
-    _heard_s: float = 0
+    heard_s: float = 0
     _targets_version: int = 0
     _interval_s: float = FIRST_BEAT_S
     _starts: list[CallStart] = attrs.field(factory=list)
     _ends: list[CallEnd] = attrs.field(factory=list)
+    _notices: set['asyncio.Future[Ack]'] = attrs.field(factory=set)
     _spent: dict[str, float] = attrs.field(factory=dict)
     _wake: asyncio.Event = attrs.field(factory=asyncio.Event)
     _lost: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -72,11 +76,11 @@
         """Tell whether the holder answered lately."""
         if self.local() is not None:
             return True
-        return bool(self.fence) and now_s() - self._heard_s < MAX_SILENCE_S
+        return bool(self.fence) and now_s() - self.heard_s < MAX_SILENCE_S
 
     def silent_s(self) -> float:
         """Return the seconds since the holder's last answer."""
-        return now_s() - self._heard_s
+        return now_s() - self.heard_s
 
     async def ask(self, ask: CallAsk) -> CallReply:
         """Return the holder's decision; raises PeerError without one."""
@@ -114,6 +118,15 @@
         """Tell the holder of tokens that were admitted without it."""
         self._spent[workspace] = self._spent.get(workspace, 0) + cost
 
+    def tell(self, address: str, notice: LeaseNotice) -> None:
+        """Send a notice without waiting for its answer."""
+        call = asyncio.ensure_future(
+            self.peers.call(address, notice, Ack, BEAT_TIMEOUT_S)
+        )
+        self._notices.add(call)
+        call.add_done_callback(self._notices.discard)
+        call.add_done_callback(_forget_failure)
+
     async def run(self) -> None:
         """Send beats until cancelled."""
         while True:  # noqa: WPS457 -- ends when the task is cancelled
@@ -190,14 +203,14 @@
             self.note_spent(spent.workspace, spent.cost)
 
     def _take_over(self, reply: BeatReply) -> None:
-        if self.fence != reply.fence or not self._heard_s:
+        if self.fence != reply.fence or not self.heard_s:
             log_event(
                 Event.DEPENDENCY_REGAINED,
                 dependency='holder',
-                away_s=self.silent_s() if self._heard_s else 0,
+                away_s=self.silent_s() if self.heard_s else 0,
             )
         self.fence = reply.fence
-        self._heard_s = now_s()
+        self.heard_s = now_s()
         self._lost.clear()
         self._interval_s = reply.interval_s or FIRST_BEAT_S
         self.members = {row.name: row for row in reply.members}
@@ -226,7 +239,7 @@
     call.add_done_callback(_forget_failure)
 
 
-def _forget_failure(call: 'asyncio.Future[CallReply]') -> None:
+def _forget_failure(call: 'asyncio.Future[Any]') -> None:
     # Nobody waits for this answer any more; its failure is not news.
     if not call.cancelled():
         call.exception()
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -12,6 +12,7 @@
 from mimosaworks.events import Event, log_event
 from mimosaworks.node.beliefs import Beliefs
 from mimosaworks.node.election import Election, Lease
+from mimosaworks.node.electorate import Electorate, strength
 from mimosaworks.node.front import Front
 from mimosaworks.node.holder import Holder
 from mimosaworks.node.holder_link import HolderLink
@@ -25,9 +26,16 @@
     read_boot,
 )
 from mimosaworks.routing import SuspectTable
-from mimosaworks.wire import Beat, BeatReply, CallAsk, CallReply, NodeRow
+from mimosaworks.wire import (
+    Beat,
+    BeatReply,
+    CallAsk,
+    CallReply,
+    NodeRow,
+)
 
 METERS_PERIOD_S = 1.0
+ALONE_S = 1.5  # without a holder, after which a node reads entries itself
 
 
 @attrs.define(eq=False)
@@ -42,6 +50,7 @@
     meters: Meters
     targets_feed: TableFeed = attrs.field(init=False)
     election: Election = attrs.field(init=False)
+    electorate: Electorate = attrs.field(init=False)
     link: HolderLink = attrs.field(init=False)
     front: Front = attrs.field(init=False)
     holder: Holder | None = None
@@ -64,6 +73,7 @@
             peer_address=self.cfg.peer_address,
             data_centre=self.cfg.data_centre,
             is_stopping=self.is_stopping,
+            strength=strength(self.cfg),
         )
 
     def addresses(self, _: str) -> list[str]:
@@ -98,6 +108,7 @@
             lease_version=lease.version,
         )
         self.holder.start()
+        self.electorate.tell_members(lease)
         levels = self.link.levels
         self.holder.dispatcher.limiter.cap_levels(levels, now_s())
 
@@ -135,7 +146,7 @@
 
     def wants_targets(self) -> bool:
         """Tell whether this node has to read the targets' entries itself."""
-        return self.holder is not None or not self.link.is_up()
+        return self.holder is not None or self.link.silent_s() > ALONE_S
 
     def reload(self, boot_path: str) -> None:
         """Read the settings file again; addresses stay until a restart."""
--- a/mimosaworks/node/pages.py
+++ b/mimosaworks/node/pages.py
@@ -8,7 +8,13 @@
 from mimosaworks.node.sessions import FIELD_BYTES
 from mimosaworks.platform import directory_app, ready_app
 from mimosaworks.serving import serve_app
-from mimosaworks.wire import Beat, CallAsk, add_peer_handler, new_peer_app
+from mimosaworks.wire import (
+    Beat,
+    CallAsk,
+    LeaseNotice,
+    add_peer_handler,
+    new_peer_app,
+)
 
 DIRECTORY_TTL_S = 2.0  # in which callers learn of a VM that stops
 CALLER_IDLE_S = 20.0  # longer than callers may stay idle
@@ -20,6 +26,7 @@
     peer_app = new_peer_app()
     add_peer_handler(peer_app, CallAsk, node.on_ask)
     add_peer_handler(peer_app, Beat, node.on_beat)
+    add_peer_handler(peer_app, LeaseNotice, node.electorate.on_notice)
     await serve_app(peer_app, cfg.peer_address, stack, cancels_on_hang_up=True)
     await serve_app(node.meters.app(), cfg.metrics_address, stack)
     directory = directory_app(node.addresses, DIRECTORY_TTL_S)
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -11,6 +11,7 @@
 from mimosaworks.node.beliefs import Beliefs
 from mimosaworks.node.chooser import Chooser
 from mimosaworks.node.election import Election
+from mimosaworks.node.electorate import Electorate, strength
 from mimosaworks.node.exchange import Exchange
 from mimosaworks.node.front import Front
 from mimosaworks.node.holder_link import HolderLink
@@ -37,6 +38,7 @@
 ACCEPT_SHARE = 0.75  # of the grace, in which callers still know the address
 END_SHARE = 0.92  # of the grace, after which nothing can be ended
 END_POLL_S = 0.05
+WEAK_HANDICAP_S = 0.5  # some times the spread of the VMs' starts
 
 
 async def run_node(cfg: BootSettings, boot_path: str) -> None:
@@ -105,7 +107,11 @@
         on_taken=node.take_lease,
         on_lost=node.lose_lease,
         survives=cfg.bounds.orders_are_fenced,
+        members=lambda: node.electorate.count_members(),
+        handicap_s=max(1 - strength(cfg), 0) * WEAK_HANDICAP_S,
+        eagerness=lambda: node.electorate.eagerness(),
     )
+    node.electorate = Electorate(cfg, node.link, node.election)
     chooser = Chooser(
         node=cfg.name,
         nonce=node.nonce,
@@ -113,6 +119,7 @@
         beliefs=node.beliefs,
         link=node.link,
         local=LocalChoice(),
+        members=lambda: node.electorate.count_members(),
     )
     node.front = Front(
         chooser=chooser,
--- a/mimosaworks/platform/boot.py
+++ b/mimosaworks/platform/boot.py
@@ -18,6 +18,7 @@
 )
 
 MS_PER_S = 1000
+UNLIMITED_MBPS = 1000.0
 _PORT_SPAN = 2
 
 
@@ -58,7 +59,10 @@
 
 @attrs.frozen
 class BootSettings:
-    """What one process is told at its start; addresses are host:port."""
+    """What one process is told at its start; addresses are host:port.
+
+    cores is the power of the VM's processor in cores.
+    """
 
     name: str
     data_centre: str
@@ -70,6 +74,8 @@
     last_port: int
     memory_mb: float
     max_fds: int
+    cores: float
+    link_mbps: float
     beat_s: float
     store: StoreSettings
     bounds: Bounds
@@ -119,12 +125,20 @@
         last_port=int(ports[1]),
         memory_mb=number(limits, 'memory-mb'),
         max_fds=whole(limits, 'max-fds'),
+        cores=_cores(limits),
+        link_mbps=limits.get('link-mbps', UNLIMITED_MBPS),
         beat_s=number(parsed, 'heartbeat-ms') / MS_PER_S,
         store=_store(table(parsed, 'platform')),
         bounds=_bounds(table(parsed, 'bounds')),
     )
 
 
+def _cores(limits: Fields) -> float:
+    """Return the processor's power: a share of a core, so often as fast."""
+    share: float = limits.get('cpu-share', 1)
+    return share * float(limits.get('cores', 1))
+
+
 def _store(parsed: Fields) -> StoreSettings:
     return StoreSettings(
         address=text(parsed, 'address'),
--- a/mimosaworks/wire/__init__.py
+++ b/mimosaworks/wire/__init__.py
@@ -16,6 +16,7 @@
     TargetModel,
     TargetRow,
 )
+from mimosaworks.wire.election_messages import LeaseNotice
 from mimosaworks.wire.limits_messages import (
     TokenAsk,
     TokenBalance,
@@ -47,6 +48,7 @@
     'CallEnd',
     'CallReply',
     'CallStart',
+    'LeaseNotice',
     'NodeRow',
     'PartNote',
     'RunningCall',
--- a/mimosaworks/wire/dispatch.capnp
+++ b/mimosaworks/wire/dispatch.capnp
@@ -69,6 +69,16 @@
   peerAddress @2 :Text;
   dataCentre @3 :Text;
   isStopping @4 :Bool;
+  strength @5 :Float64;
+}
+
+struct LeaseNotice {
+  # A new holder tells the nodes; answered with Ack.
+  holder @0 :Text;
+  address @1 :Text;
+  nonce @2 :Text;
+  fence @3 :UInt64;
+  version @4 :UInt64;
 }
 
 struct TargetModel {
--- a/mimosaworks/wire/dispatch_messages.py
+++ b/mimosaworks/wire/dispatch_messages.py
@@ -92,13 +92,17 @@
 
 @attrs.frozen
 class NodeRow:
-    """One entry node; is_stopping ones take no new callers."""
+    """One entry node; is_stopping ones take no new callers.
+
+    strength orders the nodes that may become holder, in cores.
+    """
 
     name: str
     front_address: str
     peer_address: str
     data_centre: str
     is_stopping: bool = False
+    strength: float = 0
 
 
 @attrs.frozen
