A holder that stops decides on while the store is down

Change: it steps down once the freed row is written, and tries again until its grace is over. Test with real nodes, seen failing (503) before.

--- a/mimosaworks/node/election.py
+++ b/mimosaworks/node/election.py
@@ -122,16 +122,21 @@
         self._seen_s = now_s()
         self.on_lost()
 
-    async def give_back(self) -> None:
-        """Free the lease at a planned stop, so that it is taken at once."""
+    async def give_back(self) -> bool:
+        """Free the lease at a planned stop, so that it is taken at once.
+
+        Returns whether this node holds nothing any more. While the store
+        can't be reached no other node can be elected: this one goes on.
+        """
         self.may_hold = False
         lease = self.lease
         if not self.is_holder or lease is None:
-            return
-        self.step_down('planned stop')
+            return True
         freed = attrs.evolve(lease, holder='', address='')
         try:
             await self._write(freed, lease.version)
+        except StoreConflictError as exc:
+            self._on_conflict(exc, now_s())
         except PlatformError as exc:
             log_event(
                 Event.DEPENDENCY_LOST,
@@ -139,6 +144,9 @@
                 reason=str(exc),
                 age_s=now_s() - self._renewed_s,
             )
+        else:
+            self.step_down('planned stop')
+        return not self.is_holder
 
     def _pause_s(self) -> float:
         """Return the time to the next look at the row.
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -38,6 +38,7 @@
 ACCEPT_SHARE = 0.75  # of the grace, in which callers still know the address
 END_SHARE = 0.92  # of the grace, after which nothing can be ended
 END_POLL_S = 0.05
+GIVE_BACK_PAUSE_S = 0.3
 WEAK_HANDICAP_S = 0.5  # some times the spread of the VMs' starts
 
 
@@ -155,7 +156,9 @@
         running=len(node.front.calls),
     )
     await node.link.beat_now()
-    await node.election.give_back()
-    await asyncio.sleep(node.cfg.bounds.grace_s * ACCEPT_SHARE)
+    accept_end_s = now_s() + node.cfg.bounds.grace_s * ACCEPT_SHARE
+    while not await node.election.give_back() and now_s() < accept_end_s:
+        await asyncio.sleep(GIVE_BACK_PAUSE_S)
+    await asyncio.sleep(max(accept_end_s - now_s(), 0))
     while node.front.calls and now_s() < end_s:
         await asyncio.sleep(END_POLL_S)
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -148,6 +148,21 @@
     assert await holder.process.wait() == 0
 
 
+async def test_a_holder_that_stops_decides_on_while_the_store_is_down(
+    world: AgencyWorld,
+) -> None:
+    # No other node can be elected meanwhile.
+    pair = await open_pair(world)
+    holder = holder_of(*pair)
+    other = pair[1] if holder is pair[0] else pair[0]
+    world.faults.is_down = True
+    holder.process.terminate()
+    await until(lambda: bool(holder.events('node_stopping')))
+    status, _ = await read_stream(world, other, '/draft/a', 'cold', 'gamma')
+    assert status == 200
+    assert not holder.events('lease_lost')
+
+
 async def test_sighup_reads_the_settings_and_goes_on(
     world: AgencyWorld,
 ) -> None:
