No order is sent by a holder that was paused before it looks at its lease

Change: orders wait until the lease was looked at within its length; renewals time out within half of it. Tests of the election with a store in memory and a given clock.

--- a/mimosaworks/node/election.py
+++ b/mimosaworks/node/election.py
@@ -26,6 +26,7 @@
 LEASE_ROW = RowName('mimosaworks', 'dispatch-lease')
 LEASE_S = 1.5  # three renewals; fences guard the targets beyond it
 RENEWALS = 3  # in each lease
+STORE_TIMEOUT_S = 0.7  # of a renewal, so that two fit into a lease
 EAGER_NODES = 6
 LAZY_POLL_S = 0.8
 POLL_S = 0.1  # pause between reads of the row while no holder is heard
@@ -82,6 +83,7 @@
     is_holder: bool = False
     _seen_s: float = 0
     _renewed_s: float = 0
+    _tried_s: float = 0
 
     async def run(self) -> None:
         """Take part until cancelled."""
@@ -96,6 +98,13 @@
                 await self._look()
                 await asyncio.sleep(self._pause_s())
 
+    def is_sure(self) -> bool:
+        """Tell whether this process has looked at its lease lately.
+
+        One that was paused has not: another may hold the lease by now.
+        """
+        return self.is_holder and now_s() - self._tried_s < self.lease_s
+
     def believe(self, lease: Lease) -> None:
         """Take over what a new holder tells of its election."""
         known = self.lease
@@ -162,6 +171,7 @@
             return
         lease = attrs.evolve(self.lease, members=self.members())
         begun_s = now_s()
+        self._tried_s = begun_s
         try:
             version = await self._write(lease, lease.version)
         except StoreConflictError as exc:
@@ -232,6 +242,7 @@
             return  # The next look shows whether the write took effect.
         self.lease = attrs.evolve(wanted, version=taken)
         self._renewed_s = begun_s
+        self._tried_s = begun_s
         self.is_holder = True
         log_event(
             Event.LEASE_TAKEN,
--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -1,7 +1,7 @@
 """What the holder of the dispatch lease does for all nodes."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import attrs
@@ -46,14 +46,16 @@
 class Holder:
     """Decides under one election, until its tasks are cancelled.
 
-    on_fenced is called when a target has seen a later holder. replies holds
-    the requests that wait, by the name of their ask.
+    on_fenced is called when a target has seen a later holder, is_sure tells
+    whether the lease was looked at lately. replies holds the requests that
+    wait, by the name of their ask.
     """
 
     beliefs: Beliefs
     dispatcher: Dispatcher
     orders: OrderRunner
-    on_fenced: Any
+    on_fenced: Callable[[str], None]
+    is_sure: Callable[[], bool]
     suspects: SuspectTable
     members: dict[str, Member] = attrs.field(factory=dict)
     lease_version: int = 0
@@ -244,6 +246,8 @@
         if not target.is_synced:
             await self.orders.sync(target)
         while target.steps and pool.holds(target):
+            while not self.is_sure():
+                await asyncio.sleep(TICK_S)
             step = target.steps.popleft()
             is_done = target.is_synced and target.has_memory_for(step)
             if is_done:
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -104,6 +104,7 @@
                 self.calls, self.cfg.name, lease.fence, self.meters.note_order
             ),
             on_fenced=self.election.step_down,
+            is_sure=self.election.is_sure,
             suspects=SuspectTable(),
             lease_version=lease.version,
         )
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -6,11 +6,13 @@
 import secrets
 import signal
 
+import attrs
+
 from mimosaworks.clock import now_s
 from mimosaworks.events import Event, JsonStream, json_logging, log_event
 from mimosaworks.node.beliefs import Beliefs
 from mimosaworks.node.chooser import Chooser
-from mimosaworks.node.election import Election
+from mimosaworks.node.election import STORE_TIMEOUT_S, Election
 from mimosaworks.node.electorate import Electorate, strength
 from mimosaworks.node.exchange import Exchange
 from mimosaworks.node.front import Front
@@ -100,7 +102,7 @@
         on_renewed=lambda version: node.election.heard(version),
     )
     node.election = Election(
-        store=node.store,
+        store=attrs.evolve(node.store, timeout_s=STORE_TIMEOUT_S),
         name=cfg.name,
         address=cfg.peer_address,
         nonce=node.nonce,
--- /dev/null
+++ b/tests/test_node_election.py
@@ -0,0 +1,197 @@
+"""The lease: taken, renewed, lost and given back, with a store in memory."""
+
+import asyncio
+from collections.abc import Sequence
+from typing import Any
+
+import attrs
+import pytest
+
+from mimosaworks.errors import (
+    PlatformError,
+    StoreConflictError,
+    StoreInDoubtError,
+    StoreUnavailableError,
+)
+from mimosaworks.node import election as module
+from mimosaworks.node.election import LEASE_ROW, Election, Lease
+from mimosaworks.platform import RowChange, RowNeed, RowsAnswer, StoredRow
+
+
+@attrs.define(eq=False)
+class MemoryStore:
+    """Holds the lease row; failure is raised by the next calls."""
+
+    version: int = 0
+    content: bytes | None = None
+    failure: PlatformError | None = None
+    loses_answer: bool = False
+
+    async def read(self, table: str) -> RowsAnswer:
+        """Return the row if there is one."""
+        assert table == LEASE_ROW.table
+        if self.failure is not None:
+            raise self.failure
+        rows = () if self.content is None else (self._row(),)
+        return RowsAnswer(rows, self.version)
+
+    async def commit(
+        self, needs: Sequence[RowNeed], changes: Sequence[RowChange]
+    ) -> int:
+        """Write the row if its version is the expected one."""
+        if self.failure is not None:
+            raise self.failure
+        if needs[0].version != self.version:
+            raise StoreConflictError('conflict', (self._row(),))
+        self.version += 1
+        self.content = changes[0].content
+        if self.loses_answer:
+            self.loses_answer = False
+            raise StoreInDoubtError('no answer')
+        return self.version
+
+    def _row(self) -> StoredRow:
+        return StoredRow(LEASE_ROW, self.version, self.content)
+
+
+@attrs.define(eq=False)
+class Clock:
+    """The time that the elections see."""
+
+    now: float = 1000
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    made = Clock()
+    monkeypatch.setattr(module, 'now_s', lambda: made.now)
+    return made
+
+
+def make(store: MemoryStore, name: str, **facts: Any) -> Election:
+    return Election(
+        store=store,  # type: ignore[arg-type]
+        name=name,
+        address=f'{name}:1',
+        nonce=facts.pop('nonce', f'nonce-{name}'),
+        hears_holder=bool,
+        on_taken=lambda lease: None,
+        on_lost=lambda: None,
+        survives=facts.pop('survives', True),
+        members=lambda: 2,
+        eagerness=int,
+        handicap_s=0,
+    )
+
+
+def turn(election: Election) -> None:
+    """Let a node look at the row once, or renew it."""
+    step = election._renew if election.is_holder else election._look
+    asyncio.run(step())
+
+
+def test_one_of_two_takes_the_lease(clock: Clock) -> None:
+    store = MemoryStore()
+    first, second = make(store, 'a'), make(store, 'b')
+    turn(first)
+    turn(second)
+    assert (first.is_holder, second.is_holder) == (True, False)
+    assert second.lease is not None
+    assert second.lease.holder == 'a'
+
+
+def test_the_lease_passes_on_when_it_is_not_renewed(clock: Clock) -> None:
+    store = MemoryStore()
+    first, second = make(store, 'a'), make(store, 'b')
+    turn(first)
+    turn(second)
+    clock.now += first.lease_s - 0.1
+    turn(second)
+    assert not second.is_holder
+    clock.now += 0.2
+    turn(second)
+    assert second.is_holder
+    assert first.lease is not None
+    assert second.lease is not None
+    assert second.lease.fence > first.lease.fence
+
+
+def test_a_renewed_lease_is_not_taken(clock: Clock) -> None:
+    store = MemoryStore()
+    first, second = make(store, 'a'), make(store, 'b')
+    for _ in range(5):
+        turn(first)
+        turn(second)
+        clock.now += first.lease_s / 2
+    assert first.is_holder
+    assert not second.is_holder
+
+
+def test_a_paused_holder_is_not_sure_and_steps_down(clock: Clock) -> None:
+    store = MemoryStore()
+    first, second = make(store, 'a'), make(store, 'b')
+    turn(first)
+    turn(second)
+    clock.now += 10
+    turn(second)
+    assert second.is_holder
+    assert not first.is_sure()
+    turn(first)
+    assert not first.is_holder
+
+
+def test_a_renewal_whose_answer_was_lost_keeps_the_lease(
+    clock: Clock,
+) -> None:
+    store = MemoryStore()
+    holder = make(store, 'a')
+    turn(holder)
+    store.loses_answer = True
+    turn(holder)
+    turn(holder)
+    assert holder.is_holder
+    assert holder.lease is not None
+    assert holder.lease.version == store.version
+
+
+@pytest.mark.parametrize('survives', [True, False])
+def test_a_holder_without_the_store_goes_on_where_fences_are_checked(
+    clock: Clock, survives: bool
+) -> None:
+    store = MemoryStore()
+    holder = make(store, 'a', survives=survives)
+    turn(holder)
+    store.failure = StoreUnavailableError('down')
+    clock.now += holder.lease_s + 0.1
+    turn(holder)
+    assert holder.is_holder is survives
+
+
+def test_a_freed_lease_is_taken_at_once(clock: Clock) -> None:
+    store = MemoryStore()
+    first, second = make(store, 'a'), make(store, 'b')
+    turn(first)
+    assert asyncio.run(first.give_back())
+    turn(second)
+    assert second.is_holder
+
+
+def test_a_restarted_process_takes_its_own_lease_at_once(
+    clock: Clock,
+) -> None:
+    store = MemoryStore()
+    turn(make(store, 'a'))
+    again = make(store, 'a', nonce='other')
+    turn(again)
+    assert again.is_holder
+    assert again.lease is not None
+    assert again.lease.fence > 1
+
+
+def test_a_notice_of_an_older_election_changes_nothing(clock: Clock) -> None:
+    store = MemoryStore()
+    node = make(store, 'a')
+    node.believe(Lease('b', 'b:1', 'n', fence=9, version=9))
+    node.believe(Lease('c', 'c:1', 'm', fence=4, version=12))
+    assert node.lease is not None
+    assert node.lease.holder == 'b'
