Views of targets are told when they matter, and too old ones decide nothing

Each beat carried all targets to all nodes, as the version grew with each heartbeat of a target: megabytes a second on links of 5 Mbit/s, so that beats timed out and nodes decided alone from what they had. Feeds that waited 25 s noticed a silent connection after 26 s. Change: the version grows at once when a target appears, leaves or moves, else each 3 s; a node alone decides from a view younger than 0.7 of the drain time, or waits for one, unless the store is away; feeds wait 4 s.

--- a/mimosaworks/node/beliefs.py
+++ b/mimosaworks/node/beliefs.py
@@ -3,7 +3,7 @@
 import attrs
 
 from mimosaworks.clock import now_s
-from mimosaworks.deployment import Deployment, TargetEntry
+from mimosaworks.deployment import Deployment, TargetEntry, TargetState
 from mimosaworks.events import Event, log_event
 from mimosaworks.node.table_feed import Rows
 from mimosaworks.platform import (
@@ -12,6 +12,7 @@
     decode_entry,
 )
 
+MODELS_PERIOD_S = 3.0  # models matter to nodes only without a holder
 RETURN_S = 2.0  # entries that lapsed in an outage are back within it
 
 
@@ -19,13 +20,15 @@
 class Beliefs:
     """The deployment in force and the targets that registered.
 
-    targets_version grows with each change of targets.
+    targets_version grows with each change that other nodes need at once, and
+    each MODELS_PERIOD_S when models have changed.
     """
 
     deployment: Deployment | None = None
     targets: dict[str, TargetEntry] = attrs.field(factory=dict)
     targets_version: int = 0
     targets_read_s: float = 0
+    _told_s: float = 0
     _decoded: dict[str, tuple[int, TargetEntry | None]] = attrs.field(
         factory=dict
     )
@@ -69,10 +72,17 @@
         if now - outage_end_s < RETURN_S:
             found = self.targets | found
         self._note_changes(found)
+        self._count_version(found, now)
         self.targets = found
-        self.targets_version += 1
         self.targets_read_s = now
 
+    def _count_version(self, found: dict[str, TargetEntry], now: float) -> None:
+        is_urgent = _places(found) != _places(self.targets)
+        is_due = now - self._told_s > MODELS_PERIOD_S
+        if is_urgent or (is_due and found != self.targets):
+            self.targets_version += 1
+            self._told_s = now
+
     def _decode(
         self, name: str, version: int, content: bytes
     ) -> TargetEntry | None:
@@ -114,3 +124,12 @@
                     state=entry.state.value,
                     born=entry.born,
                 )
+
+
+def _places(
+    targets: dict[str, TargetEntry],
+) -> set[tuple[str, str, TargetState, int]]:
+    return {
+        (entry.name, entry.address, entry.state, entry.born)
+        for entry in targets.values()
+    }
--- a/mimosaworks/node/chooser.py
+++ b/mimosaworks/node/chooser.py
@@ -35,7 +35,8 @@
     """Asks the holder; decides from this node's own view without one.
 
     node, nonce and data_centre name this process and its place; members
-    gives the number of nodes, 0 when it is not known.
+    gives the number of nodes, 0 when it is not known. is_view_usable tells
+    whether a view of the targets of this age (s) may decide.
     """
 
     node: str
@@ -45,6 +46,7 @@
     link: HolderLink
     local: LocalChoice
     members: Callable[[], int]
+    is_view_usable: Callable[[float], bool]
     _numbers: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
 
     async def choose(self, call: Call) -> Assignment:
@@ -97,6 +99,10 @@
                 ErrorKind.CONFIG_STALE, HOLDER_WAIT_S, 'no deployment'
             )
         now = now_s()
+        if not self.is_view_usable(self._view_age_s()):
+            return Refusal(
+                ErrorKind.NO_TARGET, HOLDER_WAIT_S, 'the view is too old'
+            )
         members = self.members() or UNKNOWN_MEMBERS
         targets = self._targets()
         self.local.enter(deployment, self.link.levels, members, now)
@@ -105,6 +111,11 @@
             self.link.note_spent(ask.workspace, ask.cost)
         return decided
 
+    def _view_age_s(self) -> float:
+        """Return the age of the view of the targets."""
+        confirmed_s = max(self.beliefs.targets_read_s, self.link.heard_s)
+        return now_s() - confirmed_s
+
     def _targets(self) -> Mapping[str, TargetEntry]:
         """Return the view of the targets that was confirmed last."""
         if self.beliefs.targets_read_s > self.link.heard_s:
@@ -121,7 +132,7 @@
             reason=f'{reason}; {decided.reason}',
             silent_s=self.link.silent_s(),
             members=self.members(),
-            targets_age_s=now_s() - self.beliefs.targets_read_s,
+            targets_age_s=self._view_age_s(),
             waited_s=call.age_s(),
         )
 
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -35,6 +35,7 @@
 )
 
 METERS_PERIOD_S = 1.0
+VIEW_SHARE = 0.7  # of the time in which a leaving target must be known
 ALONE_S = 1.5  # without a holder, after which a node reads entries itself
 
 
@@ -162,6 +163,15 @@
             self.cfg, bounds=cfg.bounds, memory_mb=cfg.memory_mb
         )
 
+    def is_view_usable(self, age_s: float) -> bool:
+        """Tell whether a view of the targets of an age (s) may decide.
+
+        A target that leaves must be known in time. Without the store there
+        is no fresher view to be had.
+        """
+        oldest_s = self.cfg.bounds.drain_s * VIEW_SHARE
+        return age_s < oldest_s or self.targets_feed.is_lost
+
     async def run_meters(self, dropped: Callable[[], int]) -> None:
         """Keep the gauges of what this node believes.
 
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -123,6 +123,7 @@
         link=node.link,
         local=LocalChoice(),
         members=lambda: node.electorate.count_members(),
+        is_view_usable=node.is_view_usable,
     )
     node.front = Front(
         chooser=chooser,
--- a/mimosaworks/node/table_feed.py
+++ b/mimosaworks/node/table_feed.py
@@ -11,7 +11,8 @@
 from mimosaworks.events import Event, log_event
 from mimosaworks.platform import StoreClient, StoredRow
 
-WAIT_S = 25.0  # the store allows 30 s
+# A connection that fell silent is noticed after it; the store allows 30 s.
+WAIT_S = 4.0
 FIRST_PAUSE_S = 0.2
 MAX_PAUSE_S = 1.5
 Rows = dict[str, StoredRow]
