--- a/mimosaworks/dispatch/dispatcher.py
+++ b/mimosaworks/dispatch/dispatcher.py
@@ -5,6 +5,7 @@
 import attrs
 
 from mimosaworks.deployment import Deployment, ServiceTerms, TargetEntry
+from mimosaworks.dispatch.crash_book import CrashBook
 from mimosaworks.dispatch.engine_pool import EnginePool
 from mimosaworks.dispatch.engine_target import EngineTarget, Step
 from mimosaworks.dispatch.job import Ask, Assignment, Job, Refusal
@@ -33,6 +34,7 @@
     pools: dict[str, EnginePool | PlainPool] = attrs.field(factory=dict)
     jobs: dict[str, Job] = attrs.field(factory=dict)
     limiter: Limiter = attrs.field(factory=Limiter)
+    crashes: CrashBook = attrs.field(factory=CrashBook)
 
     def follow_deployment(self, deployment: Deployment, now: float) -> None:
         """Follow a new version of the deployment."""
@@ -46,6 +48,7 @@
         self, entries: dict[str, TargetEntry], now: float
     ) -> list[Decided]:
         """Follow what the targets say of themselves."""
+        self.crashes.follow_entries(entries, now)
         displaced: list[Job] = []
         for name, pool in self.pools.items():
             own = (one for one in entries.values() if one.service == name)
@@ -57,6 +60,10 @@
 
         A short wait serves the caller sooner than coming back would.
         """
+        if self.crashes.is_refused(ask.mark):
+            return Refusal(
+                ErrorKind.CRASH_SUSPECT, 0, 'targets ended while it ran'
+            )
         if not self.resends.admit(
             ask.service, now, is_resend=bool(ask.resends)
         ):
@@ -195,6 +202,10 @@
         if target is None:
             return
         target.health.note_outcome(outcome, now)
+        if outcome is CallOutcome.ANSWERED:
+            self.crashes.note_whole(job.ask.mark)
+        elif outcome is CallOutcome.BROKEN:
+            self.crashes.note_broken(job.ask.mark, target.entry, now)
         is_refused = outcome is CallOutcome.REFUSED
         if is_refused and isinstance(target, EngineTarget):
             target.is_synced = False
--- a/mimosaworks/dispatch/job.py
+++ b/mimosaworks/dispatch/job.py
@@ -13,7 +13,7 @@
     call names this ask. give_up_s is when the whole answer must be there,
     first_by_s when the first event must. cost is in the workspace's unit.
     A request that comes again has a resend count and the targets that
-    failed it.
+    failed it; mark is the fingerprint of its content.
     """
 
     call: str
@@ -29,6 +29,7 @@
     first_by_s: float
     resends: int = 0
     excluded: frozenset[str] = frozenset()
+    mark: str = ''
 
 
 @attrs.frozen
--- a/mimosaworks/node/conversions.py
+++ b/mimosaworks/node/conversions.py
@@ -42,6 +42,7 @@
         first_by_s=now + message.first_left_s,
         resends=message.resends,
         excluded=frozenset(message.excluded),
+        mark=message.mark,
     )
 
 
--- a/mimosaworks/node/front.py
+++ b/mimosaworks/node/front.py
@@ -226,4 +226,7 @@
     if exc.kind is ErrorKind.DEADLINE_EXCEEDED and is_not_run:
         # A request that never reached a target may be sent again at once.
         return HTTPStatus.SERVICE_UNAVAILABLE
+    if exc.kind is ErrorKind.CRASH_SUSPECT:
+        # Callers here send again after what promises that it did not run.
+        return HTTPStatus.BAD_GATEWAY
     return exc.answer.status
--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -17,7 +17,7 @@
     EngineTarget,
     Refusal,
 )
-from mimosaworks.errors import ErrorKind, PeerError
+from mimosaworks.errors import PeerError
 from mimosaworks.events import Event, log_event
 from mimosaworks.node.beliefs import Beliefs
 from mimosaworks.node.conversions import (
@@ -27,7 +27,6 @@
 )
 from mimosaworks.node.members import Member, drop_silent, note_member
 from mimosaworks.node.order_runner import FencedError, OrderRunner
-from mimosaworks.routing import SuspectTable
 from mimosaworks.wire import (
     Beat,
     BeatReply,
@@ -56,7 +55,6 @@
     orders: OrderRunner
     on_fenced: Callable[[str], None]
     is_sure: Callable[[], bool]
-    suspects: SuspectTable
     members: dict[str, Member] = attrs.field(factory=dict)
     lease_version: int = 0
     replies: dict[str, 'asyncio.Future[Assignment | Refusal]'] = attrs.field(
@@ -85,11 +83,6 @@
     async def on_ask(self, ask: CallAsk) -> CallReply:
         """Choose a target for a request, once its model is loaded."""
         now = now_s()
-        if ask.mark and self.suspects.is_refused(ask.mark):
-            refusal = Refusal(
-                ErrorKind.CRASH_SUSPECT, 0, 'it was running in crashes'
-            )
-            return reply_of(refusal)
         self._refresh()
         admitted = self.dispatcher.admit(ask_of(ask, now), now)
         if isinstance(admitted, Refusal):
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -25,7 +25,6 @@
     StoreClient,
     read_boot,
 )
-from mimosaworks.routing import SuspectTable
 from mimosaworks.wire import (
     Beat,
     BeatReply,
@@ -106,7 +105,6 @@
             ),
             on_fenced=self.election.step_down,
             is_sure=self.election.is_sure,
-            suspects=SuspectTable(),
             lease_version=lease.version,
         )
         self.holder.start()
