--- a/mimosaworks/events/json_stream.py
+++ b/mimosaworks/events/json_stream.py
@@ -82,24 +82,29 @@
 
     def run(self) -> None:
         """Write queued lines until stop is called; runs in a thread."""
-        while True:  # noqa: WPS457 -- ends with the mark that stop queues
+        line = self._lines.get()
+        while line is not None:
+            self._write_line(line)
             line = self._lines.get()
-            if line is None:
-                return
-            try:
-                self._write_batch(line)
-            except (OSError, ValueError):
-                # The reader of the output has gone: nobody can be told.
-                self.dropped += 1
+        self._write_line('')
 
     def stop(self) -> None:
         """Let the thread end after the lines that are queued."""
         with contextlib.suppress(queue.Full):
             self._lines.put_nowait(None)
 
+    def _write_line(self, line: str) -> None:
+        """Write a line; an empty one only flushes those before it."""
+        try:
+            self._write_batch(line)
+        except (OSError, ValueError):
+            # The reader of the output has gone: nobody can be told.
+            self.dropped += 1
+
     def _write_batch(self, line: str) -> None:
-        self.output.write(f'{line}\n')
-        if self._lines.empty():
+        if line:
+            self.output.write(f'{line}\n')
+        if not line or self._lines.empty():
             self.output.flush()
 
     def _drop(self, window: _Window) -> None:
