Settings that are read are settings that are used; pauses without fences

Found while reading the change anew: a deployment without engines, whose bounds name no fences, could not have started a node; where targets check no fences, a new holder sent orders sooner than the promised pause after the last one's; of more than 64 nodes the same ones were always listed. Changes: unused fields are not read, orders wait for the pause, listed addresses are drawn.

--- a/mimosaworks/node/election.py
+++ b/mimosaworks/node/election.py
@@ -63,7 +63,8 @@
     used while the store can't be reached, which needs targets that check
     fences. members gives the number of nodes, eagerness this node's place
     among those that may hold the lease, the strongest first; handicap_s
-    delays weak ones at their start, when the others are not known.
+    delays weak ones at their start, when the others are not known. quiet_s
+    is the pause between two holders' orders.
     """
 
     store: StoreClient
@@ -77,6 +78,7 @@
     members: Callable[[], int]
     eagerness: Callable[[], int]
     handicap_s: float
+    quiet_s: float
     lease_s: float = LEASE_S
     may_hold: bool = True
     lease: Lease | None = None
@@ -84,6 +86,7 @@
     _seen_s: float = 0
     _renewed_s: float = 0
     _tried_s: float = 0
+    _orders_from_s: float = 0
 
     async def run(self) -> None:
         """Take part until cancelled."""
@@ -99,11 +102,13 @@
                 await asyncio.sleep(self._pause_s())
 
     def is_sure(self) -> bool:
-        """Tell whether this process has looked at its lease lately.
+        """Tell whether orders may be sent: the lease was looked at lately.
 
         One that was paused has not: another may hold the lease by now.
         """
-        return self.is_holder and now_s() - self._tried_s < self.lease_s
+        now = now_s()
+        has_looked = now - self._tried_s < self.lease_s
+        return self.is_holder and has_looked and now >= self._orders_from_s
 
     def believe(self, lease: Lease) -> None:
         """Take over what a new holder tells of its election."""
@@ -243,6 +248,8 @@
         self.lease = attrs.evolve(wanted, version=taken)
         self._renewed_s = begun_s
         self._tried_s = begun_s
+        # The last holder may have sent orders until its lease was over.
+        self._orders_from_s = now_s() + self.quiet_s if known else 0
         self.is_holder = True
         log_event(
             Event.LEASE_TAKEN,
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -157,9 +157,7 @@
             return
         is_changed = cfg != self.cfg
         log_event(Event.SETTINGS_READ, is_changed=is_changed, reason='SIGHUP')
-        self.cfg = attrs.evolve(
-            self.cfg, bounds=cfg.bounds, memory_mb=cfg.memory_mb
-        )
+        self.cfg = attrs.evolve(self.cfg, bounds=cfg.bounds)
 
     def is_view_usable(self, age_s: float) -> bool:
         """Tell whether a view of the targets of an age (s) may decide.
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -74,7 +74,7 @@
     store_session = await open_session(stack, IDLE_PEER_CONN_S)
     target_session = await open_session(stack, IDLE_TARGET_CONN_S)
     peer_session = await open_session(stack, IDLE_PEER_CONN_S)
-    store_address = cfg.store.address
+    store_address = cfg.store_address
     meters = Meters()
     node = Node(
         cfg=cfg,
@@ -110,6 +110,7 @@
         on_taken=node.take_lease,
         on_lost=node.lose_lease,
         survives=cfg.bounds.orders_are_fenced,
+        quiet_s=0 if cfg.bounds.orders_are_fenced else cfg.bounds.lease_s,
         members=lambda: node.electorate.count_members(),
         handicap_s=max(1 - strength(cfg), 0) * WEAK_HANDICAP_S,
         eagerness=lambda: node.electorate.eagerness(),
--- a/mimosaworks/platform/boot.py
+++ b/mimosaworks/platform/boot.py
@@ -2,8 +2,6 @@
 
 import json
 import pathlib
-from collections.abc import Mapping
-from typing import Any
 
 import attrs
 
@@ -14,46 +12,30 @@
     number,
     table,
     text,
-    whole,
 )
 
 MS_PER_S = 1000
 UNLIMITED_MBPS = 1000.0
+LEASE_MS = 3000  # where a deployment without engines names none
 _PORT_SPAN = 2
 
 
-@attrs.frozen
-class StoreSettings:
-    """Where the platform's store is, and the calls a second it takes."""
-
-    address: str
-    writes_per_s: float
-    reads_per_s: float
-
-
 @attrs.frozen
 class Bounds:
     """Times and ratios that the deployment promises, in seconds.
 
-    drain_s: a leaving target gets nothing after it. apply_s: a new version
-    is in force. grace_s: from SIGTERM to SIGKILL. contact_s: a VM that was
-    out of reach is in step again. lease_s: the pause between two holders'
-    orders. retry_ratio and retry_slack: sends beyond the first for each
-    request in retry_window_s. ttl_s: the longest that a caller keeps
-    addresses. loads_window_s: over which loads from the weight store count.
+    drain_s: a leaving target gets nothing after it. grace_s: from SIGTERM to
+    SIGKILL. lease_s: the pause between two holders' orders where targets do
+    not check fences. retry_ratio and retry_slack: sends beyond the first for
+    each request in retry_window_s.
     """
 
     drain_s: float
-    apply_s: float
     grace_s: float
-    contact_s: float
     lease_s: float
-    address_reuse_s: float
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
-    ttl_s: float
-    loads_window_s: float
     orders_are_fenced: bool
 
 
@@ -72,12 +54,9 @@
     directory_address: str
     first_port: int
     last_port: int
-    memory_mb: float
-    max_fds: int
     cores: float
     link_mbps: float
-    beat_s: float
-    store: StoreSettings
+    store_address: str
     bounds: Bounds
 
     @property
@@ -123,12 +102,9 @@
         directory_address=text(listen, 'directory'),
         first_port=int(ports[0]),
         last_port=int(ports[1]),
-        memory_mb=number(limits, 'memory-mb'),
-        max_fds=whole(limits, 'max-fds'),
         cores=_cores(limits),
         link_mbps=limits.get('link-mbps', UNLIMITED_MBPS),
-        beat_s=number(parsed, 'heartbeat-ms') / MS_PER_S,
-        store=_store(table(parsed, 'platform')),
+        store_address=text(table(parsed, 'platform'), 'address'),
         bounds=_bounds(table(parsed, 'bounds')),
     )
 
@@ -139,26 +115,13 @@
     return share * float(limits.get('cores', 1))
 
 
-def _store(parsed: Fields) -> StoreSettings:
-    return StoreSettings(
-        address=text(parsed, 'address'),
-        writes_per_s=number(parsed, 'writes-per-s'),
-        reads_per_s=number(parsed, 'reads-per-s'),
-    )
-
-
-def _bounds(parsed: Mapping[str, Any]) -> Bounds:
+def _bounds(parsed: Fields) -> Bounds:
     return Bounds(
         drain_s=number(parsed, 'drain-ms') / MS_PER_S,
-        apply_s=number(parsed, 'config-apply-ms') / MS_PER_S,
         grace_s=number(parsed, 'grace-s'),
-        contact_s=number(parsed, 'contact-ms') / MS_PER_S,
-        lease_s=number(parsed, 'lease-ms') / MS_PER_S,
-        address_reuse_s=number(parsed, 'addr-reuse-s'),
+        lease_s=parsed.get('lease-ms', LEASE_MS) / MS_PER_S,
         retry_ratio=number(parsed, 'retry-budget-ratio'),
         retry_slack=number(parsed, 'budget-slack'),
         retry_window_s=number(parsed, 'budget-window-s'),
-        ttl_s=number(parsed, 'ttl_max_s'),
-        loads_window_s=number(parsed, 'ceiling-window-s'),
-        orders_are_fenced=flag(parsed, 'fence-required'),
+        orders_are_fenced=flag(parsed, 'fence-required', default=False),
     )
--- a/mimosaworks/platform/directory.py
+++ b/mimosaworks/platform/directory.py
@@ -1,5 +1,6 @@
 """Answers callers who ask which addresses to use."""
 
+import random
 from collections.abc import Callable, Iterable
 
 from aiohttp import web
@@ -19,7 +20,9 @@
 
     async def look_up(req: web.Request) -> web.Response:
         listed = list(addresses(req.query.get('zone', '')))
-        answer = {'addresses': listed[:MAX_ADDRESSES], 'ttl-s': ttl_s}
+        if len(listed) > MAX_ADDRESSES:
+            listed = random.sample(listed, MAX_ADDRESSES)
+        answer = {'addresses': listed, 'ttl-s': ttl_s}
         return web.json_response(answer)
 
     app = web.Application()
--- a/tests/test_node_election.py
+++ b/tests/test_node_election.py
@@ -81,6 +81,7 @@
         members=lambda: 2,
         eagerness=int,
         handicap_s=0,
+        quiet_s=facts.pop('quiet_s', 0),
     )
 
 
@@ -167,6 +168,22 @@
     assert holder.is_holder is survives
 
 
+def test_orders_wait_where_targets_do_not_check_fences(clock: Clock) -> None:
+    store = MemoryStore()
+    first, second = make(store, 'a'), make(store, 'b', quiet_s=3)
+    turn(first)
+    assert first.is_sure()
+    turn(second)
+    clock.now += first.lease_s + 0.1
+    turn(second)
+    assert second.is_holder
+    assert not second.is_sure()
+    for _ in range(4):
+        clock.now += 0.8
+        turn(second)
+    assert second.is_sure()
+
+
 def test_a_freed_lease_is_taken_at_once(clock: Clock) -> None:
     store = MemoryStore()
     first, second = make(store, 'a'), make(store, 'b')
