Feeds try again within half a second after an outage

Ruled out: a stale view at a node (the holder decided). Change: the pause between tries is 0.4 s at most for targets, 0.8 s for the deployment. Tests with a scripted store.

--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -91,6 +91,7 @@
         TARGETS_TABLE,
         node.on_targets,
         gap_s=TARGETS_GAP_S,
+        max_pause_s=TARGETS_GAP_S,
         wanted=node.wants_targets,
     )
     node.link = HolderLink(
--- a/mimosaworks/node/table_feed.py
+++ b/mimosaworks/node/table_feed.py
@@ -14,7 +14,7 @@
 # A connection that fell silent is noticed after it; the store allows 30 s.
 WAIT_S = 4.0
 FIRST_PAUSE_S = 0.2
-MAX_PAUSE_S = 1.5
+MAX_PAUSE_S = 0.8  # leaves time to act on what changed in an outage
 Rows = dict[str, StoredRow]
 
 
@@ -23,7 +23,8 @@
     """Keeps the rows of a table; calls on_rows with all after each change.
 
     gap_s is the pause between two reads, in which changes are merged.
-    wanted, when given, pauses the feed. read_s is the time of the last
+    max_pause_s bounds the pause between tries while the store fails. wanted,
+    when given, pauses the feed. read_s is the time of the last
     answer; outage_end_s that of the last answer after a failure.
     """
 
@@ -32,6 +33,7 @@
     on_rows: Callable[[Rows], None]
     gap_s: float = 0
     wait_s: float = WAIT_S
+    max_pause_s: float = MAX_PAUSE_S
     wanted: Callable[[], bool] | None = None
     read_s: float = 0
     outage_end_s: float = 0
@@ -56,8 +58,8 @@
             return 0
         except StoreUnavailableError as exc:
             self._note_loss(exc)
-            pause_s = random.uniform(self._pause_s, 2 * self._pause_s)
-            self._pause_s = min(self._pause_s * 2, MAX_PAUSE_S)
+            pause_s = random.uniform(self._pause_s / 2, self._pause_s)
+            self._pause_s = min(self._pause_s * 2, self.max_pause_s)
             return pause_s
         self._note_answer()
         return self.gap_s
--- /dev/null
+++ b/tests/test_node_table_feed.py
@@ -0,0 +1,88 @@
+"""Following a table through an outage of the store."""
+
+import asyncio
+
+import attrs
+
+from mimosaworks.errors import StoreHistoryError, StoreUnavailableError
+from mimosaworks.node.table_feed import Rows, TableFeed
+from mimosaworks.platform import RowName, RowsAnswer, StoredRow
+
+
+@attrs.define(eq=False)
+class ScriptedStore:
+    """Fails while it is down; forgets its history when told to."""
+
+    rows: tuple[StoredRow, ...]
+    is_down: bool = False
+    has_forgotten: bool = False
+    reads: int = 0
+    tries: int = 0
+
+    async def read(self, table: str) -> RowsAnswer:
+        """Return all rows."""
+        self._check()
+        self.reads += 1
+        return RowsAnswer(self.rows, 5)
+
+    async def follow(self, table: str, after: int, wait_s: float) -> RowsAnswer:
+        """Return no change."""
+        self._check()
+        await asyncio.sleep(0)
+        if self.has_forgotten:
+            self.has_forgotten = False
+            raise StoreHistoryError('gone')
+        return RowsAnswer((), after)
+
+    def _check(self) -> None:
+        self.tries += 1
+        if self.is_down:
+            raise StoreUnavailableError('down')
+
+
+def make(store: ScriptedStore, seen: list[Rows]) -> TableFeed:
+    return TableFeed(
+        store,  # type: ignore[arg-type]
+        'servers',
+        seen.append,
+        gap_s=0.01,
+        max_pause_s=0.1,
+    )
+
+
+async def run_for(feed: TableFeed, duration_s: float) -> None:
+    task = asyncio.create_task(feed.run())
+    await asyncio.sleep(duration_s)
+    task.cancel()
+
+
+ROW = StoredRow(RowName('servers', 't'), 3, b'{}')
+
+
+async def test_a_feed_tries_often_enough_to_see_what_changed_meanwhile() -> (
+    None
+):
+    # A target that began to leave in the outage must be known in time.
+    store = ScriptedStore((ROW,), is_down=True)
+    seen: list[Rows] = []
+    feed = make(store, seen)
+    await run_for(feed, 1.0)
+    assert store.tries >= 8
+    assert feed.is_lost
+    assert not seen
+    store.is_down = False
+    await run_for(feed, 0.3)
+    assert set(seen[-1]) == {'t'}
+    assert not feed.is_lost
+    assert feed.outage_end_s > 0
+
+
+async def test_a_forgotten_history_is_read_whole_again() -> None:
+    store = ScriptedStore((ROW,))
+    seen: list[Rows] = []
+    feed = make(store, seen)
+    await run_for(feed, 0.1)
+    store.has_forgotten = True
+    await run_for(feed, 0.1)
+    assert store.reads == 2
+    assert len(seen) == 2
