A node's share of the rates starts anew each time it is alone

Found while reading the change anew: the share was never forgotten once a holder was heard again, so a second time alone began with a full share of the burst whatever the levels were. Tests of decisions without a holder.

--- a/mimosaworks/node/chooser.py
+++ b/mimosaworks/node/chooser.py
@@ -84,6 +84,7 @@
             # A decision that is on its way books a target for nobody.
             self.link.note_end(ask.call, CallOutcome.CALLER_LEFT.value, 0)
             raise
+        self.local.leave()
         if reply.kind:
             return Refusal(
                 ErrorKind(reply.kind), reply.retry_after_s, reply.reason
--- a/mimosaworks/node/local_choice.py
+++ b/mimosaworks/node/local_choice.py
@@ -67,8 +67,9 @@
 
     def leave(self) -> None:
         """Forget the shares: a holder counts again."""
-        self.limiter = Limiter()
-        self._version = 0
+        if self._version:
+            self.limiter = Limiter()
+            self._version = 0
 
     def choose(
         self,
