--- a/mimosaworks/platform/headers.py
+++ b/mimosaworks/platform/headers.py
@@ -19,7 +19,6 @@
 TARGET_PRIORITY = 'X-Request-Priority'
 LAST_EVENT = 'Last-Event-Id'
 NOT_RUN = 'X-Not-Executed'
-SEAL = 'X-Server-Seal'
 _BEARER = 'bearer '
 # The fields that only the system may set, and those of one connection.
 _DROPPED = frozenset((
