One client of the store, in the published protocol

Cause: mimosa-router, -placer and -admin spoke a table, object and VM list protocol of our own to a stand-in of its own, beside the published one of mimosa-node: two clients, two stores.

Weighed: a read of several spans that is sent again until the store's version stands still (does not end under writes); inverted log keys with a limit. Taken: one span of keys a read, and keys that are read together sort close by (head of the configuration, head of the members, members). The log is read only when the head has moved, as its entries never change.

Change: TableClient, ObjectClient and VmListClient sit on StoreClient; the VM list is a table; the stand-in platform serves the one store, with pages, bounds on entries and names, and objects. Faults are named alike in both stand-ins.

The test of the stand-in's /vms route reads the list with the client now (same assertion, and it has to stay so while the lag lasts); the one of withdrawn secrets reads all rows with the client.

--- a/bench/catalogue_writer.py
+++ b/bench/catalogue_writer.py
@@ -18,7 +18,7 @@
     put_change,
 )
 from mimosaworks.errors import StoreConflictError
-from mimosaworks.platform import ObjectClient, TableClient
+from mimosaworks.platform import platform_clients
 from standins.cluster import Cluster
 from standins.node import Node
 
@@ -55,12 +55,8 @@
 
 def writer_for(cluster: Cluster) -> CatalogueWriter:
     """Return a writer to the cluster's platform."""
-    url = cluster.platform.url
-    return CatalogueWriter(
-        ConfigStore(
-            TableClient(cluster.http, url), ObjectClient(cluster.http, url)
-        )
-    )
+    platform = platform_clients(cluster.http, cluster.platform.url)
+    return CatalogueWriter(ConfigStore(platform.table, platform.snapshots))
 
 
 def base_entities(
--- a/bench/chaos_watch.py
+++ b/bench/chaos_watch.py
@@ -15,7 +15,7 @@
 from mimosaworks.members import member_from_json
 from mimosaworks.members.member import MEMBERS_PREFIX
 from mimosaworks.members.member_id import MemberId
-from mimosaworks.platform import TableClient
+from mimosaworks.platform import TableClient, platform_clients
 from standins.cluster import Cluster
 from standins.node import Node
 
@@ -83,7 +83,8 @@
 
     async def follow_table(self) -> None:
         """Read members and intents in the table until cancelled."""
-        table = TableClient(self.cluster.http, self.cluster.platform.url)
+        url = self.cluster.platform.url
+        table = platform_clients(self.cluster.http, url).table
         while True:
             with contextlib.suppress(PlatformError):
                 await self._read_table(table)
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -72,12 +72,12 @@
 
     async def _hurt_store(self) -> None:
         faults = self.world.faults
-        name = self.rng.choice(('is_down', 'is_silent', 'loses_answers'))
+        name = self.rng.choice(('outage', 'is_silent', 'loses_answers'))
         setattr(faults, name, True)
-        faults.delay_s = self.rng.choice((0, DELAY_S))
+        faults.slow_s = self.rng.choice((0, DELAY_S))
         await asyncio.sleep(self.rng.uniform(*SHORT_S))
         setattr(faults, name, False)
-        faults.delay_s = 0
+        faults.slow_s = 0
         if self.rng.random() < 1 / 3:
             self.world.store.forget()
 
--- a/mimosaworks/configs/__init__.py
+++ b/mimosaworks/configs/__init__.py
@@ -9,13 +9,13 @@
 )
 from mimosaworks.configs.errors import ConfigConflictError
 from mimosaworks.configs.store import (
+    HEAD_KEY,
     ConfigStore,
     head_version,
-    log_entries,
-    poll_keys,
 )
 
 __all__ = [
+    'HEAD_KEY',
     'ConfigConflictError',
     'ConfigStore',
     'LogEntry',
@@ -23,7 +23,5 @@
     'dump_entries',
     'head_version',
     'load_entries',
-    'log_entries',
-    'poll_keys',
     'snapshot_of',
 ]
--- a/mimosaworks/configs/store.py
+++ b/mimosaworks/configs/store.py
@@ -30,12 +30,11 @@
     TableClient,
 )
 
-HEAD_KEY = 'config/head'
+HEAD_KEY = 'config/newest'
 LOG_PREFIX = 'config/log/'
 SNAPSHOT_PREFIX = 'config/snapshots/'
 VERSION_DIGITS = 12
 SNAPSHOT_EVERY = 64  # versions
-LOOKAHEAD = 4  # log rows that are read together with the head row
 READ_BATCH = 256  # log rows in one read
 IN_DOUBT_TRIES = 4  # commits of one change before the doubt is reported
 
@@ -53,12 +52,6 @@
     return int(json.loads(head.content)['version'])
 
 
-def log_entries(rows: Mapping[str, Row]) -> list[LogEntry]:
-    """Return the log entries among the rows, in order."""
-    keys = sorted(key for key in rows if key.startswith(LOG_PREFIX))
-    return [_entry(rows[key]) for key in keys]
-
-
 @attrs.define
 class ConfigStore:
     """Reads and appends versions of the configuration."""
@@ -71,21 +64,31 @@
 
         Raises StoreUnavailableError.
         """
-        rows = await self.table.read(poll_keys(since.version))
-        return await self.load_rows(since, rows)
+        rows = await self.table.read([HEAD_KEY])
+        newer, _ = await self.load_version(since, head_version(rows))
+        return newer
 
-    async def load_rows(
-        self, since: Catalogue, rows: Mapping[str, Row]
-    ) -> Catalogue:
-        """Return the configuration at the head row that was read in rows.
+    async def load_version(
+        self, since: Catalogue, version: int
+    ) -> tuple[Catalogue, tuple[LogEntry, ...]]:
+        """Return the configuration at a version or later, and the last steps.
 
-        Reads what is missing in rows; raises StoreUnavailableError.
+        The steps are the log entries that were read, those in a snapshot
+        left out. Raises StoreUnavailableError.
         """
-        version = head_version(rows)
-        near = apply_entries(since, log_entries(rows))
-        if near.version >= version:
-            return near
-        return await self._load_far(near, version)
+        base = version - version % SNAPSHOT_EVERY
+        if base > since.version:
+            content = await self.object_client.get(_snapshot_name(base))
+            if content is not None:
+                since = apply_entries(since, load_entries(content.decode()))
+        entries: list[LogEntry] = []
+        while since.version < version:
+            first = since.version + 1
+            entries += await self._read_log(first, version)
+            since = apply_entries(since, entries)
+            if since.version < first:
+                raise PlatformError(f'{log_key(first)} is missing')
+        return (since, tuple(entries))
 
     async def append(
         self, base_version: int, changes: Sequence[Change], author: str
@@ -154,35 +157,17 @@
         if row is None or json.loads(row.content)['nonce'] != nonce:
             raise ConfigConflictError(head_version(rows))
 
-    async def _load_far(self, since: Catalogue, version: int) -> Catalogue:
-        base = version - version % SNAPSHOT_EVERY
-        if base > since.version:
-            content = await self.object_client.get(_snapshot_name(base))
-            if content is not None:
-                since = apply_entries(since, load_entries(content.decode()))
-        while since.version < version:
-            first = since.version + 1
-            last = min(version, since.version + READ_BATCH)
-            keys = [log_key(number) for number in range(first, last + 1)]
-            since = apply_entries(
-                since, log_entries(await self.table.read(keys))
-            )
-            if since.version < first:
-                raise PlatformError(f'{log_key(first)} is missing')
-        return since
+    async def _read_log(self, first: int, last: int) -> list[LogEntry]:
+        count = min(last + 1 - first, READ_BATCH)
+        keys = [log_key(first + number) for number in range(count)]
+        return _entries(await self.table.read(keys))
 
     async def _put_snapshot(self, version: int) -> None:
-        catalogue = await self._load_far(Catalogue(), version)
+        catalogue, _ = await self.load_version(Catalogue(), version)
         content = dump_entries([snapshot_of(catalogue)])
         await self.object_client.put(_snapshot_name(version), content.encode())
 
 
-def poll_keys(version: int) -> list[str]:
-    """Return the keys that tell a holder of version whether it is behind."""
-    following = range(version + 1, version + 1 + LOOKAHEAD)
-    return [HEAD_KEY, *(log_key(number) for number in following)]
-
-
 def _snapshot_name(version: int) -> str:
     return _numbered(SNAPSHOT_PREFIX, version)
 
@@ -192,6 +177,10 @@
     return f'{prefix}{digits}'
 
 
+def _entries(rows: Mapping[str, Row]) -> list[LogEntry]:
+    return [_entry(rows[key]) for key in sorted(rows)]
+
+
 def _entry(row: Row) -> LogEntry:
     version = int(row.key.rpartition('/')[2])
     changes = json.loads(row.content)['changes']
--- a/mimosaworks/members/registry.py
+++ b/mimosaworks/members/registry.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from mimosaworks.configs import ConfigStore, log_entries, poll_keys
+from mimosaworks.configs import HEAD_KEY, ConfigStore, head_version
 from mimosaworks.entities import Catalogue
 from mimosaworks.errors import (
     PlatformError,
@@ -24,7 +24,9 @@
 from mimosaworks.members.view import View, view_of
 from mimosaworks.platform import Row, RowAssert, RowWrite, TableClient
 
-MEMBERSHIP_KEY = 'membership/head'
+# Sorts between the configuration's head and the members, so that one read
+# of all three is short.
+MEMBERSHIP_KEY = 'member-list'
 WRITE_TRIES = 12
 RETRY_S = 0.1
 
@@ -48,7 +50,7 @@
     async def poll(self, catalogue: Catalogue, view: View) -> TableState:
         """Read what is newer than the given state; raises PlatformError."""
         asked_s = self.now()
-        keys = [*poll_keys(catalogue.version), MEMBERSHIP_KEY]
+        keys = [HEAD_KEY, MEMBERSHIP_KEY]
         rows = await self.table.read(keys)
         if _view_version(rows) > view.version:
             return await self.read(catalogue)
@@ -57,7 +59,7 @@
     async def read(self, catalogue: Catalogue) -> TableState:
         """Read the members too; raises PlatformError."""
         asked_s = self.now()
-        keys = [*poll_keys(catalogue.version), MEMBERSHIP_KEY]
+        keys = [HEAD_KEY, MEMBERSHIP_KEY]
         rows = await self.table.read(keys, [MEMBERS_PREFIX])
         view = view_of(_view_version(rows), _members(rows).values())
         return await self._state(asked_s, catalogue, view, rows)
@@ -106,8 +108,10 @@
         view: View,
         rows: Mapping[str, Row],
     ) -> TableState:
-        newer = await self.store.load_rows(catalogue, rows)
-        return TableState(asked_s, newer, view, tuple(log_entries(rows)))
+        newer, entries = await self.store.load_version(
+            catalogue, head_version(rows)
+        )
+        return TableState(asked_s, newer, view, entries)
 
     async def _retry(self, member: Member, content: str | None) -> None:
         tries = 0
@@ -119,7 +123,9 @@
             await asyncio.sleep(RETRY_S * (1 + random.random()))  # noqa: S311
 
     async def _is_written(self, member: Member, content: str | None) -> bool:
-        rows = await self.table.read([MEMBERSHIP_KEY, member.key])
+        # The commit asserts both rows; between them lie all members.
+        rows = await self.table.read([MEMBERSHIP_KEY])
+        rows |= await self.table.read([member.key])
         row = rows.get(member.key)
         previous = row.content if row else None
         if content == previous:
--- a/mimosaworks/placement/wiring.py
+++ b/mimosaworks/placement/wiring.py
@@ -24,7 +24,7 @@
 from mimosaworks.placement.shard_writer import ShardWriter
 from mimosaworks.placement.target_poller import TargetPoller
 from mimosaworks.placement.vm_watch import VmWatch
-from mimosaworks.platform import TableClient, VmListClient, platform_clients
+from mimosaworks.platform import PlatformClients, platform_clients
 from mimosaworks.serving import serve_app, start_task, stop_event
 from mimosaworks.wire import Demand, PeerClient, add_peer_handler, new_peer_app
 
@@ -40,9 +40,10 @@
         metrics = stack.enter_context(open_metrics(cfg.statsd_address, PROGRAM))
         session = await stack.enter_async_context(ClientSession())
         app = new_peer_app()
-        members = _make_members(cfg, session, app)
+        platform = platform_clients(session, cfg.platform_url)
+        members = _make_members(cfg, session, app, platform)
         placer = _make_placer(cfg)
-        service = _make_service(cfg, session, placer, members, metrics)
+        service = _make_service(session, placer, members, metrics, platform)
         add_peer_handler(app, Demand, service.on_demand)
         await serve_app(app, cfg.peer_address, stack)
         if cfg.http_address:
@@ -64,7 +65,10 @@
 
 
 def _make_members(
-    cfg: PlacerSettings, session: ClientSession, app: web.Application
+    cfg: PlacerSettings,
+    session: ClientSession,
+    app: web.Application,
+    platform: PlatformClients,
 ) -> MemberService:
     own = Member(
         address=cfg.peer_address,
@@ -72,7 +76,6 @@
         role=MemberRole.PLACER,
         data_centre=cfg.data_centre,
     )
-    platform = platform_clients(session, cfg.platform_url)
     return MemberService(platform, PeerClient(session), app, own)
 
 
@@ -89,11 +92,11 @@
 
 
 def _make_service(
-    cfg: PlacerSettings,
     session: ClientSession,
     placer: ShardPlacer,
     members: MemberService,
     metrics: MetricsClient,
+    platform: PlatformClients,
 ) -> PlacerService:
     wake = asyncio.Event()
 
@@ -102,11 +105,11 @@
 
     return PlacerService(
         placer=placer,
-        writer=ShardWriter(TableClient(session, cfg.platform_url), placer),
+        writer=ShardWriter(platform.table, placer),
         sender=OrderSender(session, placer.may_send),
         poller=TargetPoller(ReportReader(session), placer, wake.set),
         pusher=MapPusher(PeerClient(session), placer, routers),
-        vms=VmWatch(VmListClient(session, cfg.platform_url), placer.state),
+        vms=VmWatch(platform.vm_list, placer.state),
         wake=wake,
         metrics=metrics,
     )
--- a/mimosaworks/platform/clients.py
+++ b/mimosaworks/platform/clients.py
@@ -4,13 +4,14 @@
 import attrs
 
 from mimosaworks.platform.objects import ObjectClient
+from mimosaworks.platform.store import StoreClient
 from mimosaworks.platform.table import TableClient
 from mimosaworks.platform.vm_list import VmListClient
 
 
 @attrs.frozen
 class PlatformClients:
-    """The table, the object store and the VM list; made by each root."""
+    """The own rows, the objects and the VM list; made by each root."""
 
     table: TableClient
     snapshots: ObjectClient
@@ -20,9 +21,8 @@
 def platform_clients(
     session: aiohttp.ClientSession, base_url: str
 ) -> PlatformClients:
-    """Return the clients of the platform at a base URL."""
+    """Return the clients of the platform whose store has this base URL."""
+    store = StoreClient(session, base_url)
     return PlatformClients(
-        TableClient(session, base_url),
-        ObjectClient(session, base_url),
-        VmListClient(session, base_url),
+        TableClient(store), ObjectClient(store), VmListClient(store)
     )
--- a/mimosaworks/platform/group_commit.py
+++ b/mimosaworks/platform/group_commit.py
@@ -10,7 +10,8 @@
 from mimosaworks.platform.table import TableClient
 
 GATHER_S = 0.003
-MAX_GROUP = 64
+# The store takes 100 entries a call; a commit here has two.
+MAX_GROUP = 50
 
 
 @attrs.define(eq=False)
--- a/mimosaworks/platform/objects.py
+++ b/mimosaworks/platform/objects.py
@@ -1,54 +1,33 @@
-"""Client of the platform's object store."""
+"""Whole objects in the platform's store."""
 
-from http import HTTPStatus
+from urllib.parse import quote
 
-import aiohttp
 import attrs
 
-from mimosaworks.errors import StoreInDoubtError, StoreUnavailableError
+from mimosaworks.platform.store import StoreClient
+
+OBJECT_TIMEOUT_S = 5.0  # objects are larger than rows
 
 
 @attrs.define
 class ObjectClient:
     """Gets and puts whole objects; timeout_s limits each call."""
 
-    session: aiohttp.ClientSession
-    base_url: str
-    timeout_s: float = 5.0
+    store: StoreClient
+    timeout_s: float = OBJECT_TIMEOUT_S
 
     async def get(self, name: str) -> bytes | None:
         """Return an object's bytes, or None when there is no such object.
 
         Raises StoreUnavailableError.
         """
-        try:
-            return await self._call('GET', name, None)
-        except StoreInDoubtError as exc:
-            raise StoreUnavailableError(str(exc)) from exc
+        return await self.store.get_object(_object_id(name), self.timeout_s)
 
     async def put(self, name: str, content: bytes) -> None:
         """Store an object; raises StoreUnavailableError or in-doubt."""
-        await self._call('PUT', name, content)
-
-    async def _call(
-        self, method: str, name: str, body: bytes | None
-    ) -> bytes | None:
-        limit = aiohttp.ClientTimeout(total=self.timeout_s)
-        url = f'{self.base_url}/objects/{name}'
-        try:
-            async with self.session.request(
-                method, url, data=body, timeout=limit
-            ) as resp:
-                return await _checked(resp)
-        except aiohttp.ClientConnectorError as exc:
-            raise StoreUnavailableError(f'objects: {exc}') from exc
-        except (TimeoutError, aiohttp.ClientError) as exc:
-            raise StoreInDoubtError(f'objects: no answer: {exc!r}') from exc
-
-
-async def _checked(resp: aiohttp.ClientResponse) -> bytes | None:
-    if resp.status == HTTPStatus.NOT_FOUND:
-        return None
-    if resp.status >= HTTPStatus.BAD_REQUEST:
-        raise StoreUnavailableError(f'objects: status {resp.status}')
-    return await resp.read()
+        await self.store.put_object(_object_id(name), content, self.timeout_s)
+
+
+def _object_id(name: str) -> str:
+    # An id is one segment of a path.
+    return quote(name.replace('/', '.'), safe='')
--- a/mimosaworks/platform/store.py
+++ b/mimosaworks/platform/store.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 import attrs
+from yarl import URL
 
 from mimosaworks.errors import (
     StoreConflictError,
@@ -16,6 +17,7 @@
     StoreUnavailableError,
 )
 from mimosaworks.platform.boot import MS_PER_S
+from mimosaworks.platform.key_range import ALL_KEYS, KeyRange
 from mimosaworks.platform.stored_rows import (
     RowChange,
     RowName,
@@ -28,9 +30,13 @@
 _FEED_SLACK_S = 1.0
 
 
+def _ignore_call(_call: str, _result: str) -> None:
+    """Count no calls."""
+
+
 @attrs.define
 class StoreClient:
-    """Reads, changes and follows rows; used by every program.
+    """Reads, changes and follows rows and objects; used by every program.
 
     base_url is the store's address with its scheme. on_call is called with
     each call and what came of it.
@@ -38,25 +44,32 @@
 
     session: aiohttp.ClientSession
     base_url: str
-    on_call: Callable[[str, str], None]
+    on_call: Callable[[str, str], None] = _ignore_call
     timeout_s: float = CALL_TIMEOUT_S
 
-    async def read(self, table: str, part: str = '') -> RowsAnswer:
-        """Return all rows of one part of a table, over as many pages.
-
-        Raises StoreUnavailableError.
+    async def read(
+        self,
+        table: str,
+        part: str = '',
+        span: KeyRange = ALL_KEYS,
+    ) -> RowsAnswer:
+        """Return the rows of one part of a table, over as many pages.
+
+        The answer's version is that of the first page, so that a feed from
+        there misses no change of it. Raises StoreUnavailableError.
         """
         rows: list[StoredRow] = []
-        start = ''
+        versions: list[int] = []
         while True:  # noqa: WPS457 -- ends with the last page
-            params = {'table': table, 'part': part, 'from': start}
-            reply = await self._read_page('/v1/rows-get', params)
+            reply = await self._read_json(
+                '/v1/rows-get', _span_params(table, part, span)
+            )
             page = _rows(reply)
             rows.extend(page)
+            versions.append(reply['ver'])
             if not reply.get('more-pages') or not page:
-                return RowsAnswer(tuple(rows), reply['ver'])
-            last = page[-1].name.key
-            start = f'{last}\0'
+                return RowsAnswer(tuple(rows), versions[0], versions[-1])
+            span = span.after(page[-1].name.key)
 
     async def follow(self, table: str, after: int, wait_s: float) -> RowsAnswer:
         """Wait for rows of a table that changed after a version.
@@ -70,10 +83,10 @@
             'after': str(after),
             'wait-ms': str(int(wait_s * MS_PER_S)),
         }
-        reply = await self._read_page(
+        reply = await self._read_json(
             '/v1/rows-feed', params, wait_s + _FEED_SLACK_S
         )
-        return RowsAnswer(_rows(reply), reply['ver'])
+        return RowsAnswer(_rows(reply), reply['ver'], reply['ver'])
 
     async def commit(
         self, needs: Sequence[RowNeed], changes: Sequence[RowChange]
@@ -84,77 +97,124 @@
         StoreUnavailableError when nothing was changed, StoreInDoubtError
         when that is unknown.
         """
-        ask = {
-            'expected': [
-                {**_name(need.name), 'ver': need.version} for need in needs
-            ],
-            'put': [
-                {**_name(change.name), 'value': _pack(change.content)}
-                for change in changes
-                if change.content is not None
-            ],
-            'remove': [
-                _name(change.name)
-                for change in changes
-                if change.content is None
-            ],
-        }
-        limit = aiohttp.ClientTimeout(total=self.timeout_s)
-        url = f'{self.base_url}/v1/rows-tx'
-        try:
-            async with self.session.post(url, json=ask, timeout=limit) as resp:
-                self.on_call('commit', str(resp.status))
-                return await _committed(resp)
-        except aiohttp.ClientConnectorError as exc:
-            raise StoreUnavailableError(f'store: {exc}') from exc
-        except (TimeoutError, aiohttp.ClientError) as exc:
-            self.on_call('commit', 'unanswered')
-            raise StoreInDoubtError(f'store: no answer: {exc!r}') from exc
+        ask = json.dumps(_transaction(needs, changes)).encode()
+        headers = {'Content-Type': 'application/json'}
+        answer = await self._call(
+            'POST', '/v1/rows-tx', 'commit', data=ask, headers=headers
+        )
+        if answer.status == HTTPStatus.PRECONDITION_FAILED:
+            rows = _rows(_parsed(answer))
+            raise StoreConflictError('store: a row has another version', rows)
+        _check_done(answer)
+        return int(_parsed(answer)['ver'])
+
+    async def get_object(self, name: str, timeout_s: float) -> bytes | None:
+        """Return an object's bytes, or None; raises StoreUnavailableError."""
+        path = f'/v1/blob-get/{name}'
+        answer = await self._read(path, timeout_s=timeout_s)
+        if answer.status == HTTPStatus.NOT_FOUND:
+            return None
+        _check_done(answer)
+        return answer.content
+
+    async def put_object(
+        self, name: str, content: bytes, timeout_s: float
+    ) -> None:
+        """Store an object; raises StoreUnavailableError or in-doubt."""
+        path = f'/v1/blob-put/{name}'
+        answer = await self._call(
+            'PUT', path, 'put', data=content, timeout_s=timeout_s
+        )
+        _check_done(answer)
 
-    async def _read_page(
+    async def _read_json(
         self,
         path: str,
         params: dict[str, str],
         timeout_s: float | None = None,
     ) -> dict[str, Any]:
+        answer = await self._read(path, params=params, timeout_s=timeout_s)
+        if answer.status == HTTPStatus.GONE:
+            raise StoreHistoryError('store: the history is not available')
+        _check_done(answer)
+        try:
+            return _parsed(answer)
+        except StoreInDoubtError as exc:
+            raise StoreUnavailableError(str(exc)) from exc
+
+    async def _read(self, path: str, **options: Any) -> '_Answer':
+        """Call without an effect: no answer is no doubt."""
+        try:
+            return await self._call('GET', path, 'read', **options)
+        except StoreInDoubtError as exc:
+            raise StoreUnavailableError(str(exc)) from exc
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        kind: str,
+        timeout_s: float | None = None,
+        **options: Any,
+    ) -> '_Answer':
         limit = aiohttp.ClientTimeout(total=timeout_s or self.timeout_s)
+        url = URL(f'{self.base_url}{path}', encoded=True)
         try:
-            async with self.session.get(
-                self.base_url + path, params=params, timeout=limit
+            async with self.session.request(
+                method, url, timeout=limit, **options
             ) as resp:
-                self.on_call('read', str(resp.status))
-                return await _read(resp)
+                self.on_call(kind, str(resp.status))
+                return _Answer(resp.status, await resp.read())
+        except aiohttp.ClientConnectorError as exc:
+            raise StoreUnavailableError(f'store: {exc}') from exc
         except (TimeoutError, aiohttp.ClientError) as exc:
-            self.on_call('read', 'unanswered')
-            raise StoreUnavailableError(f'store: {exc!r}') from exc
+            self.on_call(kind, 'unanswered')
+            raise StoreInDoubtError(f'store: no answer: {exc!r}') from exc
+
+
+@attrs.frozen
+class _Answer:
+    status: int
+    content: bytes
+
+
+def _span_params(table: str, part: str, span: KeyRange) -> dict[str, str]:
+    params = {'table': table, 'part': part, 'from': span.start}
+    if span.end:
+        params['to'] = span.end
+    return params
 
 
-async def _read(resp: aiohttp.ClientResponse) -> dict[str, Any]:
-    if resp.status == HTTPStatus.GONE:
-        raise StoreHistoryError('store: the history is no longer available')
-    if resp.status != HTTPStatus.OK:
-        raise StoreUnavailableError(f'store: status {resp.status}')
-    return await _parsed(resp)
+def _transaction(
+    needs: Sequence[RowNeed], changes: Sequence[RowChange]
+) -> dict[str, Any]:
+    return {
+        'expected': [
+            {**_name(need.name), 'ver': need.version} for need in needs
+        ],
+        'put': [
+            {**_name(change.name), 'value': _pack(change.content)}
+            for change in changes
+            if change.content is not None
+        ],
+        'remove': [
+            _name(change.name) for change in changes if change.content is None
+        ],
+    }
 
 
-async def _committed(resp: aiohttp.ClientResponse) -> int:
-    if resp.status == HTTPStatus.PRECONDITION_FAILED:
-        rows = _rows(await _parsed(resp))
-        raise StoreConflictError('store: a row has another version', rows)
-    if resp.status != HTTPStatus.OK:
-        raise StoreUnavailableError(f'store: status {resp.status}')
-    reply = await _parsed(resp)
-    return int(reply['ver'])
+def _check_done(answer: _Answer) -> None:
+    if answer.status >= HTTPStatus.MULTIPLE_CHOICES:
+        raise StoreUnavailableError(f'store: status {answer.status}')
 
 
-async def _parsed(resp: aiohttp.ClientResponse) -> dict[str, Any]:
-    content = await resp.read()
+def _parsed(answer: _Answer) -> dict[str, Any]:
     try:
-        reply = json.loads(content)
+        reply = json.loads(answer.content)
     except ValueError as exc:
-        raise aiohttp.ClientPayloadError(f'not JSON: {exc}') from exc
+        raise StoreInDoubtError(f'store: the answer is no JSON: {exc}') from exc
     if not isinstance(reply, dict):
-        raise aiohttp.ClientPayloadError('not a table')
+        raise StoreInDoubtError('store: the answer is no JSON object')
     return reply
 
 
--- a/mimosaworks/platform/stored_rows.py
+++ b/mimosaworks/platform/stored_rows.py
@@ -39,7 +39,11 @@
 
 @attrs.frozen
 class RowsAnswer:
-    """Rows, and the newest version of the store when they were read."""
+    """Rows, and the store's newest version when they were read.
+
+    Those of several pages were read between version and newest_version.
+    """
 
     rows: tuple[StoredRow, ...]
     version: int
+    newest_version: int
--- a/mimosaworks/platform/table.py
+++ b/mimosaworks/platform/table.py
@@ -1,48 +1,49 @@
-"""Client of the platform's transactional table."""
+"""The product's own rows in the platform's store."""
 
 from collections.abc import Sequence
-from http import HTTPStatus
-from typing import Any
 
-import aiohttp
 import attrs
 
-from mimosaworks.errors import (
-    StoreConflictError,
-    StoreInDoubtError,
-    StoreUnavailableError,
-)
+from mimosaworks.errors import StoreUnavailableError
+from mimosaworks.platform.key_range import KeyRange, pick_keys
 from mimosaworks.platform.row import Row, RowAssert, RowWrite
+from mimosaworks.platform.store import StoreClient
+from mimosaworks.platform.stored_rows import (
+    RowChange,
+    RowName,
+    RowNeed,
+    RowsAnswer,
+)
+
+OWN_TABLE = 'mimosaworks-rows'
+# Pages of one answer may be of different moments; then all are read again.
+PAGED_READ_TRIES = 5
 
 
 @attrs.define
 class TableClient:
-    """Reads and commits rows over HTTP; used by every program.
+    """Reads and commits rows of JSON text by key."""
 
-    base_url is the platform's address; timeout_s limits each call.
-    """
-
-    session: aiohttp.ClientSession
-    base_url: str
-    timeout_s: float = 2.0
+    store: StoreClient
 
     async def read(
         self, keys: Sequence[str] = (), prefixes: Sequence[str] = ()
     ) -> dict[str, Row]:
         """Return the rows with these keys or key prefixes, by key.
 
+        All are of one moment: the shortest span that holds them is read at
+        once, so that keys that are read together should sort close by.
         Raises StoreUnavailableError.
         """
-        ask = {'keys': list(keys), 'prefixes': list(prefixes)}
-        try:
-            reply = await self._post('/table/read', ask)
-        except StoreInDoubtError as exc:
-            raise StoreUnavailableError(str(exc)) from exc
-        rows = reply['rows']
-        return {
-            row['key']: Row(row['key'], row['value'], row['version'])
-            for row in rows
+        if not keys and not prefixes:
+            return {}
+        answer = await self._read_span(KeyRange.covering(keys, prefixes))
+        found = {
+            row.name.key: Row(row.name.key, row.content.decode(), row.version)
+            for row in answer.rows
+            if row.content is not None
         }
+        return {key: found[key] for key in pick_keys(found, keys, prefixes)}
 
     async def commit(
         self, asserts: Sequence[RowAssert], writes: Sequence[RowWrite]
@@ -52,34 +53,23 @@
         Raises StoreConflictError and StoreUnavailableError when nothing was
         written, StoreInDoubtError when that is unknown.
         """
-        ask = {
-            'asserts': [
-                {'key': need.key, 'version': need.version} for need in asserts
-            ],
-            'writes': [
-                {'key': put.key, 'value': put.content} for put in writes
-            ],
-        }
-        reply = await self._post('/table/commit', ask)
-        return int(reply['version'])
-
-    async def _post(self, path: str, ask: object) -> dict[str, Any]:
-        limit = aiohttp.ClientTimeout(total=self.timeout_s)
-        try:
-            async with self.session.post(
-                self.base_url + path, json=ask, timeout=limit
-            ) as resp:
-                return await _checked(resp)
-        except aiohttp.ClientConnectorError as exc:
-            raise StoreUnavailableError(f'table: {exc}') from exc
-        except (TimeoutError, aiohttp.ClientError) as exc:
-            raise StoreInDoubtError(f'table: no answer: {exc!r}') from exc
-
-
-async def _checked(resp: aiohttp.ClientResponse) -> dict[str, Any]:
-    if resp.status == HTTPStatus.CONFLICT:
-        raise StoreConflictError(await resp.text())
-    if resp.status != HTTPStatus.OK:
-        raise StoreUnavailableError(f'table: status {resp.status}')
-    reply: dict[str, Any] = await resp.json()
-    return reply
+        needs = [RowNeed(_name(need.key), need.version) for need in asserts]
+        return await self.store.commit(needs, list(map(_change, writes)))
+
+    async def _read_span(self, span: KeyRange) -> RowsAnswer:
+        tries = PAGED_READ_TRIES
+        while tries:
+            tries -= 1
+            answer = await self.store.read(OWN_TABLE, span=span)
+            if answer.version == answer.newest_version:
+                return answer
+        raise StoreUnavailableError('store: rows change while they are read')
+
+
+def _name(key: str) -> RowName:
+    return RowName(OWN_TABLE, key)
+
+
+def _change(write: RowWrite) -> RowChange:
+    content = None if write.content is None else write.content.encode()
+    return RowChange(_name(write.key), content)
--- a/standins/agency/replica.py
+++ b/standins/agency/replica.py
@@ -9,7 +9,7 @@
 import attrs
 from aiohttp import web
 
-from standins.agency.store import Store
+from standins.platform import Store
 
 FIRST_S = 0.01
 EVENT_S = 0.005
--- a/standins/agency/world.py
+++ b/standins/agency/world.py
@@ -13,14 +13,9 @@
 from aiohttp import ClientSession, web
 
 from standins.addresses import reserve_address
-from standins.agency import (
-    Replica,
-    Store,
-    StoreFaults,
-    replica_app,
-    store_app,
-)
+from standins.agency.replica import Replica, replica_app
 from standins.faultproxy.proxy import Proxy
+from standins.platform import Store, StoreFaults, store_app
 from standins.process import Process
 from standins.processes import ProcessRunner
 
--- a/standins/platform/control.py
+++ b/standins/platform/control.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from standins.platform.platform import Platform
+from standins.platform.vm_rows import publish_vms
 
 _FAULTS = frozenset(('outage', 'slow_s', 'drop_replies'))
 _LIMITS = frozenset(('loads_per_s', 'loads_at_once'))
@@ -32,7 +33,7 @@
             'loads': sum(weights.loads.values()),
             'loads_by_checkpoint': weights.loads,
             'most_loads_at_once': weights.most_running,
-            'rows': len(platform.table.rows),
+            'rows': len(platform.store.rows),
         })
 
     app.router.add_post('/control', control)
@@ -44,7 +45,8 @@
         setattr(platform.faults, name, ask[name])
     for limit in ask.keys() & _LIMITS:
         setattr(platform.weights, limit, ask[limit])
-    platform.vm_list.lag_s = ask.get('vms_lag_s', platform.vm_list.lag_s)
+    platform.vms_lag_s = ask.get('vms_lag_s', platform.vms_lag_s)
     vms = ask.get('vms')
     if vms is not None:
-        platform.vm_list.set(asyncio.get_running_loop().time(), vms)
+        loop = asyncio.get_running_loop()
+        loop.call_later(platform.vms_lag_s, publish_vms, platform.store, vms)
--- a/standins/platform/platform.py
+++ b/standins/platform/platform.py
@@ -3,19 +3,20 @@
 import attrs
 
 from standins.platform.counts import Counts
-from standins.platform.faults import Faults
-from standins.platform.table import Table
-from standins.platform.vm_list import VMList
+from standins.platform.store import Store
+from standins.platform.store_faults import StoreFaults
 from standins.platform.weight_store import WeightStore
 
 
 @attrs.define
 class Platform:
-    """All services of the platform; kept in memory only."""
+    """All services of the platform; kept in memory only.
+
+    vms_lag_s is the time until a published list of VMs is seen.
+    """
 
     weights: WeightStore
-    table: Table = attrs.Factory(Table)
-    blobs: dict[str, bytes] = attrs.Factory(dict)
-    vm_list: VMList = attrs.Factory(VMList)
-    faults: Faults = attrs.Factory(Faults)
+    store: Store = attrs.Factory(Store)
+    faults: StoreFaults = attrs.Factory(StoreFaults)
     counts: Counts = attrs.Factory(Counts)
+    vms_lag_s: float = 0
--- a/standins/agency/store.py
+++ b/standins/platform/store.py
@@ -8,6 +8,12 @@
 import attrs
 
 RowKey = tuple[str, str, str]  # table, part, key
+ShownRows = list[dict[str, Any]]
+# The published bounds of one call.
+MAX_ENTRIES = 100
+MAX_NAME_BYTES = 200
+MAX_ROWS = 500
+LAST_KEY = '\U0010ffff'
 
 
 class ConflictError(Exception):
@@ -18,22 +24,35 @@
         self.rows = rows
 
 
+class LimitError(Exception):
+    """A call is larger than the store allows."""
+
+
 class HistoryGoneError(Exception):
     """The changes after a version are no longer kept."""
 
 
 @attrs.define(eq=False)
 class Store:
-    """All rows; a removed one stays in the history as a mark."""
+    """All rows and objects; a removed row stays in the history as a mark.
+
+    page_rows is the most rows in one answer.
+    """
 
     version: int = 0
     rows: dict[RowKey, tuple[int, str]] = attrs.field(factory=dict)
+    blobs: dict[str, bytes] = attrs.field(factory=dict)
+    page_rows: int = MAX_ROWS
     forgotten: int = 0
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     _history: list[dict[str, Any]] = attrs.field(factory=list)
 
     def commit(self, ask: dict[str, Any]) -> int:
-        """Apply a transaction; raises ConflictError when a need fails."""
+        """Apply a transaction.
+
+        Raises ConflictError when a need fails, LimitError when it is too big.
+        """
+        _check_size(ask)
         self._check(ask.get('expected', []))
         self.version += 1
         for put in ask.get('put', []):
@@ -47,13 +66,15 @@
         self.changed = asyncio.Event()
         return self.version
 
-    def read(self, table: str, part: str) -> list[dict[str, Any]]:
-        """Return the rows of one part of a table in the order of keys."""
-        return [
-            self._shown(key)
-            for key in sorted(self.rows)
-            if key[:2] == (table, part)
-        ]
+    def read_page(
+        self, table: str, part: str, start: str = '', end: str = ''
+    ) -> tuple[ShownRows, bool]:
+        """Return rows from start to before end, and whether there are more."""
+        first = (table, part, start)
+        last = (table, part, end or LAST_KEY)
+        found = sorted(key for key in self.rows if first <= key < last)
+        page = [self._shown(key) for key in found[: self.page_rows]]
+        return (page, len(found) > self.page_rows)
 
     def changes(self, table: str, after: int) -> list[dict[str, Any]]:
         """Return a table's changes; raises HistoryGoneError."""
@@ -88,6 +109,17 @@
         return {**_names(key), 'ver': version, 'value': content}
 
 
+def _check_size(ask: dict[str, Any]) -> None:
+    names = ('expected', 'put', 'remove')
+    entries = [entry for name in names for entry in ask.get(name, [])]
+    if len(entries) > MAX_ENTRIES:
+        raise LimitError(f'{len(entries)} entries, {MAX_ENTRIES} are allowed')
+    for entry in entries:
+        longest = max(len(name.encode()) for name in _key(entry))
+        if longest > MAX_NAME_BYTES:
+            raise LimitError(f'a name of {entry} is too long')
+
+
 def _key(fields: dict[str, Any]) -> RowKey:
     return (fields['table'], fields.get('part', ''), fields['key'])
 
--- a/standins/agency/store_app.py
+++ b/standins/platform/store_app.py
@@ -6,37 +6,62 @@
 
 from aiohttp import web
 
-from standins.agency.faults import StoreFaults
-from standins.agency.store import ConflictError, HistoryGoneError, Store
+from standins.platform.counts import Counts
+from standins.platform.store import (
+    ConflictError,
+    HistoryGoneError,
+    LimitError,
+    Store,
+)
+from standins.platform.store_faults import StoreFaults
+from standins.serving import MAX_BODY_BYTES
 
 SILENCE_S = 3600.0
 MS_PER_S = 1000
 
 
-def store_app(store: Store, faults: StoreFaults) -> web.Application:
-    """Return the store's application."""
+def store_app(
+    store: Store, faults: StoreFaults, counts: Counts | None = None
+) -> web.Application:
+    """Return an application that serves rows and objects."""
+    app = web.Application(client_max_size=MAX_BODY_BYTES)
+    counts = counts or Counts()
+    _add_row_handlers(app, store, faults, counts)
+    _add_object_handlers(app, store, faults, counts)
+    return app
+
 
+def _add_row_handlers(
+    app: web.Application, store: Store, faults: StoreFaults, counts: Counts
+) -> None:
     async def commit(req: web.Request) -> web.Response:
         ask = await req.json()
         await _suffer(faults)
         try:
             version = store.commit(ask)
         except ConflictError as exc:
+            counts.conflicts += 1
             return web.json_response(
                 {'rows': exc.rows, 'ver': store.version, 'now-ms': 0},
                 status=HTTPStatus.PRECONDITION_FAILED,
             )
-        if faults.loses_answers:
+        except LimitError as exc:
+            raise web.HTTPBadRequest(text=str(exc)) from exc
+        counts.commits += 1
+        if faults.takes_drop():
             _reset(req)
         return web.json_response({'ver': version, 'now-ms': 0})
 
     async def read(req: web.Request) -> web.Response:
         await _suffer(faults)
-        part = req.query.get('part', '')
-        rows = store.read(req.query['table'], part)
-        start = req.query.get('from', '')
-        page = [row for row in rows if row['key'] >= start]
-        return _answer(store, page)
+        counts.reads += 1
+        page, has_more = store.read_page(
+            req.query['table'],
+            req.query.get('part', ''),
+            req.query.get('from', ''),
+            req.query.get('to', ''),
+        )
+        return _answer(store, page, has_more=has_more)
 
     async def follow(req: web.Request) -> web.Response:
         await _suffer(faults)
@@ -47,15 +72,35 @@
             rows = await _wait_for_changes(store, table, after, wait_s)
         except HistoryGoneError:
             return web.Response(status=HTTPStatus.GONE)
-        if faults.is_down:
+        if faults.outage:
             return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
         return _answer(store, rows)
 
-    app = web.Application()
     app.router.add_post('/v1/rows-tx', commit)
     app.router.add_get('/v1/rows-get', read)
     app.router.add_get('/v1/rows-feed', follow)
-    return app
+
+
+def _add_object_handlers(
+    app: web.Application, store: Store, faults: StoreFaults, counts: Counts
+) -> None:
+    async def get_object(req: web.Request) -> web.Response:
+        await _suffer(faults)
+        counts.object_reads += 1
+        content = store.blobs.get(req.match_info['name'])
+        if content is None:
+            raise web.HTTPNotFound
+        return web.Response(body=content)
+
+    async def put_object(req: web.Request) -> web.Response:
+        content = await req.read()
+        await _suffer(faults)
+        counts.object_writes += 1
+        store.blobs[req.match_info['name']] = content
+        return web.json_response({})
+
+    app.router.add_get('/v1/blob-get/{name}', get_object)
+    app.router.add_put('/v1/blob-put/{name}', put_object)
 
 
 async def _wait_for_changes(
@@ -77,15 +122,17 @@
 async def _suffer(faults: StoreFaults) -> None:
     if faults.is_silent:
         await asyncio.sleep(SILENCE_S)
-    await asyncio.sleep(faults.delay_s)
-    if faults.is_down:
+    await asyncio.sleep(faults.slow_s)
+    if faults.outage:
         raise web.HTTPServiceUnavailable
 
 
-def _answer(store: Store, rows: list[dict[str, Any]]) -> web.Response:
+def _answer(
+    store: Store, rows: list[dict[str, Any]], *, has_more: bool = False
+) -> web.Response:
     return web.json_response({
         'rows': rows,
-        'more-pages': False,
+        'more-pages': has_more,
         'ver': store.version,
         'now-ms': 0,
     })
--- a/tests/harness_entry.py
+++ b/tests/harness_entry.py
@@ -26,7 +26,7 @@
     digest_key,
     put_change,
 )
-from mimosaworks.platform import ObjectClient, TableClient
+from mimosaworks.platform import platform_clients
 from mimosaworks.wire import Ack, PeerClient, ReplicaEntry, ReplicaMap
 from tests.harness import Cluster, Node, wait_until
 
@@ -148,10 +148,8 @@
     async def change(self, *changes: Change) -> None:
         """Append one version; the routers write versions of their own."""
         cluster = self.cluster
-        store = ConfigStore(
-            TableClient(cluster.http, cluster.platform.url),
-            ObjectClient(cluster.http, cluster.platform.url),
-        )
+        platform = platform_clients(cluster.http, cluster.platform.url)
+        store = ConfigStore(platform.table, platform.snapshots)
 
         async def is_appended() -> bool:
             known = await store.load(Catalogue())
--- a/tests/member_node.py
+++ b/tests/member_node.py
@@ -31,7 +31,7 @@
     async with contextlib.AsyncExitStack() as stack:
         session = await stack.enter_async_context(ClientSession())
         platform = platform_clients(session, platform_url)
-        platform.table.timeout_s = 1.0
+        platform.table.store.timeout_s = 1.0
         app = new_peer_app()
         own = Member(address, address, role, 'dc1')
         service = MemberService(platform, PeerClient(session), app, own)
--- a/tests/test_cmdline_ctl.py
+++ b/tests/test_cmdline_ctl.py
@@ -11,6 +11,7 @@
 import pytest
 
 from mimosaworks.entities import digest_key
+from mimosaworks.platform import platform_clients
 from tests.harness import OPERATOR_TOKEN, Cluster, Node, wait_until
 
 EXAMPLES = Path(__file__).resolve().parent.parent / 'examples'
@@ -92,10 +93,9 @@
     )
     added = await ctl.succeed('key', 'add', 'desk', '--workspace', 'camp')
     secret = added.splitlines()[0]
-    platform_url = cluster.platform.url
-    url = f'{platform_url}/table/read'
-    async with cluster.http.post(url, json={'prefixes': ['']}) as resp:
-        rows = await resp.text()
+    platform = platform_clients(cluster.http, cluster.platform.url)
+    found = await platform.table.read(prefixes=('',))
+    rows = ''.join(row.content for row in found.values())
     assert digest_key(secret) in rows
     assert secret not in rows
     assert 'desk' in await ctl.succeed('key', 'list')
--- a/tests/test_configs_store.py
+++ b/tests/test_configs_store.py
@@ -11,7 +11,7 @@
 from mimosaworks.configs import ConfigConflictError, ConfigStore
 from mimosaworks.entities import Catalogue, Change, Workspace
 from mimosaworks.errors import StoreInDoubtError, StoreUnavailableError
-from mimosaworks.platform import ObjectClient, TableClient
+from mimosaworks.platform import TableClient, platform_clients
 from tests.harness import Cluster
 
 
@@ -33,9 +33,9 @@
 
 @pytest.fixture
 async def store(cluster: Cluster) -> AsyncGenerator[ConfigStore, None]:
-    url = cluster.platform.url
     async with ClientSession() as session:
-        yield ConfigStore(TableClient(session, url), ObjectClient(session, url))
+        platform = platform_clients(session, cluster.platform.url)
+        yield ConfigStore(platform.table, platform.snapshots)
 
 
 async def test_a_load_returns_what_was_appended(store: ConfigStore) -> None:
@@ -112,7 +112,7 @@
     cluster: Cluster, store: ConfigStore
 ) -> None:
     table = store.table
-    store.table = LosingTable(table.session, table.base_url, cluster=cluster)
+    store.table = LosingTable(table.store, cluster=cluster)
     with pytest.raises(StoreInDoubtError):
         await store.append(0, put('w'), 'op')
 
--- a/tests/test_node_election.py
+++ b/tests/test_node_election.py
@@ -33,7 +33,7 @@
         if self.failure is not None:
             raise self.failure
         rows = () if self.content is None else (self._row(),)
-        return RowsAnswer(rows, self.version)
+        return RowsAnswer(rows, self.version, self.version)
 
     async def commit(
         self, needs: Sequence[RowNeed], changes: Sequence[RowChange]
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -155,7 +155,7 @@
     pair = await open_pair(world)
     holder = holder_of(*pair)
     other = pair[1] if holder is pair[0] else pair[0]
-    world.faults.is_down = True
+    world.faults.outage = True
     holder.process.terminate()
     await until(lambda: bool(holder.events('node_stopping')))
     status, _ = await read_stream(world, other, '/draft/a', 'cold', 'gamma')
@@ -254,7 +254,7 @@
     world: AgencyWorld,
 ) -> None:
     first, _ = await open_pair(world)
-    world.faults.is_down = True
+    world.faults.outage = True
     end_s = time.monotonic() + 3.0
     number = 0
     while time.monotonic() < end_s:
--- a/tests/test_node_table_feed.py
+++ b/tests/test_node_table_feed.py
@@ -23,7 +23,7 @@
         """Return all rows."""
         self._check()
         self.reads += 1
-        return RowsAnswer(self.rows, 5)
+        return RowsAnswer(self.rows, 5, 5)
 
     async def follow(self, table: str, after: int, wait_s: float) -> RowsAnswer:
         """Return no change."""
@@ -32,7 +32,7 @@
         if self.has_forgotten:
             self.has_forgotten = False
             raise StoreHistoryError('gone')
-        return RowsAnswer((), after)
+        return RowsAnswer((), after, after)
 
     def _check(self) -> None:
         self.tries += 1
--- a/tests/test_placement_processes.py
+++ b/tests/test_placement_processes.py
@@ -15,7 +15,7 @@
 from mimosaworks.members import Member, MemberRole, MemberState
 from mimosaworks.placement.batch import intent_prefix, lease_key
 from mimosaworks.placement.lease_row import LeaseRow, lease_row_from_json
-from mimosaworks.platform import ObjectClient, RowWrite, TableClient
+from mimosaworks.platform import RowWrite, TableClient, platform_clients
 from mimosaworks.wire import (
     Ack,
     Demand,
@@ -91,11 +91,14 @@
 
     @property
     def table(self) -> TableClient:
-        return TableClient(self.cluster.http, self.cluster.platform.url)
+        url = self.cluster.platform.url
+        return platform_clients(self.cluster.http, url).table
 
     async def configure(self, *entities: Any) -> None:
-        url = self.cluster.platform.url
-        store = ConfigStore(self.table, ObjectClient(self.cluster.http, url))
+        platform = platform_clients(
+            self.cluster.http, self.cluster.platform.url
+        )
+        store = ConfigStore(platform.table, platform.snapshots)
         changes = [
             Change(type(entity).__name__.lower(), entity.name, entity)
             for entity in entities
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -12,16 +12,21 @@
     StoreUnavailableError,
 )
 from mimosaworks.platform import (
-    ObjectClient,
+    PlatformClients,
     RowAssert,
     RowWrite,
     TableClient,
+    platform_clients,
 )
-from tests.harness import Cluster
+from tests.harness import Cluster, wait_until
+
+
+def _clients(cluster: Cluster) -> PlatformClients:
+    return platform_clients(cluster.http, cluster.platform.url)
 
 
 def _table(cluster: Cluster) -> TableClient:
-    return TableClient(cluster.http, cluster.platform.url)
+    return _clients(cluster).table
 
 
 async def test_a_commit_writes_all_rows_or_none(cluster: Cluster) -> None:
@@ -55,7 +60,7 @@
 
 
 async def test_an_outage_refuses_table_and_objects(cluster: Cluster) -> None:
-    objects = ObjectClient(cluster.http, cluster.platform.url)
+    objects = _clients(cluster).snapshots
     await objects.put('config/snapshots/1', b'x')
     await cluster.control(cluster.platform, outage=True)
     with pytest.raises(StoreUnavailableError):
@@ -84,8 +89,13 @@
     vms = [{'address': '127.0.0.2', 'data_centre': 'a', 'state': 'live'}]
     await cluster.control(cluster.platform, vms=vms, vms_lag_s=0)
     await cluster.control(cluster.platform, vms=[], vms_lag_s=60)
-    shown = await cluster.get_json(cluster.platform, '/vms')
-    assert shown == {'vms': vms}
+
+    async def is_shown() -> bool:
+        return await _clients(cluster).vm_list.states() == {'127.0.0.2': 'live'}
+
+    await wait_until(is_shown)
+    await asyncio.sleep(0.1)
+    assert await is_shown()
 
 
 async def test_an_unknown_control_is_refused(cluster: Cluster) -> None:
