The holder tells of new deployments; members are sent when they change

Each beat's answer carried all members, 72 rows four times a second to each node.

Change: the answer to a beat names the holder's deployment; a node that hears a holder lets the store wait for 25 s, and asks again when the holder has told a newer version twice or falls silent. Members have a version like the targets. The feeds move from node.py to views.py.

Found on the way, each with a test that fails before: another holder that had counted to the same version of targets was not believed; a node that became holder itself kept its old members and did not book its own requests in progress, as its beats to itself were never first ones.

--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -25,7 +25,7 @@
     reply_of,
     row_of_target,
 )
-from mimosaworks.node.members import Member, drop_silent, note_member
+from mimosaworks.node.members import Members
 from mimosaworks.node.order_runner import FencedError, OrderRunner
 from mimosaworks.wire import (
     Beat,
@@ -55,7 +55,7 @@
     orders: OrderRunner
     on_fenced: Callable[[str], None]
     is_sure: Callable[[], bool]
-    members: dict[str, Member] = attrs.field(factory=dict)
+    members: Members = attrs.field(factory=Members)
     lease_version: int = 0
     replies: dict[str, 'asyncio.Future[Assignment | Refusal]'] = attrs.field(
         factory=dict
@@ -95,7 +95,7 @@
     async def on_beat(self, beat: Beat) -> BeatReply:
         """Take over what happened at a node; return this process's view."""
         now = now_s()
-        note_member(self.members, beat.row, now)
+        self.members.note(beat.row, now)
         for running in beat.running:
             if running.ask.call not in self.dispatcher.jobs:
                 job = self.dispatcher.resume(
@@ -157,15 +157,20 @@
         changed: tuple[TargetEntry, ...] = ()
         if beat.targets_version != version:
             changed = tuple(self.beliefs.targets.values())
+        deployment = self.beliefs.deployment
+        members = self.members
+        is_known = beat.members_version == members.version
         return BeatReply(
             is_holder=True,
             fence=self.orders.fence,
             lease_version=self.lease_version,
-            members=tuple(member.row for member in self.members.values()),
+            members=() if is_known else members.rows(),
+            members_version=members.version,
+            deployment_version=0 if deployment is None else deployment.version,
             levels=tuple(Spent(name, left) for name, left in levels.items()),
             targets_version=version,
             targets=tuple(map(row_of_target, changed)),
-            interval_s=max(BEAT_S, len(self.members) / BEATS_PER_S),
+            interval_s=max(BEAT_S, len(members) / BEATS_PER_S),
         )
 
     async def _wait(self, ask: CallAsk) -> CallReply:
@@ -258,7 +263,7 @@
                 return
 
     def _forget(self, now: float) -> None:
-        lost = drop_silent(self.members, now)
+        lost = self.members.drop_silent(now)
         for call, job in list(self.dispatcher.jobs.items()):
             is_untold = now > job.ask.give_up_s + FORGET_S
             if is_untold or job.ask.node in lost:
--- a/mimosaworks/node/holder_link.py
+++ b/mimosaworks/node/holder_link.py
@@ -49,7 +49,8 @@
 
     lease gives the believed lease, local the holder when it is this process,
     row what this node says of itself, running its requests at targets.
-    heard_s is when the holder last confirmed what it told.
+    heard_s is when the holder last confirmed what it told. on_reply is called
+    with each of its answers, on_lost when it falls silent.
     """
 
     peers: PeerClient
@@ -57,13 +58,15 @@
     local: Callable[[], LocalHolder | None]
     row: Callable[[], NodeRow]
     running: Callable[[], tuple[RunningCall, ...]]
-    on_renewed: Callable[[int], None]
+    on_reply: Callable[[BeatReply], None]
+    on_lost: Callable[[], None]
     members: dict[str, NodeRow] = attrs.field(factory=dict)
     levels: dict[str, float] = attrs.field(factory=dict)
     targets: dict[str, TargetEntry] = attrs.field(factory=dict)
     fence: int = 0
     heard_s: float = 0
     _targets_version: int = 0
+    _members_version: int = 0
     _interval_s: float = FIRST_BEAT_S
     _starts: list[CallStart] = attrs.field(factory=list)
     _ends: list[CallEnd] = attrs.field(factory=list)
@@ -156,7 +159,9 @@
         await asyncio.sleep(interval_s / 10)
 
     async def _beat_locally(self, local: LocalHolder) -> None:
-        beat = self._make_beat(is_first=False)
+        lease = self.lease()
+        is_first = lease is None or self.fence != lease.fence
+        beat = self._make_beat(is_first=is_first)
         self._take_over(await local.on_beat(beat))
 
     async def _beat(self, lease: Lease) -> None:
@@ -188,6 +193,7 @@
                 Spent(name, cost) for name, cost in self._spent.items()
             ),
             targets_version=0 if is_first else self._targets_version,
+            members_version=0 if is_first else self._members_version,
         )
         self._starts.clear()
         self._ends.clear()
@@ -213,10 +219,13 @@
         self.heard_s = now_s()
         self._lost.clear()
         self._interval_s = reply.interval_s or FIRST_BEAT_S
-        self.members = {row.name: row for row in reply.members}
         self.levels = {left.workspace: left.cost for left in reply.levels}
-        self.on_renewed(reply.lease_version)
-        if reply.targets_version != self._targets_version:
+        self.on_reply(reply)
+        # Another holder may have counted to the same versions.
+        if reply.members_version != self._members_version or reply.members:
+            self._members_version = reply.members_version
+            self.members = {row.name: row for row in reply.members}
+        if reply.targets_version != self._targets_version or reply.targets:
             self._targets_version = reply.targets_version
             self.targets = {
                 row.name: target_of_row(row) for row in reply.targets
@@ -230,6 +239,7 @@
                 reason=reason,
                 age_s=self.silent_s(),
             )
+            self.on_lost()
         self.fence = 0
         self._lost.set()
 
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -18,7 +18,7 @@
 from mimosaworks.node.holder_link import HolderLink
 from mimosaworks.node.meters import Meters
 from mimosaworks.node.order_runner import OrderRunner
-from mimosaworks.node.table_feed import Rows, TableFeed
+from mimosaworks.node.views import Views
 from mimosaworks.platform import (
     BootSettings,
     EngineCalls,
@@ -34,8 +34,6 @@
 )
 
 METERS_PERIOD_S = 1.0
-VIEW_SHARE = 0.7  # of the time in which a leaving target must be known
-ALONE_S = 1.5  # without a holder, after which a node reads entries itself
 
 
 @attrs.define(eq=False)
@@ -48,7 +46,7 @@
     store: StoreClient
     calls: EngineCalls
     meters: Meters
-    targets_feed: TableFeed = attrs.field(init=False)
+    views: Views = attrs.field(init=False)
     election: Election = attrs.field(init=False)
     electorate: Electorate = attrs.field(init=False)
     link: HolderLink = attrs.field(init=False)
@@ -136,17 +134,10 @@
             self.holder.lease_version = lease.version
         return await self.holder.on_beat(beat)
 
-    def on_desired(self, rows: Rows) -> None:
-        """Take over a desired state."""
-        self.beliefs.apply_desired(rows)
-
-    def on_targets(self, rows: Rows) -> None:
-        """Take over the targets' entries."""
-        self.beliefs.apply_entries(rows, self.targets_feed.outage_end_s)
-
-    def wants_targets(self) -> bool:
-        """Tell whether this node has to read the targets' entries itself."""
-        return self.holder is not None or self.link.silent_s() > ALONE_S
+    def on_holder_reply(self, reply: BeatReply) -> None:
+        """Take over what the holder tells besides the members and targets."""
+        self.election.heard(reply.lease_version)
+        self.views.on_told(reply)
 
     def reload(self, boot_path: str) -> None:
         """Read the settings file again; addresses stay until a restart."""
@@ -159,15 +150,6 @@
         log_event(Event.SETTINGS_READ, is_changed=is_changed, reason='SIGHUP')
         self.cfg = attrs.evolve(self.cfg, bounds=cfg.bounds)
 
-    def is_view_usable(self, age_s: float) -> bool:
-        """Tell whether a view of the targets of an age (s) may decide.
-
-        A target that leaves must be known in time. Without the store there
-        is no fresher view to be had.
-        """
-        oldest_s = self.cfg.bounds.drain_s * VIEW_SHARE
-        return age_s < oldest_s or self.targets_feed.is_lost
-
     async def run_meters(self, dropped: Callable[[], int]) -> None:
         """Keep the gauges of what this node believes.
 
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -22,10 +22,8 @@
 from mimosaworks.node.node import Node
 from mimosaworks.node.pages import serve_pages
 from mimosaworks.node.sessions import open_session
-from mimosaworks.node.table_feed import TableFeed
+from mimosaworks.node.views import Views
 from mimosaworks.platform import (
-    DESIRED_TABLE,
-    TARGETS_TABLE,
     BootSettings,
     EngineCalls,
     StoreClient,
@@ -34,7 +32,6 @@
 from mimosaworks.wire import PeerClient
 
 NONCE_BYTES = 6
-TARGETS_GAP_S = 0.4  # a third of the targets' heartbeat interval
 IDLE_TARGET_CONN_S = 6.0  # targets may close idle connections unannounced
 IDLE_PEER_CONN_S = 20.0
 ACCEPT_SHARE = 0.75  # of the grace, in which callers still know the address
@@ -86,21 +83,21 @@
         calls=EngineCalls(target_session),
         meters=meters,
     )
-    node.targets_feed = TableFeed(
-        node.store,
-        TARGETS_TABLE,
-        node.on_targets,
-        gap_s=TARGETS_GAP_S,
-        max_pause_s=TARGETS_GAP_S,
-        wanted=node.wants_targets,
-    )
     node.link = HolderLink(
         peers=PeerClient(peer_session),
         lease=lambda: node.election.lease,
         local=lambda: node.holder,
         row=node.row,
         running=lambda: node.front.running(),
-        on_renewed=lambda version: node.election.heard(version),
+        on_reply=node.on_holder_reply,
+        on_lost=lambda: node.views.on_holder_lost(),
+    )
+    node.views = Views(
+        store=node.store,
+        beliefs=node.beliefs,
+        link=node.link,
+        is_holder=lambda: node.holder is not None,
+        drain_s=lambda: node.cfg.bounds.drain_s,
     )
     node.election = Election(
         store=attrs.evolve(node.store, timeout_s=STORE_TIMEOUT_S),
@@ -125,7 +122,7 @@
         link=node.link,
         local=LocalChoice(),
         members=lambda: node.electorate.count_members(),
-        is_view_usable=node.is_view_usable,
+        is_view_usable=node.views.is_usable,
     )
     node.front = Front(
         chooser=chooser,
@@ -141,10 +138,9 @@
 ) -> None:
     await serve_pages(node, stack)
     meters = node.run_meters(lambda: log.dropped)
-    desired_feed = TableFeed(node.store, DESIRED_TABLE, node.on_desired)
     for work in (
-        desired_feed.run(),
-        node.targets_feed.run(),
+        node.views.desired_feed.run(),
+        node.views.targets_feed.run(),
         node.election.run(),
         node.link.run(),
         meters,
--- a/mimosaworks/wire/dispatch.capnp
+++ b/mimosaworks/wire/dispatch.capnp
@@ -106,10 +106,11 @@
   running @4 :List(RunningCall);
   spent @5 :List(Spent);
   targetsVersion @6 :UInt64;
+  membersVersion @7 :UInt64;
 }
 
 struct BeatReply {
-  # targets is empty when the node holds this version of them.
+  # targets and members are empty when the node holds this version of them.
   isHolder @0 :Bool;
   fence @1 :UInt64;
   members @2 :List(NodeRow);
@@ -118,4 +119,6 @@
   targets @5 :List(TargetRow);
   intervalS @6 :Float64;
   leaseVersion @7 :UInt64;
+  membersVersion @8 :UInt64;
+  deploymentVersion @9 :UInt64;
 }
--- a/mimosaworks/wire/dispatch_messages.py
+++ b/mimosaworks/wire/dispatch_messages.py
@@ -142,13 +142,15 @@
     running: tuple[RunningCall, ...] = ()
     spent: tuple[Spent, ...] = ()
     targets_version: int = 0
+    members_version: int = 0
 
 
 @attrs.frozen
 class BeatReply:
-    """The holder's view: members, token levels, and changed targets.
+    """The holder's view: token levels, and changed members and targets.
 
-    lease_version is the lease row's version at the last renewal.
+    lease_version is the lease row's version at the last renewal,
+    deployment_version the newest deployment that the holder knows.
     """
 
     is_holder: bool
@@ -159,3 +161,5 @@
     targets_version: int = 0
     targets: tuple[TargetRow, ...] = ()
     interval_s: float = 0
+    members_version: int = 0
+    deployment_version: int = 0
--- a/tests/test_node_table_feed.py
+++ b/tests/test_node_table_feed.py
@@ -5,7 +5,7 @@
 import attrs
 
 from mimosaworks.errors import StoreHistoryError, StoreUnavailableError
-from mimosaworks.node.table_feed import Rows, TableFeed
+from mimosaworks.node.table_feed import MIN_FOLLOW_S, Rows, TableFeed
 from mimosaworks.platform import RowName, RowsAnswer, StoredRow
 
 
@@ -86,3 +86,32 @@
     await run_for(feed, 0.1)
     assert store.reads == 2
     assert len(seen) == 2
+
+
+@attrs.define(eq=False)
+class SilentStore(ScriptedStore):
+    """Never answers a wait for changes, as on a connection that is dead."""
+
+    async def follow(self, table: str, after: int, wait_s: float) -> RowsAnswer:
+        """Wait for ever."""
+        self._check()
+        await asyncio.Event().wait()
+        raise AssertionError
+
+
+async def test_a_feed_on_a_silent_connection_can_be_told_to_ask_again() -> None:
+    store = SilentStore((ROW,))
+    feed = make(store, [])
+    task = asyncio.create_task(feed.run())
+    await asyncio.sleep(0.1)
+    assert store.tries == 2
+    feed.ask_again()
+    await asyncio.sleep(0.1)
+    # A store that is slow to answer is left the time to do so.
+    assert store.tries == 2
+    await asyncio.sleep(MIN_FOLLOW_S)
+    feed.ask_again()
+    await asyncio.sleep(0.1)
+    task.cancel()
+    assert store.tries == 3
+    assert not feed.is_lost
