Weights that lie nowhere are loaded by need, and while no requests come

A load's time is set by the loads beside it at its start, so that more at once do not bring more: use and order of the loads bind.

Change (dispatch/store_loads, wanted, load_ahead): refused models are loaded when there is room, the most asked for first; the last place is kept for models that lie nowhere; while no requests come, such models are copied to targets ahead. A refusal tells when the model could be there; it told 1 s.

--- a/mimosaworks/dispatch/dispatcher.py
+++ b/mimosaworks/dispatch/dispatcher.py
@@ -10,6 +10,7 @@
 from mimosaworks.dispatch.engine_target import EngineTarget, Step
 from mimosaworks.dispatch.job import Ask, Assignment, Job, Refusal
 from mimosaworks.dispatch.limiter import Limiter
+from mimosaworks.dispatch.load_ahead import load_absent, load_wanted
 from mimosaworks.dispatch.outcome import CallOutcome
 from mimosaworks.dispatch.plain_pool import PlainPool, PlainTarget
 from mimosaworks.dispatch.resend_budget import ResendBudgets
@@ -142,6 +143,8 @@
         for pool in self.pools.values():
             if isinstance(pool, EnginePool):
                 decided += self._replace(pool.overdue(now), now)
+                load_wanted(pool, now)
+                load_absent(pool, now)
             else:
                 granted = pool.next_grants(now)
                 decided += [(job.ask.call, one) for job, one in granted]
--- a/mimosaworks/dispatch/engine_pool.py
+++ b/mimosaworks/dispatch/engine_pool.py
@@ -1,6 +1,6 @@
 """Chooses targets for model requests, and what to load on them."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import attrs
 
@@ -11,7 +11,7 @@
 from mimosaworks.dispatch.job import Assignment, Job, Refusal
 from mimosaworks.dispatch.prefix_cache import PrefixCache
 from mimosaworks.dispatch.reconcile import adopt_entry
-from mimosaworks.dispatch.store_gate import StoreGate
+from mimosaworks.dispatch.store_loads import StoreLoads
 from mimosaworks.dispatch.swap import SwapPlanner, count_copies
 from mimosaworks.dispatch.target_books import (
     clear_target,
@@ -23,19 +23,12 @@
     waiting_jobs,
 )
 from mimosaworks.errors import ErrorKind
-from mimosaworks.placement.budget import LoadBudget
 
 MIN_RETRY_S = 0.3
 MAX_RETRY_S = 3.0
 NO_TARGET_RETRY_S = 1.0
 # Engines take priorities 0 to 9, where 0 is first.
 LAST_PRIORITY = 9
-# One target in this many may load from the weight store: the load keeps it
-# from loading anything else for seconds.
-STORE_LOAD_SHARE = 4
-# A model is loaded ahead when it was asked for this often in this time.
-LOAD_AHEAD_S = 15.0
-LOAD_AHEAD_REQUESTS = 1.5
 
 
 @attrs.define(eq=False)
@@ -46,18 +39,18 @@
     targets: dict[str, EngineTarget] = attrs.field(factory=dict)
     demand: ModelDemand = attrs.field(factory=ModelDemand)
     copies: dict[str, int] = attrs.field(factory=dict)
-    gate: StoreGate = attrs.field(factory=StoreGate)
-    budget: LoadBudget = attrs.field(init=False)
+    loads: StoreLoads = attrs.field(init=False)
     estimator: Estimator = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self.budget = LoadBudget(self.terms.loads_per_s)
+        self.loads = StoreLoads(self.terms, self.targets, self.demand)
         self.estimator = Estimator(SwapPlanner(self.demand, self.copies))
 
     def follow_terms(self, terms: EngineTerms) -> None:
         """Follow new bounds and models."""
         self.terms = terms
-        self.budget.loads_per_s = terms.loads_per_s
+        self.loads.terms = terms
+        self.loads.budget.loads_per_s = terms.loads_per_s
         for target in self.targets.values():
             target.terms = terms
 
@@ -69,11 +62,12 @@
         """Choose a target; None while the request waits for its model."""
         if not job.ask.resends:
             self.demand.note(job.ask.facts.model, now)
+            self.loads.asked_s = now
         option = self._choose(job, now)
         if isinstance(option, Refusal):
             return option
         target = option.target
-        self._enqueue(target, option.steps, now)
+        self.enqueue(target, option.steps, now)
         target.add_job(job, now)
         job.due_s = now + option.ready_s
         job.prefill_tokens = option.prefill_tokens
@@ -126,12 +120,12 @@
         known = {entry.name: entry for entry in entries}
         for name in self.targets.keys() - known.keys():
             displaced.extend(clear_target(self.targets.pop(name)))
-            self.gate.forget(name)
+            self.loads.gate.forget(name)
         for entry in known.values():
             target = self.targets.get(entry.name)
             if target is not None and target.entry.born != entry.born:
                 displaced.extend(clear_target(target))
-                self.gate.forget(entry.name)
+                self.loads.gate.forget(entry.name)
                 target = None
             if target is None:
                 cache = PrefixCache(self.terms.kv_tokens)
@@ -150,7 +144,7 @@
         finish_step(target, step, now)
         if step.is_from_store:
             alone_s = self.terms.models[step.model].store_load_s
-            self.gate.end(target.entry.name, alone_s, now)
+            self.loads.gate.end(target.entry.name, alone_s, now)
         self._count_copies()
         return [job for job in waiting_jobs(target) if target.is_ready_for(job)]
 
@@ -159,75 +153,66 @@
     ) -> list[Job]:
         """Drop all orders of a target; return requests to place anew."""
         drop_steps(target, step, now)
-        self.gate.forget(target.entry.name)
+        self.loads.gate.forget(target.entry.name)
         self._count_copies()
         return stranded_jobs(target)
 
-    def _choose(self, job: Job, now: float) -> Option | Refusal:
-        usable = [
+    def usable(self, job: Job, now: float) -> list[EngineTarget]:
+        """Return the targets that a request may go to."""
+        return [
             target
             for target in self.targets.values()
             if _is_usable(target, job, now)
         ]
+
+    def options(
+        self, usable: Iterable[EngineTarget], job: Job, now: float
+    ) -> Iterator[Option]:
+        """Return the ways to serve a request that are open now."""
+        for target in usable:
+            option = self.estimator.option(target, job, now)
+            if option is not None and self.loads.allows(
+                option.target, option.steps, now
+            ):
+                yield option
+
+    def enqueue(
+        self, target: EngineTarget, steps: tuple[Step, ...], now: float
+    ) -> None:
+        """Queue orders at a target."""
+        end_s = max(target.steps_end_s, now)
+        for step in steps:
+            end_s += step.duration_s
+            target.steps.append(step)
+            self.estimator.order_rates.note(target.entry.name, now)
+            if step.is_from_store:
+                self.loads.begin(target, now)
+            expect_step(target, step, end_s, now)
+        target.steps_end_s = end_s
+        self._count_copies()
+
+    def _choose(self, job: Job, now: float) -> Option | Refusal:
+        usable = self.usable(job, now)
         if not usable:
             return Refusal(
                 ErrorKind.NO_TARGET, NO_TARGET_RETRY_S, 'no target in service'
             )
-        found = (self.estimator.option(target, job, now) for target in usable)
-        options = [
-            option
-            for option in found
-            if option is not None and self._has_budget(option, now)
-        ]
-        best = min(options, key=_cost, default=None)
+        best = min(
+            self.options(usable, job, now), key=option_cost, default=None
+        )
         if best is None:
             return Refusal(
                 ErrorKind.MODEL_NOT_READY,
-                NO_TARGET_RETRY_S,
+                self.loads.refused(job, now) or NO_TARGET_RETRY_S,
                 _describe(usable, job),
             )
         write_s = self.estimator.write_s(job)
         refusal = _check_time(best, job, write_s, now)
         if refusal is None:
             return best
-        self._load_ahead(best, job, now)
+        self.loads.refused(job, now)
         return refusal
 
-    def _load_ahead(self, option: Option, job: Job, now: float) -> None:
-        """Load a model for later requests when it is asked for again.
-
-        Callers that come too early for a load from the weight store would
-        else be refused for ever.
-        """
-        expected = self.demand.per_s(job.ask.facts.model, now) * LOAD_AHEAD_S
-        if expected >= LOAD_AHEAD_REQUESTS:
-            self._enqueue(option.target, option.steps, now)
-
-    def _has_budget(self, option: Option, now: float) -> bool:
-        if not any(step.is_from_store for step in option.steps):
-            return True
-        most = max(len(self.targets) // STORE_LOAD_SHARE, 1)
-        return (
-            self.gate.has_room(most)
-            and not self.gate.is_loading(option.target.entry.name)
-            and self.budget.has_room(now)
-        )
-
-    def _enqueue(
-        self, target: EngineTarget, steps: tuple[Step, ...], now: float
-    ) -> None:
-        end_s = max(target.steps_end_s, now)
-        for step in steps:
-            end_s += step.duration_s
-            target.steps.append(step)
-            self.estimator.order_rates.note(target.entry.name, now)
-            if step.is_from_store:
-                self.gate.begin(target.entry.name, now)
-                self.budget.try_take(now)
-            expect_step(target, step, end_s, now)
-        target.steps_end_s = end_s
-        self._count_copies()
-
     def _count_copies(self) -> None:
         self.copies.clear()
         self.copies.update(count_copies(self.targets.values()))
@@ -254,7 +239,8 @@
     )
 
 
-def _cost(option: Option) -> float:
+def option_cost(option: Option) -> float:
+    """Return the key by which ways to serve a request are compared."""
     return option.cost_s
 
 
--- a/mimosaworks/dispatch/engine_target.py
+++ b/mimosaworks/dispatch/engine_target.py
@@ -116,6 +116,10 @@
             return model.disk_load_s
         return model.store_load_s
 
+    def at_hand(self) -> set[str]:
+        """Return the models that are loaded, in its memory or on its disk."""
+        return self.in_memory | self.on_disk | self.models.keys()
+
     def needs_store(self, model: EngineModel) -> bool:
         """Tell whether a load would use the weight store."""
         return model.name not in self.in_memory | self.on_disk
--- /dev/null
+++ b/mimosaworks/dispatch/load_ahead.py
@@ -0,0 +1,68 @@
+"""Loads models for later requests, where the weight store has room."""
+
+from mimosaworks.deployment import EngineModel, TargetState
+from mimosaworks.dispatch.engine_pool import EnginePool, option_cost
+from mimosaworks.dispatch.engine_target import EngineTarget
+from mimosaworks.dispatch.swap import Swap
+
+MAX_TRIES = 3  # models that are tried at one moment
+
+
+def load_wanted(pool: EnginePool, now: float) -> None:
+    """Load models that requests were refused for.
+
+    Callers that come too early for a load from the weight store would else
+    be refused for ever.
+    """
+    wanted = pool.loads.wanted
+    for job in wanted.by_need(now)[:MAX_TRIES]:
+        model = job.ask.facts.model
+        if not pool.loads.is_absent(model, now):
+            wanted.drop(model)
+            continue
+        options = pool.options(pool.usable(job, now), job, now)
+        best = min(options, key=option_cost, default=None)
+        if best is not None:
+            wanted.drop(model)
+            pool.enqueue(best.target, best.steps, now)
+
+
+def load_absent(pool: EnginePool, now: float) -> None:
+    """Load models that lie nowhere, while no requests come.
+
+    Their first requests then find them on a target's disk.
+    """
+    if not pool.loads.is_quiet(now):
+        return
+    for model in pool.loads.absent(now)[:MAX_TRIES]:
+        found = _cheapest(pool, model, now)
+        if found is None:
+            return
+        target, swap = found
+        pool.enqueue(target, swap.steps, now)
+
+
+def _cheapest(
+    pool: EnginePool, model: EngineModel, now: float
+) -> tuple[EngineTarget, Swap] | None:
+    """Return where a model costs other requests least, or None."""
+    planner = pool.estimator.swaps
+    found: list[tuple[EngineTarget, Swap]] = []
+    for target in filter(_is_resting, pool.targets.values()):
+        swap = planner.plan_model(target, model, now)
+        if swap is not None and pool.loads.allows(target, swap.steps, now):
+            found.append((target, swap))
+
+    def cost(one: tuple[EngineTarget, Swap]) -> tuple[float, int, str]:
+        target, swap = one
+        victims = (step.model for step in swap.steps if not step.is_load)
+        copies = min(map(pool.copies.__getitem__, victims), default=0)
+        return (swap.loss_s, -copies, target.entry.name)
+
+    return min(found, key=cost, default=None)
+
+
+def _is_resting(target: EngineTarget) -> bool:
+    is_free = not target.jobs and not target.steps
+    is_ready = target.entry.state is TargetState.READY
+    return is_ready and target.is_synced and is_free
--- a/mimosaworks/dispatch/store_gate.py
+++ b/mimosaworks/dispatch/store_gate.py
@@ -17,10 +17,20 @@
     limit: int = FIRST_LIMIT
     _begun: dict[str, tuple[float, int]] = attrs.field(factory=dict)
 
-    def has_room(self, most: int) -> bool:
-        """Tell whether another load may begin; most bounds them as well."""
-        limit = max(min(self.limit, most), 1)
-        return len(self._begun) < limit
+    def has_room(self, most: int, places: int = 1) -> bool:
+        """Tell whether loads may begin at these places, one after the other.
+
+        most bounds them as well.
+        """
+        limit = max(min(self.limit, most), places)
+        return len(self._begun) + places <= limit
+
+    def next_room_s(self, load_s: float, now: float) -> float:
+        """Return about how long until one of the loads in progress ends."""
+        if len(self._begun) < self.limit:
+            return 0
+        first_s = min(begun_s for begun_s, _ in self._begun.values())
+        return max(first_s + load_s - now, 0)
 
     def begin(self, target: str, now: float) -> None:
         """Note that a target will load; it counts until it ends."""
--- /dev/null
+++ b/mimosaworks/dispatch/store_loads.py
@@ -0,0 +1,107 @@
+"""Decides when weights are loaded from the weight store."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from mimosaworks.deployment import EngineModel, EngineTerms
+from mimosaworks.dispatch.demand import ModelDemand
+from mimosaworks.dispatch.engine_target import EngineTarget, Step
+from mimosaworks.dispatch.job import Job
+from mimosaworks.dispatch.store_gate import StoreGate
+from mimosaworks.dispatch.wanted import WantedModels
+from mimosaworks.placement.budget import LoadBudget
+
+# One target in this many may load from the weight store: the load keeps it
+# from loading anything else for seconds.
+STORE_LOAD_SHARE = 4
+# The same while no requests come.
+QUIET_LOAD_SHARE = 2
+QUIET_S = 2.0  # without a request; a few pauses between requests
+MAX_RETRY_S = 10.0  # callers bound it by the time that they have left
+
+
+@attrs.define(eq=False)
+class StoreLoads:
+    """The weight store's rate and width, and what to load next.
+
+    targets are all of the service, by name. asked_s is when a request came
+    last.
+    """
+
+    terms: EngineTerms
+    targets: dict[str, EngineTarget]
+    demand: ModelDemand
+    gate: StoreGate = attrs.field(factory=StoreGate)
+    asked_s: float | None = None
+    _seen_s: float | None = None
+    _seen: frozenset[str] = frozenset()
+    budget: LoadBudget = attrs.field(init=False)
+    wanted: WantedModels = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.budget = LoadBudget(self.terms.loads_per_s)
+        self.wanted = WantedModels(self.demand)
+
+    def allows(
+        self, target: EngineTarget, steps: Iterable[Step], now: float
+    ) -> bool:
+        """Tell whether orders may be queued now, as to the weight store.
+
+        The last place is kept for models that no target has at hand.
+        """
+        model = next((step.model for step in steps if step.is_from_store), '')
+        if not model:
+            return True
+        if self.gate.is_loading(target.entry.name):
+            return False
+        places = 1 if self.is_absent(model, now) else 2
+        most = max(len(self.targets) // self._share(now), 1)
+        return self.gate.has_room(most, places) and self.budget.has_room(now)
+
+    def begin(self, target: EngineTarget, now: float) -> None:
+        """Note that a load was queued."""
+        self._seen_s = None
+        self.gate.begin(target.entry.name, now)
+        self.budget.try_take(now)
+
+    def is_quiet(self, now: float) -> bool:
+        """Tell whether no requests have come for a while."""
+        if self.asked_s is None:
+            self.asked_s = now
+        return now - self.asked_s > QUIET_S
+
+    def is_absent(self, model: str, now: float) -> bool:
+        """Tell whether no target holds a model or has its weights at hand."""
+        return model not in self._at_hand(now)
+
+    def absent(self, now: float) -> list[EngineModel]:
+        """Return the models that no target has at hand, in a fixed order."""
+        names = self.terms.models.keys() - self._at_hand(now)
+        return [self.terms.models[name] for name in sorted(names)]
+
+    def refused(self, job: Job, now: float) -> float | None:
+        """Note a request that is refused for want of its model.
+
+        Returns the seconds until it could be loaded, None when that can't
+        be told.
+        """
+        model = self.terms.models.get(job.ask.facts.model)
+        if model is None or not self.is_absent(model.name, now):
+            return None
+        left_s = job.ask.first_by_s - now
+        load_s = model.store_load_s
+        self.wanted.note(job, now, would_wait=left_s > load_s)
+        return min(self.gate.next_room_s(load_s, now) + load_s, MAX_RETRY_S)
+
+    def _at_hand(self, now: float) -> frozenset[str]:
+        # One decision asks this of each target.
+        if self._seen_s != now:
+            self._seen_s = now
+            self._seen = frozenset().union(
+                *(target.at_hand() for target in self.targets.values())
+            )
+        return self._seen
+
+    def _share(self, now: float) -> int:
+        return QUIET_LOAD_SHARE if self.is_quiet(now) else STORE_LOAD_SHARE
--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -249,7 +249,7 @@
             step = target.steps.popleft()
             is_done = target.is_synced and target.allows(step)
             if is_done:
-                pool.gate.restart_clock(target.entry.name, now_s())
+                pool.loads.gate.restart_clock(target.entry.name, now_s())
                 is_done = await self.orders.run(target, step)
             report = (
                 self.dispatcher.step_done
