Strong nodes look at a free lease first; a new holder keeps the members

A node that lost its holder looked at the row at once, weak or not, and only then paused by its strength.

Change: the pause comes before the first look; strong nodes have none. A new holder starts with the members that its node knew, without the last holder, until they fall silent: places among them were wrong while they joined one by one, and the directory was short.

Tests: a weak node waits for a strong one at a planned stop, and takes the lease when there is none; one order only to an address that another has.

--- a/mimosaworks/dispatch/wanted.py
+++ b/mimosaworks/dispatch/wanted.py
@@ -48,7 +48,7 @@
         ranked = sorted(
             self._wants, key=functools.partial(self._need, now), reverse=True
         )
-        return [self._wants[model].job for model in ranked]
+        return [self._wants[name].job for name in ranked]
 
     def _need(self, now: float, name: str) -> float:
         asked = self.demand.per_s(name, now) * WANT_TTL_S
--- a/mimosaworks/node/election.py
+++ b/mimosaworks/node/election.py
@@ -64,7 +64,8 @@
     fences. members gives the number of nodes, eagerness this node's place
     among those that may hold the lease, the strongest first; handicap_s
     delays weak ones at their start, when the others are not known. quiet_s
-    is the pause between two holders' orders.
+    is the pause between two holders' orders. on_taken gets the lease and
+    the last holder's name.
     """
 
     store: StoreClient
@@ -72,7 +73,7 @@
     address: str
     nonce: str
     hears_holder: Callable[[], bool]
-    on_taken: Callable[[Lease], None]
+    on_taken: Callable[[Lease, str], None]
     on_lost: Callable[[], None]
     survives: bool
     members: Callable[[], int]
@@ -98,8 +99,7 @@
             elif self.hears_holder():
                 await asyncio.sleep(POLL_S)
             else:
-                await self._look()
-                await asyncio.sleep(self._pause_s())
+                await self._look_often()
 
     def is_sure(self) -> bool:
         """Tell whether orders may be sent: the lease was looked at lately.
@@ -162,14 +162,22 @@
             self.step_down('planned stop')
         return not self.is_holder
 
-    def _pause_s(self) -> float:
-        """Return the time to the next look at the row.
+    async def _look_often(self) -> None:
+        """Look at the row until a holder is heard.
 
         Some strong nodes look often and take the lease; the others hear of
-        the next holder from itself.
+        the next holder from itself, and look only when they did not.
         """
-        pause_s = POLL_S if self.eagerness() < EAGER_NODES else LAZY_POLL_S
-        return random.uniform(pause_s, 2 * pause_s)
+        pause_s = 0 if self._is_eager() else LAZY_POLL_S
+        while not self.is_holder:
+            await asyncio.sleep(random.uniform(pause_s, 2 * pause_s))
+            if self.hears_holder():
+                return
+            await self._look()
+            pause_s = POLL_S if self._is_eager() else LAZY_POLL_S
+
+    def _is_eager(self) -> bool:
+        return self.eagerness() < EAGER_NODES
 
     async def _renew(self) -> None:
         if self.lease is None or not self.is_holder:
@@ -250,15 +258,16 @@
         self._tried_s = begun_s
         # The last holder may have sent orders until its lease was over.
         self._orders_from_s = now_s() + self.quiet_s if known else 0
+        previous = '' if known is None else known.holder
         self.is_holder = True
         log_event(
             Event.LEASE_TAKEN,
             fence=wanted.fence,
             row=taken,
-            previous='' if known is None else known.holder,
+            previous=previous,
             silent_s=now_s() - self._seen_s if known else 0,
         )
-        self.on_taken(self.lease)
+        self.on_taken(self.lease, previous)
 
     async def _write(self, lease: Lease, version: int) -> int:
         content = json.dumps({
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -89,8 +89,8 @@
         """Tell whether callers may come."""
         return self.beliefs.deployment is not None and not self.is_stopping
 
-    def take_lease(self, lease: Lease) -> None:
-        """Begin to decide for all nodes."""
+    def take_lease(self, lease: Lease, previous: str) -> None:
+        """Begin to decide for all nodes, after the previous holder."""
         bounds = self.cfg.bounds
         terms = ResendTerms(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
@@ -105,6 +105,10 @@
             is_sure=self.election.is_sure,
             lease_version=lease.version,
         )
+        # They are kept until they fall silent; the directory needs them.
+        for row in self.link.members.values():
+            if row.name != previous:
+                self.holder.members.note(row, now_s())
         self.holder.start()
         self.electorate.tell_members(lease)
         levels = self.link.levels
--- a/mimosaworks/node/order_runner.py
+++ b/mimosaworks/node/order_runner.py
@@ -102,6 +102,9 @@
             answer = await self._send(target, step)
         if answer is OrderAnswer.FENCED:
             raise FencedError(target.entry.name)
+        if answer is OrderAnswer.OTHER_TARGET:
+            # Another process has its address; its entry will tell so.
+            target.health.note_unreachable(now_s())
         return answer
 
     async def _send(self, target: EngineTarget, step: Step) -> OrderAnswer:
--- a/tests/test_node_election.py
+++ b/tests/test_node_election.py
@@ -75,11 +75,11 @@
         address=f'{name}:1',
         nonce=facts.pop('nonce', f'nonce-{name}'),
         hears_holder=bool,
-        on_taken=lambda lease: None,
+        on_taken=lambda lease, previous: None,
         on_lost=lambda: None,
         survives=facts.pop('survives', True),
         members=lambda: 2,
-        eagerness=int,
+        eagerness=facts.pop('eagerness', int),
         handicap_s=0,
         quiet_s=facts.pop('quiet_s', 0),
     )
@@ -212,3 +212,28 @@
     node.believe(Lease('c', 'c:1', 'm', fence=4, version=12))
     assert node.lease is not None
     assert node.lease.holder == 'b'
+
+
+async def test_a_strong_node_takes_a_lease_that_is_given_back() -> None:
+    # All nodes learn of a planned stop within a beat; a weak one that took
+    # the lease would be too slow for the others' first beats.
+    store = MemoryStore()
+    weak = make(store, 'weak', eagerness=lambda: 40)
+    strong = make(store, 'strong')
+    tasks = [asyncio.create_task(weak.run())]
+    await asyncio.sleep(module.LAZY_POLL_S / 4)
+    assert not weak.is_holder
+    tasks.append(asyncio.create_task(strong.run()))
+    await asyncio.sleep(module.POLL_S)
+    assert strong.is_holder
+    for task in tasks:
+        task.cancel()
+
+
+async def test_weak_nodes_take_the_lease_when_no_strong_one_does() -> None:
+    store = MemoryStore()
+    weak = make(store, 'weak', eagerness=lambda: 40)
+    task = asyncio.create_task(weak.run())
+    await asyncio.sleep(module.LAZY_POLL_S * 2 + module.POLL_S)
+    assert weak.is_holder
+    task.cancel()
--- a/tests/test_node_order_runner.py
+++ b/tests/test_node_order_runner.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 
+from mimosaworks.clock import now_s
 from mimosaworks.deployment import Residence
 from mimosaworks.dispatch import EnginePool, EngineTarget, Step
 from mimosaworks.node.order_runner import FencedError, OrderRunner
@@ -113,3 +114,12 @@
     runner, script, target, _ = make([OrderAnswer.REJECTED], [report(0)])
     assert not await runner.run(target, LOAD)
     assert len(script.sent) == 1
+
+
+async def test_a_target_whose_address_another_has_is_left_out() -> None:
+    # A target that ended still has its entry: without a pause each request
+    # for its models would send another order there.
+    runner, script, target, _ = make([OrderAnswer.OTHER_TARGET], [report(0)])
+    assert not await runner.run(target, LOAD)
+    assert len(script.sent) == 1
+    assert target.health.is_down(now_s())
