What changed in an outage of the store is asked for when it is back

Change: waits of 1.5 s without a holder to tell of news; the holder asks again when a renewal is answered after one that was not; a node asks again 0.1 s after it was told of a version that it does not know, instead of at the second time, and at the loss of its holder.

--- a/mimosaworks/node/election.py
+++ b/mimosaworks/node/election.py
@@ -65,7 +65,8 @@
     among those that may hold the lease, the strongest first; handicap_s
     delays weak ones at their start, when the others are not known. quiet_s
     is the pause between two holders' orders. on_taken gets the lease and
-    the last holder's name.
+    the last holder's name, on_store_back is called when a
+    renewal is answered after one that was not.
     """
 
     store: StoreClient
@@ -75,6 +76,7 @@
     hears_holder: Callable[[], bool]
     on_taken: Callable[[Lease, str], None]
     on_lost: Callable[[], None]
+    on_store_back: Callable[[], None]
     survives: bool
     members: Callable[[], int]
     eagerness: Callable[[], int]
@@ -88,6 +90,7 @@
     _renewed_s: float = 0
     _tried_s: float = 0
     _orders_from_s: float = 0
+    _is_store_lost: bool = False
 
     async def run(self) -> None:
         """Take part until cancelled."""
@@ -190,11 +193,18 @@
         except StoreConflictError as exc:
             self._on_conflict(exc, begun_s)
         except (StoreUnavailableError, StoreInDoubtError) as exc:
+            self._is_store_lost = True
             if not self.survives and now_s() - self._renewed_s > self.lease_s:
                 self.step_down(f'not renewed: {exc}')
         else:
             self.lease = attrs.evolve(lease, version=version)
             self._renewed_s = begun_s
+            self._note_store_back()
+
+    def _note_store_back(self) -> None:
+        if self._is_store_lost:
+            self._is_store_lost = False
+            self.on_store_back()
 
     def _on_conflict(self, exc: StoreConflictError, begun_s: float) -> None:
         found = _lease_in(exc.rows)
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -90,7 +90,7 @@
         row=node.row,
         running=lambda: node.front.running(),
         on_reply=node.on_holder_reply,
-        on_lost=lambda: node.views.on_holder_lost(),
+        on_lost=lambda: node.views.ask_again(),
     )
     node.views = Views(
         store=node.store,
@@ -107,6 +107,7 @@
         hears_holder=node.link.is_up,
         on_taken=node.take_lease,
         on_lost=node.lose_lease,
+        on_store_back=node.views.ask_again,
         survives=cfg.bounds.orders_are_fenced,
         quiet_s=0 if cfg.bounds.orders_are_fenced else cfg.bounds.lease_s,
         members=lambda: node.electorate.count_members(),
--- a/mimosaworks/node/table_feed.py
+++ b/mimosaworks/node/table_feed.py
@@ -12,8 +12,9 @@
 from mimosaworks.events import Event, log_event
 from mimosaworks.platform import RowsAnswer, StoreClient, StoredRow
 
-# A connection that fell silent is noticed after it; the store allows 30 s.
-WAIT_S = 4.0
+# A connection that fell silent is noticed after it: before a change that is
+# made right after an outage has to be in force. The store allows 30 s.
+WAIT_S = 1.5
 # Where the holder tells of new versions, which finds a silent connection.
 LONG_WAIT_S = 25.0
 MIN_FOLLOW_S = 0.5  # a slow store may take this long to answer
--- a/mimosaworks/node/views.py
+++ b/mimosaworks/node/views.py
@@ -1,5 +1,6 @@
 """Keeps what a node believes up to date, from the store and the holder."""
 
+import asyncio
 from collections.abc import Callable
 
 import attrs
@@ -13,6 +14,7 @@
 
 TARGETS_GAP_S = 0.4  # a third of the targets' heartbeat interval
 VIEW_SHARE = 0.7  # of the time in which a leaving target must be known
+BEHIND_S = 0.1  # in which a version comes over the node's own connection
 ALONE_S = 1.5  # without a holder, after which a node reads entries itself
 
 
@@ -53,20 +55,17 @@
     def on_told(self, reply: BeatReply) -> None:
         """Compare the deployment with the one that the holder knows.
 
-        A version that it has told twice should have come over this node's
-        own connection to the store.
+        It should come over this node's own connection to the store as well.
         """
-        told = reply.deployment_version
-        deployment = self.beliefs.deployment
-        known = 0 if deployment is None else deployment.version
-        if known < told and told == self.told_version:
-            log_event(Event.DEPLOYMENT_BEHIND, version=known, told=told)
-            self.desired_feed.ask_again()
-        self.told_version = told
+        self.told_version = reply.deployment_version
+        if self._known_version() < self.told_version:
+            loop = asyncio.get_running_loop()
+            loop.call_later(BEHIND_S, self._ask_if_behind)
 
-    def on_holder_lost(self) -> None:
-        """Ask the store itself from now on."""
+    def ask_again(self) -> None:
+        """Ask the store at once: it, or the holder, was away."""
         self.desired_feed.ask_again()
+        self.targets_feed.ask_again()
 
     def is_usable(self, age_s: float) -> bool:
         """Tell whether a view of the targets of an age (s) may decide.
@@ -76,6 +75,18 @@
         """
         return age_s < self.drain_s() * VIEW_SHARE or self.targets_feed.is_lost
 
+    def _known_version(self) -> int:
+        deployment = self.beliefs.deployment
+        return 0 if deployment is None else deployment.version
+
+    def _ask_if_behind(self) -> None:
+        known = self._known_version()
+        if known < self.told_version:
+            log_event(
+                Event.DEPLOYMENT_BEHIND, version=known, told=self.told_version
+            )
+            self.desired_feed.ask_again()
+
     def _desired_wait_s(self) -> float:
         is_told = self.link.is_up() and not self.is_holder()
         return LONG_WAIT_S if is_told else WAIT_S
--- a/tests/test_node_election.py
+++ b/tests/test_node_election.py
@@ -77,6 +77,7 @@
         hears_holder=bool,
         on_taken=lambda lease, previous: None,
         on_lost=lambda: None,
+        on_store_back=facts.pop('on_store_back', lambda: None),
         survives=facts.pop('survives', True),
         members=lambda: 2,
         eagerness=facts.pop('eagerness', int),
@@ -237,3 +238,22 @@
     await asyncio.sleep(module.LAZY_POLL_S * 2 + module.POLL_S)
     assert weak.is_holder
     task.cancel()
+
+
+def test_a_holder_tells_when_the_store_answers_again(clock: Clock) -> None:
+    # What changed meanwhile is asked for at once: a wait for changes that
+    # was sent in the outage may never be answered.
+    store = MemoryStore()
+    backs: list[float] = []
+    holder = make(store, 'a', on_store_back=lambda: backs.append(clock.now))
+    turn(holder)
+    turn(holder)
+    assert not backs
+    store.failure = StoreUnavailableError('down')
+    turn(holder)
+    turn(holder)
+    assert not backs
+    store.failure = None
+    turn(holder)
+    turn(holder)
+    assert len(backs) == 1
--- /dev/null
+++ b/tests/test_node_views.py
@@ -0,0 +1,93 @@
+"""When a node asks the store again for what the holder knows already."""
+
+import asyncio
+
+import attrs
+
+from mimosaworks.node.beliefs import Beliefs
+from mimosaworks.node.table_feed import LONG_WAIT_S, MIN_FOLLOW_S, WAIT_S
+from mimosaworks.node.views import BEHIND_S, Views
+from mimosaworks.platform import RowsAnswer
+from mimosaworks.wire import BeatReply
+
+
+@attrs.define(eq=False)
+class SilentStore:
+    """Answers reads, and no wait for changes."""
+
+    waits: list[float] = attrs.field(factory=list)
+
+    async def read(self, _table: str) -> RowsAnswer:
+        return RowsAnswer((), 1, 1)
+
+    async def follow(self, _table: str, _after: int, wait_s: float) -> object:
+        self.waits.append(wait_s)
+        return await asyncio.Event().wait()
+
+
+@attrs.define(eq=False)
+class FakeLink:
+    """A link to a holder that is heard or not."""
+
+    is_heard: bool = True
+
+    def is_up(self) -> bool:
+        return self.is_heard
+
+    def silent_s(self) -> float:
+        return 0
+
+
+def make(store: SilentStore, link: FakeLink, *, is_holder: bool) -> Views:
+    return Views(
+        store=store,  # type: ignore[arg-type]
+        beliefs=Beliefs(),
+        link=link,  # type: ignore[arg-type]
+        is_holder=lambda: is_holder,
+        drain_s=lambda: 2,
+    )
+
+
+async def test_a_version_that_the_holder_knows_is_asked_for_at_once() -> None:
+    # The store was silent for some nodes: their waits are never answered.
+    store = SilentStore()
+    views = make(store, FakeLink(), is_holder=False)
+    task = asyncio.create_task(views.desired_feed.run())
+    await asyncio.sleep(MIN_FOLLOW_S + 0.1)
+    views.on_told(BeatReply(is_holder=True, deployment_version=0))
+    await asyncio.sleep(BEHIND_S * 2)
+    assert store.waits == [LONG_WAIT_S]
+    views.on_told(BeatReply(is_holder=True, deployment_version=7))
+    await asyncio.sleep(BEHIND_S * 2)
+    assert len(store.waits) == 2
+    task.cancel()
+
+
+async def test_a_node_that_nobody_tells_waits_shortly() -> None:
+    # Right after an outage a change has to be in force within two seconds.
+    for link, is_holder in (
+        (FakeLink(is_heard=False), False),
+        (FakeLink(), True),
+    ):
+        store = SilentStore()
+        views = make(store, link, is_holder=is_holder)
+        task = asyncio.create_task(views.desired_feed.run())
+        await asyncio.sleep(0.05)
+        assert store.waits == [WAIT_S]
+        task.cancel()
+
+
+async def test_all_feeds_ask_again_when_the_store_is_back() -> None:
+    store = SilentStore()
+    views = make(store, FakeLink(), is_holder=True)
+    tasks = [
+        asyncio.create_task(feed.run())
+        for feed in (views.desired_feed, views.targets_feed)
+    ]
+    await asyncio.sleep(MIN_FOLLOW_S + 0.6)
+    before = len(store.waits)
+    views.ask_again()
+    await asyncio.sleep(0.1)
+    assert len(store.waits) == before + 2
+    for task in tasks:
+        task.cancel()
