--- a/mimosaworks/events/json_stream.py
+++ b/mimosaworks/events/json_stream.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import math
 import queue
 import threading
 from collections.abc import Generator, Mapping
@@ -16,6 +17,7 @@
 LINES_PER_S = 100  # of one event; see FAILURE_LINES_PER_S
 FAILURE_LINES_PER_S = 300  # of an event that tells of a failure
 DROPPED = 'dropped'
+MS_PER_S = 1000
 
 
 @attrs.define
@@ -62,7 +64,8 @@
         """Queue one line; now is Unix time in seconds."""
         window = self._windows.setdefault(event, _Window())
         line: dict[str, object] = {
-            't': round(now, 3),
+            # Not rounded up into the next second, whose lines it bounds.
+            't': math.floor(now * MS_PER_S) / MS_PER_S,
             'e': event.value,
             'event': event.name.lower(),
         }
