--- a/mimosaworks/dispatch/store_gate.py
+++ b/mimosaworks/dispatch/store_gate.py
@@ -17,13 +17,13 @@
     limit: int = FIRST_LIMIT
     _begun: dict[str, tuple[float, int]] = attrs.field(factory=dict)
 
-    def has_room(self, most: int, places: int = 1) -> bool:
-        """Tell whether loads may begin at these places, one after the other.
+    def has_room(self, most: int, loads: int = 1) -> bool:
+        """Tell whether this many more loads may run at once.
 
-        most bounds them as well.
+        most bounds them as well, but for those that would run alone.
         """
-        limit = max(min(self.limit, most), places)
-        return len(self._begun) + places <= limit
+        limit = max(min(self.limit, most), loads)
+        return len(self._begun) + loads <= limit
 
     def next_room_s(self, load_s: float, now: float) -> float:
         """Return about how long until one of the loads in progress ends."""
--- a/mimosaworks/dispatch/store_loads.py
+++ b/mimosaworks/dispatch/store_loads.py
@@ -18,7 +18,7 @@
 # The same while no requests come.
 QUIET_LOAD_SHARE = 2
 QUIET_S = 2.0  # without a request; a few pauses between requests
-MAX_RETRY_S = 10.0  # callers bound it by the time that they have left
+MAX_LOAD_RETRY_S = 10.0  # callers bound it by the time that they have left
 
 
 @attrs.define(eq=False)
@@ -26,7 +26,7 @@
     """The weight store's rate and width, and what to load next.
 
     targets are all of the service, by name. asked_s is when a request came
-    last.
+    last. _held are the models that targets had at hand at _held_at_s.
     """
 
     terms: EngineTerms
@@ -34,8 +34,8 @@
     demand: ModelDemand
     gate: StoreGate = attrs.field(factory=StoreGate)
     asked_s: float | None = None
-    _seen_s: float | None = None
-    _seen: frozenset[str] = frozenset()
+    _held_at_s: float | None = None
+    _held: frozenset[str] = frozenset()
     budget: LoadBudget = attrs.field(init=False)
     wanted: WantedModels = attrs.field(init=False)
 
@@ -46,22 +46,22 @@
     def allows(
         self, target: EngineTarget, steps: Iterable[Step], now: float
     ) -> bool:
-        """Tell whether orders may be queued now, as to the weight store.
+        """Tell whether the weight store has room for what orders load.
 
-        The last place is kept for models that no target has at hand.
+        Its last load at once is kept for models that no target has at hand.
         """
         model = next((step.model for step in steps if step.is_from_store), '')
         if not model:
             return True
         if self.gate.is_loading(target.entry.name):
             return False
-        places = 1 if self.is_absent(model, now) else 2
+        loads = 1 if self.is_absent(model, now) else 2
         most = max(len(self.targets) // self._share(now), 1)
-        return self.gate.has_room(most, places) and self.budget.has_room(now)
+        return self.gate.has_room(most, loads) and self.budget.has_room(now)
 
     def begin(self, target: EngineTarget, now: float) -> None:
         """Note that a load was queued."""
-        self._seen_s = None
+        self._held_at_s = None
         self.gate.begin(target.entry.name, now)
         self.budget.try_take(now)
 
@@ -92,16 +92,18 @@
         left_s = job.ask.first_by_s - now
         load_s = model.store_load_s
         self.wanted.note(job, now, would_wait=left_s > load_s)
-        return min(self.gate.next_room_s(load_s, now) + load_s, MAX_RETRY_S)
+        return min(
+            self.gate.next_room_s(load_s, now) + load_s, MAX_LOAD_RETRY_S
+        )
 
     def _at_hand(self, now: float) -> frozenset[str]:
         # One decision asks this of each target.
-        if self._seen_s != now:
-            self._seen_s = now
-            self._seen = frozenset().union(
+        if self._held_at_s != now:
+            self._held_at_s = now
+            self._held = frozenset().union(
                 *(target.at_hand() for target in self.targets.values())
             )
-        return self._seen
+        return self._held
 
     def _share(self, now: float) -> int:
         return QUIET_LOAD_SHARE if self.is_quiet(now) else STORE_LOAD_SHARE
