--- a/mimosaworks/dispatch/__init__.py
+++ b/mimosaworks/dispatch/__init__.py
@@ -5,7 +5,7 @@
 from mimosaworks.dispatch.engine_target import EngineTarget, Step
 from mimosaworks.dispatch.job import Ask, Assignment, Job, Refusal
 from mimosaworks.dispatch.outcome import CallOutcome
-from mimosaworks.dispatch.plain_pool import PlainPool
+from mimosaworks.dispatch.plain_pool import PlainPool, PlainTarget
 from mimosaworks.dispatch.reconcile import adopt_models
 from mimosaworks.dispatch.resend_budget import ResendBudgets, ResendTerms
 
@@ -19,6 +19,7 @@
     'EngineTarget',
     'Job',
     'PlainPool',
+    'PlainTarget',
     'Refusal',
     'ResendBudgets',
     'ResendTerms',
--- a/mimosaworks/dispatch/health.py
+++ b/mimosaworks/dispatch/health.py
@@ -37,6 +37,10 @@
         """Tell whether the target is left out for a while."""
         return now < self._down_until_s
 
+    def down_left_s(self, now: float) -> float:
+        """Return the seconds for which the target is left out."""
+        return max(self._down_until_s - now, 0)
+
     def failures(self, now: float) -> float:
         """Return the decayed share of failed requests."""
         age_s = max(now - self._failed_s, 0)
--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -27,6 +27,7 @@
 )
 from mimosaworks.node.members import Members
 from mimosaworks.node.order_runner import FencedError, OrderRunner
+from mimosaworks.node.target_watch import TargetWatch
 from mimosaworks.wire import (
     Beat,
     BeatReply,
@@ -56,6 +57,7 @@
     on_fenced: Callable[[str], None]
     is_sure: Callable[[], bool]
     members: Members = attrs.field(factory=Members)
+    watch: TargetWatch = attrs.field(factory=TargetWatch)
     lease_version: int = 0
     replies: dict[str, 'asyncio.Future[Assignment | Refusal]'] = attrs.field(
         factory=dict
@@ -200,6 +202,7 @@
             now = now_s()
             self._refresh()
             self._settle(self.dispatcher.tick(now))
+            self.watch.look(self.dispatcher.pools, now)
             self._forget(now)
             self._start_orders()
             await asyncio.sleep(TICK_S)
--- /dev/null
+++ b/tests/test_node_target_watch.py
@@ -0,0 +1,35 @@
+"""Each target that is left out shows in the log, once."""
+
+from typing import Any
+
+import pytest
+
+from mimosaworks.events import Event
+from mimosaworks.node import target_watch as module
+from mimosaworks.node.target_watch import TargetWatch
+from tests.dispatch_world import entry, make_pool
+
+Line = tuple[Event, dict[str, Any]]
+
+
+def test_a_target_is_logged_as_it_is_left_out_and_as_it_returns(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    lines: list[Line] = []
+    monkeypatch.setattr(
+        module, 'log_event', lambda event, **facts: lines.append((event, facts))
+    )
+    pool = make_pool(entry('t1', 'm0'), entry('t2', 'm0'))
+    watch = TargetWatch()
+    watch.look({'engines': pool}, 0)
+    assert not lines
+    pool.targets['t1'].health.note_unreachable(1)
+    watch.look({'engines': pool}, 1)
+    watch.look({'engines': pool}, 1.05)
+    (event, facts) = lines.pop()
+    assert not lines
+    assert event is Event.TARGET_SUSPECTED
+    assert facts['target'] == 't1'
+    assert facts['for_s'] > 0
+    watch.look({'engines': pool}, 1 + facts['for_s'])
+    assert lines == [(Event.TARGET_TRUSTED, {'target': 't1'})]
