--- a/mimosaworks/deployment/route.py
+++ b/mimosaworks/deployment/route.py
@@ -32,7 +32,7 @@
 
     timeout_s is the longest wait for the whole answer, target_s the time in
     which the answer (or a stream's first event) should come, gap_s the
-    longest pause between events. max_attempts counts the targets that one
+    largest gap between two events. max_attempts counts the targets that one
     request may be sent to.
     """
 
--- a/mimosaworks/deployment/workspace.py
+++ b/mimosaworks/deployment/workspace.py
@@ -13,7 +13,7 @@
 
 @attrs.frozen
 class WorkspaceTerms:
-    """A workspace: tokens a second and burst over all VMs; 0 is no limit.
+    """A workspace: a rate in tokens a second and a burst, shared by all VMs; 0: none.
 
     plain_tokens is the cost of a request that declares no tokens.
     """
--- a/mimosaworks/dispatch/crash_book.py
+++ b/mimosaworks/dispatch/crash_book.py
@@ -7,8 +7,7 @@
 from mimosaworks.deployment import TargetEntry
 from mimosaworks.routing import SuspectTable
 
-# An entry lapses after three heartbeat intervals, a crashed target is back
-# after some seconds.
+# Longer than an entry takes to lapse and a crashed target to restart.
 REMEMBER_S = 10.0
 
 
--- a/mimosaworks/node/call_log.py
+++ b/mimosaworks/node/call_log.py
@@ -1,4 +1,4 @@
-"""One log line for each decision that touches a request."""
+"""Logs what a node decides about its callers' requests."""
 
 from mimosaworks.dispatch import Assignment, CallOutcome
 from mimosaworks.errors import RequestError
--- a/mimosaworks/platform/entries.py
+++ b/mimosaworks/platform/entries.py
@@ -19,8 +19,8 @@
 def decode_entry(name: str, written: bytes) -> TargetEntry:
     """Return the target that an entry describes.
 
-    Raises ValueError for an entry that another writer left: unreadable, a
-    field missing or of another type, or a state that is not known.
+    Raises ValueError for an entry that can't be used: no JSON, a field that
+    is absent or malformed, or an unknown state.
     """
     fields = json.loads(written)
     if not isinstance(fields, dict):
--- a/tests/test_dispatch_crash_book.py
+++ b/tests/test_dispatch_crash_book.py
@@ -1,4 +1,4 @@
-"""A request that crashes each target that runs it."""
+"""Refuses a request after which several targets have ended."""
 
 import attrs
 
--- a/tests/test_events_json_stream.py
+++ b/tests/test_events_json_stream.py
@@ -1,4 +1,4 @@
-"""Structured logs: bounded under load, and never in the way."""
+"""The log's writer: limits a second, and readers that are slow or gone."""
 
 import contextlib
 import io
