One piece of code where the change had written two

- The memory of models that stay is a property of the target; two places summed it.
The unused used_mb goes; loss_s loses a parameter it ignored.
- The stand-ins write JSON rows by one function (three places did).
- Dead: the marks that CrashBook returned, a counter of the stand-in's store, the data centre that the directory passed to a function that ignored it.

--- a/mimosaworks/deployment/workspace.py
+++ b/mimosaworks/deployment/workspace.py
@@ -13,7 +13,7 @@
 
 @attrs.frozen
 class WorkspaceTerms:
-    """A workspace: a rate in tokens a second and a burst, shared by all VMs; 0: none.
+    """A workspace's rate (tokens a second) and burst on all VMs; 0: none.
 
     plain_tokens is the cost of a request that declares no tokens.
     """
--- a/mimosaworks/dispatch/crash_book.py
+++ b/mimosaworks/dispatch/crash_book.py
@@ -46,9 +46,8 @@
 
     def follow_entries(
         self, entries: Mapping[str, TargetEntry], now: float
-    ) -> list[str]:
-        """Count the crashes that entries show; return the marks counted."""
-        counted = []
+    ) -> None:
+        """Count the crashes that entries show."""
         kept = []
         for broken in self._broken:
             entry = entries.get(broken.target)
@@ -56,8 +55,6 @@
             if has_crashed:
                 crash = f'{broken.target}/{broken.born}'
                 self.suspects.note_crash(broken.mark, crash, now)
-                counted.append(broken.mark)
             elif now - broken.at_s < REMEMBER_S:
                 kept.append(broken)
         self._broken = kept
-        return counted
--- a/mimosaworks/dispatch/engine_target.py
+++ b/mimosaworks/dispatch/engine_target.py
@@ -83,9 +83,13 @@
     is_ordering: bool = False
 
     @property
-    def used_mb(self) -> float:
-        """Memory of all models, those that are leaving included."""
-        return sum(loaded.size_mb for loaded in self.models.values())
+    def staying_mb(self) -> float:
+        """Memory of all models but those that are leaving."""
+        return math.fsum(
+            loaded.size_mb
+            for loaded in self.models.values()
+            if not loaded.is_leaving
+        )
 
     @property
     def adapter_count(self) -> int:
--- a/mimosaworks/dispatch/swap.py
+++ b/mimosaworks/dispatch/swap.py
@@ -62,14 +62,10 @@
         return Swap(
             steps=(*unloads, load),
             duration_s=load_s + UNLOAD_S * len(victims),
-            loss_s=math.fsum(
-                self.loss_s(target, victim, now) for victim in victims
-            ),
+            loss_s=math.fsum(self.loss_s(victim, now) for victim in victims),
         )
 
-    def loss_s(
-        self, target: EngineTarget, victim: LoadedModel, now: float
-    ) -> float:
+    def loss_s(self, victim: LoadedModel, now: float) -> float:
         """Return the expected wait that a missing replica causes later."""
         name = victim.terms.name
         asked = self.demand.per_s(name, now) * REUSE_HORIZON_S
@@ -83,15 +79,13 @@
     def _victims(
         self, target: EngineTarget, model: EngineModel, now: float
     ) -> list[LoadedModel] | None:
-        staying = [
-            loaded for loaded in target.models.values() if not loaded.is_leaving
-        ]
-        staying_mb = sum(loaded.size_mb for loaded in staying)
-        free_mb = target.terms.weights_mb - staying_mb
         idle = [
-            loaded for loaded in staying if loaded.is_ready and not loaded.jobs
+            loaded
+            for loaded in target.models.values()
+            if loaded.is_ready and not loaded.is_leaving and not loaded.jobs
         ]
-        idle.sort(key=lambda loaded: self.loss_s(target, loaded, now))
+        idle.sort(key=lambda loaded: self.loss_s(loaded, now))
+        free_mb = target.terms.weights_mb - target.staying_mb
         return _cover(idle, model.size_mb - free_mb)
 
 
@@ -143,14 +137,10 @@
 
 
 def _has_adapter_room(target: EngineTarget, loaded: LoadedModel) -> bool:
-    staying_mb = math.fsum(
-        other.size_mb
-        for other in target.models.values()
-        if not other.is_leaving
-    )
+    needed_mb = target.staying_mb + loaded.terms.adapter_mb
     return (
         target.adapter_count < target.terms.adapter_slots
-        and staying_mb + loaded.terms.adapter_mb <= target.terms.weights_mb
+        and needed_mb <= target.terms.weights_mb
     )
 
 
--- a/mimosaworks/node/event_buffer.py
+++ b/mimosaworks/node/event_buffer.py
@@ -1,10 +1,11 @@
-"""Cuts an event stream at the ends of its events."""
+"""Whole events of a stream, and the id behind which it can be resumed."""
 
 import re
 
 import attrs
 
-_END_OF_EVENT = b'\n\n'
+from mimosaworks.event_stream import EventCutter
+
 _ID_LINE = re.compile(rb'(?:^|\n)id:[ ]?([^\r\n]*)')
 
 
@@ -16,18 +17,11 @@
     """
 
     last_id: str = ''
-    _rest: bytes = b''
+    _cutter: EventCutter = attrs.field(factory=EventCutter)
 
     def feed(self, chunk: bytes) -> bytes:
         """Return the bytes up to the end of the last whole event."""
-        gathered = self._rest + chunk
-        end = gathered.rfind(_END_OF_EVENT)
-        if end < 0:
-            self._rest = gathered
-            return b''
-        end += len(_END_OF_EVENT)
-        self._rest = gathered[end:]
-        whole = gathered[:end]
+        whole = self._cutter.feed(chunk)
         ids = _ID_LINE.findall(whole)
         if ids:
             self.last_id = ids[-1].decode('latin-1')
@@ -35,10 +29,8 @@
 
     def end(self) -> bytes:
         """Return what follows the last event of a complete stream."""
-        rest = self._rest
-        self._rest = b''
-        return rest
+        return self._cutter.take_rest()
 
     def drop(self) -> None:
         """Forget an unfinished event before the stream is resumed."""
-        self._rest = b''
+        self._cutter.take_rest()
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -74,7 +74,7 @@
             strength=strength(self.cfg),
         )
 
-    def addresses(self, _: str) -> list[str]:
+    def addresses(self) -> list[str]:
         """Return the addresses that callers may use, this node's first."""
         listed = {
             row.front_address
--- a/mimosaworks/platform/directory.py
+++ b/mimosaworks/platform/directory.py
@@ -11,15 +11,15 @@
 
 
 def directory_app(
-    addresses: Callable[[str], Iterable[str]], ttl_s: float
+    addresses: Callable[[], Iterable[str]], ttl_s: float
 ) -> web.Application:
-    """Return the directory; addresses gives those for a data centre.
+    """Return the directory; addresses gives those that callers may use.
 
     Callers keep an answer for ttl_s seconds.
     """
 
-    async def look_up(req: web.Request) -> web.Response:
-        listed = list(addresses(req.query.get('zone', '')))
+    async def look_up(_: web.Request) -> web.Response:
+        listed = list(addresses())
         if len(listed) > MAX_ADDRESSES:
             listed = random.sample(listed, MAX_ADDRESSES)
         answer = {'addresses': listed, 'ttl-s': ttl_s}
--- a/mimosaworks/platform/fields.py
+++ b/mimosaworks/platform/fields.py
@@ -57,12 +57,7 @@
 
     Raises ValueError naming the field.
     """
-    found = fields.get(name, ())
-    if not isinstance(found, list | tuple):
-        raise ValueError(f'{name} must be a list')
-    if not all(isinstance(entry, dict) for entry in found):
-        raise ValueError(f'{name} must hold tables')
-    return list(found)
+    return _entries(fields, name, dict, 'tables')
 
 
 def texts(fields: Fields, name: str) -> tuple[str, ...]:
@@ -70,9 +65,15 @@
 
     Raises ValueError naming the field.
     """
+    return tuple(_entries(fields, name, str, 'texts'))
+
+
+def _entries(
+    fields: Fields, name: str, kind: type, kind_name: str
+) -> list[Any]:
     found = fields.get(name, ())
     if not isinstance(found, list | tuple):
         raise ValueError(f'{name} must be a list')
-    if not all(isinstance(entry, str) for entry in found):
-        raise ValueError(f'{name} must hold texts')
-    return tuple(found)
+    if not all(isinstance(entry, kind) for entry in found):
+        raise ValueError(f'{name} must hold {kind_name}')
+    return list(found)
--- a/mimosaworks/relay/sse.py
+++ b/mimosaworks/relay/sse.py
@@ -2,7 +2,8 @@
 
 import attrs
 
-_END_OF_EVENT = b'\n\n'
+from mimosaworks.event_stream import END_OF_EVENT, EventCutter
+
 _DONE = b'data: [DONE]'
 
 
@@ -17,26 +18,20 @@
 
     tokens: int = 0
     is_done: bool = False
-    _rest: bytes = b''
+    _cutter: EventCutter = attrs.field(factory=EventCutter)
 
     def feed(self, chunk: bytes) -> bytes:
         """Return the bytes up to the end of the last whole event."""
-        gathered = self._rest + chunk
-        end = gathered.rfind(_END_OF_EVENT)
-        if end < 0:
-            self._rest = gathered
-            return b''
-        whole = gathered[: end + len(_END_OF_EVENT)]
-        self._rest = gathered[len(whole) :]
+        whole = self._cutter.feed(chunk)
         self._count(whole)
         return whole
 
     def drop_rest(self) -> None:
         """Forget the bytes of an unfinished event, before a resume."""
-        self._rest = b''
+        self._cutter.take_rest()
 
     def _count(self, whole: bytes) -> None:
-        self.tokens += whole.count(_END_OF_EVENT)
-        if whole.endswith(_DONE + _END_OF_EVENT):
+        self.tokens += whole.count(END_OF_EVENT)
+        if whole.endswith(_DONE + END_OF_EVENT):
             self.is_done = True
             self.tokens -= 1
--- a/standins/agency/replica.py
+++ b/standins/agency/replica.py
@@ -1,15 +1,13 @@
 """A target of the agency's platform: orders, reports and requests."""
 
 import asyncio
-import base64
-import json
 from http import HTTPStatus
 from typing import Any
 
 import attrs
 from aiohttp import web
 
-from standins.platform import Store
+from standins.platform import Store, json_row
 
 FIRST_S = 0.01
 EVENT_S = 0.005
@@ -72,9 +70,7 @@
             'sequence': 0,
             'born': self.born,
         }
-        content = base64.b64encode(json.dumps(entry).encode()).decode()
-        row = {'table': 'servers', 'key': self.name, 'value': content}
-        store.commit({'put': [row]})
+        store.commit({'put': [json_row('servers', self.name, entry)]})
 
     def report(self) -> dict[str, Any]:
         """Return the report of this target."""
--- a/standins/agency/world.py
+++ b/standins/agency/world.py
@@ -1,6 +1,5 @@
 """A platform of stand-ins with real entry nodes."""
 
-import base64
 import contextlib
 import json
 import socket
@@ -15,7 +14,7 @@
 from standins.addresses import reserve_address
 from standins.agency.replica import Replica, replica_app
 from standins.faultproxy.proxy import Proxy
-from standins.platform import Store, StoreFaults, store_app
+from standins.platform import Store, StoreFaults, json_row, store_app
 from standins.process import Process
 from standins.processes import ProcessRunner
 
@@ -185,9 +184,7 @@
 
     def configure(self, state: dict[str, Any]) -> None:
         """Write a desired state, as the operator does."""
-        content = base64.b64encode(json.dumps(state).encode()).decode()
-        row = {'table': 'op', 'key': 'config', 'value': content}
-        self.store.commit({'put': [row]})
+        self.store.commit({'put': [json_row('op', 'config', state)]})
 
     async def add_replica(self, name: str, **facts: Any) -> Replica:
         """Serve a target and register it."""
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -1,8 +1,8 @@
 """Rows with versions, transactions and a bounded history."""
 
 import asyncio
-import itertools
-from collections.abc import Iterator
+import base64
+import json
 from typing import Any
 
 import attrs
@@ -92,10 +92,6 @@
         self.forgotten = self.version
         self._history.clear()
 
-    def numbers(self) -> Iterator[int]:
-        """Return a counter of versions, for writers in tests."""
-        return itertools.count(self.version + 1)
-
     def _check(self, needs: list[dict[str, Any]]) -> None:
         for need in needs:
             current, _ = self.rows.get(_key(need), (0, ''))
@@ -109,6 +105,12 @@
         return {**_names(key), 'ver': version, 'value': content}
 
 
+def json_row(table: str, key: str, content: object) -> dict[str, Any]:
+    """Return a row to put that holds a JSON text."""
+    packed = base64.b64encode(json.dumps(content).encode()).decode()
+    return {'table': table, 'key': key, 'value': packed}
+
+
 def _check_size(ask: dict[str, Any]) -> None:
     names = ('expected', 'put', 'remove')
     entries = [entry for name in names for entry in ask.get(name, [])]
