Loads ahead are looked for in the timed round only

Work in the wrong place: the models that refused requests wait for were ranked, and for up to three of them all targets were weighed, at each end of a request as well as each 50 ms.

A message of a request is decoded once, not before and after the tokens; the cheapest way is chosen by one method, and the check that a target is still held stands once. The test of order runner, pools and soak keep their assertions.

--- a/mimosaworks/dispatch/__init__.py
+++ b/mimosaworks/dispatch/__init__.py
@@ -4,6 +4,7 @@
 from mimosaworks.dispatch.engine_pool import EnginePool
 from mimosaworks.dispatch.engine_target import EngineTarget, Step
 from mimosaworks.dispatch.job import Ask, Assignment, Job, Refusal
+from mimosaworks.dispatch.load_ahead import load_ahead
 from mimosaworks.dispatch.outcome import CallOutcome
 from mimosaworks.dispatch.plain_pool import PlainPool, PlainTarget
 from mimosaworks.dispatch.reconcile import adopt_models
@@ -25,4 +26,5 @@
     'ResendTerms',
     'Step',
     'adopt_models',
+    'load_ahead',
 ]
--- a/mimosaworks/dispatch/dispatcher.py
+++ b/mimosaworks/dispatch/dispatcher.py
@@ -10,7 +10,6 @@
 from mimosaworks.dispatch.engine_target import EngineTarget, Step
 from mimosaworks.dispatch.job import Ask, Assignment, Job, Refusal
 from mimosaworks.dispatch.limiter import Limiter
-from mimosaworks.dispatch.load_ahead import load_absent, load_wanted
 from mimosaworks.dispatch.outcome import CallOutcome
 from mimosaworks.dispatch.plain_pool import PlainPool, PlainTarget
 from mimosaworks.dispatch.resend_budget import ResendBudgets
@@ -143,8 +142,6 @@
         for pool in self.pools.values():
             if isinstance(pool, EnginePool):
                 decided += self._replace(pool.overdue(now), now)
-                load_wanted(pool, now)
-                load_absent(pool, now)
             else:
                 granted = pool.next_grants(now)
                 decided += [(job.ask.call, one) for job, one in granted]
@@ -157,8 +154,8 @@
         self, service: str, target: EngineTarget, step: Step, now: float
     ) -> list[Decided]:
         """Note that an order was carried out."""
-        pool = self.pools.get(service)
-        if not isinstance(pool, EnginePool) or not pool.holds(target):
+        pool = _pool_holding(self, service, target)
+        if pool is None:
             return []
         return [
             (job.ask.call, pool.grant(job, now))
@@ -169,8 +166,8 @@
         self, service: str, target: EngineTarget, step: Step, now: float
     ) -> list[Decided]:
         """Note that an order was not carried out."""
-        pool = self.pools.get(service)
-        if not isinstance(pool, EnginePool) or not pool.holds(target):
+        pool = _pool_holding(self, service, target)
+        if pool is None:
             return []
         return self._replace(pool.step_failed(target, step, now), now)
 
@@ -229,3 +226,13 @@
 ) -> EngineTarget | PlainTarget | None:
     pool = dispatcher.pools.get(service)
     return None if pool is None else pool.targets.get(name)
+
+
+def _pool_holding(
+    dispatcher: Dispatcher, service: str, target: EngineTarget
+) -> EnginePool | None:
+    """Return a service's pool while the target is still one of it."""
+    pool = dispatcher.pools.get(service)
+    if isinstance(pool, EnginePool) and pool.holds(target):
+        return pool
+    return None
--- a/mimosaworks/dispatch/engine_pool.py
+++ b/mimosaworks/dispatch/engine_pool.py
@@ -1,6 +1,6 @@
 """Chooses targets for model requests, and what to load on them."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 
 import attrs
 
@@ -165,16 +165,18 @@
             if _is_usable(target, job, now)
         ]
 
-    def options(
+    def cheapest(
         self, usable: Iterable[EngineTarget], job: Job, now: float
-    ) -> Iterator[Option]:
-        """Return the ways to serve a request that are open now."""
-        for target in usable:
-            option = self.estimator.option(target, job, now)
-            if option is not None and self.loads.allows(
-                option.target, option.steps, now
-            ):
-                yield option
+    ) -> Option | None:
+        """Return the best way to serve a request that is open now."""
+        found = (self.estimator.option(target, job, now) for target in usable)
+        options = (
+            option
+            for option in found
+            if option is not None
+            and self.loads.allows(option.target, option.steps, now)
+        )
+        return min(options, key=_cost, default=None)
 
     def enqueue(
         self, target: EngineTarget, steps: tuple[Step, ...], now: float
@@ -197,9 +199,7 @@
             return Refusal(
                 ErrorKind.NO_TARGET, NO_TARGET_RETRY_S, 'no target in service'
             )
-        best = min(
-            self.options(usable, job, now), key=option_cost, default=None
-        )
+        best = self.cheapest(usable, job, now)
         if best is None:
             return Refusal(
                 ErrorKind.MODEL_NOT_READY,
@@ -239,8 +239,7 @@
     )
 
 
-def option_cost(option: Option) -> float:
-    """Return the key by which ways to serve a request are compared."""
+def _cost(option: Option) -> float:
     return option.cost_s
 
 
--- a/mimosaworks/dispatch/load_ahead.py
+++ b/mimosaworks/dispatch/load_ahead.py
@@ -1,13 +1,24 @@
 """Loads models for later requests, where the weight store has room."""
 
+from collections.abc import Iterable
+
 from mimosaworks.deployment import EngineModel, TargetState
-from mimosaworks.dispatch.engine_pool import EnginePool, option_cost
+from mimosaworks.dispatch.engine_pool import EnginePool
 from mimosaworks.dispatch.engine_target import EngineTarget
+from mimosaworks.dispatch.plain_pool import PlainPool
 from mimosaworks.dispatch.swap import Swap
 
 MAX_TRIES = 3  # models that are tried at one moment
 
 
+def load_ahead(pools: Iterable[EnginePool | PlainPool], now: float) -> None:
+    """Queue loads for later requests at all engines."""
+    for pool in pools:
+        if isinstance(pool, EnginePool):
+            load_wanted(pool, now)
+            load_absent(pool, now)
+
+
 def load_wanted(pool: EnginePool, now: float) -> None:
     """Load models that requests were refused for.
 
@@ -20,8 +31,7 @@
         if not pool.loads.is_absent(model, now):
             wanted.drop(model)
             continue
-        options = pool.options(pool.usable(job, now), job, now)
-        best = min(options, key=option_cost, default=None)
+        best = pool.cheapest(pool.usable(job, now), job, now)
         if best is not None:
             wanted.drop(model)
             pool.enqueue(best.target, best.steps, now)
--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -9,6 +9,7 @@
 from mimosaworks.clock import now_s
 from mimosaworks.deployment import TargetEntry
 from mimosaworks.dispatch import (
+    Ask,
     Assignment,
     CallOutcome,
     Decided,
@@ -16,6 +17,7 @@
     EnginePool,
     EngineTarget,
     Refusal,
+    load_ahead,
 )
 from mimosaworks.errors import PeerError
 from mimosaworks.events import Event, log_event
@@ -86,13 +88,15 @@
         """Choose a target for a request, once its model is loaded."""
         now = now_s()
         self._refresh()
-        admitted = self.dispatcher.admit(ask_of(ask, now), now)
+        # The time left counts from the arrival of the ask.
+        request = ask_of(ask, now)
+        admitted = self.dispatcher.admit(request, now)
         if isinstance(admitted, Refusal):
             _log_decided(ask, admitted, 0)
             return reply_of(admitted)
         if admitted:
             await self._await_tokens(ask, admitted)
-        return await self._place(ask, now)
+        return await self._place(ask, request)
 
     async def on_beat(self, beat: Beat) -> BeatReply:
         """Take over what happened at a node; return this process's view."""
@@ -134,9 +138,8 @@
         if self._is_stopped:
             raise PeerError('the holder changed')
 
-    async def _place(self, ask: CallAsk, asked_s: float) -> CallReply:
-        # The time left counts from the arrival of the ask.
-        decided = self.dispatcher.submit(ask_of(ask, asked_s), now_s())
+    async def _place(self, ask: CallAsk, request: Ask) -> CallReply:
+        decided = self.dispatcher.submit(request, now_s())
         self._start_orders()
         if decided is not None:
             _log_decided(ask, decided, 0)
@@ -202,6 +205,7 @@
             now = now_s()
             self._refresh()
             self._settle(self.dispatcher.tick(now))
+            load_ahead(self.dispatcher.pools.values(), now)
             self.watch.look(self.dispatcher.pools, now)
             self._forget(now)
             self._start_orders()
