Copies of weights and loads from the weight store show in the log

Cause of this change: the logs could not tell a narrow store gate from loads of models that lie elsewhere, nor from lost last copies.

No decision changes.

--- a/mimosaworks/dispatch/store_gate.py
+++ b/mimosaworks/dispatch/store_gate.py
@@ -17,6 +17,11 @@
     limit: int = FIRST_LIMIT
     _begun: dict[str, tuple[float, int]] = attrs.field(factory=dict)
 
+    @property
+    def at_once(self) -> int:
+        """Loads in progress, or queued."""
+        return len(self._begun)
+
     def has_room(self, most: int, loads: int = 1) -> bool:
         """Tell whether this many more loads may run at once.
 
--- a/mimosaworks/dispatch/wanted.py
+++ b/mimosaworks/dispatch/wanted.py
@@ -29,6 +29,10 @@
     demand: ModelDemand
     _wants: dict[str, _Want] = attrs.field(factory=dict)
 
+    def __len__(self) -> int:
+        """Return the number of these models."""
+        return len(self._wants)
+
     def note(self, job: Job, now: float, *, would_wait: bool) -> None:
         """Note that a request was refused for want of its model."""
         want = self._wants.setdefault(job.ask.facts.model, _Want(job, now))
--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -17,6 +17,7 @@
     EnginePool,
     EngineTarget,
     Refusal,
+    Step,
     load_ahead,
 )
 from mimosaworks.errors import PeerError
@@ -30,6 +31,11 @@
 from mimosaworks.node.members import Members
 from mimosaworks.node.order_runner import FencedError, OrderRunner
 from mimosaworks.node.target_watch import TargetWatch
+from mimosaworks.node.weights_watch import (
+    WeightsWatch,
+    log_load_begun,
+    log_load_ended,
+)
 from mimosaworks.wire import (
     Beat,
     BeatReply,
@@ -60,6 +66,7 @@
     is_sure: Callable[[], bool]
     members: Members = attrs.field(factory=Members)
     watch: TargetWatch = attrs.field(factory=TargetWatch)
+    weights: WeightsWatch = attrs.field(factory=WeightsWatch)
     lease_version: int = 0
     replies: dict[str, 'asyncio.Future[Assignment | Refusal]'] = attrs.field(
         factory=dict
@@ -207,6 +214,7 @@
             self._settle(self.dispatcher.tick(now))
             load_ahead(self.dispatcher.pools.values(), now)
             self.watch.look(self.dispatcher.pools, now)
+            self.weights.look(self.dispatcher.pools, now)
             self._forget(now)
             self._start_orders()
             await asyncio.sleep(TICK_S)
@@ -254,16 +262,17 @@
             while not self.is_sure():
                 await asyncio.sleep(TICK_S)
             step = target.steps.popleft()
-            is_done = target.is_synced and target.allows(step)
-            if is_done:
-                pool.loads.gate.restart_clock(target.entry.name, now_s())
-                is_done = await self.orders.run(target, step)
+            is_done = await _carry_out(self.orders, service, pool, target, step)
             report = (
                 self.dispatcher.step_done
                 if is_done
                 else self.dispatcher.step_failed
             )
             self._settle(report(service, target, step, now_s()))
+            if step.is_from_store:
+                log_load_ended(
+                    service, pool, target, step.model, is_done=is_done
+                )
             if not is_done:
                 # Orders for other requests may wait at other targets now.
                 self._start_orders()
@@ -288,6 +297,21 @@
     return has_work and not target.is_ordering
 
 
+async def _carry_out(
+    orders: OrderRunner,
+    service: str,
+    pool: EnginePool,
+    target: EngineTarget,
+    step: Step,
+) -> bool:
+    if not target.is_synced or not target.allows(step):
+        return False
+    pool.loads.gate.restart_clock(target.entry.name, now_s())
+    if step.is_from_store:
+        log_load_begun(service, pool, target, step.model)
+    return await orders.run(target, step)
+
+
 def _log_decided(
     ask: CallAsk, decided: Assignment | Refusal, waited_s: float
 ) -> None:
