--- a/tests/test_dispatch_store_gate.py
+++ b/tests/test_dispatch_store_gate.py
@@ -1,9 +1,12 @@
 """How many loads from the weight store run at once."""
 
+import pytest
+
 from mimosaworks.dispatch.store_gate import StoreGate
 
 ALONE_S = 6.0
 MOST = 100
+ORDER_OVERHEAD_S = 0.3  # until a report shows the end of a load
 
 
 def run_loads(gate: StoreGate, at_full_speed: int, rounds: int) -> None:
@@ -48,3 +51,49 @@
     gate.forget('t1')
     gate.end('t1', ALONE_S, 1000)
     assert gate.limit == StoreGate().limit
+
+
+def widths_used(
+    gate: StoreGate, at_full_speed: int, rounds: int
+) -> list[tuple[int, int]]:
+    """Return loads in progress and the limit after each of many loads.
+
+    A load starts as soon as the gate lets it and takes longer in proportion
+    to those in progress when it starts.
+    """
+    ends: dict[str, float] = {}
+    seen: list[tuple[int, int]] = []
+    now: float = 0
+    for _ in range(rounds):
+        while gate.has_room(MOST):
+            name = f't{len(seen)}-{len(ends)}'
+            gate.begin(name, now)
+            slowdown = max((len(ends) + 1) / at_full_speed, 1)
+            ends[name] = now + ALONE_S * slowdown + ORDER_OVERHEAD_S
+        seen.append((len(ends), gate.limit))
+        name = min(ends, key=ends.__getitem__)
+        now = ends.pop(name)
+        gate.end(name, ALONE_S, now)
+    return seen
+
+
+# Models were never served: one load of three that shared a store of two cut
+# the limit to one, and half of the store stayed idle while models were wanted.
+@pytest.mark.parametrize('at_full_speed', [2, 3, 4, 8])
+def test_a_shared_load_does_not_leave_a_part_of_the_store_idle(
+    at_full_speed: int,
+) -> None:
+    seen = widths_used(StoreGate(), at_full_speed, rounds=80)
+    warm = seen[4 * at_full_speed :]
+    assert min(used for used, _ in warm) >= at_full_speed
+    assert max(limit for _, limit in warm) <= at_full_speed + 2
+
+
+def test_a_straggler_narrows_the_store_for_a_few_loads_only() -> None:
+    gate = StoreGate()
+    for name in ('t1', 't2'):
+        gate.begin(name, 0)
+    gate.end('t1', ALONE_S, ALONE_S)
+    gate.end('t2', ALONE_S, 3 * ALONE_S)
+    seen = widths_used(gate, at_full_speed=4, rounds=24)
+    assert seen[-1][0] >= 4
