A load that shared the weight store does not halve its measured width

Cause: the gate on loads took the number of loads at once, divided it by how much longer than alone one of them took, and cut off the fraction. Orders and reports add 0.3 s to a load, so that three loads on a store of two measured 1.97, cut to 1. The limit then had to be found again, one step a load of 8 s: half of the store was idle meanwhile, and the next try of three cut it again. Ruled out: last copies pushed off disks (none in the logged run), loads of models that lie elsewhere (none after the start).

Change: the width is rounded, and the widest of the last three measured counts, since one load too many delays that one only while one too few leaves the store idle. Once a width is measured, one more load is tried after two at full speed for each that may run, not after each one.

--- a/mimosaworks/dispatch/store_gate.py
+++ b/mimosaworks/dispatch/store_gate.py
@@ -1,9 +1,18 @@
 """Bounds the loads from the weight store that run at once."""
 
+from collections import deque
+
 import attrs
 
 FIRST_LIMIT = 2
 SLOW_RATIO = 1.2  # a load this much longer than alone shared the store
+WIDTHS_KEPT = 3  # measured widths, so that one straggler is outvoted
+# Loads at full speed, for each that may run, before one more is tried.
+FULL_SPEED_LOADS = 2
+
+
+def _no_widths() -> deque[float]:
+    return deque(maxlen=WIDTHS_KEPT)
 
 
 @attrs.define
@@ -11,10 +20,14 @@
     """Finds how many loads the weight store carries at full speed.
 
     Beyond that number each load takes longer in proportion, so that more
-    at once bring none of them sooner. limit follows the measured durations.
+    at once bring none of them sooner. One too many delays that one only; one
+    too few leaves a part of the store idle. limit follows the measured
+    durations: _widths are those that loads showed that had to share.
     """
 
     limit: int = FIRST_LIMIT
+    _widths: deque[float] = attrs.field(factory=_no_widths)
+    _at_full_speed: int = 0
     _begun: dict[str, tuple[float, int]] = attrs.field(factory=dict)
 
     @property
@@ -53,13 +66,11 @@
         if begun is None:
             return
         begun_s, at_once = begun
-        taken_s = now - begun_s
-        ratio = taken_s / max(alone_s, 1)
+        ratio = (now - begun_s) / max(alone_s, 1)
         if ratio > SLOW_RATIO:
-            carried = max(int(at_once / ratio), 1)
-            self.limit = min(self.limit, carried)
+            self._narrow(at_once / ratio)
         elif at_once >= self.limit:
-            self.limit += 1
+            self._widen()
 
     def forget(self, target: str) -> None:
         """Take a target off that is gone or whose order failed."""
@@ -68,3 +79,16 @@
     def is_loading(self, target: str) -> bool:
         """Tell whether a target loads from the store, or will."""
         return target in self._begun
+
+    def _narrow(self, width: float) -> None:
+        self._widths.append(width)
+        self._at_full_speed = 0
+        # Orders and reports take time as well: a width of two measures less.
+        self.limit = max(round(max(self._widths)), 1)
+
+    def _widen(self) -> None:
+        self._at_full_speed += 1
+        needed = self.limit * FULL_SPEED_LOADS if self._widths else 1
+        if self._at_full_speed >= needed:
+            self._at_full_speed = 0
+            self.limit += 1
