A new holder loads nothing ahead until the targets have registered

Cause: weights that no known target has were taken for weights that lie nowhere. Targets register over some 5 s when a deployment starts; the first loads went out when 22 of the 45 targets with engines were known. The weight store brings one model in four seconds, so that each load that was not needed cost one that was.

Change: loads ahead wait until no target has registered for 1.5 s, longer than a heartbeat interval.

--- a/mimosaworks/dispatch/engine_pool.py
+++ b/mimosaworks/dispatch/engine_pool.py
@@ -128,6 +128,7 @@
                 self.loads.gate.forget(entry.name)
                 target = None
             if target is None:
+                self.loads.grown_s = now
                 cache = PrefixCache(self.terms.kv_tokens)
                 target = EngineTarget(entry, self.terms, cache)
                 self.targets[entry.name] = target
--- a/mimosaworks/dispatch/load_ahead.py
+++ b/mimosaworks/dispatch/load_ahead.py
@@ -42,7 +42,7 @@
 
     Their first requests then find them on a target's disk.
     """
-    if not pool.loads.is_quiet(now):
+    if not pool.loads.is_quiet(now) or not pool.loads.is_settled(now):
         return
     for model in pool.loads.absent(now)[:MAX_TRIES]:
         found = _cheapest(pool, model, now)
--- a/mimosaworks/dispatch/store_loads.py
+++ b/mimosaworks/dispatch/store_loads.py
@@ -18,6 +18,7 @@
 # The same while no requests come.
 QUIET_LOAD_SHARE = 2
 QUIET_S = 2.0  # without a request; a few pauses between requests
+SETTLED_S = 1.5  # without a new target; longer than a heartbeat interval
 MAX_LOAD_RETRY_S = 10.0  # callers bound it by the time that they have left
 
 
@@ -26,7 +27,8 @@
     """The weight store's rate and width, and what to load next.
 
     targets are all of the service, by name. asked_s is when a request came
-    last. _held are the models that targets had at hand at _held_at_s.
+    last, grown_s when a target registered last. _held are the models that
+    targets had at hand at _held_at_s.
     """
 
     terms: EngineTerms
@@ -34,6 +36,7 @@
     demand: ModelDemand
     gate: StoreGate = attrs.field(factory=StoreGate)
     asked_s: float | None = None
+    grown_s: float = 0
     _held_at_s: float | None = None
     _held: frozenset[str] = frozenset()
     budget: LoadBudget = attrs.field(init=False)
@@ -71,6 +74,14 @@
             self.asked_s = now
         return now - self.asked_s > QUIET_S
 
+    def is_settled(self, now: float) -> bool:
+        """Tell whether the targets that run have registered by now.
+
+        A holder that begins may know some of them only, and weights that it
+        knows of nowhere may lie on the others.
+        """
+        return now - self.grown_s > SETTLED_S
+
     def is_absent(self, model: str, now: float) -> bool:
         """Tell whether no target holds a model or has its weights at hand."""
         return model not in self._at_hand(now)
