Weights of a crashed target are waited for before they are loaded again

What callers saw: refusals of rare models while the weight store was busy with models that came back by themselves.

A crashed target is back within seconds, mostly under another name, and its disk with it; a load from the store takes eight and keeps another model waiting.

Change: the models of a target that vanished while it was ready count as present for 5 s more. Those of a target that announced its end do not.

--- a/mimosaworks/dispatch/engine_pool.py
+++ b/mimosaworks/dispatch/engine_pool.py
@@ -119,7 +119,10 @@
         displaced: list[Job] = []
         known = {entry.name: entry for entry in entries}
         for name in self.targets.keys() - known.keys():
-            displaced.extend(clear_target(self.targets.pop(name)))
+            gone = self.targets.pop(name)
+            if gone.entry.state is TargetState.READY:
+                self.loads.note_vanished(gone, now)
+            displaced.extend(clear_target(gone))
             self.loads.gate.forget(name)
         for entry in known.values():
             target = self.targets.get(entry.name)
--- a/mimosaworks/dispatch/store_loads.py
+++ b/mimosaworks/dispatch/store_loads.py
@@ -19,6 +19,7 @@
 QUIET_LOAD_SHARE = 2
 QUIET_S = 2.0  # without a request; a few pauses between requests
 SETTLED_S = 1.5  # without a new target; longer than a heartbeat interval
+RETURN_S = 5.0  # crashed targets are mostly back within it, with their disks
 MAX_LOAD_RETRY_S = 10.0  # callers bound it by the time that they have left
 
 
@@ -27,7 +28,8 @@
     """The weight store's rate and width, and what to load next.
 
     targets are all of the service, by name. asked_s is when a request came
-    last, grown_s when a target registered last. _held are the models that
+    last, grown_s when a target registered last. _missing tells until
+    when models of vanished targets are expected back. _held are the models that
     targets had at hand at _held_at_s.
     """
 
@@ -37,6 +39,7 @@
     gate: StoreGate = attrs.field(factory=StoreGate)
     asked_s: float | None = None
     grown_s: float = 0
+    _missing: dict[str, float] = attrs.field(factory=dict)
     _held_at_s: float | None = None
     _held: frozenset[str] = frozenset()
     budget: LoadBudget = attrs.field(init=False)
@@ -82,8 +85,16 @@
         """
         return now - self.grown_s > SETTLED_S
 
+    def note_vanished(self, target: EngineTarget, now: float) -> None:
+        """Note that a target is gone that did not tell that it would leave."""
+        self._held_at_s = None
+        self._missing.update(dict.fromkeys(target.at_hand(), now + RETURN_S))
+
     def is_absent(self, model: str, now: float) -> bool:
-        """Tell whether no target holds a model or has its weights at hand."""
+        """Tell whether no target holds a model or has its weights at hand.
+
+        Targets count that vanished lately: they are expected back.
+        """
         return model not in self._at_hand(now)
 
     def absent(self, now: float) -> list[EngineModel]:
@@ -111,8 +122,13 @@
         # One decision asks this of each target.
         if self._held_at_s != now:
             self._held_at_s = now
-            self._held = frozenset().union(
-                *(target.at_hand() for target in self.targets.values())
+            missing = (
+                model
+                for model, until_s in self._missing.items()
+                if now < until_s
+            )
+            self._held = frozenset(missing).union(
+                *(target.at_hand() for target in self.targets.values()),
             )
         return self._held
 
--- a/tests/test_dispatch_load_ahead.py
+++ b/tests/test_dispatch_load_ahead.py
@@ -1,8 +1,9 @@
 """Which models are loaded before they are asked for."""
 
+from mimosaworks.deployment import TargetState
 from mimosaworks.dispatch import EnginePool, load_ahead
-from mimosaworks.dispatch.store_loads import QUIET_S
-from tests.dispatch_world import entry, terms
+from mimosaworks.dispatch.store_loads import QUIET_S, RETURN_S
+from tests.dispatch_world import entry, make_job, make_pool, terms
 
 TICK_S = 0.05
 HEARTBEAT_S = 1.2
@@ -46,3 +47,27 @@
     assert not loaded
     loaded = tick_until(pool, now, now + QUIET_S + 2 * HEARTBEAT_S)
     assert loaded == ['m11']
+
+
+def pool_that_lost(state: TargetState) -> EnginePool:
+    """Return a pool whose only target with m6 to m10 has left the list."""
+    stays = entry('t1', on_disk=FIRST_HALF)
+    leaves = entry('t2', on_disk=(*SECOND_HALF, 'm11'), state=state)
+    pool = make_pool(stays, leaves)
+    pool.adopt((stays,), 0)
+    pool.submit(make_job('m6', first_by_s=1), 0)
+    return pool
+
+
+# Loads that others waited for went to models that were back with the disk of
+# a crashed target within a second.
+def test_a_crashed_targets_models_are_loaded_when_it_does_not_return() -> None:
+    pool = pool_that_lost(TargetState.READY)
+    assert not tick_until(pool, 0, RETURN_S - TICK_S)
+    pool.submit(make_job('m6', first_by_s=RETURN_S + 1), RETURN_S)
+    assert tick_until(pool, RETURN_S, RETURN_S + TICK_S) == ['m6']
+
+
+def test_a_leaving_targets_models_are_not_waited_for() -> None:
+    pool = pool_that_lost(TargetState.DRAINING)
+    assert tick_until(pool, 0, RETURN_S - TICK_S) == ['m6']
