A node that stops answers requests that still wait for a target

Cause: a stop counted the requests at targets only. One that waited for a load from the weight store, for up to ten seconds, was not refused and not awaited: node_stopped was written, and closing the server then hung on its handler until the grace was over. Whether it could end was looked at on arrival, where the wait for a model is not known.

Evidence: the new test with real processes: node_stopped 1.5 s after SIGTERM, the process at work until its load ended, past its grace of 2 s.

Change: a wait for a target ends when the rest of the grace is needed for the answer, with a 503 that says that the request did not run. It is bounded when SIGTERM comes, for new requests as for waiting ones; the stop awaits them.

--- a/mimosaworks/node/front.py
+++ b/mimosaworks/node/front.py
@@ -36,7 +36,9 @@
     """Serves callers at one node.
 
     stop_left_s gives the seconds until a node that stops ends what is left;
-    None for one that does not stop. Connections are closed meanwhile.
+    None for one that does not stop. Connections are closed meanwhile. calls
+    are the requests at targets by the name of their ask, waits bounds those
+    that have none yet.
     """
 
     chooser: Chooser
@@ -44,6 +46,7 @@
     meters: Meters
     stop_left_s: Callable[[], float | None]
     calls: dict[str, Call] = attrs.field(factory=dict)
+    waits: dict[Call, asyncio.Timeout] = attrs.field(factory=dict)
 
     async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
         """Answer one request; used as the server's handler."""
@@ -67,10 +70,16 @@
             if call.ask is not None
         )
 
+    def bound_waits(self) -> None:
+        """Bound the waits for targets by what a node that stops has left."""
+        now = asyncio.get_running_loop().time()
+        for call, wait in self.waits.items():
+            longest_s = _longest_wait_s(call, self.stop_left_s())
+            wait.reschedule(None if longest_s is None else now + longest_s)
+
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
         call = await admit(req, self.chooser.beliefs.deployment)
         call_log.log_admitted(call, self._version())
-        _check_stop(call, self.stop_left_s())
         try:
             async with asyncio.timeout(call.left_s()):
                 return await self._serve(call)
@@ -86,13 +95,27 @@
     async def _serve(self, call: Call) -> web.StreamResponse:
         while True:  # noqa: WPS457 -- each round sends, or raises
             call.asks += 1
-            assignment = await self.chooser.choose(call)
+            assignment = await self._choose(call)
             try:
                 return await self._send(call, assignment)
             except AttemptError as exc:
                 call_log.log_broken(call, exc.reason)
                 await self._prepare_resend(call, exc)
 
+    async def _choose(self, call: Call) -> Assignment:
+        """Find a target while there is time left to end the answer."""
+        longest_s = _longest_wait_s(call, self.stop_left_s())
+        if longest_s == 0:
+            raise _stopping()
+        try:
+            async with asyncio.timeout(longest_s) as wait:
+                self.waits[call] = wait
+                return await self.chooser.choose(call)
+        except TimeoutError as exc:
+            raise _stopping() from exc
+        finally:
+            self.waits.pop(call, None)
+
     async def _send(
         self, call: Call, assignment: Assignment
     ) -> web.StreamResponse:
@@ -189,17 +212,23 @@
         return 0 if deployment is None else deployment.version
 
 
-def _check_stop(call: Call, left_s: float | None) -> None:
-    """Refuse a request that would be cut when a node that stops ends."""
-    if left_s is None:
-        return
+def _longest_wait_s(call: Call, stop_left_s: float | None) -> float | None:
+    """Return how long a request may wait for a target; None is unbounded.
+
+    A node that stops needs the rest of its time to pass the answer on.
+    """
+    if stop_left_s is None:
+        return None
     expected_s = call.facts.expected_out * STREAM_TOKEN_S + MIN_CALL_S
-    if expected_s > left_s:
-        raise RequestError(
-            ErrorKind.STOPPING,
-            f'the node ends in {left_s:.2f} s',
-            retry_after_s=ELSEWHERE_S,
-        )
+    return max(stop_left_s - expected_s, 0)
+
+
+def _stopping() -> RequestError:
+    return RequestError(
+        ErrorKind.STOPPING,
+        'the node stops before the answer would end',
+        retry_after_s=ELSEWHERE_S,
+    )
 
 
 def _out_of_time(call: Call) -> RequestError:
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -152,6 +152,7 @@
 async def _stop(node: Node) -> None:
     end_s = now_s() + node.cfg.bounds.grace_s * END_SHARE
     node.stop_end_s = end_s
+    node.front.bound_waits()
     log_event(
         Event.NODE_STOPPING,
         node=node.cfg.name,
@@ -162,5 +163,5 @@
     while not await node.election.give_back() and now_s() < accept_end_s:
         await asyncio.sleep(GIVE_BACK_PAUSE_S)
     await asyncio.sleep(max(accept_end_s - now_s(), 0))
-    while node.front.calls and now_s() < end_s:
+    while (node.front.calls or node.front.waits) and now_s() < end_s:
         await asyncio.sleep(END_POLL_S)
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
+from typing import Any
 
 import aiohttp
 import pytest
@@ -19,6 +20,7 @@
 
 PATIENCE_S = 10.0
 TOKENS = '1000,20'
+LONG_LOAD_S = 2.5  # longer than the grace of a node that stops
 
 
 @pytest.fixture
@@ -46,11 +48,13 @@
         await asyncio.sleep(0.05)
 
 
-async def open_pair(world: AgencyWorld) -> tuple[NodeHandle, NodeHandle]:
+async def open_pair(
+    world: AgencyWorld, **engine: Any
+) -> tuple[NodeHandle, NodeHandle]:
     """Start two nodes, a ledger and two engines; wait until all is known."""
     await world.add_replica('ledger-1', service='ledger', slots=6)
-    await world.add_replica('engine-1', models={'alpha': set()})
-    await world.add_replica('engine-2', models={'beta': set()})
+    await world.add_replica('engine-1', models={'alpha': set()}, **engine)
+    await world.add_replica('engine-2', models={'beta': set()}, **engine)
     first = await world.add_node('node-1')
     second = await world.add_node('node-2')
     await until_served(world, first)
@@ -295,6 +299,28 @@
         assert resp.status == 200
 
 
+# Callers lost their requests in a planned stop: those that waited for a load
+# from the weight store were cut when the node ended.
+async def test_a_stopping_node_answers_requests_that_wait_for_a_model(
+    world: AgencyWorld,
+) -> None:
+    state = desired(2)
+    for model in state['services'][0]['engine']['models']:
+        model['load-time-s'] = LONG_LOAD_S
+    world.configure(state)
+    pair = await open_pair(world, on_disk=[], load_s=LONG_LOAD_S)
+    holder = holder_of(*pair)
+    node = pair[1] if holder is pair[0] else pair[0]
+    asked = asyncio.create_task(
+        read_stream(world, node, '/draft/a', 'waits', 'gamma')
+    )
+    await until(lambda: bool(holder.events('call_queued')))
+    node.process.terminate()
+    status, _ = await asked
+    assert status == 503
+    assert await node.process.wait() == 0
+
+
 async def test_directory_and_readiness_follow_a_planned_stop(
     world: AgencyWorld,
 ) -> None:
