Loads count with what earlier loads push off a target's disk

Cause: the copies on a target's disk were taken from its last entry alone. A load from the weight store pushes the least recently used copy off a full disk (host and disk sizes are in the desired state and were not read); a load from disk that was planned behind it, or within the seconds until the next entry, then was a load from the weight store: not counted by the gate, taken for done after 0.8 s, and in the way of all orders behind it.

Change: disk-mb is read; entries list copies in the order of use, so that what a load pushes out is known when it is queued. A load from disk whose copy has gone by the time it should be sent is not sent; its requests are placed anew.

--- a/mimosaworks/deployment/engine.py
+++ b/mimosaworks/deployment/engine.py
@@ -27,7 +27,8 @@
     """Bounds of one engine, and of the weight store that all engines share.
 
     kv_tokens is the engine's cache memory in tokens, weights_mb its memory
-    for models and adapters, loads_per_s the rate of the weight store.
+    for models and adapters, disk_mb its disk for copies of weights (0 when it
+    is not told), loads_per_s the rate of the weight store.
     """
 
     slots: int
@@ -36,3 +37,4 @@
     adapter_slots: int
     loads_per_s: float
     models: Mapping[str, EngineModel]
+    disk_mb: float = 0
--- a/mimosaworks/dispatch/engine_target.py
+++ b/mimosaworks/dispatch/engine_target.py
@@ -9,6 +9,7 @@
 from mimosaworks.dispatch.health import Health
 from mimosaworks.dispatch.job import Job
 from mimosaworks.dispatch.prefix_cache import PrefixCache
+from mimosaworks.dispatch.weight_copies import copies_after
 
 LESS_URGENT_SHARE = 0.3  # of a less urgent prompt that is read before
 
@@ -64,6 +65,7 @@
     models were confirmed since this process became holder. steps_end_s is
     when the queued orders should have ended, loads_s when each model was
     loaded by this holder, read_until_s when the granted prompts should be read.
+    on_disk lists the least recently used copy first.
     """
 
     entry: TargetEntry
@@ -74,7 +76,7 @@
     jobs: dict[str, Job] = attrs.field(factory=dict)
     steps: deque[Step] = attrs.field(factory=deque)
     in_memory: set[str] = attrs.field(factory=set)
-    on_disk: set[str] = attrs.field(factory=set)
+    on_disk: list[str] = attrs.field(factory=list)
     orders: int = 0
     steps_end_s: float = 0
     loads_s: dict[str, float] = attrs.field(factory=dict)
@@ -114,19 +116,31 @@
 
     def load_s(self, model: EngineModel) -> float:
         """Return the load time from where the weights lie."""
+        if self.needs_store(model):
+            return model.store_load_s
         if model.name in self.in_memory:
             return model.memory_load_s
-        if model.name in self.on_disk:
-            return model.disk_load_s
-        return model.store_load_s
+        return model.disk_load_s
 
     def at_hand(self) -> set[str]:
         """Return the models that are loaded, in its memory or on its disk."""
-        return self.in_memory | self.on_disk | self.models.keys()
+        return self.in_memory.union(self.on_disk, self.models)
+
+    def expected_disk(self) -> list[str]:
+        """Return the copies on its disk once the queued loads have ended."""
+        coming = [one for one in self.models.values() if not one.is_ready]
+        coming.sort(key=_ready_s)
+        copies = self.on_disk
+        for loaded in coming:
+            copies = copies_after(copies, loaded.terms, self.terms)
+        return copies
 
     def needs_store(self, model: EngineModel) -> bool:
-        """Tell whether a load would use the weight store."""
-        return model.name not in self.in_memory | self.on_disk
+        """Tell whether a load behind the queued ones uses the weight store."""
+        if model.name in self.expected_disk():
+            return False
+        is_loading = any(not one.is_ready for one in self.models.values())
+        return is_loading or model.name not in self.in_memory
 
     def allows(self, step: Step) -> bool:
         """Tell whether an order fits the models and the memory.
@@ -135,6 +149,8 @@
         """
         if not step.is_load:
             return True
+        if not self._is_where_planned(step):
+            return False
         loaded = self.models.get(step.model)
         if step.adapter and (loaded is None or not loaded.is_ready):
             return False
@@ -196,6 +212,16 @@
             for name, adapter in loaded.adapters.items():
                 adapter.jobs = sum(name == fact.adapter for fact in facts)
 
+    def _is_where_planned(self, step: Step) -> bool:
+        """Tell whether a load will not use the weight store unplanned."""
+        if step.adapter or step.is_from_store:
+            return True
+        return step.model in self.on_disk or step.model in self.in_memory
+
+
+def _ready_s(loaded: LoadedModel) -> float:
+    return loaded.ready_s
+
 
 def _share_before(job: Job, priority: int) -> float:
     return 1.0 if job.ask.priority <= priority else LESS_URGENT_SHARE
--- a/mimosaworks/dispatch/reconcile.py
+++ b/mimosaworks/dispatch/reconcile.py
@@ -8,6 +8,7 @@
     LoadedAdapter,
     LoadedModel,
 )
+from mimosaworks.dispatch.weight_copies import copies_after
 
 SETTLE_S = 2.5  # two heartbeat intervals of the targets
 
@@ -19,15 +20,18 @@
     last order for a model, so a report is the better source.
     """
     target.entry = entry
-    # An entry may be older than the last loads, but it tells of copies that
-    # had to make way for them.
-    recent = {
+    # An entry may be older than the last loads, which push other copies out.
+    recent = [
         model
         for model, loaded_s in target.loads_s.items()
         if now - loaded_s < SETTLE_S
-    }
-    target.in_memory = recent.union(entry.in_memory)
-    target.on_disk = recent.union(entry.on_disk)
+    ]
+    target.in_memory = set(entry.in_memory).union(recent)
+    target.on_disk = list(entry.on_disk)
+    for model in recent:
+        terms = target.terms.models.get(model)
+        if terms is not None and model not in target.on_disk:
+            target.on_disk = copies_after(target.on_disk, terms, target.terms)
     if not target.is_synced and not target.steps:
         adopt_models(target, entry.residences, target.orders)
 
--- a/mimosaworks/dispatch/target_books.py
+++ b/mimosaworks/dispatch/target_books.py
@@ -10,6 +10,7 @@
 )
 from mimosaworks.dispatch.job import Job
 from mimosaworks.dispatch.reconcile import forget_model
+from mimosaworks.dispatch.weight_copies import copies_after
 
 OVERDUE_S = 0.4  # about the time of a load from disk
 
@@ -65,7 +66,11 @@
     elif loaded is not None:
         loaded.is_ready = True
         target.in_memory.add(step.model)
-        target.on_disk.add(step.model)
+        target.on_disk = copies_after(
+            target.on_disk, loaded.terms, target.terms
+        )
+        # The latest last: copies are pushed out in this order.
+        target.loads_s.pop(step.model, None)
         target.loads_s[step.model] = now
     durations = (queued.duration_s for queued in target.steps)
     target.steps_end_s = now + sum(durations)
--- a/mimosaworks/node/weights_watch.py
+++ b/mimosaworks/node/weights_watch.py
@@ -72,7 +72,7 @@
         target=target.entry.name,
         model=model,
         copies=sum(
-            model in one.in_memory | one.on_disk
+            model in one.in_memory or model in one.on_disk
             for one in pool.targets.values()
         ),
         at_once=pool.loads.gate.at_once,
--- a/mimosaworks/platform/desired.py
+++ b/mimosaworks/platform/desired.py
@@ -114,6 +114,7 @@
         adapter_slots=whole(fields, 'adapter-slots'),
         loads_per_s=number(fields, 'loads-per-s'),
         models={model.name: model for model in models},
+        disk_mb=fields.get('disk-mb', 0),
     )
 
 
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -23,8 +23,11 @@
 _numbers = itertools.count()
 
 
-def terms(models: int = 12) -> EngineTerms:
-    """Return engines for models m0, m1 and so on."""
+def terms(models: int = 12, disk_models: int = 0) -> EngineTerms:
+    """Return engines for models m0, m1 and so on.
+
+    Their disks have room for disk_models of them, for all by default.
+    """
     named = [
         EngineModel(
             f'm{number}', SIZE_MB, 20, ADAPTER_MB, STORE_S, DISK_S, DISK_S
@@ -38,6 +41,7 @@
         adapter_slots=4,
         loads_per_s=4.0,
         models={model.name: model for model in named},
+        disk_mb=disk_models * SIZE_MB,
     )
 
 
@@ -57,9 +61,9 @@
     )
 
 
-def make_pool(*entries: TargetEntry) -> EnginePool:
+def make_pool(*entries: TargetEntry, disk_models: int = 0) -> EnginePool:
     """Return a pool whose targets were asked what they hold."""
-    pool = EnginePool(terms())
+    pool = EnginePool(terms(disk_models=disk_models))
     pool.adopt(entries, 0)
     for target in pool.targets.values():
         target.is_synced = True
--- /dev/null
+++ b/tests/test_dispatch_weight_copies.py
@@ -0,0 +1,57 @@
+"""What is expected of the copies of weights on targets' disks."""
+
+from mimosaworks.dispatch import Refusal
+from mimosaworks.dispatch.weight_copies import copies_after
+from tests.dispatch_world import (
+    STORE_S,
+    carry_out,
+    entry,
+    make_job,
+    make_pool,
+    terms,
+)
+
+FULL = ('m0', 'm1', 'm2')  # all that fits a disk, least recently used first
+
+
+def test_a_load_pushes_out_the_copy_that_was_not_used_for_longest() -> None:
+    full = terms(disk_models=3)
+    assert copies_after(FULL, full.models['m5'], full) == ['m1', 'm2', 'm5']
+    assert copies_after(FULL, full.models['m0'], full) == ['m1', 'm2', 'm0']
+    unknown = terms()
+    assert copies_after(FULL, unknown.models['m5'], unknown) == [*FULL, 'm5']
+
+
+# Requests waited for weights that a load before theirs had pushed off the
+# disk; their loads used the weight store without being counted.
+def test_a_load_behind_another_does_not_count_on_what_that_pushes_out() -> None:
+    pool = make_pool(entry('t1', on_disk=FULL), disk_models=3)
+    target = pool.targets['t1']
+    pool.submit(make_job('m5'), 1)
+    assert [step.is_from_store for step in target.steps] == [True]
+    refused = pool.submit(make_job('m0'), 1)
+    assert isinstance(refused, Refusal)
+    pool.submit(make_job('m2'), 1)
+    assert [step.model for step in target.steps] == ['m5', 'm2']
+    carry_out(pool, target, 1 + STORE_S)
+    assert target.on_disk == ['m1', 'm5', 'm2']
+
+
+# The same, where the copy went by another way after the load was planned.
+def test_a_load_from_disk_is_not_sent_once_its_copy_has_gone() -> None:
+    pool = make_pool(entry('t1', on_disk=FULL), disk_models=3)
+    target = pool.targets['t1']
+    pool.submit(make_job('m0'), 1)
+    step = target.steps[0]
+    assert target.allows(step)
+    pool.adopt((entry('t1', on_disk=('m1', 'm2', 'm4')),), 2)
+    assert not target.allows(step)
+
+
+def test_an_entry_older_than_a_load_does_not_bring_copies_back() -> None:
+    pool = make_pool(entry('t1', on_disk=FULL), disk_models=3)
+    target = pool.targets['t1']
+    pool.submit(make_job('m5'), 1)
+    carry_out(pool, target, 1 + STORE_S)
+    pool.adopt((entry('t1', 'm5', on_disk=FULL),), 1.1 + STORE_S)
+    assert target.on_disk == ['m1', 'm2', 'm5']
