Loads from the weight store spare the last copies of other models

What callers saw: models that lay on a disk in the morning were refused later, '0 have its weights at hand'.

Cause: where a load goes was chosen by the models in a target's memory only. The copy that it pushes off the disk may be the last one anywhere: then the load brings one model and takes another, which needs the store again.

The two new tests failed before.

Change: a last copy costs a load from the store in the comparison of targets, more if it is asked for. Loads ahead of requests never push one out.

--- a/mimosaworks/dispatch/engine_pool.py
+++ b/mimosaworks/dispatch/engine_pool.py
@@ -12,7 +12,11 @@
 from mimosaworks.dispatch.prefix_cache import PrefixCache
 from mimosaworks.dispatch.reconcile import adopt_entry
 from mimosaworks.dispatch.store_loads import StoreLoads
-from mimosaworks.dispatch.swap import SwapPlanner, count_copies
+from mimosaworks.dispatch.swap import (
+    SwapPlanner,
+    count_at_hand,
+    count_copies,
+)
 from mimosaworks.dispatch.target_books import (
     clear_target,
     drop_steps,
@@ -39,12 +43,14 @@
     targets: dict[str, EngineTarget] = attrs.field(factory=dict)
     demand: ModelDemand = attrs.field(factory=ModelDemand)
     copies: dict[str, int] = attrs.field(factory=dict)
+    at_hand: dict[str, int] = attrs.field(factory=dict)
     loads: StoreLoads = attrs.field(init=False)
     estimator: Estimator = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.loads = StoreLoads(self.terms, self.targets, self.demand)
-        self.estimator = Estimator(SwapPlanner(self.demand, self.copies))
+        planner = SwapPlanner(self.demand, self.copies, self.at_hand)
+        self.estimator = Estimator(planner)
 
     def follow_terms(self, terms: EngineTerms) -> None:
         """Follow new bounds and models."""
@@ -220,6 +226,8 @@
     def _count_copies(self) -> None:
         self.copies.clear()
         self.copies.update(count_copies(self.targets.values()))
+        self.at_hand.clear()
+        self.at_hand.update(count_at_hand(self.targets.values()))
 
 
 def _is_usable(target: EngineTarget, job: Job, now: float) -> bool:
--- a/mimosaworks/dispatch/engine_target.py
+++ b/mimosaworks/dispatch/engine_target.py
@@ -135,6 +135,11 @@
             copies = copies_after(copies, loaded.terms, self.terms)
         return copies
 
+    def pushed_out(self, model: EngineModel) -> set[str]:
+        """Return the models whose copies make way for a load on its disk."""
+        before = self.expected_disk()
+        return set(before).difference(copies_after(before, model, self.terms))
+
     def needs_store(self, model: EngineModel) -> bool:
         """Tell whether a load behind the queued ones uses the weight store."""
         if model.name in self.expected_disk():
--- a/mimosaworks/dispatch/load_ahead.py
+++ b/mimosaworks/dispatch/load_ahead.py
@@ -60,7 +60,9 @@
     found: list[tuple[EngineTarget, Swap]] = []
     for target in filter(_is_resting, pool.targets.values()):
         swap = planner.plan_model(target, model, now)
-        if swap is not None and pool.loads.allows(target, swap.steps, now):
+        if swap is None or swap.last_copies:
+            continue
+        if pool.loads.allows(target, swap.steps, now):
             found.append((target, swap))
 
     def cost(one: tuple[EngineTarget, Swap]) -> tuple[float, int, str]:
--- a/mimosaworks/dispatch/swap.py
+++ b/mimosaworks/dispatch/swap.py
@@ -26,20 +26,27 @@
     """The orders that bring a model in, and what the victims' loss costs.
 
     duration_s is the time of all orders, loss_s the expected seconds that
-    later requests wait for the victims.
+    later requests wait for the victims and for last_copies: models whose only
+    copy makes way on the target's disk.
     """
 
     steps: tuple[Step, ...]
     duration_s: float
     loss_s: float
+    last_copies: tuple[str, ...] = ()
 
 
 @attrs.define
 class SwapPlanner:
-    """Plans orders; copies gives the number of replicas of a model."""
+    """Plans orders.
+
+    copies gives the number of replicas of a model, at_hand the number of
+    targets that have its weights.
+    """
 
     demand: ModelDemand
     copies: dict[str, int]
+    at_hand: dict[str, int] = attrs.field(factory=dict)
 
     def plan_model(
         self, target: EngineTarget, model: EngineModel, now: float
@@ -59,10 +66,14 @@
             is_from_store=target.needs_store(model),
             duration_s=load_s,
         )
+        last_copies = self._last_copies(target, model)
+        losses = [self.loss_s(victim, now) for victim in victims]
+        losses += [self._reload_s(target, name, now) for name in last_copies]
         return Swap(
             steps=(*unloads, load),
             duration_s=load_s + UNLOAD_S * len(victims),
-            loss_s=math.fsum(self.loss_s(victim, now) for victim in victims),
+            loss_s=math.fsum(losses),
+            last_copies=last_copies,
         )
 
     def loss_s(self, victim: LoadedModel, now: float) -> float:
@@ -76,6 +87,25 @@
         expected = asked / copies**2 + recency / REUSE_HORIZON_S
         return reload_s * expected
 
+    def _last_copies(
+        self, target: EngineTarget, model: EngineModel
+    ) -> tuple[str, ...]:
+        """Return the models that no target has at hand after a load."""
+        if not target.needs_store(model):
+            return ()
+        pushed_out = target.pushed_out(model)
+        return tuple(
+            sorted(name for name in pushed_out if self.at_hand.get(name, 0) < 2)
+        )
+
+    def _reload_s(self, target: EngineTarget, name: str, now: float) -> float:
+        """Return the expected wait for a model that lies nowhere."""
+        model = target.terms.models.get(name)
+        if model is None:
+            return 0
+        asked = self.demand.per_s(name, now) * REUSE_HORIZON_S
+        return model.store_load_s * (1 + asked)
+
     def _victims(
         self, target: EngineTarget, model: EngineModel, now: float
     ) -> list[LoadedModel] | None:
@@ -89,6 +119,11 @@
         return _cover(idle, model.size_mb - free_mb)
 
 
+def count_at_hand(targets: Iterable[EngineTarget]) -> dict[str, int]:
+    """Return the number of targets that have each model's weights."""
+    return Counter(name for target in targets for name in target.at_hand())
+
+
 def count_copies(targets: Iterable[EngineTarget]) -> dict[str, int]:
     """Return the number of replicas of each model."""
     return Counter(
--- a/tests/test_dispatch_weight_copies.py
+++ b/tests/test_dispatch_weight_copies.py
@@ -1,6 +1,7 @@
 """What is expected of the copies of weights on targets' disks."""
 
-from mimosaworks.dispatch import Refusal
+from mimosaworks.dispatch import Refusal, load_ahead
+from mimosaworks.dispatch.store_loads import QUIET_S
 from mimosaworks.dispatch.weight_copies import copies_after
 from tests.dispatch_world import (
     STORE_S,
@@ -55,3 +56,24 @@
     carry_out(pool, target, 1 + STORE_S)
     pool.adopt((entry('t1', 'm5', on_disk=FULL),), 1.1 + STORE_S)
     assert target.on_disk == ['m1', 'm2', 'm5']
+
+
+# Models were never served: loads of other models pushed their last copies off
+# the targets' disks.
+def test_a_load_goes_where_it_pushes_out_no_last_copy() -> None:
+    pool = make_pool(
+        entry('t1', on_disk=('m0', 'm1', 'm2')),
+        entry('t2', on_disk=('m1', 'm3', 'm4')),
+        entry('t3', on_disk=('m2', 'm3', 'm4')),
+        disk_models=3,
+    )
+    pool.submit(make_job('m8'), 1)
+    assert not pool.targets['t1'].steps
+    assert pool.targets['t2'].steps or pool.targets['t3'].steps
+
+
+def test_no_load_ahead_costs_another_model_its_last_copy() -> None:
+    pool = make_pool(entry('t1', on_disk=FULL), disk_models=3)
+    for tick in range(int(4 * QUIET_S)):
+        load_ahead((pool,), float(tick))
+    assert not pool.targets['t1'].steps
