Weights are counted in the log once the targets have registered

At the start of a deployment the line named all models but those of the first two targets, and 180 weights_found lines followed []. disk-mb is part of the stand-in's desired state.

--- a/mimosaworks/node/weights_watch.py
+++ b/mimosaworks/node/weights_watch.py
@@ -29,7 +29,7 @@
             return
         self._looked_s = now
         for service, pool in pools.items():
-            if isinstance(pool, EnginePool) and pool.targets:
+            if isinstance(pool, EnginePool) and pool.loads.is_settled(now):
                 self._look_at(service, pool)
                 _log_held_up(service, pool, now)
 
--- a/standins/agency/world.py
+++ b/standins/agency/world.py
@@ -24,6 +24,7 @@
 OTHER_KEY = 'key-2'
 MODELS = ('alpha', 'beta', 'gamma', 'delta')
 SIZE_MB = 60000.0
+DISK_MB = 500000.0
 PORTS_A_NODE = 5
 
 
@@ -48,6 +49,7 @@
         'weights-mb': 140000.0,
         'adapter-slots': 2,
         'loads-per-s': 4.0,
+        'disk-mb': DISK_MB,
     }
     stream = {'host': HOST, 'service': 'engines', 'kind': 'streaming'}
     plain = {'host': HOST, 'service': 'ledger', 'timeout-ms': 2000}
--- a/tests/test_node_weights_watch.py
+++ b/tests/test_node_weights_watch.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from mimosaworks.dispatch.store_loads import SETTLED_S
 from mimosaworks.events import Event
 from mimosaworks.node import weights_watch as module
 from mimosaworks.node.weights_watch import (
@@ -35,14 +36,14 @@
         entry('t1', 'm0', on_disk=('m0', 'm1')), entry('t2', on_disk=('m0',))
     )
     watch = WeightsWatch()
-    watch.look({'engines': pool}, LOOK_S)
+    watch.look({'engines': pool}, SETTLED_S + LOOK_S)
     (event, facts) = lines.pop()
     assert event is Event.WEIGHTS_COUNTED
     assert facts['absent'] == sorted(f'm{one}' for one in range(2, 12))
     pool.adopt(
         (entry('t1', 'm0', on_disk=('m0', 'm5')), entry('t2', on_disk=())), 1
     )
-    watch.look({'engines': pool}, 2 * LOOK_S)
+    watch.look({'engines': pool}, SETTLED_S + 2 * LOOK_S)
     assert [event for event, _ in lines] == [
         Event.WEIGHTS_FOUND,
         Event.WEIGHTS_LOST,
@@ -51,7 +52,7 @@
     assert (lost['model'], lost['cause']) == ('m1', 'evicted')
     assert (lost['target'], lost['added']) == ('t1', ['m5'])
     pool.adopt((entry('t2', on_disk=()),), 2)
-    watch.look({'engines': pool}, 3 * LOOK_S)
+    watch.look({'engines': pool}, SETTLED_S + 3 * LOOK_S)
     assert {facts['cause'] for _, facts in lines[2:]} == {'target_gone'}
     assert [facts['model'] for _, facts in lines[2:]] == ['m0', 'm5']
 
@@ -59,9 +60,9 @@
 def test_looks_closer_together_write_nothing(lines: list[Line]) -> None:
     pool = make_pool(entry('t1', 'm0', on_disk=('m0',)))
     watch = WeightsWatch()
-    watch.look({'engines': pool}, LOOK_S)
+    watch.look({'engines': pool}, SETTLED_S + LOOK_S)
     pool.adopt((entry('t1', on_disk=('m1',)),), 1)
-    watch.look({'engines': pool}, LOOK_S * 1.5)
+    watch.look({'engines': pool}, SETTLED_S + LOOK_S * 1.5)
     assert len(lines) == 1
 
 
@@ -72,7 +73,7 @@
     job = make_job('m5', first_by_s=1)
     pool.submit(job, 0)
     watch = WeightsWatch()
-    watch.look({'engines': pool}, LOOK_S)
+    watch.look({'engines': pool}, SETTLED_S + LOOK_S)
     event, facts = lines[-1]
     assert event is Event.STORE_LOAD_HELD_UP
     assert (facts['model'], facts['wanted'], facts['fitting']) == ('m5', 1, 1)
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -18,7 +18,7 @@
     says_not_run,
     target_headers,
 )
-from standins.agency.world import BOUNDS, HOST, desired
+from standins.agency.world import BOUNDS, DISK_MB, HOST, desired
 
 BOOT = types.MappingProxyType({
     'node-name': 'front-1',
@@ -101,6 +101,7 @@
     assert engine is not None
     assert engine.models['alpha'].store_load_s > 0
     assert set(engine.models) == {'alpha', 'beta', 'gamma', 'delta'}
+    assert engine.disk_mb == DISK_MB
 
 
 def test_the_longest_prefix_of_a_path_wins() -> None:
