A load shares the weight store from when it is sent, not when it is queued

Cause: loads that were queued in one round all counted as running beside each other. The first two of three ended at full speed and seemed to show that three had; the limit went to four before the third one's slowness was seen. A load that ran alone and was slow counted as a width below one.

Evidence: 'store_load_begun' with at_once 4 for each of three loads sent in one round at 7.07 s, limit 4; they took 11.9, 16.1 and 20.1 s. The new test failed before.

Change: a load counts as running when its order is sent.

--- a/mimosaworks/dispatch/store_gate.py
+++ b/mimosaworks/dispatch/store_gate.py
@@ -22,7 +22,8 @@
     Beyond that number each load takes longer in proportion, so that more
     at once bring none of them sooner. One too many delays that one only; one
     too few leaves a part of the store idle. limit follows the measured
-    durations: _widths are those that loads showed that had to share.
+    durations: _widths are those that loads showed that had to share. _begun
+    gives for each load its start and how many ran then, 0 while it is queued.
     """
 
     limit: int = FIRST_LIMIT
@@ -52,24 +53,28 @@
 
     def begin(self, target: str, now: float) -> None:
         """Note that a target will load; it counts until it ends."""
-        self._begun[target] = (now, len(self._begun) + 1)
+        self._begun[target] = (now, 0)
 
     def restart_clock(self, target: str, now: float) -> None:
         """Note that the order of a noted load is sent now."""
-        begun = self._begun.pop(target, None)
-        if begun is not None:
-            self.begin(target, now)
+        if self._begun.pop(target, None) is not None:
+            running = [
+                at_once for _, at_once in self._begun.values() if at_once
+            ]
+            self._begun[target] = (now, len(running) + 1)
 
     def end(self, target: str, alone_s: float, now: float) -> None:
         """Learn from a load that takes alone_s when it has the store alone."""
         begun = self._begun.pop(target, None)
-        if begun is None:
+        if begun is None or not begun[1]:
             return
         begun_s, at_once = begun
         ratio = (now - begun_s) / max(alone_s, 1)
-        if ratio > SLOW_RATIO:
+        is_slow = ratio > SLOW_RATIO
+        # A load that ran alone was slow for another reason.
+        if is_slow and at_once > 1:
             self._narrow(at_once / ratio)
-        elif at_once >= self.limit:
+        elif not is_slow and at_once >= self.limit:
             self._widen()
 
     def forget(self, target: str) -> None:
--- a/tests/test_dispatch_store_gate.py
+++ b/tests/test_dispatch_store_gate.py
@@ -68,6 +68,7 @@
         while gate.has_room(MOST):
             name = f't{len(seen)}-{len(ends)}'
             gate.begin(name, now)
+            gate.restart_clock(name, now)
             slowdown = max((len(ends) + 1) / at_full_speed, 1)
             ends[name] = now + ALONE_S * slowdown + ORDER_OVERHEAD_S
         seen.append((len(ends), gate.limit))
@@ -93,7 +94,23 @@
     gate = StoreGate()
     for name in ('t1', 't2'):
         gate.begin(name, 0)
+        gate.restart_clock(name, 0)
     gate.end('t1', ALONE_S, ALONE_S)
     gate.end('t2', ALONE_S, 3 * ALONE_S)
     seen = widths_used(gate, at_full_speed=4, rounds=24)
     assert seen[-1][0] >= 4
+
+
+# Loads that were queued together counted as running together: ends of the
+# first ones raised the limit before the last could show that it shared.
+def test_loads_queued_together_count_from_when_each_is_sent() -> None:
+    gate = StoreGate(limit=3)
+    for name in ('t1', 't2', 't3'):
+        gate.begin(name, 0)
+    for name in ('t1', 't2', 't3'):
+        gate.restart_clock(name, 0)
+    gate.end('t1', ALONE_S, ALONE_S)
+    gate.end('t2', ALONE_S, ALONE_S)
+    assert gate.limit == 3
+    gate.end('t3', ALONE_S, 1.5 * ALONE_S)
+    assert gate.limit == 2
