Requests wait for a load that shares the weight store

What callers saw: a request was refused ('none of 39 targets can load the model now') seconds before its model arrived, and so were those that came after it; then nobody asked any more, and the model counts as never served.

Cause: a request that waits 0.4 s beyond its load's expected end goes to another target. The expected end of a load from the weight store was that of a load that has the store alone; beside others it takes 1.5 or 2 times as long, no other target has the model any sooner, and each request that came meanwhile found a load that should have ended and waited 0.4 s for it.

The first new test failed before; the second shows the expectation.

Change: when a load from the store is sent, its end is foreseen from the loads beside it; requests wait for it as long as its first event helps them. Unloads before it no longer count as the start of the load.

--- a/mimosaworks/dispatch/engine_pool.py
+++ b/mimosaworks/dispatch/engine_pool.py
@@ -153,8 +153,7 @@
         """Note that an order was carried out; return what it made ready."""
         finish_step(target, step, now)
         if step.is_from_store:
-            alone_s = self.terms.models[step.model].store_load_s
-            self.loads.gate.end(target.entry.name, alone_s, now)
+            self.loads.ended(target, step, now)
         self._count_copies()
         return [job for job in waiting_jobs(target) if target.is_ready_for(job)]
 
--- a/mimosaworks/dispatch/engine_target.py
+++ b/mimosaworks/dispatch/engine_target.py
@@ -11,6 +11,7 @@
 from mimosaworks.dispatch.prefix_cache import PrefixCache
 from mimosaworks.dispatch.weight_copies import copies_after
 
+OVERDUE_S = 0.4  # about the time of a load from disk
 LESS_URGENT_SHARE = 0.3  # of a less urgent prompt that is read before
 
 
@@ -28,14 +29,15 @@
 class LoadedModel:
     """A model in a target's memory, or on its way there.
 
-    ready_s is when its load should end; is_leaving marks one that is
-    ordered to be unloaded.
+    ready_s is when its load should end, is_from_store whether it comes from
+    the weight store; is_leaving marks one that is ordered to be unloaded.
     """
 
     terms: EngineModel
     used_s: float
     ready_s: float = 0
     is_ready: bool = True
+    is_from_store: bool = False
     is_leaving: bool = False
     jobs: int = 0
     adapters: dict[str, LoadedAdapter] = attrs.field(factory=dict)
@@ -180,6 +182,14 @@
         adapter = loaded.adapters.get(wanted)
         return adapter is not None and adapter.is_ready
 
+    def is_late(self, job: Job, now: float) -> bool:
+        """Tell whether a request should not wait here for its model longer."""
+        loaded = self.models.get(job.ask.facts.model)
+        if loaded is not None and loaded.is_from_store and not loaded.is_ready:
+            # It shares the store with others, and no target has it any sooner.
+            return now > job.ask.first_by_s
+        return now > job.due_s + OVERDUE_S
+
     def add_job(self, job: Job, now: float) -> None:
         """Book a request on this target."""
         facts = job.ask.facts
--- a/mimosaworks/dispatch/store_gate.py
+++ b/mimosaworks/dispatch/store_gate.py
@@ -63,6 +63,11 @@
             ]
             self._begun[target] = (now, len(running) + 1)
 
+    def expected_s(self, target: str, alone_s: float) -> float:
+        """Return how long a load that was sent takes beside the others."""
+        _, at_once = self._begun.get(target, (0, 0))
+        return alone_s * max(at_once / self.limit, 1)
+
     def end(self, target: str, alone_s: float, now: float) -> None:
         """Learn from a load that takes alone_s when it has the store alone."""
         begun = self._begun.pop(target, None)
--- a/mimosaworks/dispatch/store_loads.py
+++ b/mimosaworks/dispatch/store_loads.py
@@ -71,6 +71,27 @@
         self.gate.begin(target.entry.name, now)
         self.budget.try_take(now)
 
+    def sent(self, target: EngineTarget, step: Step, now: float) -> None:
+        """Note that the order of a load is sent; foresee its end."""
+        name = target.entry.name
+        self.gate.restart_clock(name, now)
+        alone_s = self.terms.models[step.model].store_load_s
+        end_s = now + self.gate.expected_s(name, alone_s)
+        loaded = target.models.get(step.model)
+        if loaded is not None:
+            loaded.ready_s = end_s
+        target.steps_end_s = end_s + sum(
+            queued.duration_s for queued in target.steps
+        )
+
+    def ended(self, target: EngineTarget, step: Step, now: float) -> None:
+        """Note that a load was carried out."""
+        alone_s = self.terms.models[step.model].store_load_s
+        self.gate.end(target.entry.name, alone_s, now)
+        for job in target.jobs.values():
+            # An adapter that was queued behind it begins to load now.
+            job.due_s = max(job.due_s, now)
+
     def is_quiet(self, now: float) -> bool:
         """Tell whether no requests have come for a while."""
         if self.asked_s is None:
--- a/mimosaworks/dispatch/target_books.py
+++ b/mimosaworks/dispatch/target_books.py
@@ -12,8 +12,6 @@
 from mimosaworks.dispatch.reconcile import forget_model
 from mimosaworks.dispatch.weight_copies import copies_after
 
-OVERDUE_S = 0.4  # about the time of a load from disk
-
 
 def waiting_jobs(target: EngineTarget) -> list[Job]:
     """Return the requests that wait for their model on a target."""
@@ -22,7 +20,7 @@
 
 def overdue_jobs(target: EngineTarget, now: float) -> list[Job]:
     """Return requests that wait longer than predicted, to go elsewhere."""
-    late = [job for job in waiting_jobs(target) if now > job.due_s + OVERDUE_S]
+    late = [job for job in waiting_jobs(target) if target.is_late(job, now)]
     for job in late:
         excluded = job.ask.excluded | {job.target}
         job.ask = attrs.evolve(job.ask, excluded=excluded)
@@ -50,7 +48,11 @@
         _expect_adapter(target.models[step.model], step, now)
     elif step.is_load:
         target.models[step.model] = LoadedModel(
-            target.terms.models[step.model], now, end_s, is_ready=False
+            target.terms.models[step.model],
+            now,
+            end_s,
+            is_ready=False,
+            is_from_store=step.is_from_store,
         )
     else:
         target.models[step.model].is_leaving = True
--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -306,8 +306,8 @@
 ) -> bool:
     if not target.is_synced or not target.allows(step):
         return False
-    pool.loads.gate.restart_clock(target.entry.name, now_s())
     if step.is_from_store:
+        pool.loads.sent(target, step, now_s())
         log_load_begun(service, pool, target, step.model)
     return await orders.run(target, step)
 
--- a/tests/test_dispatch_engine_pool.py
+++ b/tests/test_dispatch_engine_pool.py
@@ -11,6 +11,7 @@
     Assignment,
     EnginePool,
     Refusal,
+    Step,
     adopt_models,
 )
 from mimosaworks.dispatch.load_ahead import load_absent, load_wanted
@@ -24,6 +25,10 @@
     make_pool,
 )
 
+STORE_STEP = Step(
+    is_load=True, model='m5', is_from_store=True, duration_s=STORE_S
+)
+
 
 def submit_all(pool: EnginePool, *jobs: object, now: float = 0) -> list[object]:
     return [pool.submit(job, now) for job in jobs]  # type: ignore[arg-type]
@@ -308,6 +313,36 @@
     assert job.target != first
 
 
+# Models were never served: their requests were refused shortly before a load
+# ended that took longer, as it shared the weight store.
+def test_requests_wait_for_a_load_that_shares_the_weight_store() -> None:
+    pool = make_pool(entry('t1', 'm0', on_disk=()))
+    first = make_job('m5', first_by_s=2 * STORE_S)
+    hasty = make_job('m5', first_by_s=1.2 * STORE_S)
+    assert pool.submit(first, 1) is None
+    assert pool.submit(hasty, 1) is None
+    assert pool.overdue(1 + STORE_S + 2) == [hasty]
+    pool.drop(hasty)
+    later = make_job('m5', first_by_s=3 * STORE_S)
+    assert pool.submit(later, 1 + STORE_S + 1) is None
+    target = pool.targets['t1']
+    assert carry_out(pool, target, 1 + 1.5 * STORE_S) == [first, later]
+
+
+def test_a_load_that_will_share_the_store_is_expected_later() -> None:
+    pool = make_pool(entry('t1', on_disk=()), entry('t2', on_disk=()))
+    pool.loads.gate.limit = 1
+    for name in ('t1', 't2'):
+        target = pool.targets[name]
+        pool.enqueue(target, (STORE_STEP,), 1)
+        pool.loads.sent(target, target.steps.popleft(), 1)
+    models = [target.models['m5'] for target in pool.targets.values()]
+    ends = [loaded.ready_s - 1 for loaded in models]
+    assert ends == pytest.approx([STORE_S, 2 * STORE_S])
+    refused = pool.submit(make_job('m5', first_by_s=1 + STORE_S / 2), 1)
+    assert isinstance(refused, Refusal)
+
+
 def test_a_failed_order_drops_the_queue_behind_it() -> None:
     pool = make_pool(entry('t1', 'm0', 'm1'))
     target = pool.targets['t1']
