--- a/mimosaworks/node/weights_watch.py
+++ b/mimosaworks/node/weights_watch.py
@@ -29,7 +29,9 @@
             return
         self._looked_s = now
         for service, pool in pools.items():
-            if isinstance(pool, EnginePool) and pool.loads.is_settled(now):
+            if not isinstance(pool, EnginePool) or not pool.targets:
+                continue
+            if pool.loads.is_settled(now):
                 self._look_at(service, pool)
                 _log_held_up(service, pool, now)
 
--- a/tests/test_node_weights_watch.py
+++ b/tests/test_node_weights_watch.py
@@ -57,6 +57,13 @@
     assert [facts['model'] for _, facts in lines[2:]] == ['m0', 'm5']
 
 
+def test_nothing_is_counted_before_the_first_target(lines: list[Line]) -> None:
+    pool = make_pool()
+    watch = WeightsWatch()
+    watch.look({'engines': pool}, SETTLED_S + LOOK_S)
+    assert not lines
+
+
 def test_looks_closer_together_write_nothing(lines: list[Line]) -> None:
     pool = make_pool(entry('t1', 'm0', on_disk=('m0',)))
     watch = WeightsWatch()
