--- a/tests/test_dispatch_load_ahead.py
+++ b/tests/test_dispatch_load_ahead.py
@@ -1,9 +1,16 @@
 """Which models are loaded before they are asked for."""
 
 from mimosaworks.deployment import TargetState
-from mimosaworks.dispatch import EnginePool, load_ahead
+from mimosaworks.dispatch import EnginePool, Refusal, load_ahead
 from mimosaworks.dispatch.store_loads import QUIET_S, RETURN_S
-from tests.dispatch_world import entry, make_job, make_pool, terms
+from tests.dispatch_world import (
+    STORE_S,
+    carry_out,
+    entry,
+    make_job,
+    make_pool,
+    terms,
+)
 
 TICK_S = 0.05
 HEARTBEAT_S = 1.2
@@ -71,3 +78,19 @@
 def test_a_leaving_targets_models_are_not_waited_for() -> None:
     pool = pool_that_lost(TargetState.DRAINING)
     assert tick_until(pool, 0, RETURN_S - TICK_S) == ['m6']
+
+
+# Models were never served: a request that came just as the weight store was
+# free took it, before models that many callers had been refused for.
+def test_a_request_does_not_overtake_models_that_more_callers_want() -> None:
+    names = (f't{number}' for number in range(8))
+    pool = make_pool(*(entry(name, on_disk=FIRST_HALF) for name in names))
+    pool.loads.gate.limit = 1
+    first = make_job('m9')
+    assert pool.submit(first, 1) is None
+    for _ in range(4):
+        assert isinstance(pool.submit(make_job('m8'), 2), Refusal)
+    carry_out(pool, pool.targets[first.target], 1 + STORE_S)
+    now = 1.1 + STORE_S
+    pool.submit(make_job('m7', give_up_s=now + 60), now)
+    assert tick_until(pool, now, now + TICK_S) == ['m8']
