--- a/tests/test_dispatch_engine_pool.py
+++ b/tests/test_dispatch_engine_pool.py
@@ -390,3 +390,17 @@
     pool.submit(last, 0)
     assert last.target == 't2'
     assert slow.health.slowness > 1
+
+
+# A model was never served though its weights lay on a disk: each of its
+# requests was refused for what its only target ran at that moment.
+def test_a_patient_request_waits_while_its_only_target_is_in_use() -> None:
+    pool = make_pool(entry('t1', 'm0', 'm1', on_disk=('m0', 'm1', 'm5')))
+    running = [make_job('m0'), make_job('m1')]
+    submit_all(pool, *running)
+    patient = make_job('m5', first_by_s=10)
+    assert pool.submit(patient, 0.1) is None
+    for job in running:
+        pool.drop(job)
+    assert not pool.overdue(0.2)
+    assert carry_out(pool, pool.targets['t1'], 1) == [patient]
