A crashed target is waited for two seconds, not five

Cause: a target that vanished counted as there for 5 s after its entry lapsed, which itself takes three heartbeat intervals.

--- a/mimosaworks/dispatch/store_loads.py
+++ b/mimosaworks/dispatch/store_loads.py
@@ -19,7 +19,7 @@
 QUIET_LOAD_SHARE = 2
 QUIET_S = 2.0  # without a request; a few pauses between requests
 SETTLED_S = 1.5  # without a new target; longer than a heartbeat interval
-RETURN_S = 5.0  # crashed targets are mostly back within it, with their disks
+RETURN_S = 2.0  # after a crashed target's entry lapsed; it is mostly back
 MAX_LOAD_RETRY_S = 10.0  # callers bound it by the time that they have left
 
 
