The weight store goes to the model that is wanted most

What callers saw: models that were asked for again and again were never served, while one that was asked for once was loaded.

Cause: a place of the weight store that came free was given to the next request that came, of whatever model; the order by need was kept by the timed round only, 50 ms later at most.

Change: a request for a model that lies nowhere takes the store only if no refused model is wanted more; else it is refused and counts for its own.

--- a/mimosaworks/dispatch/engine_pool.py
+++ b/mimosaworks/dispatch/engine_pool.py
@@ -209,7 +209,7 @@
                 ErrorKind.NO_TARGET, NO_TARGET_RETRY_S, 'no target in service'
             )
         best = self.cheapest(usable, job, now)
-        if best is None:
+        if best is None or self.loads.is_outranked(best.steps, now):
             return Refusal(
                 ErrorKind.MODEL_NOT_READY,
                 self.loads.refused(job, now) or NO_TARGET_RETRY_S,
--- a/mimosaworks/dispatch/store_loads.py
+++ b/mimosaworks/dispatch/store_loads.py
@@ -118,6 +118,13 @@
         """
         return model not in self._at_hand(now)
 
+    def is_outranked(self, steps: Iterable[Step], now: float) -> bool:
+        """Tell whether orders would load what others want less."""
+        for step in steps:
+            if step.is_from_store and self.is_absent(step.model, now):
+                return self.wanted.is_outranked(step.model, now)
+        return False
+
     def absent(self, now: float) -> list[EngineModel]:
         """Return the models that no target has at hand, in a fixed order."""
         names = self.terms.models.keys() - self._at_hand(now)
--- a/mimosaworks/dispatch/wanted.py
+++ b/mimosaworks/dispatch/wanted.py
@@ -54,6 +54,17 @@
         )
         return [self._wants[name].job for name in ranked]
 
+    def is_outranked(self, model: str, now: float) -> bool:
+        """Tell whether another model is wanted more, as one is asked for."""
+        need = self._need(now, model) + RETURN_WEIGHT
+        return any(
+            self._need(now, name) > need
+            for name in self._wants
+            if name != model
+        )
+
     def _need(self, now: float, name: str) -> float:
         asked = self.demand.per_s(name, now) * WANT_TTL_S
-        return asked + self._wants[name].returning * RETURN_WEIGHT
+        want = self._wants.get(name)
+        returning = 0 if want is None else want.returning
+        return asked + returning * RETURN_WEIGHT
