Patient requests wait for room on targets that are in use

What callers saw: file57d89a lay on a target's disk and was asked for ten times, with up to 17 s left; each request was refused within 20 ms, as the target ran something of all that it held at that moment [].

Cause: whether a model can make way was looked at once, at arrival. What runs on a target changes within a second.

Change: a request whose model lies on a target that has no room waits for it, at most 3 s and as long as a load from disk can still serve it; it is looked at ten times a second. It counts in the demand once.

--- a/mimosaworks/dispatch/engine_pool.py
+++ b/mimosaworks/dispatch/engine_pool.py
@@ -31,19 +31,26 @@
 MIN_RETRY_S = 0.3
 MAX_RETRY_S = 3.0
 NO_TARGET_RETRY_S = 1.0
+ROOM_WAIT_S = 3.0  # for targets in use; about the length of a long answer
+ROOM_PERIOD_S = 0.1  # between two looks for room
 # Engines take priorities 0 to 9, where 0 is first.
 LAST_PRIORITY = 9
 
 
 @attrs.define(eq=False)
 class EnginePool:
-    """All targets of a service with engines, and the requests for them."""
+    """All targets of a service with engines, and the requests for them.
+
+    roomless are requests for which no target can make room at the moment.
+    """
 
     terms: EngineTerms
     targets: dict[str, EngineTarget] = attrs.field(factory=dict)
     demand: ModelDemand = attrs.field(factory=ModelDemand)
     copies: dict[str, int] = attrs.field(factory=dict)
     at_hand: dict[str, int] = attrs.field(factory=dict)
+    roomless: list[Job] = attrs.field(factory=list)
+    _looked_s: float = 0
     loads: StoreLoads = attrs.field(init=False)
     estimator: Estimator = attrs.field(init=False)
 
@@ -66,12 +73,16 @@
 
     def submit(self, job: Job, now: float) -> Assignment | Refusal | None:
         """Choose a target; None while the request waits for its model."""
-        if not job.ask.resends:
+        if not job.ask.resends and not job.is_noted:
+            job.is_noted = True
             self.demand.note(job.ask.facts.model, now)
             self.loads.asked_s = now
         option = self._choose(job, now)
         if isinstance(option, Refusal):
-            return option
+            if not _may_wait_for_room(self, job, option, now):
+                return option
+            self.roomless.append(job)
+            return None
         target = option.target
         self.enqueue(target, option.steps, now)
         target.add_job(job, now)
@@ -100,15 +111,21 @@
     def overdue(self, now: float) -> list[Job]:
         """Return waiting requests whose orders take longer than predicted.
 
-        They are not placed on the same target again.
+        They are not placed on the same target again. Those that wait for
+        room are among them.
         """
         late: list[Job] = []
+        if now - self._looked_s >= ROOM_PERIOD_S:
+            self._looked_s = now
+            late.extend(self.roomless)
         for target in self.targets.values():
             late.extend(overdue_jobs(target, now))
         return late
 
     def drop(self, job: Job) -> None:
         """Forget a request that ended or was withdrawn."""
+        if job in self.roomless:
+            self.roomless.remove(job)
         target = self.targets.get(job.target)
         if target is not None:
             target.drop_job(job)
@@ -237,6 +254,26 @@
     )
 
 
+def _may_wait_for_room(
+    pool: EnginePool, job: Job, refusal: Refusal, now: float
+) -> bool:
+    """Tell whether a target may have room for a model in time.
+
+    What targets run changes from moment to moment.
+    """
+    model = pool.terms.models.get(job.ask.facts.model)
+    if model is None or refusal.kind is not ErrorKind.MODEL_NOT_READY:
+        return False
+    is_near = any(
+        model.name not in target.models and not target.needs_store(model)
+        for target in pool.usable(job, now)
+    )
+    room_by_s = min(
+        job.arrived_s + ROOM_WAIT_S, job.ask.first_by_s - 2 * model.disk_load_s
+    )
+    return is_near and now < room_by_s
+
+
 def _describe(usable: list[EngineTarget], job: Job) -> str:
     model = job.ask.facts.model
     at_hand = [
--- a/mimosaworks/dispatch/job.py
+++ b/mimosaworks/dispatch/job.py
@@ -57,7 +57,7 @@
 
     prefill_tokens are the prompt's tokens that the target has to read.
     due_s is when its model should be loaded. is_started: its first event
-    has come.
+    has come. is_noted: it counts in the demand for its model.
     """
 
     ask: Ask
@@ -69,3 +69,4 @@
     estimate_s: float = 0
     is_granted: bool = False
     is_started: bool = False
+    is_noted: bool = False
