--- a/mimosaworks/dispatch/engine_pool.py
+++ b/mimosaworks/dispatch/engine_pool.py
@@ -257,7 +257,7 @@
 def _may_wait_for_room(
     pool: EnginePool, job: Job, refusal: Refusal, now: float
 ) -> bool:
-    """Tell whether a target may have room while the answer may be on time.
+    """Tell whether a target may have room for a model in time.
 
     What targets run changes from moment to moment.
     """
@@ -268,8 +268,10 @@
         model.name not in target.models and not target.needs_store(model)
         for target in pool.usable(job, now)
     )
-    longest_s = min(ROOM_WAIT_S, job.ask.target_s - model.disk_load_s)
-    return is_near and now < job.arrived_s + longest_s
+    room_by_s = min(
+        job.arrived_s + ROOM_WAIT_S, job.ask.first_by_s - 2 * model.disk_load_s
+    )
+    return is_near and now < room_by_s
 
 
 def _describe(usable: list[EngineTarget], job: Job) -> str:
--- a/mimosaworks/dispatch/engine_target.py
+++ b/mimosaworks/dispatch/engine_target.py
@@ -12,8 +12,6 @@
 from mimosaworks.dispatch.weight_copies import copies_after
 
 OVERDUE_S = 0.4  # about the time of a load from disk
-# Of its time alone, how late a load may be that shares the weight store.
-SHARED_DELAY = 0.5
 LESS_URGENT_SHARE = 0.3  # of a less urgent prompt that is read before
 
 
@@ -186,14 +184,11 @@
 
     def is_late(self, job: Job, now: float) -> bool:
         """Tell whether a request should not wait here for its model longer."""
-        if now <= job.due_s + OVERDUE_S:
-            return False
         loaded = self.models.get(job.ask.facts.model)
-        if loaded is None or loaded.is_ready or not loaded.is_from_store:
-            return True
-        # It shares the store with others, and no target has it any sooner.
-        delay_s = loaded.terms.store_load_s * SHARED_DELAY
-        return now + delay_s > job.ask.first_by_s
+        if loaded is not None and loaded.is_from_store and not loaded.is_ready:
+            # It shares the store with others, and no target has it any sooner.
+            return now > job.ask.first_by_s
+        return now > job.due_s + OVERDUE_S
 
     def add_job(self, job: Job, now: float) -> None:
         """Book a request on this target."""
--- a/tests/test_dispatch_engine_pool.py
+++ b/tests/test_dispatch_engine_pool.py
@@ -322,9 +322,7 @@
     hasty = make_job('m5', first_by_s=1.2 * STORE_S)
     assert pool.submit(first, 1) is None
     assert pool.submit(hasty, 1) is None
-    assert not pool.overdue(1 + STORE_S)
-    # It can't expect the model in time any more, and is told so.
-    assert pool.overdue(1 + STORE_S + 0.5) == [hasty]
+    assert pool.overdue(1 + STORE_S + 2) == [hasty]
     pool.drop(hasty)
     later = make_job('m5', first_by_s=3 * STORE_S)
     assert pool.submit(later, 1 + STORE_S + 1) is None
@@ -401,7 +399,7 @@
     pool = make_pool(entry('t1', 'm0', 'm1', on_disk=('m0', 'm1', 'm5')))
     running = [make_job('m0'), make_job('m1')]
     submit_all(pool, *running)
-    patient = make_job('m5', target_s=5)
+    patient = make_job('m5', first_by_s=10)
     assert pool.submit(patient, 0.1) is None
     for job in running:
         pool.drop(job)
@@ -414,8 +412,8 @@
 def test_a_request_is_refused_once_no_target_had_room_for_long() -> None:
     pool = make_pool(entry('t1', 'm0', 'm1', on_disk=('m0', 'm1', 'm5')))
     submit_all(pool, make_job('m0'), make_job('m1'))
-    hasty = make_job('m5', target_s=0.5)
-    patient = make_job('m5', target_s=5)
+    hasty = make_job('m5', first_by_s=1)
+    patient = make_job('m5')
     assert isinstance(pool.submit(hasty, 0.1), Refusal)
     assert pool.submit(patient, 0.1) is None
     assert pool.overdue(ROOM_WAIT_S + 0.1) == [patient]
