Targets with a model's weights are counted in one place

Behaviour as before; the tests keep their assertions.

- StoreLoads and the pool both went through what all targets have at hand: once for each decision, and again at each order, entry and end of an order.
The pool's table goes; SwapPlanner asks StoreLoads, which counts once a moment.
- 'In memory or on disk' stood in three places (orders, refusals, the log): one method of the target.
The end of a queue of orders was summed in two.
- The model that orders load from the store was looked for in two ways.
- plan_model asked four times whether a load needs the store, each time with the disk as it will be; now twice, and last copies are looked for only then.

--- a/mimosaworks/dispatch/engine_pool.py
+++ b/mimosaworks/dispatch/engine_pool.py
@@ -12,11 +12,7 @@
 from mimosaworks.dispatch.prefix_cache import PrefixCache
 from mimosaworks.dispatch.reconcile import adopt_entry
 from mimosaworks.dispatch.store_loads import StoreLoads
-from mimosaworks.dispatch.swap import (
-    SwapPlanner,
-    count_at_hand,
-    count_copies,
-)
+from mimosaworks.dispatch.swap import SwapPlanner, count_copies
 from mimosaworks.dispatch.target_books import (
     clear_target,
     drop_steps,
@@ -48,7 +44,6 @@
     targets: dict[str, EngineTarget] = attrs.field(factory=dict)
     demand: ModelDemand = attrs.field(factory=ModelDemand)
     copies: dict[str, int] = attrs.field(factory=dict)
-    at_hand: dict[str, int] = attrs.field(factory=dict)
     roomless: list[Job] = attrs.field(factory=list)
     _looked_s: float = 0
     loads: StoreLoads = attrs.field(init=False)
@@ -56,8 +51,9 @@
 
     def __attrs_post_init__(self) -> None:
         self.loads = StoreLoads(self.terms, self.targets, self.demand)
-        planner = SwapPlanner(self.demand, self.copies, self.at_hand)
-        self.estimator = Estimator(planner)
+        self.estimator = Estimator(
+            SwapPlanner(self.demand, self.copies, self.loads.count_at_hand)
+        )
 
     def follow_terms(self, terms: EngineTerms) -> None:
         """Follow new bounds and models."""
@@ -242,8 +238,6 @@
     def _count_copies(self) -> None:
         self.copies.clear()
         self.copies.update(count_copies(self.targets.values()))
-        self.at_hand.clear()
-        self.at_hand.update(count_at_hand(self.targets.values()))
 
 
 def _is_usable(target: EngineTarget, job: Job, now: float) -> bool:
@@ -276,14 +270,10 @@
 
 def _describe(usable: list[EngineTarget], job: Job) -> str:
     model = job.ask.facts.model
-    at_hand = [
-        target
-        for target in usable
-        if model in target.in_memory or model in target.on_disk
-    ]
+    at_hand = sum(target.has_copy(model) for target in usable)
     return (
         f'none of {len(usable)} targets can load the model now, '
-        f'{len(at_hand)} have its weights at hand'
+        f'{at_hand} have its weights at hand'
     )
 
 
--- a/mimosaworks/dispatch/engine_target.py
+++ b/mimosaworks/dispatch/engine_target.py
@@ -137,10 +137,14 @@
             copies = copies_after(copies, loaded.terms, self.terms)
         return copies
 
-    def pushed_out(self, model: EngineModel) -> set[str]:
-        """Return the models whose copies make way for a load on its disk."""
-        before = self.expected_disk()
-        return set(before).difference(copies_after(before, model, self.terms))
+    def has_copy(self, model: str) -> bool:
+        """Tell whether a model's weights are in its memory or on its disk."""
+        return model in self.in_memory or model in self.on_disk
+
+    def expect_steps_from(self, begin_s: float) -> None:
+        """Foresee the end of the queued orders, the first from begin_s on."""
+        durations = (step.duration_s for step in self.steps)
+        self.steps_end_s = begin_s + math.fsum(durations)
 
     def needs_store(self, model: EngineModel) -> bool:
         """Tell whether a load behind the queued ones uses the weight store."""
@@ -156,7 +160,9 @@
         """
         if not step.is_load:
             return True
-        if not self._is_where_planned(step):
+        is_planned = step.is_from_store or self.has_copy(step.model)
+        if not step.adapter and not is_planned:
+            # It would use the weight store, which has no place for it.
             return False
         loaded = self.models.get(step.model)
         if step.adapter and (loaded is None or not loaded.is_ready):
@@ -227,12 +233,6 @@
             for name, adapter in loaded.adapters.items():
                 adapter.jobs = sum(name == fact.adapter for fact in facts)
 
-    def _is_where_planned(self, step: Step) -> bool:
-        """Tell whether a load will not use the weight store unplanned."""
-        if step.adapter or step.is_from_store:
-            return True
-        return step.model in self.on_disk or step.model in self.in_memory
-
 
 def _ready_s(loaded: LoadedModel) -> float:
     return loaded.ready_s
--- a/mimosaworks/dispatch/store_gate.py
+++ b/mimosaworks/dispatch/store_gate.py
@@ -58,10 +58,8 @@
     def restart_clock(self, target: str, now: float) -> None:
         """Note that the order of a noted load is sent now."""
         if self._begun.pop(target, None) is not None:
-            running = [
-                at_once for _, at_once in self._begun.values() if at_once
-            ]
-            self._begun[target] = (now, len(running) + 1)
+            sent = [at_once for _, at_once in self._begun.values() if at_once]
+            self._begun[target] = (now, len(sent) + 1)
 
     def expected_s(self, target: str, alone_s: float) -> float:
         """Return how long a load that was sent takes beside the others."""
--- a/mimosaworks/dispatch/store_loads.py
+++ b/mimosaworks/dispatch/store_loads.py
@@ -1,5 +1,6 @@
 """Decides when weights are loaded from the weight store."""
 
+from collections import Counter
 from collections.abc import Iterable
 
 import attrs
@@ -28,9 +29,9 @@
     """The weight store's rate and width, and what to load next.
 
     targets are all of the service, by name. asked_s is when a request came
-    last, grown_s when a target registered last. _missing tells until
-    when models of vanished targets are expected back. _held are the models that
-    targets had at hand at _held_at_s.
+    last, grown_s when a target registered last. _missing tells until when
+    models of vanished targets are expected back. _held counts the targets that
+    had each model at hand at _held_at_s.
     """
 
     terms: EngineTerms
@@ -41,7 +42,7 @@
     grown_s: float = 0
     _missing: dict[str, float] = attrs.field(factory=dict)
     _held_at_s: float | None = None
-    _held: frozenset[str] = frozenset()
+    _held: Counter[str] = attrs.field(factory=Counter)
     budget: LoadBudget = attrs.field(init=False)
     wanted: WantedModels = attrs.field(init=False)
 
@@ -56,7 +57,7 @@
 
         Its last load at once is kept for models that no target has at hand.
         """
-        model = next((step.model for step in steps if step.is_from_store), '')
+        model = _loaded_from_store(steps)
         if not model:
             return True
         if self.gate.is_loading(target.entry.name):
@@ -80,9 +81,7 @@
         loaded = target.models.get(step.model)
         if loaded is not None:
             loaded.ready_s = end_s
-        target.steps_end_s = end_s + sum(
-            queued.duration_s for queued in target.steps
-        )
+        target.expect_steps_from(end_s)
 
     def ended(self, target: EngineTarget, step: Step, now: float) -> None:
         """Note that a load was carried out."""
@@ -116,19 +115,36 @@
 
         Targets count that vanished lately: they are expected back.
         """
-        return model not in self._at_hand(now)
+        if self._missing.get(model, now) > now:
+            return False
+        return not self.count_at_hand(model, now)
+
+    def count_at_hand(self, model: str, now: float) -> int:
+        """Return the number of targets that have a model's weights."""
+        # One decision asks this for each target.
+        if self._held_at_s != now:
+            self._held_at_s = now
+            self._held = Counter(
+                name
+                for target in self.targets.values()
+                for name in target.at_hand()
+            )
+        return self._held[model]
 
     def is_outranked(self, steps: Iterable[Step], now: float) -> bool:
         """Tell whether orders would load what others want less."""
-        for step in steps:
-            if step.is_from_store and self.is_absent(step.model, now):
-                return self.wanted.is_outranked(step.model, now)
-        return False
+        model = _loaded_from_store(steps)
+        if not model or not self.is_absent(model, now):
+            return False
+        return self.wanted.is_outranked(model, now)
 
     def absent(self, now: float) -> list[EngineModel]:
         """Return the models that no target has at hand, in a fixed order."""
-        names = self.terms.models.keys() - self._at_hand(now)
-        return [self.terms.models[name] for name in sorted(names)]
+        return [
+            model
+            for name, model in sorted(self.terms.models.items())
+            if self.is_absent(name, now)
+        ]
 
     def refused(self, job: Job, now: float) -> float | None:
         """Note a request that is refused for want of its model.
@@ -146,19 +162,9 @@
             self.gate.next_room_s(load_s, now) + load_s, MAX_LOAD_RETRY_S
         )
 
-    def _at_hand(self, now: float) -> frozenset[str]:
-        # One decision asks this of each target.
-        if self._held_at_s != now:
-            self._held_at_s = now
-            missing = (
-                model
-                for model, until_s in self._missing.items()
-                if now < until_s
-            )
-            self._held = frozenset(missing).union(
-                *(target.at_hand() for target in self.targets.values()),
-            )
-        return self._held
-
     def _share(self, now: float) -> int:
         return QUIET_LOAD_SHARE if self.is_quiet(now) else STORE_LOAD_SHARE
+
+
+def _loaded_from_store(steps: Iterable[Step]) -> str:
+    return next((step.model for step in steps if step.is_from_store), '')
--- a/mimosaworks/dispatch/swap.py
+++ b/mimosaworks/dispatch/swap.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -14,6 +14,7 @@
     LoadedModel,
     Step,
 )
+from mimosaworks.dispatch.weight_copies import copies_after
 
 UNLOAD_S = 0.06  # an idle model leaves within some steps of the engine
 ADAPTER_LOAD_S = 0.02  # two to three times the published 5 to 10 ms
@@ -40,13 +41,13 @@
 class SwapPlanner:
     """Plans orders.
 
-    copies gives the number of replicas of a model, at_hand the number of
-    targets that have its weights.
+    copies gives the number of replicas of a model, count_at_hand the number
+    of targets that have its weights at a time.
     """
 
     demand: ModelDemand
     copies: dict[str, int]
-    at_hand: dict[str, int] = attrs.field(factory=dict)
+    count_at_hand: Callable[[str, float], int]
 
     def plan_model(
         self, target: EngineTarget, model: EngineModel, now: float
@@ -56,6 +57,7 @@
         if victims is None:
             return None
         load_s = target.load_s(model)
+        needs_store = target.needs_store(model)
         unloads = [
             Step(is_load=False, model=victim.terms.name, duration_s=UNLOAD_S)
             for victim in victims
@@ -63,10 +65,12 @@
         load = Step(
             is_load=True,
             model=model.name,
-            is_from_store=target.needs_store(model),
+            is_from_store=needs_store,
             duration_s=load_s,
         )
-        last_copies = self._last_copies(target, model)
+        last_copies: tuple[str, ...] = ()
+        if needs_store:
+            last_copies = self._last_copies(target, model, now)
         losses = [self.loss_s(victim, now) for victim in victims]
         losses += [self._reload_s(target, name, now) for name in last_copies]
         return Swap(
@@ -88,14 +92,15 @@
         return reload_s * expected
 
     def _last_copies(
-        self, target: EngineTarget, model: EngineModel
+        self, target: EngineTarget, model: EngineModel, now: float
     ) -> tuple[str, ...]:
         """Return the models that no target has at hand after a load."""
-        if not target.needs_store(model):
-            return ()
-        pushed_out = target.pushed_out(model)
+        before = target.expected_disk()
+        after = copies_after(before, model, target.terms)
         return tuple(
-            sorted(name for name in pushed_out if self.at_hand.get(name, 0) < 2)
+            name
+            for name in before
+            if name not in after and self.count_at_hand(name, now) < 2
         )
 
     def _reload_s(self, target: EngineTarget, name: str, now: float) -> float:
@@ -119,11 +124,6 @@
         return _cover(idle, model.size_mb - free_mb)
 
 
-def count_at_hand(targets: Iterable[EngineTarget]) -> dict[str, int]:
-    """Return the number of targets that have each model's weights."""
-    return Counter(name for target in targets for name in target.at_hand())
-
-
 def count_copies(targets: Iterable[EngineTarget]) -> dict[str, int]:
     """Return the number of replicas of each model."""
     return Counter(
--- a/mimosaworks/dispatch/target_books.py
+++ b/mimosaworks/dispatch/target_books.py
@@ -74,8 +74,7 @@
         # The latest last: copies are pushed out in this order.
         target.loads_s.pop(step.model, None)
         target.loads_s[step.model] = now
-    durations = (queued.duration_s for queued in target.steps)
-    target.steps_end_s = now + sum(durations)
+    target.expect_steps_from(now)
 
 
 def drop_steps(target: EngineTarget, failed: Step, now: float) -> None:
--- a/mimosaworks/dispatch/weight_copies.py
+++ b/mimosaworks/dispatch/weight_copies.py
@@ -10,7 +10,7 @@
 ) -> list[str]:
     """Return the copies on a disk after a load, least recently used first.
 
-    The least recently used copies make way. A disk of unknown size keeps all.
+    Copies are evicted in that order. A disk of unknown size keeps them all.
     """
     kept = [name for name in copies if name != model.name]
     if terms.disk_mb:
--- a/mimosaworks/node/weights_watch.py
+++ b/mimosaworks/node/weights_watch.py
@@ -73,10 +73,7 @@
         service=service,
         target=target.entry.name,
         model=model,
-        copies=sum(
-            model in one.in_memory or model in one.on_disk
-            for one in pool.targets.values()
-        ),
+        copies=sum(one.has_copy(model) for one in pool.targets.values()),
         at_once=pool.loads.gate.at_once,
         limit=pool.loads.gate.limit,
         wanted=len(pool.loads.wanted),
