--- a/bench/fault_plan.py
+++ b/bench/fault_plan.py
@@ -1,4 +1,4 @@
-"""Named faults that are injected in the middle of a run."""
+"""Named faults that are injected during a run."""
 
 import asyncio
 import types
--- a/bench/slopes_members.py
+++ b/bench/slopes_members.py
@@ -34,7 +34,7 @@
 
 
 async def start_routers(cluster: Cluster, count: int) -> list[Node]:
-    """Start routers on a small configuration, a few at a time."""
+    """Start routers on a small configuration, in small groups."""
     await writer_for(cluster).put(list(base_entities((), ())))
     routers: list[Node] = []
     while len(routers) < count:
--- a/bench/soak_load.py
+++ b/bench/soak_load.py
@@ -13,7 +13,7 @@
 from standins.agency.world import MODELS, AgencyWorld
 
 PAUSE_S = 0.02
-ONCE = ('/post/', '/chat/')  # requests that may run once at most
+ONCE = ('/post/', '/chat/')  # requests that must not be repeated
 STREAMS = ('/chat/', '/draft/')
 NOT_RUN = frozenset((408, 421, 429, 503))
 OK = 200
--- a/mimosaworks/dispatch/store_gate.py
+++ b/mimosaworks/dispatch/store_gate.py
@@ -1,4 +1,4 @@
-"""Bounds the loads from the weight store that run at once."""
+"""Bounds how many loads share the weight store."""
 
 from collections import deque
 
--- a/mimosaworks/dispatch/store_loads.py
+++ b/mimosaworks/dispatch/store_loads.py
@@ -1,4 +1,4 @@
-"""Decides when weights are loaded from the weight store."""
+"""Decides which weights the weight store is asked for, and when."""
 
 from collections import Counter
 from collections.abc import Iterable
--- a/mimosaworks/placement/budget.py
+++ b/mimosaworks/placement/budget.py
@@ -10,7 +10,7 @@
 
 @attrs.define
 class LoadBudget:
-    """A token bucket of loads from the weight store; one second's burst.
+    """A token bucket of weight store loads; one second's burst.
 
     A new holder begins with an empty bucket: its predecessor may just have
     spent it.
--- a/mimosaworks/placement/ledger.py
+++ b/mimosaworks/placement/ledger.py
@@ -52,7 +52,7 @@
         return self.index().by_model.get(model, [])
 
     def find(self, target: str, model: str, adapter: str = '') -> Intent | None:
-        """Return the intent for a model or adapter on a target."""
+        """Return the intent for a model, or an adapter, on a target."""
         wanted = (model, adapter)
         found = (
             intent
--- a/mimosaworks/platform/headers.py
+++ b/mimosaworks/platform/headers.py
@@ -132,7 +132,7 @@
 
 
 def says_not_run(status: int, headers: Mapping[str, str]) -> bool:
-    """Tell whether a target's answer says that it did not run the request."""
+    """Tell whether a target's answer says that nothing was run."""
     return NOT_RUN in headers or status == HTTPStatus.MISDIRECTED_REQUEST
 
 
--- a/mimosaworks/relay/attempt_error.py
+++ b/mimosaworks/relay/attempt_error.py
@@ -12,7 +12,7 @@
 
 
 class AttemptRefusedError(AttemptNotRunError):
-    """The target answered that it did not run the request."""
+    """The target answered that it ran nothing."""
 
 
 class AttemptInDoubtError(AttemptError):
--- a/standins/engine/loaded.py
+++ b/standins/engine/loaded.py
@@ -1,4 +1,4 @@
-"""A model or adapter that an engine has taken an order for."""
+"""A model, or an adapter, that an engine has an order for."""
 
 import attrs
 
--- a/tests/test_dispatch_engine_pool.py
+++ b/tests/test_dispatch_engine_pool.py
@@ -76,7 +76,7 @@
 
 
 def test_a_burst_of_unknown_models_leaves_targets_for_swaps_from_disk() -> None:
-    # While a target loads from the weight store it can load nothing else.
+    # A target that the weight store is sending to can load nothing else.
     pool = make_pool(
         *(entry(f't{one}', 'm0', on_disk=('m0', 'm1')) for one in range(8))
     )
--- a/tests/test_dispatch_store_gate.py
+++ b/tests/test_dispatch_store_gate.py
@@ -1,4 +1,4 @@
-"""How many loads from the weight store run at once."""
+"""How many loads share the weight store."""
 
 import pytest
 
--- a/tests/test_node_weights_watch.py
+++ b/tests/test_node_weights_watch.py
@@ -1,4 +1,4 @@
-"""What is logged of models' weights and of loads from the weight store."""
+"""What is logged of models' weights and of their loads."""
 
 from typing import Any
 
