Copies of weights in a target's memory are bounded by its size

Cause: the books kept every model that was ever loaded as a copy in a target's memory. Two fit there. Loads that were expected from memory (0.4 s) came from the disk (1.0 s): requests that were sent meanwhile were answered 421, and the next order met a target that was still busy, up to ten times each.

Ruled out: loads that were carried out late (all were accepted at once and took the disk's time).

Change: the memory for copies is decoded and kept like the disk's, least recently used out; a load's time is taken anew when it is sent.

--- a/mimosaworks/deployment/engine.py
+++ b/mimosaworks/deployment/engine.py
@@ -27,8 +27,9 @@
     """Bounds of one engine, and of the weight store that all engines share.
 
     kv_tokens is the engine's cache memory in tokens, weights_mb its memory
-    for models and adapters, disk_mb its disk for copies of weights (0 when it
-    is not told), loads_per_s the rate of the weight store.
+    for models and adapters, copies_mb and disk_mb what its memory and its disk
+    have for copies of weights (0 when it is not told), loads_per_s the rate of
+    the weight store.
     """
 
     slots: int
@@ -38,3 +39,4 @@
     loads_per_s: float
     models: Mapping[str, EngineModel]
     disk_mb: float = 0
+    copies_mb: float = 0
--- a/mimosaworks/dispatch/engine_target.py
+++ b/mimosaworks/dispatch/engine_target.py
@@ -9,7 +9,7 @@
 from mimosaworks.dispatch.health import Health
 from mimosaworks.dispatch.job import Job
 from mimosaworks.dispatch.prefix_cache import PrefixCache
-from mimosaworks.dispatch.weight_copies import copies_after
+from mimosaworks.dispatch.weight_copies import disk_after, memory_after
 
 OVERDUE_S = 0.4  # about the time of a load from disk
 LESS_URGENT_SHARE = 0.3  # of a less urgent prompt that is read before
@@ -67,7 +67,7 @@
     models were confirmed since this process became holder. steps_end_s is
     when the queued orders should have ended, loads_s when each model was
     loaded by this holder, read_until_s when the granted prompts should be read.
-    on_disk lists the least recently used copy first.
+    in_memory and on_disk list the least recently used copy first.
     """
 
     entry: TargetEntry
@@ -77,7 +77,7 @@
     models: dict[str, LoadedModel] = attrs.field(factory=dict)
     jobs: dict[str, Job] = attrs.field(factory=dict)
     steps: deque[Step] = attrs.field(factory=deque)
-    in_memory: set[str] = attrs.field(factory=set)
+    in_memory: list[str] = attrs.field(factory=list)
     on_disk: list[str] = attrs.field(factory=list)
     orders: int = 0
     steps_end_s: float = 0
@@ -116,25 +116,52 @@
             if not job.is_started
         )
 
+    def count_before(self, job: Job) -> int:
+        """Return the number of other requests that get a slot before one."""
+        return sum(
+            other.is_started or other.ask.priority <= job.ask.priority
+            for other in self.jobs.values()
+            if other is not job
+        )
+
     def load_s(self, model: EngineModel) -> float:
         """Return the load time from where the weights lie."""
         if self.needs_store(model):
             return model.store_load_s
-        if model.name in self.in_memory:
+        if model.name in self.expected_memory():
             return model.memory_load_s
         return model.disk_load_s
 
+    def timed(self, step: Step) -> Step:
+        """Return an order with the duration that it has if it is sent now.
+
+        Copies may have come or gone since it was planned.
+        """
+        model = self.terms.models.get(step.model)
+        is_copied = step.is_load and not step.adapter and not step.is_from_store
+        if model is None or not is_copied:
+            return step
+        duration_s = model.disk_load_s
+        if step.model in self.in_memory:
+            duration_s = model.memory_load_s
+        return attrs.evolve(step, duration_s=duration_s)
+
     def at_hand(self) -> set[str]:
         """Return the models that are loaded, in its memory or on its disk."""
-        return self.in_memory.union(self.on_disk, self.models)
+        return {*self.in_memory, *self.on_disk, *self.models}
 
     def expected_disk(self) -> list[str]:
         """Return the copies on its disk once the queued loads have ended."""
-        coming = [one for one in self.models.values() if not one.is_ready]
-        coming.sort(key=_ready_s)
         copies = self.on_disk
-        for loaded in coming:
-            copies = copies_after(copies, loaded.terms, self.terms)
+        for coming in self._coming():
+            copies = disk_after(copies, coming, self.terms)
+        return copies
+
+    def expected_memory(self) -> list[str]:
+        """Return the copies in memory once the queued loads have ended."""
+        copies = self.in_memory
+        for coming in self._coming():
+            copies = memory_after(copies, coming, self.terms)
         return copies
 
     def has_copy(self, model: str) -> bool:
@@ -233,6 +260,11 @@
             for name, adapter in loaded.adapters.items():
                 adapter.jobs = sum(name == fact.adapter for fact in facts)
 
+    def _coming(self) -> list[EngineModel]:
+        """Return the models that are being loaded, the first one first."""
+        coming = [one for one in self.models.values() if not one.is_ready]
+        return [one.terms for one in sorted(coming, key=_ready_s)]
+
 
 def _ready_s(loaded: LoadedModel) -> float:
     return loaded.ready_s
--- a/mimosaworks/dispatch/reconcile.py
+++ b/mimosaworks/dispatch/reconcile.py
@@ -8,7 +8,7 @@
     LoadedAdapter,
     LoadedModel,
 )
-from mimosaworks.dispatch.weight_copies import copies_after
+from mimosaworks.dispatch.weight_copies import disk_after, memory_after
 
 SETTLE_S = 2.5  # two heartbeat intervals of the targets
 
@@ -26,12 +26,14 @@
         for model, loaded_s in target.loads_s.items()
         if now - loaded_s < SETTLE_S
     ]
-    target.in_memory = set(entry.in_memory).union(recent)
+    target.in_memory = list(entry.in_memory)
     target.on_disk = list(entry.on_disk)
-    for model in recent:
-        terms = target.terms.models.get(model)
-        if terms is not None and model not in target.on_disk:
-            target.on_disk = copies_after(target.on_disk, terms, target.terms)
+    for terms in map(target.terms.models.get, recent):
+        if terms is None:
+            continue
+        target.in_memory = memory_after(target.in_memory, terms, target.terms)
+        if terms.name not in target.on_disk:
+            target.on_disk = disk_after(target.on_disk, terms, target.terms)
     if not target.is_synced and not target.steps:
         adopt_models(target, entry.residences, target.orders)
 
--- a/mimosaworks/dispatch/swap.py
+++ b/mimosaworks/dispatch/swap.py
@@ -14,7 +14,7 @@
     LoadedModel,
     Step,
 )
-from mimosaworks.dispatch.weight_copies import copies_after
+from mimosaworks.dispatch.weight_copies import disk_after
 
 UNLOAD_S = 0.06  # an idle model leaves within some steps of the engine
 ADAPTER_LOAD_S = 0.02  # two to three times the published 5 to 10 ms
@@ -96,7 +96,7 @@
     ) -> tuple[str, ...]:
         """Return the models that no target has at hand after a load."""
         before = target.expected_disk()
-        after = copies_after(before, model, target.terms)
+        after = disk_after(before, model, target.terms)
         return tuple(
             name
             for name in before
--- a/mimosaworks/dispatch/target_books.py
+++ b/mimosaworks/dispatch/target_books.py
@@ -10,7 +10,7 @@
 )
 from mimosaworks.dispatch.job import Job
 from mimosaworks.dispatch.reconcile import forget_model
-from mimosaworks.dispatch.weight_copies import copies_after
+from mimosaworks.dispatch.weight_copies import disk_after, memory_after
 
 
 def waiting_jobs(target: EngineTarget) -> list[Job]:
@@ -67,10 +67,10 @@
         forget_model(target, step.model)
     elif loaded is not None:
         loaded.is_ready = True
-        target.in_memory.add(step.model)
-        target.on_disk = copies_after(
-            target.on_disk, loaded.terms, target.terms
+        target.in_memory = memory_after(
+            target.in_memory, loaded.terms, target.terms
         )
+        target.on_disk = disk_after(target.on_disk, loaded.terms, target.terms)
         # The latest last: copies are pushed out in this order.
         target.loads_s.pop(step.model, None)
         target.loads_s[step.model] = now
--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -261,7 +261,7 @@
         while target.steps and pool.holds(target):
             while not self.is_sure():
                 await asyncio.sleep(TICK_S)
-            step = target.steps.popleft()
+            step = target.timed(target.steps.popleft())
             is_done = await _carry_out(self.orders, service, pool, target, step)
             report = (
                 self.dispatcher.step_done
--- a/mimosaworks/platform/desired.py
+++ b/mimosaworks/platform/desired.py
@@ -115,6 +115,7 @@
         loads_per_s=number(fields, 'loads-per-s'),
         models={model.name: model for model in models},
         disk_mb=fields.get('disk-mb', 0),
+        copies_mb=fields.get('host-mb', 0),
     )
 
 
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -23,10 +23,13 @@
 _numbers = itertools.count()
 
 
-def terms(models: int = 12, disk_models: int = 0) -> EngineTerms:
+def terms(
+    models: int = 12, disk_models: int = 0, memory_models: int = 0
+) -> EngineTerms:
     """Return engines for models m0, m1 and so on.
 
-    Their disks have room for disk_models of them, for all by default.
+    Their disks have room for the copies of disk_models of them and their
+    memory for those of memory_models, for all by default.
     """
     named = [
         EngineModel(
@@ -42,6 +45,7 @@
         loads_per_s=4.0,
         models={model.name: model for model in named},
         disk_mb=disk_models * SIZE_MB,
+        copies_mb=memory_models * SIZE_MB,
     )
 
 
@@ -61,9 +65,12 @@
     )
 
 
-def make_pool(*entries: TargetEntry, disk_models: int = 0) -> EnginePool:
-    """Return a pool whose targets were asked what they hold."""
-    pool = EnginePool(terms(disk_models=disk_models))
+def make_pool(*entries: TargetEntry, **room: int) -> EnginePool:
+    """Return a pool whose targets were asked what they hold.
+
+    room is as for terms.
+    """
+    pool = EnginePool(terms(**room))
     pool.adopt(entries, 0)
     for target in pool.targets.values():
         target.is_synced = True
--- a/tests/test_dispatch_weight_copies.py
+++ b/tests/test_dispatch_weight_copies.py
@@ -1,9 +1,12 @@
-"""What is expected of the copies of weights on targets' disks."""
+"""What is expected of the copies of weights that targets keep."""
 
-from mimosaworks.dispatch import Refusal, load_ahead
+import attrs
+
+from mimosaworks.dispatch import Refusal, Step, load_ahead
 from mimosaworks.dispatch.store_loads import QUIET_S
-from mimosaworks.dispatch.weight_copies import copies_after
+from mimosaworks.dispatch.weight_copies import disk_after
 from tests.dispatch_world import (
+    DISK_S,
     STORE_S,
     carry_out,
     entry,
@@ -17,10 +20,10 @@
 
 def test_a_load_pushes_out_the_copy_that_was_not_used_for_longest() -> None:
     full = terms(disk_models=3)
-    assert copies_after(FULL, full.models['m5'], full) == ['m1', 'm2', 'm5']
-    assert copies_after(FULL, full.models['m0'], full) == ['m1', 'm2', 'm0']
+    assert disk_after(FULL, full.models['m5'], full) == ['m1', 'm2', 'm5']
+    assert disk_after(FULL, full.models['m0'], full) == ['m1', 'm2', 'm0']
     unknown = terms()
-    assert copies_after(FULL, unknown.models['m5'], unknown) == [*FULL, 'm5']
+    assert disk_after(FULL, unknown.models['m5'], unknown) == [*FULL, 'm5']
 
 
 # Requests waited for weights that a load before theirs had pushed off the
@@ -77,3 +80,30 @@
     for tick in range(int(4 * QUIET_S)):
         load_ahead((pool,), float(tick))
     assert not pool.targets['t1'].steps
+
+
+# Engines refused requests and orders for half a second after each load that
+# was expected from memory, but came from the disk.
+def test_a_load_pushes_the_oldest_copy_out_of_memory() -> None:
+    pool = make_pool(entry('t1', in_memory=('m0', 'm1')), memory_models=2)
+    target = pool.targets['t1']
+    target.terms = attrs.evolve(
+        target.terms,
+        models={
+            name: attrs.evolve(model, memory_load_s=DISK_S / 2)
+            for name, model in target.terms.models.items()
+        },
+    )
+    pool.submit(make_job('m5'), 1)
+    assert target.load_s(target.terms.models['m1']) == DISK_S / 2
+    assert target.load_s(target.terms.models['m0']) == DISK_S
+    carry_out(pool, target, 1 + DISK_S)
+    assert target.in_memory == ['m1', 'm5']
+
+
+def test_a_load_whose_copy_left_memory_is_given_the_disks_time() -> None:
+    pool = make_pool(entry('t1', in_memory=('m5',)), memory_models=2)
+    target = pool.targets['t1']
+    planned = Step(is_load=True, model='m5', duration_s=DISK_S / 2)
+    target.in_memory.clear()
+    assert target.timed(planned).duration_s == DISK_S
