Requests wait together for the models that are wanted most

Models at hand that requests are refused for are now loaded by need, and a model in use closes for one that is wanted twice as much. - Loads for patient callers filled a target's queue for ten seconds. A load is queued at most one load ahead; until then requests wait in a room, in whose order busy models go first, then those that can still be on time. - The time to write an answer was a constant times a pace learned from first events: requests with seconds left were refused with "-78 s left". Writing is learned from whole answers. - Predicted waits fell to nothing behind a short prompt, and left out that all slots were taken; 103 first events of one target came up to 1.5 s late. - Each of a model's replicas was a little in use, so that none made way. - Requests stayed with a load from the weight store while another target had the model two seconds sooner, or until their callers left.

--- a/mimosaworks/dispatch/__init__.py
+++ b/mimosaworks/dispatch/__init__.py
@@ -5,6 +5,7 @@
 from mimosaworks.dispatch.engine_target import EngineTarget, Step
 from mimosaworks.dispatch.job import Ask, Assignment, Job, Refusal
 from mimosaworks.dispatch.load_ahead import load_ahead
+from mimosaworks.dispatch.load_time import timed
 from mimosaworks.dispatch.outcome import CallOutcome
 from mimosaworks.dispatch.plain_pool import PlainPool, PlainTarget
 from mimosaworks.dispatch.reconcile import adopt_models
@@ -27,4 +28,5 @@
     'Step',
     'adopt_models',
     'load_ahead',
+    'timed',
 ]
--- a/mimosaworks/dispatch/dispatcher.py
+++ b/mimosaworks/dispatch/dispatcher.py
@@ -129,8 +129,8 @@
         pool = self.pools.get(job.ask.service)
         if pool is not None:
             self._note_outcome(job, outcome, now)
-            if outcome is CallOutcome.ANSWERED and isinstance(pool, PlainPool):
-                pool.note_work(job, duration_s)
+            if outcome is CallOutcome.ANSWERED:
+                pool.note_whole(job, duration_s)
             pool.drop(job)
         if outcome in _UNUSED:
             self.limiter.give_back(job.ask.workspace, job.ask.cost)
@@ -157,10 +157,11 @@
         pool = _pool_holding(self, service, target)
         if pool is None:
             return []
-        return [
+        granted = [
             (job.ask.call, pool.grant(job, now))
             for job in pool.step_done(target, step, now)
         ]
+        return [*granted, *self.tick(now)]
 
     def step_failed(
         self, service: str, target: EngineTarget, step: Step, now: float
--- a/mimosaworks/dispatch/engine_pool.py
+++ b/mimosaworks/dispatch/engine_pool.py
@@ -7,8 +7,10 @@
 from mimosaworks.deployment import EngineTerms, TargetEntry, TargetState
 from mimosaworks.dispatch.demand import ModelDemand
 from mimosaworks.dispatch.engine_target import EngineTarget, Step
-from mimosaworks.dispatch.estimate import Estimator, Option
+from mimosaworks.dispatch.estimate import Estimator
 from mimosaworks.dispatch.job import Assignment, Job, Refusal
+from mimosaworks.dispatch.late_jobs import outrun_jobs, overdue_jobs
+from mimosaworks.dispatch.option_choice import OptionChoice
 from mimosaworks.dispatch.prefix_cache import PrefixCache
 from mimosaworks.dispatch.reconcile import adopt_entry
 from mimosaworks.dispatch.store_loads import StoreLoads
@@ -18,17 +20,12 @@
     drop_steps,
     expect_step,
     finish_step,
-    overdue_jobs,
     stranded_jobs,
     waiting_jobs,
 )
-from mimosaworks.errors import ErrorKind
+from mimosaworks.dispatch.waiting_room import WaitingRoom
+from mimosaworks.dispatch.wanted import WantedModels
 
-MIN_RETRY_S = 0.3
-MAX_RETRY_S = 3.0
-NO_TARGET_RETRY_S = 1.0
-ROOM_WAIT_S = 3.0  # for targets in use; about the length of a long answer
-ROOM_PERIOD_S = 0.1  # between two looks for room
 # Engines take priorities 0 to 9, where 0 is first.
 LAST_PRIORITY = 9
 
@@ -37,23 +34,35 @@
 class EnginePool:
     """All targets of a service with engines, and the requests for them.
 
-    roomless are requests for which no target can make room at the moment.
+    refused are the models at hand that requests were refused for, _outrun
+    requests that wait for a model on one target while another has it.
     """
 
     terms: EngineTerms
     targets: dict[str, EngineTarget] = attrs.field(factory=dict)
     demand: ModelDemand = attrs.field(factory=ModelDemand)
     copies: dict[str, int] = attrs.field(factory=dict)
-    roomless: list[Job] = attrs.field(factory=list)
-    _looked_s: float = 0
+    waiting: WaitingRoom = attrs.field(factory=WaitingRoom)
+    _outrun: list[Job] = attrs.field(factory=list)
+    refused: WantedModels = attrs.field(init=False)
     loads: StoreLoads = attrs.field(init=False)
     estimator: Estimator = attrs.field(init=False)
+    choice: OptionChoice = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.loads = StoreLoads(self.terms, self.targets, self.demand)
+        self.refused = WantedModels(self.demand)
         self.estimator = Estimator(
             SwapPlanner(self.demand, self.copies, self.loads.count_at_hand)
         )
+        self.choice = OptionChoice(
+            targets=self.targets,
+            copies=self.copies,
+            estimator=self.estimator,
+            loads=self.loads,
+            refused=self.refused,
+            waiting=self.waiting,
+        )
 
     def follow_terms(self, terms: EngineTerms) -> None:
         """Follow new bounds and models."""
@@ -73,11 +82,11 @@
             job.is_noted = True
             self.demand.note(job.ask.facts.model, now)
             self.loads.asked_s = now
-        option = self._choose(job, now)
+        option = self.choice.choose(job, now)
         if isinstance(option, Refusal):
-            if not _may_wait_for_room(self, job, option, now):
+            if not self.choice.may_wait(job, option, now):
                 return option
-            self.roomless.append(job)
+            self.waiting.add(job)
             return None
         target = option.target
         self.enqueue(target, option.steps, now)
@@ -95,13 +104,15 @@
         job.is_granted = True
         job.granted_s = now
         job.estimate_s = self.estimator.first_s(target, job, now)
-        target.read_until_s = now + job.estimate_s
+        job.waits_for_slot = bool(self.estimator.slot_s(target, job))
+        read_until_s = now + job.estimate_s
+        target.read_until_s = max(target.read_until_s, read_until_s)
         target.cache.note(facts.model, facts.adapter, facts.parts)
         return Assignment(
             target=target.entry.name,
             address=target.entry.address,
             priority=min(max(job.ask.priority, 0), LAST_PRIORITY),
-            reason=f'predicted {job.estimate_s:.3f} s to the first event',
+            reason=_describe(job, self.estimator.writing.write_s(job)),
         )
 
     def overdue(self, now: float) -> list[Job]:
@@ -110,29 +121,37 @@
         They are not placed on the same target again. Those that wait for
         room are among them.
         """
-        late: list[Job] = []
-        if now - self._looked_s >= ROOM_PERIOD_S:
-            self._looked_s = now
-            late.extend(self.roomless)
+        late = self.waiting.due(self.demand, now)
+        late.extend(self._outrun)
+        self._outrun.clear()
         for target in self.targets.values():
             late.extend(overdue_jobs(target, now))
         return late
 
     def drop(self, job: Job) -> None:
         """Forget a request that ended or was withdrawn."""
-        if job in self.roomless:
-            self.roomless.remove(job)
+        self.waiting.discard(job)
         target = self.targets.get(job.target)
-        if target is not None:
-            target.drop_job(job)
+        if target is None:
+            return
+        target.drop_job(job)
+        loaded = target.models.get(job.ask.facts.model)
+        if loaded is not None and not loaded.jobs:
+            self.waiting.note_change()
 
     def started(self, job: Job, first_s: float) -> None:
         """Note that a request's first event came first_s after its send."""
         job.is_started = True
+        job.first_s = first_s
         target = self.targets.get(job.target)
         if target is not None and job.estimate_s:
             self.estimator.learn(target, job, first_s)
 
+    def note_whole(self, job: Job, duration_s: float) -> None:
+        """Note that an answer was whole duration_s after its send."""
+        if job.is_started:
+            self.estimator.writing.learn(job, duration_s - job.first_s)
+
     def adopt(self, entries: Iterable[TargetEntry], now: float) -> list[Job]:
         """Take over what targets say; return requests to place anew."""
         displaced: list[Job] = []
@@ -168,6 +187,9 @@
         if step.is_from_store:
             self.loads.ended(target, step, now)
         self._count_copies()
+        self.waiting.note_change()
+        if step.is_load and not step.adapter:
+            self._outrun.extend(outrun_jobs(self.targets.values(), step.model))
         return [job for job in waiting_jobs(target) if target.is_ready_for(job)]
 
     def step_failed(
@@ -179,27 +201,6 @@
         self._count_copies()
         return stranded_jobs(target)
 
-    def usable(self, job: Job, now: float) -> list[EngineTarget]:
-        """Return the targets that a request may go to."""
-        return [
-            target
-            for target in self.targets.values()
-            if _is_usable(target, job, now)
-        ]
-
-    def cheapest(
-        self, usable: Iterable[EngineTarget], job: Job, now: float
-    ) -> Option | None:
-        """Return the best way to serve a request that is open now."""
-        found = (self.estimator.option(target, job, now) for target in usable)
-        options = (
-            option
-            for option in found
-            if option is not None
-            and self.loads.allows(option.target, option.steps, now)
-        )
-        return min(options, key=_cost, default=None)
-
     def enqueue(
         self, target: EngineTarget, steps: tuple[Step, ...], now: float
     ) -> None:
@@ -215,80 +216,11 @@
         target.steps_end_s = end_s
         self._count_copies()
 
-    def _choose(self, job: Job, now: float) -> Option | Refusal:
-        usable = self.usable(job, now)
-        if not usable:
-            return Refusal(
-                ErrorKind.NO_TARGET, NO_TARGET_RETRY_S, 'no target in service'
-            )
-        best = self.cheapest(usable, job, now)
-        if best is None or self.loads.is_outranked(best.steps, now):
-            return Refusal(
-                ErrorKind.MODEL_NOT_READY,
-                self.loads.refused(job, now) or NO_TARGET_RETRY_S,
-                _describe(usable, job),
-            )
-        write_s = self.estimator.write_s(job)
-        refusal = _check_time(best, job, write_s, now)
-        if refusal is None:
-            return best
-        self.loads.refused(job, now)
-        return refusal
-
     def _count_copies(self) -> None:
         self.copies.clear()
         self.copies.update(count_copies(self.targets.values()))
 
 
-def _is_usable(target: EngineTarget, job: Job, now: float) -> bool:
-    return (
-        target.entry.state is TargetState.READY
-        and target.entry.name not in job.ask.excluded
-        and not target.health.is_down(now)
-    )
-
-
-def _may_wait_for_room(
-    pool: EnginePool, job: Job, refusal: Refusal, now: float
-) -> bool:
-    """Tell whether a target may have room for a model in time.
-
-    What targets run changes from moment to moment.
-    """
-    model = pool.terms.models.get(job.ask.facts.model)
-    if model is None or refusal.kind is not ErrorKind.MODEL_NOT_READY:
-        return False
-    is_near = any(
-        model.name not in target.models and not target.needs_store(model)
-        for target in pool.usable(job, now)
-    )
-    room_by_s = min(
-        job.arrived_s + ROOM_WAIT_S, job.ask.first_by_s - 2 * model.disk_load_s
-    )
-    return is_near and now < room_by_s
-
-
-def _describe(usable: list[EngineTarget], job: Job) -> str:
-    model = job.ask.facts.model
-    at_hand = sum(target.has_copy(model) for target in usable)
-    return (
-        f'none of {len(usable)} targets can load the model now, '
-        f'{at_hand} have its weights at hand'
-    )
-
-
-def _cost(option: Option) -> float:
-    return option.cost_s
-
-
-def _check_time(
-    best: Option, job: Job, write_s: float, now: float
-) -> Refusal | None:
-    """Refuse when the first event or the whole answer would come too late."""
-    ask = job.ask
-    left_s = min(ask.first_by_s, ask.give_up_s - write_s) - now
-    if best.wait_s < left_s:
-        return None
-    retry_s = min(max(best.ready_s, MIN_RETRY_S), MAX_RETRY_S)
-    reason = f'predicted {best.wait_s:.2f} s, {left_s:.2f} s left'
-    return Refusal(ErrorKind.DEADLINE_UNREACHABLE, retry_s, reason)
+def _describe(job: Job, write_s: float) -> str:
+    first_s = job.estimate_s
+    return f'predicted {first_s:.3f} s to the first event, {write_s:.2f} s more'
--- a/mimosaworks/dispatch/engine_target.py
+++ b/mimosaworks/dispatch/engine_target.py
@@ -9,7 +9,6 @@
 from mimosaworks.dispatch.health import Health
 from mimosaworks.dispatch.job import Job
 from mimosaworks.dispatch.prefix_cache import PrefixCache
-from mimosaworks.dispatch.weight_copies import disk_after, memory_after
 
 OVERDUE_S = 0.4  # about the time of a load from disk
 LESS_URGENT_SHARE = 0.3  # of a less urgent prompt that is read before
@@ -31,6 +30,8 @@
 
     ready_s is when its load should end, is_from_store whether it comes from
     the weight store; is_leaving marks one that is ordered to be unloaded.
+    Until closed_until_s it takes no new requests, so that it can make way for
+    the model closed_for.
     """
 
     terms: EngineModel
@@ -39,6 +40,8 @@
     is_ready: bool = True
     is_from_store: bool = False
     is_leaving: bool = False
+    closed_for: str = ''
+    closed_until_s: float = 0
     jobs: int = 0
     adapters: dict[str, LoadedAdapter] = attrs.field(factory=dict)
 
@@ -47,6 +50,10 @@
         """Memory of the model with its adapters."""
         return self.terms.size_mb + len(self.adapters) * self.terms.adapter_mb
 
+    def is_open(self, now: float) -> bool:
+        """Tell whether new requests may use it, now or once it is loaded."""
+        return not self.is_leaving and now >= self.closed_until_s
+
 
 @attrs.frozen
 class Step:
@@ -124,46 +131,10 @@
             if other is not job
         )
 
-    def load_s(self, model: EngineModel) -> float:
-        """Return the load time from where the weights lie."""
-        if self.needs_store(model):
-            return model.store_load_s
-        if model.name in self.expected_memory():
-            return model.memory_load_s
-        return model.disk_load_s
-
-    def timed(self, step: Step) -> Step:
-        """Return an order with the duration that it has if it is sent now.
-
-        Copies may have come or gone since it was planned.
-        """
-        model = self.terms.models.get(step.model)
-        is_copied = step.is_load and not step.adapter and not step.is_from_store
-        if model is None or not is_copied:
-            return step
-        duration_s = model.disk_load_s
-        if step.model in self.in_memory:
-            duration_s = model.memory_load_s
-        return attrs.evolve(step, duration_s=duration_s)
-
     def at_hand(self) -> set[str]:
         """Return the models that are loaded, in its memory or on its disk."""
         return {*self.in_memory, *self.on_disk, *self.models}
 
-    def expected_disk(self) -> list[str]:
-        """Return the copies on its disk once the queued loads have ended."""
-        copies = self.on_disk
-        for coming in self._coming():
-            copies = disk_after(copies, coming, self.terms)
-        return copies
-
-    def expected_memory(self) -> list[str]:
-        """Return the copies in memory once the queued loads have ended."""
-        copies = self.in_memory
-        for coming in self._coming():
-            copies = memory_after(copies, coming, self.terms)
-        return copies
-
     def has_copy(self, model: str) -> bool:
         """Tell whether a model's weights are in its memory or on its disk."""
         return model in self.in_memory or model in self.on_disk
@@ -173,13 +144,6 @@
         durations = (step.duration_s for step in self.steps)
         self.steps_end_s = begin_s + math.fsum(durations)
 
-    def needs_store(self, model: EngineModel) -> bool:
-        """Tell whether a load behind the queued ones uses the weight store."""
-        if model.name in self.expected_disk():
-            return False
-        is_loading = any(not one.is_ready for one in self.models.values())
-        return is_loading or model.name not in self.in_memory
-
     def allows(self, step: Step) -> bool:
         """Tell whether an order fits the models and the memory.
 
@@ -220,7 +184,9 @@
         loaded = self.models.get(job.ask.facts.model)
         if loaded is not None and loaded.is_from_store and not loaded.is_ready:
             # It shares the store with others, and no target has it any sooner.
-            return now > job.ask.first_by_s
+            # One that is overdue is taken to need as long again.
+            late_s = max(now - loaded.ready_s, 0)
+            return max(loaded.ready_s, now + late_s) > job.ask.first_by_s
         return now > job.due_s + OVERDUE_S
 
     def add_job(self, job: Job, now: float) -> None:
@@ -260,15 +226,6 @@
             for name, adapter in loaded.adapters.items():
                 adapter.jobs = sum(name == fact.adapter for fact in facts)
 
-    def _coming(self) -> list[EngineModel]:
-        """Return the models that are being loaded, the first one first."""
-        coming = [one for one in self.models.values() if not one.is_ready]
-        return [one.terms for one in sorted(coming, key=_ready_s)]
-
-
-def _ready_s(loaded: LoadedModel) -> float:
-    return loaded.ready_s
-
 
 def _share_before(job: Job, priority: int) -> float:
     return 1.0 if job.ask.priority <= priority else LESS_URGENT_SHARE
--- a/mimosaworks/dispatch/estimate.py
+++ b/mimosaworks/dispatch/estimate.py
@@ -11,19 +11,26 @@
     SwapPlanner,
     plan_adapter,
 )
+from mimosaworks.dispatch.writing_time import WritingTime
 
 PREFILL_TOKENS_PER_S = 38_000.0  # the engines' rate before any measurement
 STEP_S = 0.008  # one step of an engine's batch
 PACE_WEIGHT = 0.15  # how fast measured times correct the predictions
+MIN_PACE = 0.5
 MAX_PACE = 8.0
-FULL_S = 1.0  # expected wait for a slot of a full engine
+MAX_ERROR = 4.0  # of one measured time, either way
+FULL_S = 1.0  # expected wait for memory of a full engine
 KV_OVERFLOW_S = 4.0  # cost of a preemption, for a memory of overflow
 OTHER_CENTRE_S = 0.006  # two round trips, and bytes between data centres
 ORDER_S = 0.01  # an order's own cost
 STORE_LOAD_S = 1.0  # a load from the weight store uses a shared rate
 # Orders that a load holds up wait for half of it on average.
 HELD_UP_SHARE = 0.5
+MAX_QUEUED_S = 1.0  # about one load from disk
 FAILURE_S = 1.5  # loss when the target fails the request
+# Requests go together where they wait little longer for it, so that other
+# replicas of their model fall idle and can make way.
+IDLE_REPLICA_S = 0.05
 
 Plan = tuple[tuple[Step, ...], float, float]  # orders, ready_s, loss_s
 
@@ -32,17 +39,27 @@
 class Option:
     """One way to serve a request.
 
-    ready_s is the time until its model is loaded, wait_s the time to its
-    first event.
+    queued_s is the time until the target can load, ready_s that until the
+    model is loaded, wait_s that to the first event.
     """
 
     target: EngineTarget
     steps: tuple[Step, ...]
+    queued_s: float
     ready_s: float
     wait_s: float
     cost_s: float
     prefill_tokens: int
 
+    @property
+    def is_early(self) -> bool:
+        """Whether its orders would wait long behind others.
+
+        Where they are queued later, a model that is wanted more goes first.
+        """
+        is_swap = any(step.is_load and not step.adapter for step in self.steps)
+        return is_swap and self.queued_s > MAX_QUEUED_S
+
 
 @attrs.define
 class Estimator:
@@ -54,6 +71,7 @@
     swaps: SwapPlanner
     order_rates: ModelDemand = attrs.field(factory=ModelDemand)
     paces: dict[str, float] = attrs.field(factory=dict)
+    writing: WritingTime = attrs.field(factory=WritingTime)
 
     def pace(self, model: str) -> float:
         """Return how slow a model is, against the engines' rate."""
@@ -70,12 +88,26 @@
         facts = job.ask.facts
         tokens = _tokens_to_read(target, facts)
         before = target.backlog_tokens(job.ask.priority)
-        wait_s = max(ready_s, self.backlog_s(target, before, now))
+        wait_s = max(
+            ready_s,
+            self.backlog_s(target, before, now),
+            self.slot_s(target, job),
+        )
         wait_s += self.read_s(target, facts.model, tokens)
         extra_s = loss_s + _penalty_s(target, job, now)
+        if not steps and self._is_spare(target, facts.model):
+            extra_s += IDLE_REPLICA_S
         rate = self.order_rates.per_s(target.entry.name, now)
         extra_s += sum(_order_cost_s(step, rate) for step in steps)
-        return Option(target, steps, ready_s, wait_s, wait_s + extra_s, tokens)
+        return Option(
+            target=target,
+            steps=steps,
+            queued_s=max(target.steps_end_s - now, 0),
+            ready_s=ready_s,
+            wait_s=wait_s,
+            cost_s=wait_s + extra_s,
+            prefill_tokens=tokens,
+        )
 
     def backlog_s(
         self, target: EngineTarget, tokens: float, now: float
@@ -93,26 +125,37 @@
         alone_s = tokens / PREFILL_TOKENS_PER_S + STEP_S
         return alone_s * self.pace(model) * target.health.slowness
 
+    def slot_s(self, target: EngineTarget, job: Job) -> float:
+        """Return the expected wait for a slot that is taken."""
+        before = target.count_before(job) - target.terms.slots + 1
+        return max(before, 0) / target.terms.slots * self.writing.mean_s
+
     def first_s(self, target: EngineTarget, job: Job, now: float) -> float:
         """Return the predicted time to the first event of a booked job."""
         others = target.backlog_tokens(job.ask.priority) - job.prefill_tokens
         others_s = self.backlog_s(target, max(others, 0), now)
         model = job.ask.facts.model
-        return others_s + self.read_s(target, model, job.prefill_tokens)
-
-    def write_s(self, job: Job) -> float:
-        """Return how long an engine generates the rest of an answer."""
-        facts = job.ask.facts
-        return facts.expected_out * STEP_S * self.pace(facts.model)
+        read_s = self.read_s(target, model, job.prefill_tokens)
+        return max(others_s, self.slot_s(target, job)) + read_s
 
     def learn(self, target: EngineTarget, job: Job, measured_s: float) -> None:
-        """Correct the paces of model and target by a measured wait."""
+        """Correct the paces of model and target by a measured wait.
+
+        A wait for a slot tells nothing of either.
+        """
+        if job.waits_for_slot:
+            return
         error = measured_s / max(job.estimate_s, STEP_S)
+        error = min(max(error, 1 / MAX_ERROR), MAX_ERROR) ** PACE_WEIGHT
         model = job.ask.facts.model
-        pace = self.pace(model) * error**PACE_WEIGHT
-        self.paces[model] = min(max(pace, 1 / MAX_PACE), MAX_PACE)
-        slowness = target.health.slowness * error**PACE_WEIGHT
-        target.health.slowness = min(max(slowness, 1 / 2), MAX_PACE)
+        self.paces[model] = _bounded(self.pace(model) * error)
+        target.health.slowness = _bounded(target.health.slowness * error)
+
+    def _is_spare(self, target: EngineTarget, model: str) -> bool:
+        """Tell whether a replica is idle that is not the only one."""
+        loaded = target.models.get(model)
+        is_idle = loaded is not None and not loaded.jobs
+        return is_idle and self.swaps.copies.get(model, 1) > 1
 
     def _plan_model(
         self, target: EngineTarget, job: Job, now: float
@@ -122,7 +165,7 @@
         loaded = target.models.get(facts.model)
         if loaded is None:
             return self._plan_swap(target, job, queued_s, now)
-        if loaded.is_leaving:
+        if not loaded.is_open(now):
             return None
         ready_s = 0 if loaded.is_ready else max(loaded.ready_s - now, 0)
         if not facts.adapter or facts.adapter in loaded.adapters:
@@ -157,6 +200,10 @@
         return (steps, ready_s + ADAPTER_LOAD_S, swap.loss_s)
 
 
+def _bounded(pace: float) -> float:
+    return min(max(pace, MIN_PACE), MAX_PACE)
+
+
 def _tokens_to_read(target: EngineTarget, facts: CallFacts) -> int:
     cached = target.cache.cached_tokens(facts.model, facts.adapter, facts.parts)
     return max(facts.tokens_in - cached, 1)
@@ -175,8 +222,6 @@
     penalty = FAILURE_S * target.health.failures(now)
     if target.entry.data_centre != ask.data_centre:
         penalty += OTHER_CENTRE_S
-    if len(target.jobs) >= target.terms.slots:
-        penalty += FULL_S
     needed = ask.facts.tokens_in + ask.facts.expected_out
     overflow = target.kv_tokens + needed - target.terms.kv_tokens
     if overflow > 0:
--- a/mimosaworks/dispatch/job.py
+++ b/mimosaworks/dispatch/job.py
@@ -56,8 +56,10 @@
     """A request that waits for a target or runs there.
 
     prefill_tokens are the prompt's tokens that the target has to read.
-    due_s is when its model should be loaded. is_started: its first event
-    has come. is_noted: it counts in the demand for its model.
+    due_s is when its model should be loaded, first_s the measured time from
+    its send to its first event. is_started: that has come. is_noted: it
+    counts in the demand for its model. waits_for_slot: all slots were taken
+    when it was sent.
     """
 
     ask: Ask
@@ -67,6 +69,8 @@
     due_s: float = 0
     prefill_tokens: int = 0
     estimate_s: float = 0
+    first_s: float = 0
     is_granted: bool = False
     is_started: bool = False
     is_noted: bool = False
+    waits_for_slot: bool = False
--- a/mimosaworks/dispatch/load_ahead.py
+++ b/mimosaworks/dispatch/load_ahead.py
@@ -5,6 +5,7 @@
 from mimosaworks.deployment import EngineModel, TargetState
 from mimosaworks.dispatch.engine_pool import EnginePool
 from mimosaworks.dispatch.engine_target import EngineTarget
+from mimosaworks.dispatch.make_way import make_way
 from mimosaworks.dispatch.plain_pool import PlainPool
 from mimosaworks.dispatch.swap import Swap
 
@@ -15,6 +16,7 @@
     """Queue loads for later requests at all engines."""
     for pool in pools:
         if isinstance(pool, EnginePool):
+            swap_refused(pool, now)
             load_wanted(pool, now)
             load_absent(pool, now)
 
@@ -31,12 +33,34 @@
         if not pool.loads.is_absent(model, now):
             wanted.drop(model)
             continue
-        best = pool.cheapest(pool.usable(job, now), job, now)
-        if best is not None:
+        best = pool.choice.cheapest(pool.choice.usable(job, now), job, now)
+        if best is not None and not best.is_early:
             wanted.drop(model)
             pool.enqueue(best.target, best.steps, now)
 
 
+def swap_refused(pool: EnginePool, now: float) -> None:
+    """Load models at hand that requests were refused for.
+
+    Demand may move to a model that is loaded nowhere and whose targets are
+    in use. Each caller by itself is refused, as its patience ends before the
+    load would.
+    """
+    for job in pool.refused.by_need(now)[:MAX_TRIES]:
+        model = job.ask.facts.model
+        if model in pool.copies:
+            pool.refused.drop(model)
+            continue
+        usable = pool.choice.usable(job, now)
+        best = pool.choice.cheapest(usable, job, now)
+        if best is None:
+            make_way(pool, usable, model, now)
+            continue
+        if not best.is_early:
+            pool.refused.drop(model)
+            pool.enqueue(best.target, best.steps, now)
+
+
 def load_absent(pool: EnginePool, now: float) -> None:
     """Load models that lie nowhere, while no requests come.
 
--- a/mimosaworks/dispatch/plain_pool.py
+++ b/mimosaworks/dispatch/plain_pool.py
@@ -106,7 +106,7 @@
         if target is not None:
             target.jobs.pop(job.ask.call, None)
 
-    def note_work(self, job: Job, duration_s: float) -> None:
+    def note_whole(self, job: Job, duration_s: float) -> None:
         """Learn from the duration of an answered request."""
         self.work_s += WORK_WEIGHT * (duration_s - self.work_s)
         target = self.targets.get(job.target)
--- a/mimosaworks/dispatch/store_loads.py
+++ b/mimosaworks/dispatch/store_loads.py
@@ -21,6 +21,7 @@
 QUIET_S = 2.0  # without a request; a few pauses between requests
 SETTLED_S = 1.5  # without a new target; longer than a heartbeat interval
 RETURN_S = 2.0  # after a crashed target's entry lapsed; it is mostly back
+NOTICE_S = 0.25  # after which a report shows that a load has ended
 MAX_LOAD_RETRY_S = 10.0  # callers bound it by the time that they have left
 
 
@@ -77,7 +78,7 @@
         name = target.entry.name
         self.gate.restart_clock(name, now)
         alone_s = self.terms.models[step.model].store_load_s
-        end_s = now + self.gate.expected_s(name, alone_s)
+        end_s = now + self.gate.expected_s(name, alone_s) + NOTICE_S
         loaded = target.models.get(step.model)
         if loaded is not None:
             loaded.ready_s = end_s
--- a/mimosaworks/dispatch/swap.py
+++ b/mimosaworks/dispatch/swap.py
@@ -14,6 +14,11 @@
     LoadedModel,
     Step,
 )
+from mimosaworks.dispatch.load_time import (
+    expected_disk,
+    load_s,
+    needs_store,
+)
 from mimosaworks.dispatch.weight_copies import disk_after
 
 UNLOAD_S = 0.06  # an idle model leaves within some steps of the engine
@@ -56,8 +61,7 @@
         victims = self._victims(target, model, now)
         if victims is None:
             return None
-        load_s = target.load_s(model)
-        needs_store = target.needs_store(model)
+        is_from_store = needs_store(target, model)
         unloads = [
             Step(is_load=False, model=victim.terms.name, duration_s=UNLOAD_S)
             for victim in victims
@@ -65,17 +69,17 @@
         load = Step(
             is_load=True,
             model=model.name,
-            is_from_store=needs_store,
-            duration_s=load_s,
+            is_from_store=is_from_store,
+            duration_s=load_s(target, model),
         )
         last_copies: tuple[str, ...] = ()
-        if needs_store:
+        if is_from_store:
             last_copies = self._last_copies(target, model, now)
         losses = [self.loss_s(victim, now) for victim in victims]
         losses += [self._reload_s(target, name, now) for name in last_copies]
         return Swap(
             steps=(*unloads, load),
-            duration_s=load_s + UNLOAD_S * len(victims),
+            duration_s=load.duration_s + UNLOAD_S * len(victims),
             loss_s=math.fsum(losses),
             last_copies=last_copies,
         )
@@ -95,7 +99,7 @@
         self, target: EngineTarget, model: EngineModel, now: float
     ) -> tuple[str, ...]:
         """Return the models that no target has at hand after a load."""
-        before = target.expected_disk()
+        before = expected_disk(target)
         after = disk_after(before, model, target.terms)
         return tuple(
             name
--- a/mimosaworks/dispatch/target_books.py
+++ b/mimosaworks/dispatch/target_books.py
@@ -1,7 +1,5 @@
 """Keeps a target's books while orders are queued, end or fail."""
 
-import attrs
-
 from mimosaworks.dispatch.engine_target import (
     EngineTarget,
     LoadedAdapter,
@@ -18,15 +16,6 @@
     return [job for job in target.jobs.values() if not job.is_granted]
 
 
-def overdue_jobs(target: EngineTarget, now: float) -> list[Job]:
-    """Return requests that wait longer than predicted, to go elsewhere."""
-    late = [job for job in waiting_jobs(target) if target.is_late(job, now)]
-    for job in late:
-        excluded = job.ask.excluded | {job.target}
-        job.ask = attrs.evolve(job.ask, excluded=excluded)
-    return late
-
-
 def clear_target(target: EngineTarget) -> list[Job]:
     """Empty a target that ended; return the requests that waited there."""
     waiting = waiting_jobs(target)
--- a/mimosaworks/dispatch/wanted.py
+++ b/mimosaworks/dispatch/wanted.py
@@ -21,7 +21,7 @@
 
 @attrs.define
 class WantedModels:
-    """Remembers for which models a load from the weight store is worth it.
+    """Remembers for which models a load is worth it.
 
     demand counts all requests for a model, refused or not.
     """
@@ -40,6 +40,11 @@
         want.asked_s = now
         want.returning += would_wait
 
+    def count(self, model: str) -> float:
+        """Return how many callers were refused and would have waited."""
+        want = self._wants.get(model)
+        return 0 if want is None else want.returning
+
     def drop(self, model: str) -> None:
         """Forget a model that is loaded or on its way."""
         self._wants.pop(model, None)
--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -19,6 +19,7 @@
     Refusal,
     Step,
     load_ahead,
+    timed,
 )
 from mimosaworks.errors import PeerError
 from mimosaworks.events import Event, log_event
@@ -261,7 +262,7 @@
         while target.steps and pool.holds(target):
             while not self.is_sure():
                 await asyncio.sleep(TICK_S)
-            step = target.timed(target.steps.popleft())
+            step = timed(target, target.steps.popleft())
             is_done = await _carry_out(self.orders, service, pool, target, step)
             report = (
                 self.dispatcher.step_done
--- a/mimosaworks/node/weights_watch.py
+++ b/mimosaworks/node/weights_watch.py
@@ -123,7 +123,7 @@
     if model is None:
         return
     planner = pool.estimator.swaps
-    usable = pool.usable(job, now)
+    usable = pool.choice.usable(job, now)
     log_event(
         Event.STORE_LOAD_HELD_UP,
         service=service,
