Targets that leave or want a pause are left alone

New on the wire: `Server-Leaving: 1` in all answers of a target that leaves, and `Retry-After` in the 503 of one that turns a request away.

A node that gets the first sends that target nothing more and tells the holder, which places waiting requests anew and sends no node there; the entry changes nothing, a new birth ends it. Of the second the node tells nobody: its asks exclude the target until the time is over, and a decision that comes too late is given back unsent. Refusals meanwhile name a time that is not before the end of the first pause.

Seen failing before: the two tests with real nodes (there was no such code).

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -10,6 +10,7 @@
 
 from bench.soak_faults import SoakFaults
 from bench.soak_load import OK, SoakLoad, broken_promises
+from bench.soak_notices import SoakNotices, broken_notices
 from standins.agency.world import MODELS, AgencyWorld, open_agency
 
 NODES = 3
@@ -37,9 +38,8 @@
     async with open_agency(folder) as world:
         await _populate(world)
         load = SoakLoad(world, random.Random(seed + 1))
-        faults = SoakFaults(world, rng)
         calling = asyncio.create_task(load.run())
-        await _strike(faults, duration_s)
+        history = await _strike_and_notify(world, rng, seed, duration_s)
         await asyncio.sleep(SETTLE_S)
         calling.cancel()
         with contextlib.suppress(asyncio.CancelledError):
@@ -50,6 +50,7 @@
         after = load.seen[before:]
         recovered = sum(one.status == OK for one in after)
         broken = broken_promises(world, load.seen)
+        broken.extend(broken_notices(world, load.sent))
     if recovered < PROBES / 2:
         broken.append(f'{recovered} of {PROBES} are served after the faults')
     return SoakResult(
@@ -57,7 +58,7 @@
         requests=len(load.seen),
         answered=sum(one.status == OK for one in load.seen),
         recovered=recovered,
-        faults=tuple(faults.history),
+        faults=history,
         broken=tuple(broken),
     )
 
@@ -71,6 +72,18 @@
     return outcomes
 
 
+async def _strike_and_notify(
+    world: AgencyWorld, rng: random.Random, seed: int, duration_s: float
+) -> tuple[str, ...]:
+    """Inject faults, while targets leave and turn requests away."""
+    faults = SoakFaults(world, rng)
+    notices = SoakNotices(world, random.Random(seed + 2))
+    noticing = asyncio.create_task(notices.run())
+    await _strike(faults, duration_s)
+    noticing.cancel()
+    return tuple(faults.history)
+
+
 async def _populate(world: AgencyWorld) -> None:
     engines = (
         world.add_replica(f'engine-{model}', models={model: set()})
--- a/bench/soak_load.py
+++ b/bench/soak_load.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+import time
 from collections import Counter
 from collections.abc import Iterator
 
@@ -29,6 +30,14 @@
     body: bytes = b''
 
 
+@attrs.frozen
+class Sent:
+    """When a request was sent, to which process of a node."""
+
+    node: tuple[str, int]
+    at_s: float
+
+
 @attrs.define(eq=False)
 class SoakLoad:
     """Sends requests to random nodes until it is cancelled."""
@@ -36,6 +45,7 @@
     world: AgencyWorld
     rng: random.Random
     seen: list[Seen] = attrs.field(factory=list)
+    sent: dict[str, Sent] = attrs.field(factory=dict)
     _numbers: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
     _tasks: set['asyncio.Task[None]'] = attrs.field(factory=set)
 
@@ -62,6 +72,8 @@
             extra['X_Model'] = f'{model}{adapter}'
             extra['X_Token_Counts'] = '500,20'
         node = self.rng.choice(self.world.nodes)
+        place = (node.process.name, node.process.child.pid)
+        self.sent[request_id] = Sent(place, time.monotonic())
         try:
             async with self.world.request(
                 node, path, request_id, **extra
--- /dev/null
+++ b/bench/soak_notices.py
@@ -0,0 +1,104 @@
+"""Targets of a soak that leave or want a pause, and who sends to them still."""
+
+import asyncio
+import random
+from collections.abc import Iterator
+
+import attrs
+
+from bench.soak_load import Sent
+from standins.agency.replica import Replica
+from standins.agency.world import AgencyWorld
+
+QUIET_S = (0.3, 1.2)
+LEAVES_S = (2.2, 3.0)  # longer than DRAIN_S
+PAUSE_S = (1.0, 2.0)
+TURNING_AWAY_S = 0.2
+DRAIN_S = 2.0  # the bound in the nodes' settings
+NOTICED_S = 0.5  # after which a node must have taken in a pause
+TOLERATED = 2  # requests in a pause
+
+
+@attrs.define(eq=False)
+class SoakNotices:
+    """Has targets say that they leave or want a pause, until cancelled.
+
+    Its own random numbers leave the faults of known seeds as they were.
+    """
+
+    world: AgencyWorld
+    rng: random.Random
+
+    async def run(self) -> None:
+        """Use one target after the other."""
+        while True:  # noqa: WPS457 -- ends when the task is cancelled
+            await asyncio.sleep(self.rng.uniform(*QUIET_S))
+            name = self.rng.choice(sorted(self.world.replicas))
+            replica = self.world.replicas[name]
+            if self.rng.random() < 1 / 2:
+                await self._leave(replica)
+            else:
+                await self._turn_away(replica)
+
+    async def _leave(self, replica: Replica) -> None:
+        replica.is_leaving = True
+        await asyncio.sleep(self.rng.uniform(*LEAVES_S))
+        replica.restart()
+        replica.register(self.world.store)
+
+    async def _turn_away(self, replica: Replica) -> None:
+        replica.pause_s = self.rng.uniform(*PAUSE_S)
+        await asyncio.sleep(TURNING_AWAY_S)
+        replica.pause_s = 0
+
+
+def broken_notices(world: AgencyWorld, sent: dict[str, Sent]) -> Iterator[str]:
+    """Return targets that nodes sent to though they had said not to."""
+    for replica in world.replicas.values():
+        for request_id in replica.told_leaving:
+            late = _late(replica, sent, request_id)
+            if late:
+                yield f'{replica.name} left and still got {late}'
+        for request_id in replica.turned_away:
+            early = _early(replica, sent, request_id)
+            if len(early) > TOLERATED:
+                yield f'{replica.name} wanted a pause and got {early}'
+
+
+def _late(
+    replica: Replica, sent: dict[str, Sent], request_id: str
+) -> list[str]:
+    """Return what a node sent on long after a target had said it leaves."""
+    told_s = replica.told_leaving[request_id]
+    return [
+        other
+        for other in _from_same(replica, sent, request_id)
+        if sent[other].at_s > told_s + DRAIN_S
+        and replica.births[other] == replica.births[request_id]
+    ]
+
+
+def _early(
+    replica: Replica, sent: dict[str, Sent], request_id: str
+) -> list[str]:
+    """Return what a node sent on while a target wanted a pause."""
+    told_s, pause_s = replica.turned_away[request_id]
+    return [
+        other
+        for other in _from_same(replica, sent, request_id)
+        if NOTICED_S < replica.arrivals[other] - told_s < pause_s
+    ]
+
+
+def _from_same(
+    replica: Replica, sent: dict[str, Sent], request_id: str
+) -> list[str]:
+    """Return the requests that came from the node that sent this one."""
+    if request_id not in sent:
+        return []
+    node = sent[request_id].node
+    return [
+        other
+        for other in replica.arrivals
+        if other in sent and sent[other].node == node
+    ]
--- a/mimosaworks/dispatch/dispatcher.py
+++ b/mimosaworks/dispatch/dispatcher.py
@@ -20,7 +20,11 @@
 # The longest wait for tokens: the same for all, so that patient requests
 # do not take the tokens of urgent ones in advance.
 TOKEN_WAIT_S = 0.3
-_UNUSED = frozenset((CallOutcome.REFUSED, CallOutcome.UNREACHABLE))
+_UNUSED = frozenset((
+    CallOutcome.NOT_SENT,
+    CallOutcome.REFUSED,
+    CallOutcome.UNREACHABLE,
+))
 
 
 @attrs.define(eq=False)
@@ -136,6 +140,19 @@
             self.limiter.give_back(job.ask.workspace, job.ask.cost)
         return self.tick(now)
 
+    def note_leaving(self, name: str, born: int, now: float) -> list[Decided]:
+        """Send nothing more to a target that says that it leaves.
+
+        What runs there is left to end; born is its birth, 0 if not known.
+        """
+        displaced: list[Job] = []
+        for pool in self.pools.values():
+            target = pool.targets.get(name)
+            if target is not None and born in {0, target.entry.born}:
+                target.is_leaving = True
+                displaced += pool.waiting_at(name)
+        return self._replace(displaced, now)
+
     def tick(self, now: float) -> list[Decided]:
         """Decide for requests whose turn or last moment has come."""
         decided: list[Decided] = []
@@ -145,9 +162,9 @@
             else:
                 granted = pool.next_grants(now)
                 decided += [(job.ask.call, one) for job, one in granted]
-                decided += [
-                    self._refuse_late(job) for job in pool.hopeless(now)
-                ]
+                for job in pool.hopeless(now):
+                    self._give_up(job)
+                    decided.append((job.ask.call, _too_late()))
         return decided
 
     def step_done(
@@ -185,12 +202,6 @@
                 decided.append((job.ask.call, outcome))
         return decided
 
-    def _refuse_late(self, job: Job) -> Decided:
-        self._give_up(job)
-        reason = 'no slot came free in time'
-        refusal = Refusal(ErrorKind.DEADLINE_UNREACHABLE, RETRY_S, reason)
-        return (job.ask.call, refusal)
-
     def _give_up(self, job: Job) -> None:
         self.jobs.pop(job.ask.call, None)
         self.limiter.give_back(job.ask.workspace, job.ask.cost)
@@ -222,6 +233,12 @@
             self.pools[service.name] = EnginePool(service.engine)
 
 
+def _too_late() -> Refusal:
+    return Refusal(
+        ErrorKind.DEADLINE_UNREACHABLE, RETRY_S, 'no slot came free in time'
+    )
+
+
 def _find_target(
     dispatcher: Dispatcher, service: str, name: str
 ) -> EngineTarget | PlainTarget | None:
--- a/mimosaworks/dispatch/engine_pool.py
+++ b/mimosaworks/dispatch/engine_pool.py
@@ -174,7 +174,7 @@
                 target = EngineTarget(entry, self.terms, cache)
                 self.targets[entry.name] = target
             adopt_entry(target, entry, now)
-            if entry.state is not TargetState.READY:
+            if not target.takes_requests:
                 displaced.extend(waiting_jobs(target))
         self._count_copies()
         return displaced
@@ -201,6 +201,10 @@
         self._count_copies()
         return stranded_jobs(target)
 
+    def waiting_at(self, name: str) -> list[Job]:
+        """Return the requests that wait for their model on a target."""
+        return waiting_jobs(self.targets[name])
+
     def enqueue(
         self, target: EngineTarget, steps: tuple[Step, ...], now: float
     ) -> None:
--- a/mimosaworks/dispatch/load_ahead.py
+++ b/mimosaworks/dispatch/load_ahead.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from mimosaworks.deployment import EngineModel, TargetState
+from mimosaworks.deployment import EngineModel
 from mimosaworks.dispatch.engine_pool import EnginePool
 from mimosaworks.dispatch.engine_target import EngineTarget
 from mimosaworks.dispatch.make_way import make_way
@@ -100,5 +100,4 @@
 
 def _is_resting(target: EngineTarget) -> bool:
     is_free = not target.jobs and not target.steps
-    is_ready = target.entry.state is TargetState.READY
-    return is_ready and target.is_synced and is_free
+    return target.takes_requests and target.is_synced and is_free
--- a/mimosaworks/dispatch/option_choice.py
+++ b/mimosaworks/dispatch/option_choice.py
@@ -4,7 +4,6 @@
 
 import attrs
 
-from mimosaworks.deployment import TargetState
 from mimosaworks.dispatch.engine_target import EngineTarget
 from mimosaworks.dispatch.estimate import Estimator, Option
 from mimosaworks.dispatch.job import Job, Refusal
@@ -136,7 +135,7 @@
 
 def _is_usable(target: EngineTarget, job: Job, now: float) -> bool:
     return (
-        target.entry.state is TargetState.READY
+        target.takes_requests
         and target.entry.name not in job.ask.excluded
         and not target.health.is_down(now)
     )
--- a/mimosaworks/events/event.py
+++ b/mimosaworks/events/event.py
@@ -78,6 +78,9 @@
     STORE_LOAD_BEGUN = 847
     STORE_LOAD_ENDED = 848
     STORE_LOAD_HELD_UP = 849
+    TARGET_LEAVING = 851
+    TARGET_PAUSED = 852
+    PAUSE_IGNORED = 853
 
 
 FAILURE_EVENTS = frozenset((
--- a/mimosaworks/node/beat_news.py
+++ b/mimosaworks/node/beat_news.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from mimosaworks.wire import Beat, CallEnd, CallStart, Spent
+from mimosaworks.wire import Beat, CallEnd, CallStart, Spent, TargetLeaving
 
 
 @attrs.define(eq=False)
@@ -18,6 +18,7 @@
     _starts: list[CallStart] = attrs.field(factory=list)
     _ends: list[CallEnd] = attrs.field(factory=list)
     _spent: dict[str, float] = attrs.field(factory=dict)
+    _leaving: list[TargetLeaving] = attrs.field(factory=list)
 
     def note_start(self, call: str, first_s: float) -> None:
         """Tell the holder of a first event."""
@@ -33,6 +34,11 @@
         """Tell the holder of tokens that were admitted without it."""
         self._spent[workspace] = self._spent.get(workspace, 0) + cost
 
+    def note_leaving(self, target: str, born: int) -> None:
+        """Tell the holder of a target that says that it leaves."""
+        self._leaving.append(TargetLeaving(target, born))
+        self.has_news.set()
+
     def fill(self, beat: Beat) -> Beat:
         """Move all news into a beat."""
         filled = attrs.evolve(
@@ -42,7 +48,9 @@
             spent=tuple(
                 Spent(name, cost) for name, cost in self._spent.items()
             ),
+            leaving=(*beat.leaving, *self._leaving),
         )
+        self._leaving.clear()
         self._starts.clear()
         self._ends.clear()
         self._spent.clear()
@@ -56,5 +64,6 @@
         """
         self._starts = [*beat.starts, *self._starts]
         self._ends = [*beat.ends, *self._ends]
+        self._leaving = [*beat.leaving, *self._leaving]
         for spent in beat.spent:
             self.note_spent(spent.workspace, spent.cost)
--- a/mimosaworks/node/chooser.py
+++ b/mimosaworks/node/chooser.py
@@ -16,6 +16,7 @@
 from mimosaworks.node.conversions import parts_of
 from mimosaworks.node.holder_link import HolderLink
 from mimosaworks.node.local_choice import LocalChoice
+from mimosaworks.node.target_notices import TargetNotices
 from mimosaworks.wire import CallAsk
 
 HOLDER_WAIT_S = 2.5  # a lease, and the time to notice and to elect
@@ -34,7 +35,8 @@
 class Chooser:
     """Asks the holder; decides from this node's own view without one.
 
-    node, nonce and data_centre name this process and its place; members
+    node, nonce and data_centre name this process and its place; notices are
+    the targets that want no requests; members
     gives the number of nodes, 0 when it is not known. is_view_usable tells
     whether a view of the targets of this age (s) may decide.
     """
@@ -45,6 +47,7 @@
     beliefs: Beliefs
     link: HolderLink
     local: LocalChoice
+    notices: TargetNotices
     members: Callable[[], int]
     is_view_usable: Callable[[float], bool]
     _numbers: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
@@ -56,10 +59,20 @@
             raise RequestError(
                 decided.kind,
                 decided.reason,
-                retry_after_s=decided.retry_after_s,
+                retry_after_s=self._retry_after_s(call, decided),
             )
         return decided
 
+    def _retry_after_s(self, call: Call, refusal: Refusal) -> float:
+        """Return when a refused caller may come back.
+
+        That is not before a target that wanted a pause takes requests again.
+        """
+        pause_s = self.notices.pause_left_s(now_s())
+        if pause_s is None or refusal.kind not in _WORTH_WAITING:
+            return refusal.retry_after_s
+        return max(refusal.retry_after_s, min(pause_s, call.left_s()))
+
     async def _decide(self, call: Call) -> Assignment | Refusal:
         """Ask until a holder answers or waiting for one does not help."""
         give_up_s = now_s() + min(HOLDER_WAIT_S, call.first_left_s() - ANSWER_S)
@@ -68,16 +81,27 @@
             ask = self._make_ask(call)
             call.ask = ask
             try:
-                return await self._ask_holder(ask)
+                decided = await self._ask_holder(ask)
             except PeerError as exc:
-                reason = str(exc)
-            alone = self._decide_alone(call, ask)
-            if not _may_wait(alone) or now_s() > give_up_s:
-                self._log_alone(call, alone, reason)
-                return alone
-            await asyncio.sleep(HOLDER_POLL_S)
-
-    async def _ask_holder(self, ask: CallAsk) -> Assignment | Refusal:
+                is_last = now_s() > give_up_s
+                decided = self._go_on_alone(call, ask, str(exc), is_last)
+                if decided is None:
+                    await asyncio.sleep(HOLDER_POLL_S)
+            if decided is not None:
+                return decided
+
+    def _go_on_alone(
+        self, call: Call, ask: CallAsk, reason: str, is_last: bool
+    ) -> Assignment | Refusal | None:
+        """Decide without a holder; None while the next one may find more."""
+        alone = self._decide_alone(call, ask)
+        if _may_wait(alone) and not is_last:
+            return None
+        self._log_alone(call, alone, reason)
+        return alone
+
+    async def _ask_holder(self, ask: CallAsk) -> Assignment | Refusal | None:
+        """Return the decision; None if the target wants no requests now."""
         try:
             reply = await self.link.ask(ask)
         except (asyncio.CancelledError, PeerError):
@@ -89,6 +113,9 @@
             return Refusal(
                 ErrorKind(reply.kind), reply.retry_after_s, reply.reason
             )
+        if reply.target in self.notices.blocked(now_s()):
+            self.link.news.note_end(ask.call, CallOutcome.NOT_SENT.value, 0)
+            return None
         return Assignment(
             reply.target, reply.address, reply.priority, reply.reason
         )
@@ -139,6 +166,7 @@
 
     def _make_ask(self, call: Call) -> CallAsk:
         facts = call.facts
+        blocked = self.notices.blocked(now_s())
         return CallAsk(
             call=f'{self.nonce}-{next(self._numbers)}',
             node=self.node,
@@ -158,7 +186,7 @@
             left_s=max(call.left_s(), MIN_ASK_S),
             first_left_s=max(call.first_left_s(), MIN_ASK_S),
             resends=call.resends,
-            excluded=tuple(sorted(call.excluded)),
+            excluded=tuple(sorted(call.excluded | blocked)),
             mark=call.mark,
             request_id=call.request_id,
         )
--- a/mimosaworks/node/exchange.py
+++ b/mimosaworks/node/exchange.py
@@ -18,12 +18,17 @@
 from mimosaworks.clock import now_s
 from mimosaworks.deployment import Repeat
 from mimosaworks.dispatch import Assignment, CallOutcome
+from mimosaworks.events import Event, log_event
 from mimosaworks.node.attempt_error import AttemptError
 from mimosaworks.node.call import Call, PassedStream
+from mimosaworks.node.target_notices import TargetNotices
 from mimosaworks.platform.headers import (
     LAST_EVENT,
     REQUEST_ID,
+    RETRY_AFTER,
     answer_headers,
+    read_pause_s,
+    says_leaving,
     says_not_run,
     target_headers,
 )
@@ -35,9 +40,13 @@
 
 @attrs.define(eq=False)
 class Exchange:
-    """Talks to targets over kept connections; used by the front."""
+    """Talks to targets over kept connections; used by the front.
+
+    notices takes what targets say of further requests.
+    """
 
     session: ClientSession
+    notices: TargetNotices
 
     async def send(
         self, call: Call, assignment: Assignment, on_first: OnFirst
@@ -85,9 +94,25 @@
             ) from exc
         except (ClientError, OSError) as exc:
             raise AttemptError(CallOutcome.BROKEN, repr(exc)) from exc
+        self._note_head(assignment.target, resp)
         _check_head(call, resp)
         return resp
 
+    def _note_head(self, target: str, resp: ClientResponse) -> None:
+        """Note whether the target wants further requests."""
+        if says_leaving(resp.headers):
+            self.notices.note_leaving(target)
+        try:
+            pause_s = read_pause_s(resp.status, resp.headers)
+        except ValueError as exc:
+            sent = resp.headers.get(RETRY_AFTER)
+            log_event(
+                Event.PAUSE_IGNORED, target=target, sent=sent, reason=str(exc)
+            )
+            return
+        if pause_s:
+            self.notices.note_pause(target, pause_s, now_s())
+
 
 async def _pass_stream(
     call: Call, resp: ClientResponse, on_first: OnFirst, begun_s: float
--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -126,6 +126,10 @@
         self.dispatcher.limiter.charge(
             (spent.workspace, spent.cost) for spent in beat.spent
         )
+        for told in beat.leaving:
+            self._settle(
+                self.dispatcher.note_leaving(told.target, told.born, now)
+            )
         self._start_orders()
         return self._reply(beat, now)
 
--- a/mimosaworks/node/holder_link.py
+++ b/mimosaworks/node/holder_link.py
@@ -3,7 +3,8 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable, Generator
+from collections.abc import Callable, Generator, Mapping
+from itertools import starmap
 from typing import Any, Protocol
 
 import attrs
@@ -30,6 +31,7 @@
     NodeRow,
     PeerClient,
     RunningCall,
+    TargetLeaving,
 )
 
 GATHER_S = 0.025  # a tenth of the shortest interval
@@ -51,7 +53,8 @@
     """Tells the holder what happens here and asks it for targets.
 
     lease gives the believed lease, local the holder when it is this process,
-    row what this node says of itself, running its requests at targets.
+    row what this node says of itself, running its requests at targets,
+    leaving the births of targets that told it that they leave.
     heard_s is when the holder last confirmed what it told, lost_s when it was
     lost last. on_reply is called with each of its answers, on_lost when it
     falls silent. _unanswered_s is when the first beat was sent that got no
@@ -63,6 +66,7 @@
     local: Callable[[], LocalHolder | None]
     row: Callable[[], NodeRow]
     running: Callable[[], tuple[RunningCall, ...]]
+    leaving: Callable[[], Mapping[str, int]]
     on_reply: Callable[[BeatReply], None]
     on_lost: Callable[[], None]
     told: ToldView = attrs.field(factory=ToldView)
@@ -207,11 +211,13 @@
 
     def _make_beat(self, *, is_first: bool) -> Beat:
         told = self.told
+        leaving = self.leaving() if is_first else {}
         return self.news.fill(
             Beat(
                 row=self.row(),
                 fence=self.fence,
                 running=self.running() if is_first else (),
+                leaving=tuple(starmap(TargetLeaving, leaving.items())),
                 targets_version=0 if is_first else told.targets_version,
                 members_version=0 if is_first else told.members_version,
                 wants_levels=is_first or told.wants_levels(now_s()),
--- a/mimosaworks/node/meters.py
+++ b/mimosaworks/node/meters.py
@@ -24,6 +24,7 @@
     sends: Counter = attrs.field(init=False)
     orders: Counter = attrs.field(init=False)
     store_calls: Counter = attrs.field(init=False)
+    notices: Counter = attrs.field(init=False)
     wait: Histogram = attrs.field(init=False)
     first: Histogram = attrs.field(init=False)
     whole: Histogram = attrs.field(init=False)
@@ -49,6 +50,10 @@
         """Count an order to a target."""
         self.orders.labels(kind, source, answer).inc()
 
+    def note_notice(self, kind: str) -> None:
+        """Count a target that told this node to stay away."""
+        self.notices.labels(kind).inc()
+
     def app(self) -> web.Application:
         """Return the page on which the metrics are served."""
 
@@ -76,6 +81,9 @@
         self.store_calls = self._counter(
             'mimosa_store_calls', 'Calls to the store.', 'call', 'outcome'
         )
+        self.notices = self._counter(
+            'mimosa_target_notices', 'Targets that wanted no requests.', 'kind'
+        )
 
     def _make_histograms(self) -> None:
         self.wait = self._histogram(
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -85,6 +85,13 @@
             return sorted(listed)
         return [self.cfg.front_address, *sorted(listed)]
 
+    def find_born(self, target: str) -> int:
+        """Return the birth of a target as it is known, 0 if it is not."""
+        entry = self.beliefs.targets.get(target)
+        if self.holder is None:
+            entry = self.link.told.targets.get(target, entry)
+        return 0 if entry is None else entry.born
+
     def is_ready(self) -> bool:
         """Tell whether callers may come."""
         return self.beliefs.deployment is not None and not self.is_stopping
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -22,6 +22,7 @@
 from mimosaworks.node.node import Node
 from mimosaworks.node.pages import serve_pages
 from mimosaworks.node.sessions import open_session
+from mimosaworks.node.target_notices import TargetNotices
 from mimosaworks.node.views import Views
 from mimosaworks.platform import (
     BootSettings,
@@ -73,6 +74,13 @@
     peer_session = await open_session(stack, IDLE_PEER_CONN_S)
     store_address = cfg.store_address
     meters = Meters()
+    notices = TargetNotices(
+        find_born=lambda target: node.find_born(target),
+        on_leaving=lambda target, born: node.link.news.note_leaving(
+            target, born
+        ),
+        on_notice=meters.note_notice,
+    )
     node = Node(
         cfg=cfg,
         nonce=secrets.token_hex(NONCE_BYTES),
@@ -80,7 +88,7 @@
         store=StoreClient(
             store_session, f'http://{store_address}', meters.note_store_call
         ),
-        calls=EngineCalls(target_session),
+        calls=EngineCalls(target_session, notices.note_leaving),
         meters=meters,
     )
     node.link = HolderLink(
@@ -89,6 +97,7 @@
         local=lambda: node.holder,
         row=node.row,
         running=lambda: node.front.running(),
+        leaving=notices.leaving,
         on_reply=node.on_holder_reply,
         on_lost=lambda: node.views.ask_again(),
     )
@@ -122,12 +131,13 @@
         beliefs=node.beliefs,
         link=node.link,
         local=LocalChoice(),
+        notices=notices,
         members=lambda: node.electorate.count_members(),
         is_view_usable=node.views.is_usable,
     )
     node.front = Front(
         chooser=chooser,
-        exchange=Exchange(target_session),
+        exchange=Exchange(target_session, notices),
         meters=meters,
         stop_left_s=node.stop_left_s,
     )
--- a/mimosaworks/platform/engine_calls.py
+++ b/mimosaworks/platform/engine_calls.py
@@ -2,6 +2,7 @@
 
 import enum
 import json
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
 
@@ -11,7 +12,7 @@
 from mimosaworks.deployment import Residence
 from mimosaworks.platform.entries import decode_residences
 from mimosaworks.platform.fields import flag, whole
-from mimosaworks.platform.headers import EXPECTED_TARGET
+from mimosaworks.platform.headers import EXPECTED_TARGET, says_leaving
 
 # Orders are answered within some steps; a second send of one that was
 # accepted is refused by its count.
@@ -66,11 +67,19 @@
 }
 
 
+def _ignore_leaving(_target: str) -> None:
+    """Tell nobody."""
+
+
 @attrs.define
 class EngineCalls:
-    """Sends orders and reads reports; used by the holder."""
+    """Sends orders and reads reports; used by the holder.
+
+    on_leaving is called with a target whose answer says that it leaves.
+    """
 
     session: aiohttp.ClientSession
+    on_leaving: Callable[[str], None] = _ignore_leaving
 
     async def order(
         self, target: str, address: str, order: TargetOrder
@@ -84,6 +93,7 @@
                 headers={EXPECTED_TARGET: target},
                 timeout=limit,
             ) as resp:
+                self._note_head(target, resp)
                 return _ANSWERS.get(
                     HTTPStatus(resp.status), OrderAnswer.UNANSWERED
                 )
@@ -102,8 +112,13 @@
             timeout=limit,
             raise_for_status=True,
         ) as resp:
+            self._note_head(target, resp)
             return _decode_report(json.loads(await resp.read()))
 
+    def _note_head(self, target: str, resp: aiohttp.ClientResponse) -> None:
+        if says_leaving(resp.headers):
+            self.on_leaving(target)
+
 
 def _order_body(order: TargetOrder) -> dict[str, Any]:
     body: dict[str, Any] = {
--- a/mimosaworks/platform/headers.py
+++ b/mimosaworks/platform/headers.py
@@ -19,6 +19,9 @@
 TARGET_PRIORITY = 'X-Request-Priority'
 LAST_EVENT = 'Last-Event-Id'
 NOT_RUN = 'X-Not-Executed'
+LEAVING = 'Server-Leaving'
+RETRY_AFTER = 'Retry-After'
+MAX_PAUSE_S = 60.0  # what is longer is no pause but a mistake
 _BEARER = 'bearer '
 # The fields that only the system may set, and those of one connection.
 _DROPPED = frozenset((
@@ -136,6 +139,25 @@
     return NOT_RUN in headers or status == HTTPStatus.MISDIRECTED_REQUEST
 
 
+def says_leaving(headers: Mapping[str, str]) -> bool:
+    """Tell whether a target's answer says that it leaves."""
+    return headers.get(LEAVING, '').strip() == '1'
+
+
+def read_pause_s(status: int, headers: Mapping[str, str]) -> float | None:
+    """Return the seconds for which a target wants nothing, None without.
+
+    Raises ValueError for anything but a number of seconds up to MAX_PAUSE_S.
+    """
+    sent = headers.get(RETRY_AFTER)
+    if status != HTTPStatus.SERVICE_UNAVAILABLE or sent is None:
+        return None
+    pause_s = float(sent)
+    if not 0 <= pause_s <= MAX_PAUSE_S:
+        raise ValueError(f'{RETRY_AFTER} must be 0 to {MAX_PAUSE_S:.0f}')
+    return pause_s
+
+
 def _read_tokens(sent: str | None) -> tuple[int, int]:
     if sent is None:
         return (0, 0)
--- a/mimosaworks/wire/__init__.py
+++ b/mimosaworks/wire/__init__.py
@@ -13,8 +13,6 @@
     PartNote,
     RunningCall,
     Spent,
-    TargetModel,
-    TargetRow,
 )
 from mimosaworks.wire.election_messages import LeaseNotice
 from mimosaworks.wire.limits_messages import (
@@ -39,6 +37,11 @@
     ReplicaMap,
 )
 from mimosaworks.wire.routing_messages import SuspectNotice
+from mimosaworks.wire.target_messages import (
+    TargetLeaving,
+    TargetModel,
+    TargetRow,
+)
 
 __all__ = [
     'Ack',
@@ -53,6 +56,7 @@
     'PartNote',
     'RunningCall',
     'Spent',
+    'TargetLeaving',
     'TargetModel',
     'TargetRow',
     'Demand',
--- a/mimosaworks/wire/dispatch.capnp
+++ b/mimosaworks/wire/dispatch.capnp
@@ -108,6 +108,12 @@
   targetsVersion @6 :UInt64;
   membersVersion @7 :UInt64;
   wantsLevels @8 :Bool;
+  leaving @9 :List(TargetLeaving);
+}
+
+struct TargetLeaving {
+  target @0 :Text;
+  born @1 :UInt64;
 }
 
 struct BeatReply {
--- a/mimosaworks/wire/dispatch_messages.py
+++ b/mimosaworks/wire/dispatch_messages.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from mimosaworks.wire.target_messages import TargetLeaving, TargetRow
+
 
 @attrs.frozen
 class PartNote:
@@ -105,35 +107,14 @@
     strength: float = 0
 
 
-@attrs.frozen
-class TargetModel:
-    """A model on a target with its adapters."""
-
-    model: str
-    adapters: tuple[str, ...] = ()
-
-
-@attrs.frozen
-class TargetRow:
-    """A target as the holder sees it; state is a TargetState's value."""
-
-    name: str
-    service: str
-    address: str
-    data_centre: str
-    slots: int
-    state: str
-    born: int
-    models: tuple[TargetModel, ...] = ()
-
-
 @attrs.frozen
 class Beat:
     """What happened at a node since its last beat.
 
     running is filled in the first beat to a holder, spent with the tokens
     that the node admitted without one. wants_levels asks for the tokens that
-    workspaces have left.
+    workspaces have left. leaving are targets that told the node so, in the
+    first beat to a holder all of them.
     """
 
     row: NodeRow
@@ -145,6 +126,7 @@
     targets_version: int = 0
     members_version: int = 0
     wants_levels: bool = False
+    leaving: tuple[TargetLeaving, ...] = ()
 
 
 @attrs.frozen
--- /dev/null
+++ b/mimosaworks/wire/target_messages.py
@@ -0,0 +1,33 @@
+"""Targets as nodes and their holder tell each other of them."""
+
+import attrs
+
+
+@attrs.frozen
+class TargetModel:
+    """A model on a target with its adapters."""
+
+    model: str
+    adapters: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class TargetRow:
+    """A target as the holder sees it; state is a TargetState's value."""
+
+    name: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    state: str
+    born: int
+    models: tuple[TargetModel, ...] = ()
+
+
+@attrs.frozen
+class TargetLeaving:
+    """A target said that it leaves; born is its birth, 0 if unknown."""
+
+    target: str
+    born: int
--- a/standins/agency/replica.py
+++ b/standins/agency/replica.py
@@ -1,6 +1,7 @@
 """A target of the agency's platform: orders, reports and requests."""
 
 import asyncio
+import time
 from http import HTTPStatus
 from typing import Any
 
@@ -20,7 +21,10 @@
 
     models maps each loaded model to its adapters. breaks_after cuts streams
     after that many events; crashes_on names a model whose requests reset
-    every connection. overloads counts orders beyond the memory.
+    every connection. overloads counts orders beyond the memory. All answers
+    of one that is_leaving say so; while pause_s is set, requests are turned
+    away for so long. arrivals and told_leaving give a time for each request,
+    turned_away the pause as well, births the birth that it met.
     """
 
     name: str
@@ -45,6 +49,12 @@
     breaks_after: int = 0
     event_s: float = EVENT_S
     overloads: int = 0
+    is_leaving: bool = False
+    pause_s: float = 0
+    arrivals: dict[str, float] = attrs.field(factory=dict)
+    births: dict[str, int] = attrs.field(factory=dict)
+    turned_away: dict[str, tuple[float, float]] = attrs.field(factory=dict)
+    told_leaving: dict[str, float] = attrs.field(factory=dict)
 
     def restart(self) -> None:
         """Start anew: what was held and counted is gone, the disk stays."""
@@ -53,6 +63,7 @@
         self.orders = 0
         self.fence = 0
         self.is_busy = False
+        self.is_leaving = False
 
     def register(self, store: Store) -> None:
         """Write the entry of this target to the store."""
@@ -145,6 +156,15 @@
             return web.Response(status=HTTPStatus.MISDIRECTED_REQUEST)
         request_id = req.headers['X-Request-Id']
         await req.read()
+        now = time.monotonic()
+        replica.arrivals[request_id] = now
+        replica.births[request_id] = replica.born
+        if replica.pause_s:
+            replica.turned_away[request_id] = (now, replica.pause_s)
+            head = {'X-Not-Executed': '1', 'Retry-After': f'{replica.pause_s}'}
+            return web.Response(
+                status=HTTPStatus.SERVICE_UNAVAILABLE, headers=head
+            )
         replica.runs.append(request_id)
         replica.headers.append(dict(req.headers))
         try:
@@ -153,7 +173,14 @@
             replica.cancelled.append(request_id)
             raise
 
+    async def say_leaving(req: web.Request, resp: web.StreamResponse) -> None:
+        if replica.is_leaving:
+            resp.headers['Server-Leaving'] = '1'
+            request_id = req.headers.get('X-Request-Id', '')
+            replica.told_leaving[request_id] = time.monotonic()
+
     app = web.Application()
+    app.on_response_prepare.append(say_leaving)
     app.router.add_post('/v1/order', order)
     app.router.add_get('/v1/report', report)
     app.router.add_route('*', '/{tail:.*}', serve)
--- a/tests/test_node_holder_link.py
+++ b/tests/test_node_holder_link.py
@@ -100,6 +100,7 @@
             local=lambda: None,
             row=lambda: row('n2'),
             running=tuple,
+            leaving=dict,
             on_reply=lambda _: None,
             on_lost=self.count_loss,
         )
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -354,3 +354,52 @@
         page = await resp.text()
     assert 'mimosa_answers_total{service="engines",status="200"} 1.0' in page
     assert 'mimosa_first_seconds_bucket' in page
+
+
+async def test_a_target_that_says_that_it_leaves_gets_no_more_requests(
+    world: AgencyWorld,
+) -> None:
+    first, second = await open_pair(world)
+    leaving = world.replicas['ledger-1']
+    staying = await world.add_replica('ledger-2', service='ledger', slots=6)
+    await asyncio.sleep(1)
+    leaving.is_leaving = True
+    for number in range(20):
+        async with world.request(first, '/look/x', f'leave-{number}') as resp:
+            assert resp.status == 200
+    await until(lambda: bool(first.events('target_leaving')))
+    before = len(leaving.runs)
+    await asyncio.sleep(0.3)
+    for number in range(20):
+        node = (first, second)[number % 2]
+        async with world.request(node, '/look/x', f'left-{number}') as resp:
+            assert resp.status == 200
+    assert len(leaving.runs) == before
+    assert len(staying.runs) >= 20
+    # Only a new birth ends it.
+    leaving.restart()
+    leaving.register(world.store)
+    await asyncio.sleep(1.5)
+    for number in range(20):
+        async with world.request(first, '/look/x', f'back-{number}') as resp:
+            assert resp.status == 200
+    assert len(leaving.runs) > before
+
+
+async def test_a_target_that_wants_a_pause_is_left_alone_for_so_long(
+    world: AgencyWorld,
+) -> None:
+    first, _ = await open_pair(world)
+    ledger = world.replicas['ledger-1']
+    ledger.pause_s = 2
+    async with world.request(first, '/post/x', 'paused-1') as resp:
+        assert resp.status == 503
+        assert 1 < float(resp.headers['Retry-After']) <= 2
+    ledger.pause_s = 0
+    arrived = len(ledger.arrivals)
+    async with world.request(first, '/post/x', 'paused-2') as resp:
+        assert resp.status == 503
+    assert len(ledger.arrivals) == arrived
+    await asyncio.sleep(2)
+    async with world.request(first, '/post/x', 'paused-3') as resp:
+        assert resp.status == 200
