Looks at the waiting room are bounded

Cause: each end of a request had all waiting ones weighed anew, in the burst some hundreds at once, each costing the holder up to a millisecond.

Change: one request is tried for each model, at most ten models at a look, one look each 20 ms and one try of a model each 100 ms; all whose model is loaded, or whose time to wait is over, are answered. Overdue loads are looked for each 20 ms.

--- a/mimosaworks/dispatch/engine_pool.py
+++ b/mimosaworks/dispatch/engine_pool.py
@@ -26,6 +26,7 @@
 from mimosaworks.dispatch.waiting_room import WaitingRoom
 from mimosaworks.dispatch.wanted import WantedModels
 
+CHECK_S = 0.02  # between two looks for loads that take too long
 # Engines take priorities 0 to 9, where 0 is first.
 LAST_PRIORITY = 9
 
@@ -44,6 +45,7 @@
     copies: dict[str, int] = attrs.field(factory=dict)
     waiting: WaitingRoom = attrs.field(factory=WaitingRoom)
     _outrun: list[Job] = attrs.field(factory=list)
+    _checked_s: float = 0
     refused: WantedModels = attrs.field(init=False)
     loads: StoreLoads = attrs.field(init=False)
     estimator: Estimator = attrs.field(init=False)
@@ -121,23 +123,21 @@
         They are not placed on the same target again. Those that wait for
         room are among them.
         """
-        late = self.waiting.due(self.demand, now)
+        late = self.waiting.due(self.demand, self.copies, now)
         late.extend(self._outrun)
         self._outrun.clear()
-        for target in self.targets.values():
-            late.extend(overdue_jobs(target, now))
+        if now - self._checked_s >= CHECK_S:
+            self._checked_s = now
+            for target in self.targets.values():
+                late.extend(overdue_jobs(target, now))
         return late
 
     def drop(self, job: Job) -> None:
         """Forget a request that ended or was withdrawn."""
         self.waiting.discard(job)
         target = self.targets.get(job.target)
-        if target is None:
-            return
-        target.drop_job(job)
-        loaded = target.models.get(job.ask.facts.model)
-        if loaded is not None and not loaded.jobs:
-            self.waiting.note_change()
+        if target is not None:
+            target.drop_job(job)
 
     def started(self, job: Job, first_s: float) -> None:
         """Note that a request's first event came first_s after its send."""
@@ -187,7 +187,6 @@
         if step.is_from_store:
             self.loads.ended(target, step, now)
         self._count_copies()
-        self.waiting.note_change()
         if step.is_load and not step.adapter:
             self._outrun.extend(outrun_jobs(self.targets.values(), step.model))
         return [job for job in waiting_jobs(target) if target.is_ready_for(job)]
--- a/mimosaworks/dispatch/job.py
+++ b/mimosaworks/dispatch/job.py
@@ -59,7 +59,7 @@
     due_s is when its model should be loaded, first_s the measured time from
     its send to its first event. is_started: that has come. is_noted: it
     counts in the demand for its model. waits_for_slot: all slots were taken
-    when it was sent.
+    when it was sent. It waits for room until room_by_s.
     """
 
     ask: Ask
@@ -70,6 +70,7 @@
     prefill_tokens: int = 0
     estimate_s: float = 0
     first_s: float = 0
+    room_by_s: float = 0
     is_granted: bool = False
     is_started: bool = False
     is_noted: bool = False
--- a/tests/test_dispatch_busy_models.py
+++ b/tests/test_dispatch_busy_models.py
@@ -3,6 +3,8 @@
 Each test names the pattern of load that it answers.
 """
 
+import itertools
+
 import pytest
 
 from mimosaworks.dispatch import (
@@ -14,7 +16,13 @@
     load_ahead,
 )
 from mimosaworks.dispatch.make_way import CLOSED_S
-from mimosaworks.dispatch.waiting_room import BUSY, MAX_WAITING, WaitingRoom
+from mimosaworks.dispatch.waiting_room import (
+    BUSY,
+    LOOK_S,
+    MAX_TRIED,
+    MAX_WAITING,
+    WaitingRoom,
+)
 from tests.dispatch_world import (
     DISK_S,
     STORE_S,
@@ -201,8 +209,48 @@
     on_time = make_job('m2', target_s=3, first_by_s=12)
     for job in (late, on_time):
         room.add(job)
-    room.note_change()
-    assert room.due(pool.demand, 0.5) == [on_time, late]
+    model = pool.terms.models['m1']
+    assert all(room.may_hold(job, model, 0) for job in (late, on_time))
+    assert room.due(pool.demand, {}, 0.5) == [on_time, late]
+
+
+# Each end of a request had hundreds of waiting ones weighed anew: in a burst
+# the holder did nothing else, and all nodes lost it.
+def test_a_look_at_many_waiting_requests_tries_a_few_of_them() -> None:
+    pool = make_pool(entry('t1', 'm0'))
+    room = WaitingRoom()
+    names = itertools.cycle(pool.terms.models)
+    jobs = [make_job(next(names), first_by_s=99) for _ in range(300)]
+    for job in jobs:
+        assert room.may_hold(job, pool.terms.models['m1'], 0)
+        room.add(job)
+    first = room.due(pool.demand, {}, 1)
+    assert len(first) == MAX_TRIED
+    assert len({one.ask.facts.model for one in first}) == MAX_TRIED
+    assert not room.due(pool.demand, {}, 1 + LOOK_S / 2)
+    rest = room.due(pool.demand, {}, 1 + LOOK_S)
+    tried = {one.ask.facts.model for one in (*first, *rest)}
+    assert tried == pool.terms.models.keys()
+
+
+def test_all_that_wait_for_a_model_are_placed_once_it_is_loaded() -> None:
+    pool = make_pool(entry('t1', 'm0'))
+    room = WaitingRoom()
+    for model in ('m0', 'm1') * 20:
+        job = make_job(model, first_by_s=99)
+        room.may_hold(job, pool.terms.models['m1'], 0)
+        room.add(job)
+    assert len(room.due(pool.demand, {'m1': 1}, 1)) == 21
+
+
+def test_all_whose_time_to_wait_is_over_are_answered() -> None:
+    pool = make_pool(entry('t1', 'm0'))
+    room = WaitingRoom()
+    for _ in range(30):
+        job = make_job('m1', first_by_s=2)
+        room.may_hold(job, pool.terms.models['m1'], 0)
+        room.add(job)
+    assert len(room.due(pool.demand, {}, 2)) == 30
 
 
 @pytest.mark.parametrize('left_s', [DISK_S, 4 * STORE_S])
