Requests for a loaded model are tried again ten times a second at most

Found by reading: a model may be loaded and yet take no request, as it is closed or has no place for an adapter; all that waited for it were tried at each look, 50 times a second, as before the bound on looks. The test failed before.

--- a/mimosaworks/dispatch/waiting_room.py
+++ b/mimosaworks/dispatch/waiting_room.py
@@ -1,7 +1,7 @@
 """Requests for which no target can load their model at the moment."""
 
 from collections import Counter
-from collections.abc import Callable, Container
+from collections.abc import Callable, Collection, Iterable
 
 import attrs
 
@@ -49,7 +49,7 @@
         self._jobs.pop(job.ask.call, None)
 
     def due(
-        self, demand: ModelDemand, loaded: Container[str], now: float
+        self, demand: ModelDemand, loaded: Collection[str], now: float
     ) -> list[Job]:
         """Return the requests to place anew, in their order.
 
@@ -65,18 +65,17 @@
         due: list[Job] = []
         for job in ordered:
             model = job.ask.facts.model
-            if model in loaded or now >= job.room_by_s:
+            if now >= job.room_by_s:
                 due.append(job)
             elif self._is_open(model, now):
                 heads.setdefault(model, job)
-        tried = list(heads.items())[:MAX_TRIED]
-        self._tried_s = {
-            model: at_s
-            for model, at_s in self._tried_s.items()
-            if now - at_s < ROOM_PERIOD_S
-        }
-        self._tried_s.update((model, now) for model, _ in tried)
-        return due + [head for _, head in tried]
+                if model in loaded:
+                    due.append(job)
+        missing = [model for model in heads if model not in loaded]
+        tried = missing[:MAX_TRIED]
+        due.extend(heads[model] for model in tried)
+        self._note_tried((*tried, *heads.keys() & set(loaded)), now)
+        return due
 
     def may_hold(self, job: Job, model: EngineModel, now: float) -> bool:
         """Tell whether a request can wait and still be answered in time."""
@@ -88,6 +87,14 @@
         )
         return now < job.room_by_s and len(self._jobs) < MAX_WAITING
 
+    def _note_tried(self, models: Iterable[str], now: float) -> None:
+        recent = {
+            model: at_s
+            for model, at_s in self._tried_s.items()
+            if now - at_s < ROOM_PERIOD_S
+        }
+        self._tried_s = recent | dict.fromkeys(models, now)
+
     def _is_open(self, model: str, now: float) -> bool:
         """Tell whether a model was not tried just now."""
         tried_s = self._tried_s.get(model)
--- a/tests/test_dispatch_busy_models.py
+++ b/tests/test_dispatch_busy_models.py
@@ -241,6 +241,7 @@
         room.may_hold(job, pool.terms.models['m1'], 0)
         room.add(job)
     assert len(room.due(pool.demand, {'m1': 1}, 1)) == 21
+    assert not room.due(pool.demand, {'m1': 1}, 1 + LOOK_S)
 
 
 def test_all_whose_time_to_wait_is_over_are_answered() -> None:
