--- a/mimosaworks/dispatch/waiting_room.py
+++ b/mimosaworks/dispatch/waiting_room.py
@@ -71,10 +71,11 @@
                 heads.setdefault(model, job)
                 if model in loaded:
                     due.append(job)
-        missing = [model for model in heads if model not in loaded]
+        present = heads.keys() & set(loaded)
+        missing = [model for model in heads if model not in present]
         tried = missing[:MAX_TRIED]
         due.extend(heads[model] for model in tried)
-        self._note_tried((*tried, *heads.keys() & set(loaded)), now)
+        self._note_tried((*tried, *present), now)
         return due
 
     def may_hold(self, job: Job, model: EngineModel, now: float) -> bool:
