A request that is overdue and outrun at once is placed once

Found by reading: it was placed twice in one look, so that the books said another target than the one that its node was told. The test failed before.

--- a/mimosaworks/dispatch/engine_pool.py
+++ b/mimosaworks/dispatch/engine_pool.py
@@ -124,13 +124,13 @@
         room are among them.
         """
         late = self.waiting.due(self.demand, self.copies, now)
-        late.extend(self._outrun)
+        late.extend(job for job in self._outrun if not job.is_granted)
         self._outrun.clear()
         if now - self._checked_s >= CHECK_S:
             self._checked_s = now
             for target in self.targets.values():
                 late.extend(overdue_jobs(target, now))
-        return late
+        return list(dict.fromkeys(late))
 
     def drop(self, job: Job) -> None:
         """Forget a request that ended or was withdrawn."""
--- a/tests/test_dispatch_busy_models.py
+++ b/tests/test_dispatch_busy_models.py
@@ -132,6 +132,18 @@
     assert not pool.overdue(3.2)
 
 
+def test_a_request_that_is_overdue_and_outrun_is_placed_once() -> None:
+    pool = make_pool(entry('t1', on_disk=()), entry('t2', on_disk=()))
+    pool.loads.budget.tokens = 4
+    job = make_job('m5', first_by_s=STORE_S + 2)
+    assert pool.submit(job, 1) is None
+    other = next(one for one in pool.targets.values() if not one.steps)
+    other.on_disk.append('m5')
+    pool.enqueue(other, (Step(is_load=True, model='m5'),), 2)
+    carry_out(pool, other, 2 * STORE_S)
+    assert pool.overdue(2 * STORE_S) == [job]
+
+
 @pytest.mark.parametrize(
     ('patience_s', 'is_kept'), [(STORE_S + 1, False), (STORE_S + 4, True)]
 )
