--- a/mimosaworks/events/event.py
+++ b/mimosaworks/events/event.py
@@ -81,6 +81,7 @@
     TARGET_LEAVING = 851
     TARGET_PAUSED = 852
     PAUSE_IGNORED = 853
+    MODEL_CLOSED = 854
 
 
 FAILURE_EVENTS = frozenset((
--- a/mimosaworks/node/target_watch.py
+++ b/mimosaworks/node/target_watch.py
@@ -1,6 +1,6 @@
 """Logs when the holder leaves a target out, and when it trusts it again."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 import attrs
 
@@ -13,11 +13,18 @@
 from mimosaworks.events import Event, log_event
 
 
+_Closed = tuple[str, str, str]
+
+
 @attrs.define(eq=False)
 class TargetWatch:
-    """Remembers which targets were left out at the last look."""
+    """Remembers what was left out at the last look.
+
+    _left_out are targets, _closed models: target, model and the one wanted.
+    """
 
     _left_out: frozenset[str] = frozenset()
+    _closed: frozenset[_Closed] = frozenset()
 
     def look(
         self, pools: Mapping[str, EnginePool | PlainPool], now: float
@@ -35,6 +42,12 @@
         for name in self._left_out - down:
             log_event(Event.TARGET_TRUSTED, target=name)
         self._left_out = down
+        closed = frozenset(_closed_models(targets.values(), now))
+        for target, model, wanted in sorted(closed - self._closed):
+            log_event(
+                Event.MODEL_CLOSED, target=target, model=model, wanted=wanted
+            )
+        self._closed = closed
 
 
 def _log_suspected(
@@ -49,3 +62,14 @@
             failures=target.health.failures(now),
             slowness=target.health.slowness,
         )
+
+
+def _closed_models(
+    targets: Iterable[EngineTarget | PlainTarget], now: float
+) -> Iterator[_Closed]:
+    for target in targets:
+        if not isinstance(target, EngineTarget):
+            continue
+        for name, loaded in target.models.items():
+            if now < loaded.closed_until_s:
+                yield (target.entry.name, name, loaded.closed_for)
--- a/tests/test_node_target_watch.py
+++ b/tests/test_node_target_watch.py
@@ -33,3 +33,21 @@
     assert facts['for_s'] > 0
     watch.look({'engines': pool}, 1 + facts['for_s'])
     assert lines == [(Event.TARGET_TRUSTED, {'target': 't1'})]
+
+
+def test_a_model_that_makes_way_is_logged_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    lines: list[Line] = []
+    monkeypatch.setattr(
+        module, 'log_event', lambda event, **facts: lines.append((event, facts))
+    )
+    pool = make_pool(entry('t1', 'm0'))
+    closed = pool.targets['t1'].models['m0']
+    closed.closed_for = 'm5'
+    closed.closed_until_s = 3
+    watch = TargetWatch()
+    for now in (1, 2, 4):
+        watch.look({'engines': pool}, now)
+    facts = {'target': 't1', 'model': 'm0', 'wanted': 'm5'}
+    assert lines == [(Event.MODEL_CLOSED, facts)]
