--- a/mimosaworks/node/target_watch.py
+++ b/mimosaworks/node/target_watch.py
@@ -12,7 +12,6 @@
 )
 from mimosaworks.events import Event, log_event
 
-
 _Closed = tuple[str, str, str]
 
 
