--- a/tests/test_answers_streams.py
+++ b/tests/test_answers_streams.py
@@ -1,6 +1,7 @@
 """Proofs about streamed answers when an engine or a caller goes away."""
 
 import asyncio
+import functools
 from http import HTTPStatus
 from typing import Any
 
@@ -49,6 +50,11 @@
     return found[0]
 
 
+async def _has_running(entry: Entry, count: int) -> bool:
+    running = [node.process.is_running() for node in entry.engines.values()]
+    return running.count(True) == count
+
+
 async def _stream(entry: Entry) -> 'asyncio.Task[Answer]':
     body = chat(PROMPT, stream=True, max_tokens=TOKENS)
     return asyncio.create_task(entry.call(CHAT, body))
@@ -219,6 +225,7 @@
     )
     assert answers[-1].status == HTTPStatus.UNPROCESSABLE_ENTITY
     assert answers[-1].fields()['error']['code'] == 'crash_suspect'
-    alive = [node.process.is_running() for node in entry.engines.values()]
-    assert alive.count(True) == 1
+    # A process that has ended is known to have only once it was reaped.
+    await wait_until(functools.partial(_has_running, entry, 1))
     assert (await entry.call(CHAT, chat('fine'))).status == HTTPStatus.OK
+    assert await _has_running(entry, 1)
