--- a/tests/test_node_election.py
+++ b/tests/test_node_election.py
@@ -16,6 +16,7 @@
 from mimosaworks.node import election as module
 from mimosaworks.node.election import LEASE_ROW, Election, Lease
 from mimosaworks.platform import RowChange, RowNeed, RowsAnswer, StoredRow
+from tests.node_clock import Clock, set_clock
 
 
 @attrs.define(eq=False)
@@ -54,18 +55,9 @@
         return StoredRow(LEASE_ROW, self.version, self.content)
 
 
-@attrs.define(eq=False)
-class Clock:
-    """The time that the elections see."""
-
-    now: float = 1000
-
-
 @pytest.fixture
 def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
-    made = Clock()
-    monkeypatch.setattr(module, 'now_s', lambda: made.now)
-    return made
+    return set_clock(monkeypatch, module)
 
 
 def make(store: MemoryStore, name: str, **facts: Any) -> Election:
--- a/tests/test_node_holder_link.py
+++ b/tests/test_node_holder_link.py
@@ -27,6 +27,7 @@
     Spent,
     TargetRow,
 )
+from tests.node_clock import Clock, set_clock
 from tests.test_node_local_choice import make_ask
 
 LEASE = Lease('n1', 'n1:1', 'nonce', 1)
@@ -40,18 +41,9 @@
     return TargetRow(name, 'engines', f'{name}:1', 'north', 4, 'ready', 1, ())
 
 
-@attrs.define(eq=False)
-class Clock:
-    """The time that links see."""
-
-    now: float = 1000
-
-
 @pytest.fixture
 def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
-    made = Clock()
-    monkeypatch.setattr(module, 'now_s', lambda: made.now)
-    return made
+    return set_clock(monkeypatch, module)
 
 
 def _not_running() -> PeerRefusedError:
--- a/tests/test_node_target_watch.py
+++ b/tests/test_node_target_watch.py
@@ -12,13 +12,20 @@
 Line = tuple[Event, dict[str, Any]]
 
 
-def test_a_target_is_logged_as_it_is_left_out_and_as_it_returns(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    lines: list[Line] = []
+@pytest.fixture
+def lines(monkeypatch: pytest.MonkeyPatch) -> list[Line]:
+    logged: list[Line] = []
     monkeypatch.setattr(
-        module, 'log_event', lambda event, **facts: lines.append((event, facts))
+        module,
+        'log_event',
+        lambda event, **facts: logged.append((event, facts)),
     )
+    return logged
+
+
+def test_a_target_is_logged_as_it_is_left_out_and_as_it_returns(
+    lines: list[Line],
+) -> None:
     pool = make_pool(entry('t1', 'm0'), entry('t2', 'm0'))
     watch = TargetWatch()
     watch.look({'engines': pool}, 0)
@@ -36,12 +43,8 @@
 
 
 def test_a_model_that_makes_way_is_logged_once(
-    monkeypatch: pytest.MonkeyPatch,
+    lines: list[Line],
 ) -> None:
-    lines: list[Line] = []
-    monkeypatch.setattr(
-        module, 'log_event', lambda event, **facts: lines.append((event, facts))
-    )
     pool = make_pool(entry('t1', 'm0'))
     closed = pool.targets['t1'].models['m0']
     closed.closed_for = 'm5'
