--- a/mimosaworks/dispatch/load_ahead.py
+++ b/mimosaworks/dispatch/load_ahead.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Iterable
 
-from mimosaworks.deployment import EngineModel
+from mimosaworks.deployment import EngineModel, TargetState
 from mimosaworks.dispatch.engine_pool import EnginePool
 from mimosaworks.dispatch.engine_target import EngineTarget
+from mimosaworks.dispatch.job import Job
 from mimosaworks.dispatch.make_way import make_way
 from mimosaworks.dispatch.plain_pool import PlainPool
 from mimosaworks.dispatch.swap import Swap
+from mimosaworks.dispatch.wanted import WantedModels
 
 MAX_TRIES = 3  # models that are tried at one moment
 
@@ -22,7 +24,7 @@
 
 
 def load_wanted(pool: EnginePool, now: float) -> None:
-    """Load models that requests were refused for.
+    """Load models that lie nowhere and that requests were refused for.
 
     Callers that come too early for a load from the weight store would else
     be refused for ever.
@@ -30,13 +32,10 @@
     wanted = pool.loads.wanted
     for job in wanted.by_need(now)[:MAX_TRIES]:
         model = job.ask.facts.model
-        if not pool.loads.is_absent(model, now):
+        if pool.loads.is_absent(model, now):
+            _load_one(pool, wanted, job, now)
+        else:
             wanted.drop(model)
-            continue
-        best = pool.choice.cheapest(pool.choice.usable(job, now), job, now)
-        if best is not None and not best.is_early:
-            wanted.drop(model)
-            pool.enqueue(best.target, best.steps, now)
 
 
 def swap_refused(pool: EnginePool, now: float) -> None:
@@ -50,15 +49,21 @@
         model = job.ask.facts.model
         if model in pool.copies:
             pool.refused.drop(model)
-            continue
-        usable = pool.choice.usable(job, now)
-        best = pool.choice.cheapest(usable, job, now)
-        if best is None:
-            make_way(pool, usable, model, now)
-            continue
-        if not best.is_early:
-            pool.refused.drop(model)
-            pool.enqueue(best.target, best.steps, now)
+        elif not _load_one(pool, pool.refused, job, now):
+            make_way(pool, pool.choice.usable(job, now), model, now)
+
+
+def _load_one(
+    pool: EnginePool, wanted: WantedModels, job: Job, now: float
+) -> bool:
+    """Queue the load of a wanted model; return whether a target can load it."""
+    best = pool.choice.cheapest(pool.choice.usable(job, now), job, now)
+    if best is None:
+        return False
+    if not best.is_early:
+        wanted.drop(job.ask.facts.model)
+        pool.enqueue(best.target, best.steps, now)
+    return True
 
 
 def load_absent(pool: EnginePool, now: float) -> None:
@@ -100,4 +105,5 @@
 
 def _is_resting(target: EngineTarget) -> bool:
     is_free = not target.jobs and not target.steps
-    return target.takes_requests and target.is_synced and is_free
+    is_ready = target.entry.state is TargetState.READY
+    return is_ready and target.is_synced and is_free
