Targets that announce their leave take the way of draining entries

They had flags of their own on both kinds of targets and a second way to place waiting requests anew. The holder now believes their entries as draining, which does the same; tests tell it the same things and keep their assertions.

--- a/mimosaworks/dispatch/dispatcher.py
+++ b/mimosaworks/dispatch/dispatcher.py
@@ -4,7 +4,13 @@
 
 import attrs
 
-from mimosaworks.deployment import Deployment, ServiceTerms, TargetEntry
+from mimosaworks.bounded import forget_oldest
+from mimosaworks.deployment import (
+    Deployment,
+    ServiceTerms,
+    TargetEntry,
+    TargetState,
+)
 from mimosaworks.dispatch.crash_book import CrashBook
 from mimosaworks.dispatch.engine_pool import EnginePool
 from mimosaworks.dispatch.engine_target import EngineTarget, Step
@@ -33,7 +39,7 @@
     """Requests, targets and limits of all services.
 
     Messages return what they decided for waiting requests, by call. leaving
-    gives the births of targets that say that they leave, known yet or not.
+    gives the births of targets that announced it before their entries do.
     """
 
     resends: ResendBudgets
@@ -58,10 +64,12 @@
         self.crashes.follow_entries(entries, now)
         displaced: list[Job] = []
         for name, pool in self.pools.items():
-            own = (one for one in entries.values() if one.service == name)
+            own = (
+                _believed(self.leaving, entry)
+                for entry in entries.values()
+                if entry.service == name
+            )
             displaced += pool.adopt(own, now)
-        for target in self.leaving.keys() & entries.keys():
-            displaced.extend(_leave_out(self, target))
         return [*self._replace(displaced, now), *self.tick(now)]
 
     def admit(self, ask: Ask, now: float) -> float | Refusal:
@@ -145,15 +153,14 @@
             self.limiter.give_back(job.ask.workspace, job.ask.cost)
         return self.tick(now)
 
-    def note_leaving(self, name: str, born: int, now: float) -> list[Decided]:
-        """Send nothing more to a target that says that it leaves.
+    def note_leaving(self, name: str, born: int) -> None:
+        """Note a target that announced itself that it leaves.
 
-        What runs there is left to end; born is its birth, 0 if not known.
+        It counts from the next look at the entries on, until the target is
+        born anew; born is its birth, 0 if not known.
         """
         self.leaving[name] = born
-        if len(self.leaving) > MAX_LEAVING:
-            self.leaving.pop(next(iter(self.leaving)))
-        return self._replace(_leave_out(self, name), now)
+        forget_oldest(self.leaving, MAX_LEAVING)
 
     def tick(self, now: float) -> list[Decided]:
         """Decide for requests whose turn or last moment has come."""
@@ -235,20 +242,16 @@
             self.pools[service.name] = EnginePool(service.engine)
 
 
-def _leave_out(dispatcher: Dispatcher, name: str) -> list[Job]:
-    """Mark a target that leaves; return the requests that wait there."""
-    displaced: list[Job] = []
-    for pool in dispatcher.pools.values():
-        target = pool.targets.get(name)
-        if target is None:
-            continue
-        # It may have told so before its birth was known.
-        born = dispatcher.leaving[name] or target.entry.born
-        dispatcher.leaving[name] = born
-        if born == target.entry.born:
-            target.is_leaving = True
-            displaced.extend(pool.waiting_at(name))
-    return displaced
+def _believed(leaving: dict[str, int], entry: TargetEntry) -> TargetEntry:
+    """Return an entry with what its target has announced itself."""
+    if entry.name not in leaving:
+        return entry
+    # It may have announced it before its birth was known.
+    born = leaving[entry.name] or entry.born
+    leaving[entry.name] = born
+    if entry.born != born:
+        return entry
+    return attrs.evolve(entry, state=TargetState.DRAINING)
 
 
 def _too_late() -> Refusal:
--- a/mimosaworks/dispatch/engine_pool.py
+++ b/mimosaworks/dispatch/engine_pool.py
@@ -105,8 +105,9 @@
         facts = job.ask.facts
         job.is_granted = True
         job.granted_s = now
-        job.estimate_s = self.estimator.first_s(target, job, now)
-        job.waits_for_slot = bool(self.estimator.slot_s(target, job))
+        slot_s = self.estimator.slot_s(target, job)
+        job.waits_for_slot = slot_s > 0
+        job.estimate_s = self.estimator.first_s(target, job, slot_s, now)
         read_until_s = now + job.estimate_s
         target.read_until_s = max(target.read_until_s, read_until_s)
         target.cache.note(facts.model, facts.adapter, facts.parts)
@@ -174,7 +175,7 @@
                 target = EngineTarget(entry, self.terms, cache)
                 self.targets[entry.name] = target
             adopt_entry(target, entry, now)
-            if not target.takes_requests:
+            if entry.state is not TargetState.READY:
                 displaced.extend(waiting_jobs(target))
         self._count_copies()
         return displaced
@@ -200,10 +201,6 @@
         self._count_copies()
         return stranded_jobs(target)
 
-    def waiting_at(self, name: str) -> list[Job]:
-        """Return the requests that wait for their model on a target."""
-        return waiting_jobs(self.targets[name])
-
     def enqueue(
         self, target: EngineTarget, steps: tuple[Step, ...], now: float
     ) -> None:
--- a/mimosaworks/dispatch/engine_target.py
+++ b/mimosaworks/dispatch/engine_target.py
@@ -5,12 +5,7 @@
 
 import attrs
 
-from mimosaworks.deployment import (
-    EngineModel,
-    EngineTerms,
-    TargetEntry,
-    TargetState,
-)
+from mimosaworks.deployment import EngineModel, EngineTerms, TargetEntry
 from mimosaworks.dispatch.health import Health
 from mimosaworks.dispatch.job import Job
 from mimosaworks.dispatch.prefix_cache import PrefixCache
@@ -79,8 +74,7 @@
     models were confirmed since this process became holder. steps_end_s is
     when the queued orders should have ended, loads_s when each model was
     loaded by this holder, read_until_s when the granted prompts should be read.
-    in_memory and on_disk list the least recently used copy first. is_leaving:
-    it has said so itself; its entry may tell it later.
+    in_memory and on_disk list the least recently used copy first.
     """
 
     entry: TargetEntry
@@ -98,12 +92,6 @@
     read_until_s: float = 0
     is_synced: bool = False
     is_ordering: bool = False
-    is_leaving: bool = False
-
-    @property
-    def takes_requests(self) -> bool:
-        """Whether new requests and orders may go there."""
-        return self.entry.state is TargetState.READY and not self.is_leaving
 
     @property
     def staying_mb(self) -> float:
--- a/mimosaworks/dispatch/estimate.py
+++ b/mimosaworks/dispatch/estimate.py
@@ -130,13 +130,18 @@
         before = target.count_before(job) - target.terms.slots + 1
         return max(before, 0) / target.terms.slots * self.writing.mean_s
 
-    def first_s(self, target: EngineTarget, job: Job, now: float) -> float:
-        """Return the predicted time to the first event of a booked job."""
+    def first_s(
+        self, target: EngineTarget, job: Job, slot_s: float, now: float
+    ) -> float:
+        """Return the predicted time to the first event of a booked job.
+
+        slot_s is its wait for a slot.
+        """
         others = target.backlog_tokens(job.ask.priority) - job.prefill_tokens
         others_s = self.backlog_s(target, max(others, 0), now)
         model = job.ask.facts.model
         read_s = self.read_s(target, model, job.prefill_tokens)
-        return max(others_s, self.slot_s(target, job)) + read_s
+        return max(others_s, slot_s) + read_s
 
     def learn(self, target: EngineTarget, job: Job, measured_s: float) -> None:
         """Correct the paces of model and target by a measured wait.
--- a/mimosaworks/dispatch/option_choice.py
+++ b/mimosaworks/dispatch/option_choice.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from mimosaworks.deployment import TargetState
 from mimosaworks.dispatch.engine_target import EngineTarget
 from mimosaworks.dispatch.estimate import Estimator, Option
 from mimosaworks.dispatch.job import Job, Refusal
@@ -135,7 +136,7 @@
 
 def _is_usable(target: EngineTarget, job: Job, now: float) -> bool:
     return (
-        target.takes_requests
+        target.entry.state is TargetState.READY
         and target.entry.name not in job.ask.excluded
         and not target.health.is_down(now)
     )
--- a/mimosaworks/dispatch/outcome.py
+++ b/mimosaworks/dispatch/outcome.py
@@ -13,4 +13,4 @@
     REFUSED = 'refused'
     TIMED_OUT = 'timed_out'
     CALLER_LEFT = 'caller_left'
-    NOT_SENT = 'not_sent'  # the target had asked to be left alone meanwhile
+    NOT_SENT = 'not_sent'  # the node had been told to leave the target out
--- a/mimosaworks/dispatch/plain_pool.py
+++ b/mimosaworks/dispatch/plain_pool.py
@@ -21,15 +21,11 @@
 
 @attrs.define(eq=False)
 class PlainTarget:
-    """One target of a plain service and the requests that it has.
-
-    is_leaving: it has said so itself; its entry may tell it later.
-    """
+    """One target of a plain service and the requests that it has."""
 
     entry: TargetEntry
     health: Health = attrs.field(factory=Health)
     jobs: dict[str, Job] = attrs.field(factory=dict)
-    is_leaving: bool = False
 
     @property
     def has_slot(self) -> bool:
@@ -130,10 +126,6 @@
                 target.entry = entry
         return []
 
-    def waiting_at(self, _name: str) -> list[Job]:
-        """Return requests that wait at a target: they wait for any slot."""
-        return []
-
     def _usable(self, job: Job, now: float) -> list[PlainTarget]:
         ready = [
             target for target in self.targets.values() if _takes(target, job)
@@ -171,7 +163,6 @@
 def _takes(target: PlainTarget, job: Job) -> bool:
     return (
         target.entry.state is TargetState.READY
-        and not target.is_leaving
         and target.entry.name not in job.ask.excluded
     )
 
--- a/mimosaworks/node/change_log.py
+++ b/mimosaworks/node/change_log.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from mimosaworks.bounded import forget_oldest
+
 Row = TypeVar('Row')
 
 MAX_GONE = 500  # removed names that are remembered
@@ -53,9 +55,7 @@
         self.version += 1
         self._changed.pop(name)
         self._gone[name] = self.version
-        if len(self._gone) > MAX_GONE:
-            oldest = next(iter(self._gone))
-            self._forgotten = self._gone.pop(oldest)
+        self._forgotten = forget_oldest(self._gone, MAX_GONE) or self._forgotten
 
     def replace(self, rows: Mapping[str, Row]) -> None:
         """Take over all rows there are."""
--- a/mimosaworks/node/electorate.py
+++ b/mimosaworks/node/electorate.py
@@ -49,9 +49,7 @@
         if not rows:
             drawn = zlib.crc32(self.cfg.name.encode())
             return drawn % max(self.count_members(), 1)
-        least = STRONG_SHARE * max(
-            (row.strength for row in rows.values()), default=0
-        )
+        least = STRONG_SHARE * max(row.strength for row in rows.values())
         staying = [row for row in rows.values() if not row.is_stopping]
         ranked = sorted(staying, key=functools.partial(_rank, least))
         names = [row.name for row in ranked]
--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -134,8 +134,10 @@
             (spent.workspace, spent.cost) for spent in beat.spent
         )
         for told in beat.leaving:
+            self.dispatcher.note_leaving(told.target, told.born)
+        if beat.leaving:
             self._settle(
-                self.dispatcher.note_leaving(told.target, told.born, now)
+                self.dispatcher.follow_entries(self.beliefs.targets, now)
             )
         self._start_orders()
         return self._reply(beat, now)
--- a/tests/test_node_target_notices.py
+++ b/tests/test_node_target_notices.py
@@ -1,4 +1,4 @@
-"""Targets that say that they leave, or that want a pause."""
+"""Targets that announce that they leave, or that ask for a pause."""
 
 import attrs
 import pytest
@@ -7,6 +7,7 @@
 from mimosaworks.dispatch import (
     Assignment,
     CallOutcome,
+    Decided,
     Dispatcher,
     EnginePool,
     Refusal,
@@ -101,13 +102,23 @@
     return Dispatcher(ResendBudgets(terms), pools={'engines': pool})
 
 
+def tell(
+    dispatcher: Dispatcher, target: str, born: int, now: float
+) -> list[Decided]:
+    """Tell of a target that leaves, and look at the entries again."""
+    pool = dispatcher.pools['engines']
+    known = {name: one.entry for name, one in pool.targets.items()}
+    dispatcher.note_leaving(target, born)
+    return dispatcher.follow_entries(known, now)
+
+
 def test_requests_that_wait_at_a_leaving_target_are_placed_anew() -> None:
     pool = make_pool(entry('t1', 'm0', born=5), entry('t2', 'm1', born=5))
     dispatcher = make_dispatcher(pool)
     ask = make_ask('m2')
     assert dispatcher.submit(ask, 0) is None
     first = dispatcher.jobs[ask.call].target
-    dispatcher.note_leaving(first, 5, 0.1)
+    tell(dispatcher, first, 5, 0.1)
     assert dispatcher.jobs[ask.call].target not in {'', first}
 
 
@@ -117,7 +128,7 @@
     ask = make_ask('m0')
     decided = dispatcher.submit(ask, 0)
     assert isinstance(decided, Assignment)
-    assert not dispatcher.note_leaving(decided.target, 0, 0.1)
+    assert not tell(dispatcher, decided.target, 0, 0.1)
     assert ask.call in dispatcher.jobs
     other = dispatcher.submit(make_ask('m0'), 0.2)
     assert isinstance(other, Assignment)
@@ -127,19 +138,19 @@
 def test_an_entry_that_is_behind_does_not_end_a_notice() -> None:
     pool = make_pool(entry('t1', 'm0', born=5))
     dispatcher = make_dispatcher(pool)
-    dispatcher.note_leaving('t1', 5, 0)
     known = pool.targets['t1'].entry
+    tell(dispatcher, 't1', 5, 0)
     assert known.state is TargetState.READY
-    pool.adopt([known], 1)
+    dispatcher.follow_entries({'t1': known}, 1)
     assert isinstance(pool.submit(make_job('m0'), 1), Refusal)
-    pool.adopt([attrs.evolve(known, born=6)], 2)
+    dispatcher.follow_entries({'t1': attrs.evolve(known, born=6)}, 2)
     assert isinstance(pool.submit(make_job('m0'), 2), Assignment)
 
 
 def test_a_notice_of_an_earlier_birth_is_not_believed() -> None:
     pool = make_pool(entry('t1', 'm0', born=6))
     dispatcher = make_dispatcher(pool)
-    dispatcher.note_leaving('t1', 5, 0)
+    tell(dispatcher, 't1', 5, 0)
     assert isinstance(pool.submit(make_job('m0'), 0), Assignment)
 
 
@@ -158,7 +169,7 @@
 def test_a_new_holder_remembers_notices_of_targets_it_does_not_know() -> None:
     pool = make_pool()
     dispatcher = make_dispatcher(pool)
-    dispatcher.note_leaving('t1', 5, 0)
+    dispatcher.note_leaving('t1', 5)
     known = entry('t1', 'm0', born=5)
     dispatcher.follow_entries({'t1': known}, 1)
     assert isinstance(pool.submit(make_job('m0'), 1), Refusal)
