--- a/bench/soak.py
+++ b/bench/soak.py
@@ -75,7 +75,7 @@
 async def _strike_and_notify(
     world: AgencyWorld, rng: random.Random, seed: int, duration_s: float
 ) -> tuple[str, ...]:
-    """Inject faults, while targets leave and turn requests away."""
+    """Inject faults, while targets leave and reject requests."""
     faults = SoakFaults(world, rng)
     notices = SoakNotices(world, random.Random(seed + 2))
     noticing = asyncio.create_task(notices.run())
--- a/bench/soak_notices.py
+++ b/bench/soak_notices.py
@@ -1,4 +1,4 @@
-"""Targets of a soak that leave or want a pause, and who sends to them still."""
+"""Targets of a soak that leave or ask for a pause, and who ignores it."""
 
 import asyncio
 import random
@@ -13,7 +13,7 @@
 QUIET_S = (0.3, 1.2)
 LEAVES_S = (2.2, 3.0)  # longer than DRAIN_S
 PAUSE_S = (1.0, 2.0)
-TURNING_AWAY_S = 0.2
+REJECTING_S = 0.2
 DRAIN_S = 2.0  # the bound in the nodes' settings
 NOTICED_S = 0.5  # after which a node must have taken in a pause
 TOLERATED = 2  # requests in a pause
@@ -21,7 +21,7 @@
 
 @attrs.define(eq=False)
 class SoakNotices:
-    """Has targets say that they leave or want a pause, until cancelled.
+    """Has targets leave or ask for a pause, until cancelled.
 
     Its own random numbers leave the faults of known seeds as they were.
     """
@@ -38,7 +38,7 @@
             if self.rng.random() < 1 / 2:
                 await self._leave(replica)
             else:
-                await self._turn_away(replica)
+                await self._reject(replica)
 
     async def _leave(self, replica: Replica) -> None:
         replica.is_leaving = True
@@ -46,29 +46,29 @@
         replica.restart()
         replica.register(self.world.store)
 
-    async def _turn_away(self, replica: Replica) -> None:
+    async def _reject(self, replica: Replica) -> None:
         replica.pause_s = self.rng.uniform(*PAUSE_S)
-        await asyncio.sleep(TURNING_AWAY_S)
+        await asyncio.sleep(REJECTING_S)
         replica.pause_s = 0
 
 
 def broken_notices(world: AgencyWorld, sent: dict[str, Sent]) -> Iterator[str]:
-    """Return targets that nodes sent to though they had said not to."""
+    """Return targets that nodes sent to against their notices."""
     for replica in world.replicas.values():
         for request_id in replica.told_leaving:
             late = _late(replica, sent, request_id)
             if late:
                 yield f'{replica.name} left and still got {late}'
-        for request_id in replica.turned_away:
+        for request_id in replica.rejected:
             early = _early(replica, sent, request_id)
             if len(early) > TOLERATED:
-                yield f'{replica.name} wanted a pause and got {early}'
+                yield f'{replica.name} asked for a pause and got {early}'
 
 
 def _late(
     replica: Replica, sent: dict[str, Sent], request_id: str
 ) -> list[str]:
-    """Return what a node sent on long after a target had said it leaves."""
+    """Return what a node sent on long after a target announced its leave."""
     told_s = replica.told_leaving[request_id]
     return [
         other
@@ -81,8 +81,8 @@
 def _early(
     replica: Replica, sent: dict[str, Sent], request_id: str
 ) -> list[str]:
-    """Return what a node sent on while a target wanted a pause."""
-    told_s, pause_s = replica.turned_away[request_id]
+    """Return what a node sent on during a pause that a target asked for."""
+    told_s, pause_s = replica.rejected[request_id]
     return [
         other
         for other in _from_same(replica, sent, request_id)
--- a/mimosaworks/node/beat_news.py
+++ b/mimosaworks/node/beat_news.py
@@ -35,7 +35,7 @@
         self._spent[workspace] = self._spent.get(workspace, 0) + cost
 
     def note_leaving(self, target: str, born: int) -> None:
-        """Tell the holder of a target that says that it leaves."""
+        """Tell the holder of a target that has announced its leave."""
         self._leaving.append(TargetLeaving(target, born))
         self.has_news.set()
 
--- a/mimosaworks/node/chooser.py
+++ b/mimosaworks/node/chooser.py
@@ -36,7 +36,7 @@
     """Asks the holder; decides from this node's own view without one.
 
     node, nonce and data_centre name this process and its place; notices are
-    the targets that want no requests. members gives the number of nodes, 0
+    the targets to leave out for now. members gives the number of nodes, 0
     when it is not known. is_view_usable tells whether a view of the targets
     of this age (s) may decide.
     """
@@ -66,7 +66,7 @@
     def _retry_after_s(self, call: Call, refusal: Refusal) -> float:
         """Return when a refused caller may come back.
 
-        That is not before a target that wanted a pause takes requests again.
+        That is not before this node may use a target again.
         """
         pause_s = self.notices.pause_left_s(now_s())
         if pause_s is None or refusal.kind not in _WORTH_WAITING:
@@ -101,7 +101,7 @@
         return alone
 
     async def _ask_holder(self, ask: CallAsk) -> Assignment | Refusal | None:
-        """Return the decision; None if the target wants no requests now."""
+        """Return the decision; None if its target is to be left out now."""
         try:
             reply = await self.link.ask(ask)
         except (asyncio.CancelledError, PeerError):
--- a/mimosaworks/node/holder_link.py
+++ b/mimosaworks/node/holder_link.py
@@ -54,7 +54,7 @@
 
     lease gives the believed lease, local the holder when it is this process,
     row what this node says of itself, running its requests at targets,
-    leaving the births of targets that told it that they leave.
+    leaving the births of targets that announced that to it.
     heard_s is when the holder last confirmed what it told, lost_s when it was
     lost last. on_reply is called with each of its answers, on_lost when it
     falls silent. _unanswered_s is when the first beat was sent that got no
--- a/mimosaworks/node/meters.py
+++ b/mimosaworks/node/meters.py
@@ -82,7 +82,9 @@
             'mimosa_store_calls', 'Calls to the store.', 'call', 'outcome'
         )
         self.notices = self._counter(
-            'mimosa_target_notices', 'Targets that wanted no requests.', 'kind'
+            'mimosa_target_notices',
+            'Targets that are left out on notice.',
+            'kind',
         )
 
     def _make_histograms(self) -> None:
--- a/mimosaworks/platform/engine_calls.py
+++ b/mimosaworks/platform/engine_calls.py
@@ -75,7 +75,7 @@
 class EngineCalls:
     """Sends orders and reads reports; used by the holder.
 
-    on_leaving is called with a target whose answer says that it leaves.
+    on_leaving is called with a target whose answer announces that.
     """
 
     session: aiohttp.ClientSession
--- a/mimosaworks/platform/headers.py
+++ b/mimosaworks/platform/headers.py
@@ -140,12 +140,12 @@
 
 
 def says_leaving(headers: Mapping[str, str]) -> bool:
-    """Tell whether a target's answer says that it leaves."""
+    """Tell whether a target's answer announces that it leaves."""
     return headers.get(LEAVING, '').strip() == '1'
 
 
 def read_pause_s(status: int, headers: Mapping[str, str]) -> float | None:
-    """Return the seconds for which a target wants nothing, None without.
+    """Return the time to back off from a target (s), None without one.
 
     Raises ValueError for anything but a number of seconds up to MAX_PAUSE_S.
     """
--- a/mimosaworks/wire/dispatch_messages.py
+++ b/mimosaworks/wire/dispatch_messages.py
@@ -115,8 +115,8 @@
 
     running is filled in the first beat to a holder, spent with the tokens
     that the node admitted without one. wants_levels asks for the tokens that
-    workspaces have left. leaving are targets that told the node so, in the
-    first beat to a holder all of them.
+    workspaces have left. leaving are targets that announced that to the
+    node, in the first beat to a holder all of them.
     """
 
     row: NodeRow
--- a/mimosaworks/wire/target_messages.py
+++ b/mimosaworks/wire/target_messages.py
@@ -27,7 +27,7 @@
 
 @attrs.frozen
 class TargetLeaving:
-    """A target said that it leaves; born is its birth, 0 if unknown."""
+    """A target announced that it leaves; born is its birth, 0 if unknown."""
 
     target: str
     born: int
--- a/standins/agency/replica.py
+++ b/standins/agency/replica.py
@@ -22,9 +22,9 @@
     models maps each loaded model to its adapters. breaks_after cuts streams
     after that many events; crashes_on names a model whose requests reset
     every connection. overloads counts orders beyond the memory. All answers
-    of one that is_leaving say so; while pause_s is set, requests are turned
-    away for so long. arrivals and told_leaving give a time for each request,
-    turned_away the pause as well, births the birth that it met.
+    of one that is_leaving announce it; while pause_s is set, requests are
+    rejected with this time to back off. arrivals and told_leaving give a time
+    for each request, rejected the pause as well, births the birth that it met.
     """
 
     name: str
@@ -53,7 +53,7 @@
     pause_s: float = 0
     arrivals: dict[str, float] = attrs.field(factory=dict)
     births: dict[str, int] = attrs.field(factory=dict)
-    turned_away: dict[str, tuple[float, float]] = attrs.field(factory=dict)
+    rejected: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     told_leaving: dict[str, float] = attrs.field(factory=dict)
 
     def restart(self) -> None:
@@ -160,7 +160,7 @@
         replica.arrivals[request_id] = now
         replica.births[request_id] = replica.born
         if replica.pause_s:
-            replica.turned_away[request_id] = (now, replica.pause_s)
+            replica.rejected[request_id] = (now, replica.pause_s)
             head = {'X-Not-Executed': '1', 'Retry-After': f'{replica.pause_s}'}
             return web.Response(
                 status=HTTPStatus.SERVICE_UNAVAILABLE, headers=head
