--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -110,12 +110,7 @@
 
     async def _crash_target(self) -> None:
         name = self.rng.choice(sorted(self.world.replicas))
-        proxy = self.world.proxies[name]
-        proxy.close()
-        self.world.replicas[name].restart()
-        await asyncio.sleep(self.rng.uniform(*RESTART_S))
-        await proxy.open()
-        self.world.replicas[name].register(self.world.store)
+        await self.world.crash(name, self.rng.uniform(*RESTART_S))
 
     async def _configure(self) -> None:
         self.version += 1
--- a/standins/agency/replica.py
+++ b/standins/agency/replica.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
 
@@ -13,6 +14,11 @@
 FIRST_S = 0.01
 EVENT_S = 0.005
 EVENTS = 5
+POISON = b'poison'  # the body of requests that crash what runs them
+
+
+def _survive(_name: str) -> None:
+    """Go on."""
 
 
 @attrs.define(eq=False)
@@ -20,8 +26,8 @@
     """State of one target; runs lists the ids of requests that it ran.
 
     models maps each loaded model to its adapters. breaks_after cuts streams
-    after that many events; crashes_on names a model whose requests reset
-    every connection. overloads counts orders beyond the memory. All answers
+    after that many events; on_crash is called when a request with the body
+    POISON begins to run. overloads counts orders beyond the memory. All answers
     of one that is_leaving announce it; while pause_s is set, requests are
     rejected with this time to back off. arrivals and told_leaving give a time
     for each request, rejected the pause as well, births the birth that it met.
@@ -55,6 +61,7 @@
     births: dict[str, int] = attrs.field(factory=dict)
     rejected: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     told_leaving: dict[str, float] = attrs.field(factory=dict)
+    on_crash: Callable[[str], None] = _survive
 
     def restart(self) -> None:
         """Start anew: what was held and counted is gone, the disk stays."""
@@ -155,7 +162,7 @@
         if expected != replica.name or not _holds(replica, model, adapter):
             return web.Response(status=HTTPStatus.MISDIRECTED_REQUEST)
         request_id = req.headers['X-Request-Id']
-        await req.read()
+        body = await req.read()
         now = time.monotonic()
         replica.arrivals[request_id] = now
         replica.births[request_id] = replica.born
@@ -167,6 +174,8 @@
             )
         replica.runs.append(request_id)
         replica.headers.append(dict(req.headers))
+        if body == POISON:
+            replica.on_crash(replica.name)
         try:
             return await _run(replica, req, model)
         except asyncio.CancelledError:
--- a/standins/agency/world.py
+++ b/standins/agency/world.py
@@ -1,8 +1,10 @@
 """A platform of stand-ins with real entry nodes."""
 
+import asyncio
 import contextlib
 import json
 import socket
+import time
 import types
 from collections.abc import AsyncGenerator
 from pathlib import Path
@@ -26,6 +28,7 @@
 SIZE_MB = 60000.0
 DISK_MB = 500000.0
 PORTS_A_NODE = 5
+CRASH_DOWN_S = 1.0
 
 
 def desired(version: int = 1, **changes: Any) -> dict[str, Any]:
@@ -162,7 +165,11 @@
 
 @attrs.define(eq=False)
 class AgencyWorld:
-    """The store, the targets and the nodes of one test."""
+    """The store, the targets and the nodes of one test.
+
+    crashed_s are the times at which requests crashed targets, which start
+    again crash_down_s later.
+    """
 
     stack: contextlib.AsyncExitStack
     runner: ProcessRunner
@@ -175,6 +182,9 @@
     proxies: dict[str, Proxy] = attrs.field(factory=dict)
     replicas: dict[str, Replica] = attrs.field(factory=dict)
     nodes: list[NodeHandle] = attrs.field(factory=list)
+    crashed_s: list[float] = attrs.field(factory=list)
+    crash_down_s: float = CRASH_DOWN_S
+    _crashes: set['asyncio.Task[None]'] = attrs.field(factory=set)
 
     async def open(self) -> None:
         """Serve the store with a first desired state."""
@@ -196,6 +206,7 @@
             data_centre=facts.pop('data_centre', 'north'),
             sizes_mb=dict.fromkeys(MODELS, SIZE_MB),
             on_disk=facts.pop('on_disk', list(MODELS)),
+            on_crash=self._on_crash,
             **facts,
         )
         address = await self.serve(replica_app(replica))
@@ -226,6 +237,15 @@
         self.nodes.append(node)
         return node
 
+    async def crash(self, name: str, down_s: float) -> None:
+        """End a target at once and start it again down_s later."""
+        proxy = self.proxies[name]
+        proxy.close()
+        self.replicas[name].restart()
+        await asyncio.sleep(down_s)
+        await proxy.open()
+        self.replicas[name].register(self.store)
+
     async def serve(self, app: web.Application) -> str:
         """Serve an application; return its address."""
         runner = web.AppRunner(
@@ -239,7 +259,12 @@
         return address
 
     def request(
-        self, node: NodeHandle, path: str, request_id: str, **extra: str
+        self,
+        node: NodeHandle,
+        path: str,
+        request_id: str,
+        body: bytes = b'{}',
+        **extra: str,
     ) -> Any:
         """Send a request as a caller does."""
         headers = {
@@ -250,7 +275,13 @@
             **{name.replace('_', '-'): text for name, text in extra.items()},
         }
         url = f'http://{node.front}{path}'
-        return self.session.post(url, headers=headers, data=b'{}')
+        return self.session.post(url, headers=headers, data=body)
+
+    def _on_crash(self, name: str) -> None:
+        self.crashed_s.append(time.monotonic())
+        task = asyncio.ensure_future(self.crash(name, self.crash_down_s))
+        self._crashes.add(task)
+        task.add_done_callback(self._crashes.discard)
 
     async def _proxy(self, upstream: str) -> Proxy:
         proxy = Proxy(_parted(reserve_address()), _parted(upstream))
--- /dev/null
+++ b/tests/test_node_crashing_requests.py
@@ -0,0 +1,112 @@
+"""Requests that crash every target that runs them, at real nodes."""
+
+import asyncio
+import contextlib
+import itertools
+import time
+from collections.abc import AsyncGenerator, AsyncIterator
+from pathlib import Path
+
+import aiohttp
+import pytest
+
+from standins.agency.replica import POISON
+from standins.agency.world import AgencyWorld, NodeHandle, open_agency
+from tests.test_node_processes import holder_of, until, until_served
+
+PAUSE_S = 0.1
+CONTACT_S = 3.0  # the bound in the nodes' settings
+MAX_LATE = 3
+LEDGERS = 4
+
+
+@pytest.fixture
+async def world(tmp_path: Path) -> AsyncIterator[AgencyWorld]:
+    async with open_agency(tmp_path) as opened:
+        for number in range(LEDGERS):
+            await opened.add_replica(f'ledger-{number}', service='ledger')
+        for number in range(3):
+            await opened.add_node(f'node-{number}')
+        for node in opened.nodes:
+            await until_served(opened, node)
+        yield opened
+
+
+async def repeat(world: AgencyWorld, path: str) -> None:
+    """Send the request that crashes targets, again and again."""
+    for number in itertools.count():
+        await asyncio.sleep(PAUSE_S)
+        if not world.nodes:
+            continue
+        node = world.nodes[number % len(world.nodes)]
+        with contextlib.suppress(aiohttp.ClientError):
+            async with world.request(
+                node, path, f'poison-{number}', POISON
+            ) as resp:
+                await resp.read()
+
+
+@contextlib.asynccontextmanager
+async def repeated(world: AgencyWorld, path: str) -> AsyncGenerator[None, None]:
+    """Repeat the request until its targets crashed three times and after."""
+    task = asyncio.create_task(repeat(world, path))
+    await until(lambda: len(world.crashed_s) >= 3)
+    yield
+    task.cancel()
+
+
+def late_arrivals(world: AgencyWorld) -> int:
+    """Return how often the request ran long after its third crash."""
+    late_s = world.crashed_s[2] + CONTACT_S
+    return sum(crash_s > late_s for crash_s in world.crashed_s)
+
+
+async def restart(world: AgencyWorld, *nodes: NodeHandle) -> None:
+    """Kill nodes at once and start them again."""
+    for node in nodes:
+        await node.process.kill()
+        world.nodes.remove(node)
+    await asyncio.gather(
+        *(world.add_node(node.process.name, node.boot) for node in nodes)
+    )
+
+
+# Guards against a request that goes on crashing targets after each change of
+# the holder, which counted its crashes for itself.
+@pytest.mark.parametrize('path', ['/look/x', '/post/x'])
+async def test_a_new_holder_refuses_what_crashed_targets_before(
+    world: AgencyWorld, path: str
+) -> None:
+    async with repeated(world, path):
+        for _ in range(3):
+            await asyncio.sleep(CONTACT_S)
+            await restart(world, holder_of(*world.nodes))
+        await asyncio.sleep(CONTACT_S)
+    assert late_arrivals(world) <= MAX_LATE
+
+
+# Guards against a count of crashes that a loss of all nodes takes along.
+async def test_what_crashed_targets_is_refused_after_a_loss_of_all_nodes(
+    world: AgencyWorld,
+) -> None:
+    async with repeated(world, '/look/x'):
+        for _ in range(3):
+            await asyncio.sleep(CONTACT_S)
+            await restart(world, *world.nodes)
+        await asyncio.sleep(CONTACT_S)
+    assert late_arrivals(world) <= MAX_LATE
+
+
+# Guards against nodes that send on, while they hear no holder, what they had
+# seen crash its targets.
+async def test_nodes_refuse_what_crashed_targets_while_the_store_is_silent(
+    world: AgencyWorld,
+) -> None:
+    world.faults.is_silent = True
+    await asyncio.sleep(1)
+    async with repeated(world, '/look/x'):
+        await asyncio.sleep(CONTACT_S + 3)
+        world.faults.is_silent = False
+        await asyncio.sleep(CONTACT_S)
+    assert late_arrivals(world) <= MAX_LATE
+    assert time.monotonic() > world.crashed_s[2] + CONTACT_S
