--- a/mimosaworks/node/call_log.py
+++ b/mimosaworks/node/call_log.py
@@ -19,6 +19,7 @@
         tokens=call.facts.declared_tokens,
         left_s=call.left_s(),
         version=version,
+        mark=call.mark,
     )
 
 
--- a/standins/agency/replica.py
+++ b/standins/agency/replica.py
@@ -174,10 +174,8 @@
             )
         replica.runs.append(request_id)
         replica.headers.append(dict(req.headers))
-        if body == POISON:
-            replica.on_crash(replica.name)
         try:
-            return await _run(replica, req, model)
+            return await _run(replica, req, body, model)
         except asyncio.CancelledError:
             replica.cancelled.append(request_id)
             raise
@@ -204,8 +202,10 @@
 
 
 async def _run(
-    replica: Replica, req: web.Request, model: str
+    replica: Replica, req: web.Request, body: bytes, model: str
 ) -> web.StreamResponse:
+    if body == POISON:
+        replica.on_crash(replica.name)
     head = {
         'X-Request-Id': req.headers['X-Request-Id'],
         'X-Server-Seal': f'seal-{replica.name}',
--- a/standins/agency/world.py
+++ b/standins/agency/world.py
@@ -264,6 +264,7 @@
         path: str,
         request_id: str,
         body: bytes = b'{}',
+        /,
         **extra: str,
     ) -> Any:
         """Send a request as a caller does."""
--- a/tests/test_node_crashing_requests.py
+++ b/tests/test_node_crashing_requests.py
@@ -63,12 +63,11 @@
 
 async def restart(world: AgencyWorld, *nodes: NodeHandle) -> None:
     """Kill nodes at once and start them again."""
-    for node in nodes:
-        await node.process.kill()
-        world.nodes.remove(node)
-    await asyncio.gather(
-        *(world.add_node(node.process.name, node.boot) for node in nodes)
-    )
+    for killed in nodes:
+        await killed.process.kill()
+        world.nodes.remove(killed)
+    starts = (world.add_node(old.process.name, old.boot) for old in nodes)
+    await asyncio.gather(*starts)
 
 
 # Guards against a request that goes on crashing targets after each change of
