--- a/mimosaworks/dispatch/__init__.py
+++ b/mimosaworks/dispatch/__init__.py
@@ -1,5 +1,13 @@
 """Decisions on where requests run and what is loaded; no input or output."""
 
+from mimosaworks.dispatch.crash_book import (
+    CrashBook,
+    EntriesView,
+    Suspect,
+    TargetEnd,
+    Verdict,
+    judge_ends,
+)
 from mimosaworks.dispatch.dispatcher import Decided, Dispatcher
 from mimosaworks.dispatch.engine_pool import EnginePool
 from mimosaworks.dispatch.engine_target import EngineTarget, Step
@@ -15,10 +23,12 @@
     'Ask',
     'Assignment',
     'CallOutcome',
+    'CrashBook',
     'Decided',
     'Dispatcher',
     'EnginePool',
     'EngineTarget',
+    'EntriesView',
     'Job',
     'PlainPool',
     'PlainTarget',
@@ -26,7 +36,11 @@
     'ResendBudgets',
     'ResendTerms',
     'Step',
+    'Suspect',
+    'TargetEnd',
+    'Verdict',
     'adopt_models',
+    'judge_ends',
     'load_ahead',
     'timed',
 ]
--- a/mimosaworks/dispatch/crash_book.py
+++ b/mimosaworks/dispatch/crash_book.py
@@ -1,60 +1,240 @@
-"""Connects requests that broke off with crashes of their targets."""
+"""Counts, for each request's content, the targets that ended under it."""
 
-from collections.abc import Mapping
+import enum
+from collections.abc import Iterable, Iterator, Mapping
 
 import attrs
 
-from mimosaworks.deployment import TargetEntry
-from mimosaworks.routing import SuspectTable
+from mimosaworks.bounded import forget_oldest
+from mimosaworks.deployment import TargetEntry, TargetState
 
-# Longer than an entry takes to lapse and a crashed target to restart.
-REMEMBER_S = 10.0
+APART_ENDS = 2  # from here on one run at a time
+REFUSED_ENDS = 3
+ANSWERS_FOR_END = 5  # answers that take back one end
+# Three heartbeat intervals of targets, after which an entry lapses, and two
+# reads of the entries.
+LAPSE_S = 6.0
+KEEP_S = 600.0
+TRIAL_S = 60.0  # until a refused content is tried once more
+TRIAL_GROWTH = 4  # of that pause with each trial
+MAX_SUSPECTS = 1000
+MAX_ENDS = 8  # of one content; more tell nothing new
+MAX_SILENT = 2000
+
+
+class Verdict(enum.Enum):
+    """How requests with a content are served; APART is one at a time."""
+
+    SERVED = 'served'
+    APART = 'apart'
+    REFUSED = 'refused'
 
 
 @attrs.frozen
-class _Broken:
+class TargetEnd:
+    """A target may have ended while it ran a request.
+
+    mark is the fingerprint of the request's content. number tells ends of
+    the same birth apart, where a target has started anew and its birth is
+    not known yet. One that is_silent broke no connection.
+    """
+
     mark: str
     target: str
     born: int
-    at_s: float
+    number: int = 0
+    is_silent: bool = False
+
+    @property
+    def name(self) -> str:
+        """Which end of which target it is."""
+        return f'{self.target}/{self.born}/{self.number}'
+
+
+@attrs.frozen
+class EntriesView:
+    """The targets' entries, read without a gap from since_s to read_s."""
+
+    entries: Mapping[str, TargetEntry]
+    since_s: float
+    read_s: float
+
+    def shows(self, end: TargetEnd, noted_s: float) -> bool:
+        """Tell whether entries that were read after it show an end."""
+        entry = self.entries.get(end.target)
+        has_changed = entry is None or entry.born != end.born
+        return has_changed and self.read_s > noted_s
+
+    def would_show(self, noted_s: float) -> bool:
+        """Tell whether an end before noted_s had to show by now."""
+        return self.read_s - max(noted_s, self.since_s) > LAPSE_S
+
+
+@attrs.define
+class Suspect:
+    """The ends under one content, by name.
+
+    answers are those since the last end that was taken back, trials the runs
+    that it got though it was refused; noted_s is when it was last heard of.
+    """
+
+    ends: dict[str, TargetEnd] = attrs.field(factory=dict)
+    answers: int = 0
+    trials: int = 0
+    noted_s: float = 0
+
+    def trial_at_s(self) -> float:
+        """Return when it may be tried once more."""
+        growth: int = TRIAL_GROWTH**self.trials
+        return self.noted_s + TRIAL_S * growth
+
+    def expires_at_s(self) -> float:
+        """Return when it is forgotten."""
+        if len(self.ends) < REFUSED_ENDS:
+            return self.noted_s + KEEP_S
+        return self.trial_at_s() + KEEP_S
+
+
+def judge_ends(count: int) -> Verdict:
+    """Return how a content is served under which so many targets ended."""
+    if count >= REFUSED_ENDS:
+        return Verdict.REFUSED
+    return Verdict.APART if count >= APART_ENDS else Verdict.SERVED
 
 
 @attrs.define
 class CrashBook:
-    """Counts, for each request's content, the targets that ended under it.
+    """What the holder knows of contents under which targets ended.
 
-    A request that ran beside the one to blame is counted too; it is refused
-    only after as many crashes, which its caller's few tries do not reach.
+    An end counts at once, and is taken back if the target's entry shows that
+    it lives on. A content that was beside the one to blame is cleared by
+    answers. version grows with each change.
     """
 
-    suspects: SuspectTable = attrs.field(factory=SuspectTable)
-    _broken: list[_Broken] = attrs.field(factory=list)
+    version: int = 0
+    suspects: dict[str, Suspect] = attrs.field(factory=dict)
+    _open: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    _silent: dict[str, tuple[TargetEnd, float]] = attrs.field(factory=dict)
+
+    def judge(self, mark: str, now: float) -> Verdict:
+        """Return how requests with this content are served now."""
+        suspect = self.suspects.get(mark)
+        if suspect is None:
+            return Verdict.SERVED
+        verdict = judge_ends(len(suspect.ends))
+        if verdict is Verdict.REFUSED and now >= suspect.trial_at_s():
+            return Verdict.APART
+        return verdict
+
+    def note_run(self, mark: str, now: float) -> None:
+        """Count a run of a content that is judged to run apart."""
+        suspect = self.suspects.get(mark)
+        if suspect is not None and len(suspect.ends) >= REFUSED_ENDS:
+            suspect.trials += 1
+            suspect.noted_s = now
+            self.version += 1
+
+    def note_end(
+        self, end: TargetEnd, entry: TargetEntry | None, now: float
+    ) -> None:
+        """Take over an end; entry is what the target says of itself.
 
-    def is_refused(self, mark: str) -> bool:
-        """Tell whether a request has crashed too many targets."""
-        return bool(mark) and self.suspects.is_refused(mark)
+        One that leaves as planned may cut what it runs.
+        """
+        if entry is not None:
+            if entry.state is TargetState.DRAINING:
+                return
+            end = attrs.evolve(end, born=end.born or entry.born)
+        if end.is_silent:
+            self._silent[f'{end.mark}/{end.name}'] = (end, now)
+            forget_oldest(self._silent, MAX_SILENT)
+        else:
+            self._count(end, now)
 
-    def note_broken(self, mark: str, entry: TargetEntry, now: float) -> None:
-        """Remember a request that broke off at a target."""
-        if mark:
-            broken = _Broken(mark, entry.name, entry.born, now)
-            self._broken.append(broken)
+    def note_answer(self, mark: str) -> None:
+        """Note that a target ran a content and lived on."""
+        suspect = self.suspects.get(mark)
+        if suspect is None:
+            return
+        suspect.answers += 1
+        if suspect.answers >= ANSWERS_FOR_END:
+            suspect.answers = 0
+            self._take_back(mark, next(iter(suspect.ends)))
 
-    def note_whole(self, mark: str) -> None:
-        """Clear a request that ran to its end."""
-        self.suspects.clear(mark)
+    def follow_entries(self, view: EntriesView, now: float) -> None:
+        """Compare ends with the targets' entries, and forget old ones."""
+        for place, noted_s in list(self._open.items()):
+            self._settle(place, noted_s, view)
+        for key, (end, seen_s) in list(self._silent.items()):
+            is_shown = view.shows(end, seen_s)
+            if is_shown or view.would_show(seen_s):
+                self._silent.pop(key)
+            if is_shown:
+                self._count(end, now)
+        for mark in list(self._expired(now)):
+            self._drop(mark)
 
-    def follow_entries(
-        self, entries: Mapping[str, TargetEntry], now: float
+    def adopt(self, mark: str, suspect: Suspect, now: float) -> None:
+        """Take over what an earlier holder knew of a content."""
+        for end in suspect.ends.values():
+            self._count(end, now)
+        known = self.suspects.get(mark)
+        if known is not None:
+            known.answers = max(known.answers, suspect.answers)
+            known.trials = max(known.trials, suspect.trials)
+            known.noted_s = min(suspect.noted_s, now)
+
+    def counted(self, least: int) -> Iterator[tuple[str, Suspect]]:
+        """Yield the contents with this many ends or more."""
+        for mark, suspect in self.suspects.items():
+            if len(suspect.ends) >= least:
+                yield (mark, suspect)
+
+    def _count(self, end: TargetEnd, now: float) -> None:
+        suspect = self.suspects.pop(end.mark, None) or Suspect()
+        self.suspects[end.mark] = suspect
+        if end.name in suspect.ends:
+            return
+        self.version += 1
+        suspect.noted_s = max(suspect.noted_s, now)
+        if len(suspect.ends) < MAX_ENDS:
+            suspect.ends[end.name] = end
+            self._open[end.mark, end.name] = now
+        if len(self.suspects) > MAX_SUSPECTS:
+            self._drop(self._least())
+
+    def _settle(
+        self, place: tuple[str, str], noted_s: float, view: EntriesView
     ) -> None:
-        """Count the crashes that entries show."""
-        kept = []
-        for broken in self._broken:
-            entry = entries.get(broken.target)
-            has_crashed = entry is None or entry.born != broken.born
-            if has_crashed:
-                crash = f'{broken.target}/{broken.born}'
-                self.suspects.note_crash(broken.mark, crash, now)
-            elif now - broken.at_s < REMEMBER_S:
-                kept.append(broken)
-        self._broken = kept
+        """Believe an end that entries show; take back one that they don't."""
+        mark, name = place
+        if view.shows(self.suspects[mark].ends[name], noted_s):
+            self._open.pop(place)
+        elif view.would_show(noted_s):
+            self._take_back(mark, name)
+
+    def _least(self) -> str:
+        """Return the content with the fewest ends, the oldest of these."""
+        return min(self.suspects, key=self._count_ends)
+
+    def _count_ends(self, mark: str) -> int:
+        return len(self.suspects[mark].ends)
+
+    def _take_back(self, mark: str, name: str) -> None:
+        suspect = self.suspects[mark]
+        suspect.ends.pop(name)
+        self._open.pop((mark, name), None)
+        self.version += 1
+        if not suspect.ends:
+            self._drop(mark)
+
+    def _expired(self, now: float) -> Iterable[str]:
+        for mark, suspect in self.suspects.items():
+            if now > suspect.expires_at_s():
+                yield mark
+
+    def _drop(self, mark: str) -> None:
+        suspect = self.suspects.pop(mark)
+        for name in suspect.ends:
+            self._open.pop((mark, name), None)
+        self.version += 1
--- a/mimosaworks/dispatch/dispatcher.py
+++ b/mimosaworks/dispatch/dispatcher.py
@@ -11,7 +11,7 @@
     TargetEntry,
     TargetState,
 )
-from mimosaworks.dispatch.crash_book import CrashBook
+from mimosaworks.dispatch.crash_book import CrashBook, TargetEnd
 from mimosaworks.dispatch.engine_pool import EnginePool
 from mimosaworks.dispatch.engine_target import EngineTarget, Step
 from mimosaworks.dispatch.job import Ask, Assignment, Job, Refusal
@@ -19,6 +19,12 @@
 from mimosaworks.dispatch.outcome import CallOutcome
 from mimosaworks.dispatch.plain_pool import PlainPool, PlainTarget
 from mimosaworks.dispatch.resend_budget import ResendBudgets
+from mimosaworks.dispatch.suspect_rules import (
+    admit_suspect,
+    crash_suspect,
+    set_apart,
+    waiting_refused,
+)
 from mimosaworks.errors import ErrorKind
 
 Decided = tuple[str, Assignment | Refusal]
@@ -27,6 +33,7 @@
 # The longest wait for tokens: the same for all, so that patient requests
 # do not take the tokens of urgent ones in advance.
 TOKEN_WAIT_S = 0.3
+_SURVIVED = frozenset((CallOutcome.ANSWERED, CallOutcome.FAILED))
 _UNUSED = frozenset((
     CallOutcome.NOT_SENT,
     CallOutcome.REFUSED,
@@ -61,7 +68,6 @@
         self, entries: dict[str, TargetEntry], now: float
     ) -> list[Decided]:
         """Follow what the targets say of themselves."""
-        self.crashes.follow_entries(entries, now)
         displaced: list[Job] = []
         for name, pool in self.pools.items():
             own = (
@@ -77,10 +83,9 @@
 
         A short wait serves the caller sooner than coming back would.
         """
-        if self.crashes.is_refused(ask.mark):
-            return Refusal(
-                ErrorKind.CRASH_SUSPECT, 0, 'targets ended while it ran'
-            )
+        suspected = admit_suspect(self.crashes, self.jobs, ask, now)
+        if suspected is not None:
+            return suspected
         if not self.resends.admit(
             ask.service, now, is_resend=bool(ask.resends)
         ):
@@ -105,7 +110,7 @@
         if pool is None:
             self.limiter.give_back(ask.workspace, ask.cost)
             return Refusal(ErrorKind.NO_TARGET, RETRY_S, 'unknown service')
-        job = Job(ask, now)
+        job = Job(set_apart(self.crashes, self.jobs, ask, now), now)
         self.jobs[ask.call] = job
         decided = pool.submit(job, now)
         if isinstance(decided, Refusal):
@@ -145,7 +150,7 @@
             return []
         pool = self.pools.get(job.ask.service)
         if pool is not None:
-            self._note_outcome(job, outcome, now)
+            _note_outcome(self, job, outcome, now)
             if outcome is CallOutcome.ANSWERED:
                 pool.note_whole(job, duration_s)
             pool.drop(job)
@@ -153,6 +158,20 @@
             self.limiter.give_back(job.ask.workspace, job.ask.cost)
         return self.tick(now)
 
+    def note_ends(self, ends: Iterable[TargetEnd], now: float) -> list[Decided]:
+        """Count ends of targets; refuse what waits and is refused by now."""
+        marks: set[str] = set()
+        for end in ends:
+            marks.add(end.mark)
+            entry = _find_entry(self, end.target)
+            self.crashes.note_end(end, entry, now)
+        refused = waiting_refused(self.crashes, self.jobs.values(), marks, now)
+        decided: list[Decided] = []
+        for job in refused:
+            self._give_up(job)
+            decided.append((job.ask.call, crash_suspect()))
+        return decided
+
     def note_leaving(self, name: str, born: int) -> None:
         """Note a target that announced itself that it leaves.
 
@@ -218,19 +237,6 @@
         if pool is not None:
             pool.drop(job)
 
-    def _note_outcome(self, job: Job, outcome: CallOutcome, now: float) -> None:
-        target = _find_target(self, job.ask.service, job.target)
-        if target is None:
-            return
-        target.health.note_outcome(outcome, now)
-        if outcome is CallOutcome.ANSWERED:
-            self.crashes.note_whole(job.ask.mark)
-        elif outcome is CallOutcome.BROKEN:
-            self.crashes.note_broken(job.ask.mark, target.entry, now)
-        is_refused = outcome is CallOutcome.REFUSED
-        if is_refused and isinstance(target, EngineTarget):
-            target.is_synced = False
-
     def _follow_service(self, service: ServiceTerms) -> None:
         pool = self.pools.get(service.name)
         if service.engine is None:
@@ -260,6 +266,29 @@
     )
 
 
+def _note_outcome(
+    dispatcher: Dispatcher, job: Job, outcome: CallOutcome, now: float
+) -> None:
+    if outcome in _SURVIVED:
+        dispatcher.crashes.note_answer(job.ask.mark)
+    target = _find_target(dispatcher, job.ask.service, job.target)
+    if target is None:
+        return
+    target.health.note_outcome(outcome, now)
+    is_refused = outcome is CallOutcome.REFUSED
+    if is_refused and isinstance(target, EngineTarget):
+        target.is_synced = False
+
+
+def _find_entry(dispatcher: Dispatcher, name: str) -> TargetEntry | None:
+    """Return what a target says of itself, or has announced."""
+    for pool in dispatcher.pools.values():
+        target = pool.targets.get(name)
+        if target is not None:
+            return target.entry
+    return None
+
+
 def _find_target(
     dispatcher: Dispatcher, service: str, name: str
 ) -> EngineTarget | PlainTarget | None:
--- a/mimosaworks/node/beat_news.py
+++ b/mimosaworks/node/beat_news.py
@@ -4,7 +4,14 @@
 
 import attrs
 
-from mimosaworks.wire import Beat, CallEnd, CallStart, Spent, TargetLeaving
+from mimosaworks.wire import (
+    Beat,
+    CallEnd,
+    CallStart,
+    CrashNote,
+    Spent,
+    TargetLeaving,
+)
 
 
 @attrs.define(eq=False)
@@ -19,6 +26,7 @@
     _ends: list[CallEnd] = attrs.field(factory=list)
     _spent: dict[str, float] = attrs.field(factory=dict)
     _leaving: list[TargetLeaving] = attrs.field(factory=list)
+    _crashes: list[CrashNote] = attrs.field(factory=list)
 
     def note_start(self, call: str, first_s: float) -> None:
         """Tell the holder of a first event."""
@@ -39,6 +47,11 @@
         self._leaving.append(TargetLeaving(target, born))
         self.has_news.set()
 
+    def note_crash(self, note: CrashNote) -> None:
+        """Tell the holder of a target that may have ended under a request."""
+        self._crashes.append(note)
+        self.has_news.set()
+
     def fill(self, beat: Beat) -> Beat:
         """Move all news into a beat."""
         filled = attrs.evolve(
@@ -49,7 +62,9 @@
                 Spent(name, cost) for name, cost in self._spent.items()
             ),
             leaving=(*beat.leaving, *self._leaving),
+            crashes=(*beat.crashes, *self._crashes),
         )
+        self._crashes.clear()
         self._leaving.clear()
         self._starts.clear()
         self._ends.clear()
@@ -65,5 +80,6 @@
         self._starts = [*beat.starts, *self._starts]
         self._ends = [*beat.ends, *self._ends]
         self._leaving = [*beat.leaving, *self._leaving]
+        self._crashes = [*beat.crashes, *self._crashes]
         for spent in beat.spent:
             self.note_spent(spent.workspace, spent.cost)
--- a/mimosaworks/node/call_log.py
+++ b/mimosaworks/node/call_log.py
@@ -4,6 +4,7 @@
 from mimosaworks.errors import RequestError
 from mimosaworks.events import Event, log_event
 from mimosaworks.node.call import Call
+from mimosaworks.wire import CrashNote
 
 
 def log_admitted(call: Call, version: int) -> None:
@@ -89,6 +90,19 @@
     )
 
 
+def log_end_seen(call: Call, note: CrashNote) -> None:
+    """Tell that a target may have ended while it ran a request."""
+    log_event(
+        Event.TARGET_END_SEEN,
+        request_id=call.request_id,
+        mark=note.mark,
+        target=note.target,
+        born=note.born,
+        number=note.number,
+        is_silent=note.is_silent,
+    )
+
+
 def log_resent(call: Call, outcome: CallOutcome) -> None:
     """Tell that a request is sent once more after an outcome."""
     log_event(
--- a/mimosaworks/node/chooser.py
+++ b/mimosaworks/node/chooser.py
@@ -8,9 +8,17 @@
 
 from mimosaworks.clock import now_s
 from mimosaworks.deployment import TargetEntry
-from mimosaworks.dispatch import Assignment, CallOutcome, Refusal
+from mimosaworks.dispatch import (
+    Assignment,
+    CallOutcome,
+    Refusal,
+    TargetEnd,
+    Verdict,
+    judge_ends,
+)
 from mimosaworks.errors import ErrorKind, PeerError, RequestError
 from mimosaworks.events import Event, log_event
+from mimosaworks.node import call_log
 from mimosaworks.node.beliefs import Beliefs
 from mimosaworks.node.call import Call
 from mimosaworks.node.conversions import parts_of
@@ -63,6 +71,20 @@
             )
         return decided
 
+    def may_resend(self, mark: str) -> bool:
+        """Tell whether a content may be sent again after a target's end."""
+        ends = self.link.crashes.count(mark)
+        return judge_ends(ends) is Verdict.SERVED
+
+    def note_end(self, call: Call, end: TargetEnd, begun_s: float) -> None:
+        """Note that a target may have ended under a request.
+
+        It was sent at begun_s.
+        """
+        note = self.link.crashes.see(end, begun_s, now_s())
+        self.link.news.note_crash(note)
+        call_log.log_end_seen(call, note)
+
     def _retry_after_s(self, call: Call, refusal: Refusal) -> float:
         """Return when a refused caller may come back.
 
@@ -126,6 +148,9 @@
             return Refusal(
                 ErrorKind.CONFIG_STALE, HOLDER_WAIT_S, 'no deployment'
             )
+        suspected = self._refuse_suspect(ask.mark)
+        if suspected is not None:
+            return suspected
         now = now_s()
         if not self.is_view_usable(self._view_age_s()):
             return Refusal(
@@ -139,6 +164,20 @@
             self.link.news.note_spent(ask.workspace, ask.cost)
         return decided
 
+    def _refuse_suspect(self, mark: str) -> Refusal | None:
+        """Refuse a content under which several targets ended.
+
+        Without a holder nobody knows whether it runs elsewhere.
+        """
+        ends = self.link.crashes.count(mark, is_alone=True)
+        verdict = judge_ends(ends)
+        if verdict is Verdict.SERVED:
+            return None
+        kind = ErrorKind.NO_TARGET
+        if verdict is Verdict.REFUSED:
+            kind = ErrorKind.CRASH_SUSPECT
+        return Refusal(kind, HOLDER_WAIT_S, f'{ends} targets ended under it')
+
     def _view_age_s(self) -> float:
         """Return the age of the view of the targets."""
         confirmed_s = max(self.beliefs.targets_read_s, self.link.heard_s)
--- a/mimosaworks/node/election.py
+++ b/mimosaworks/node/election.py
@@ -54,6 +54,18 @@
         return not self.holder
 
 
+def _save_nothing() -> tuple[RowChange, ...]:
+    return ()
+
+
+def _ignore_save(_begun_s: float) -> None:
+    """Need no news of what was saved."""
+
+
+def _ignore_rows(_rows: tuple[StoredRow, ...]) -> None:
+    """Need no other rows."""
+
+
 @attrs.define(eq=False)
 class Election:
     """Holds, watches or takes the lease; one for each node.
@@ -67,6 +79,10 @@
     is the pause between two holders' orders. on_taken gets the lease and
     the last holder's name, on_store_back is called when a
     renewal is answered after one that was not.
+
+    unsaved gives the holder's rows that are written with the next renewal,
+    on_saved is called with the time at which one began that wrote them all,
+    on_rows with the rows beside the lease whenever that is looked at.
     """
 
     store: StoreClient
@@ -83,6 +99,9 @@
     handicap_s: float
     quiet_s: float
     lease_s: float = LEASE_S
+    unsaved: Callable[[], tuple[RowChange, ...]] = _save_nothing
+    on_saved: Callable[[float], None] = _ignore_save
+    on_rows: Callable[[tuple[StoredRow, ...]], None] = _ignore_rows
     may_hold: bool = True
     lease: Lease | None = None
     is_holder: bool = False
@@ -91,6 +110,7 @@
     _tried_s: float = 0
     _orders_from_s: float = 0
     _is_store_lost: bool = False
+    _is_bare: bool = False
 
     async def run(self) -> None:
         """Take part until cancelled."""
@@ -223,6 +243,7 @@
             return  # The feeds log the loss of the store.
         found = _lease_in(row for row in answer.rows if row.name == LEASE_ROW)
         self._believe(found)
+        self.on_rows(answer.rows)
         if self.may_hold and not self.hears_holder() and self._is_over():
             await self._take()
 
@@ -287,9 +308,19 @@
             'fence': lease.fence,
             'members': lease.members,
         }).encode()
-        return await self.store.commit(
-            [RowNeed(LEASE_ROW, version)], [RowChange(LEASE_ROW, content)]
+        begun_s = now_s()
+        # Rows that the store may have rejected must not cost the lease.
+        is_bare = self._is_bare
+        rows = () if is_bare else self.unsaved()
+        self._is_bare = bool(rows)
+        written = await self.store.commit(
+            [RowNeed(LEASE_ROW, version)],
+            [RowChange(LEASE_ROW, content), *rows],
         )
+        self._is_bare = False
+        if not is_bare:
+            self.on_saved(begun_s)
+        return written
 
 
 def _lease_in(rows: 'object') -> Lease | None:
--- a/mimosaworks/node/front.py
+++ b/mimosaworks/node/front.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from mimosaworks.clock import now_s
-from mimosaworks.dispatch import Assignment, CallOutcome
+from mimosaworks.dispatch import Assignment, CallOutcome, TargetEnd
 from mimosaworks.errors import ErrorKind, RequestError, RunState
 from mimosaworks.node import call_log
 from mimosaworks.node.admission import admit
@@ -30,6 +30,8 @@
 MIN_CALL_S = 0.5
 ELSEWHERE_S = 0.05  # another node takes the request at once
 
+_UNANSWERED = frozenset((CallOutcome.TIMED_OUT, CallOutcome.CALLER_LEFT))
+
 
 @attrs.define(eq=False)
 class Front:
@@ -140,6 +142,7 @@
         call.target = assignment.target
         self.calls[name] = call
         self.chooser.local.note(assignment.target, 1)
+        born = self.chooser.notices.find_born(assignment.target)
         outcome = CallOutcome.ANSWERED
         try:
             yield
@@ -153,6 +156,7 @@
             call_log.log_abandoned(call, outcome)
             raise
         finally:
+            self._note_end(call, outcome, born, begun_s)
             self._leave(name, assignment, outcome, now_s() - begun_s)
 
     def _leave(
@@ -167,9 +171,24 @@
         self.chooser.link.news.note_end(name, outcome.value, duration_s)
         self.meters.sends.labels(outcome.value).inc()
 
+    def _note_end(
+        self, call: Call, outcome: CallOutcome, born: int, begun_s: float
+    ) -> None:
+        """Note that the target may have ended under a request.
+
+        One that fell silent shows it by no answer at all.
+        """
+        is_silent = outcome in _UNANSWERED and not call.is_started
+        if is_silent or outcome is CallOutcome.BROKEN:
+            self.meters.ends.labels('silent' if is_silent else 'cut').inc()
+            end = TargetEnd(call.mark, call.target, born, is_silent=is_silent)
+            self.chooser.note_end(call, end, begun_s)
+
     async def _prepare_resend(self, call: Call, exc: AttemptError) -> None:
         """Return when the request may be sent once more, else raise."""
-        may_resend = exc.is_not_run or call.may_resend()
+        may_resend = exc.is_not_run or (
+            call.may_resend() and self.chooser.may_resend(call.mark)
+        )
         if not may_resend or call.asks >= MAX_ASKS:
             kind = ErrorKind.TARGET_ANSWER_LOST
             if exc.is_not_run:
--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -16,6 +16,7 @@
     Dispatcher,
     EnginePool,
     EngineTarget,
+    EntriesView,
     Refusal,
     Step,
     load_ahead,
@@ -30,8 +31,11 @@
     reply_of,
     row_of_target,
 )
+from mimosaworks.node.crash_view import end_of
 from mimosaworks.node.members import Members
 from mimosaworks.node.order_runner import FencedError, OrderRunner
+from mimosaworks.node.stored_suspects import SuspectSaver
+from mimosaworks.node.suspect_watch import SuspectWatch
 from mimosaworks.node.target_watch import TargetWatch
 from mimosaworks.node.weights_watch import (
     WeightsWatch,
@@ -57,8 +61,9 @@
     """Decides under one election, until its tasks are cancelled.
 
     on_fenced is called when a target has seen a later holder, is_sure tells
-    whether the lease was looked at lately. replies holds the requests that
-    wait, by the name of their ask.
+    whether the lease was looked at lately, view gives the targets' entries
+    as they were read. replies holds the requests that wait, by the name of
+    their ask.
     """
 
     beliefs: Beliefs
@@ -66,14 +71,17 @@
     orders: OrderRunner
     on_fenced: Callable[[str], None]
     is_sure: Callable[[], bool]
+    view: Callable[[], EntriesView]
     members: Members = attrs.field(factory=Members)
     watch: TargetWatch = attrs.field(factory=TargetWatch)
     weights: WeightsWatch = attrs.field(factory=WeightsWatch)
+    suspects: SuspectWatch = attrs.field(factory=SuspectWatch)
+    saver: SuspectSaver = attrs.field(factory=SuspectSaver)
     lease_version: int = 0
     replies: dict[str, 'asyncio.Future[Assignment | Refusal]'] = attrs.field(
         factory=dict
     )
-    _begun_s: float = attrs.field(factory=now_s)
+    begun_s: float = attrs.field(factory=now_s)
     _tasks: set['asyncio.Task[None]'] = attrs.field(factory=set)
     targets: ChangeLog[TargetEntry] = attrs.field(factory=ChangeLog)
     _deployment_version: int = 0
@@ -99,8 +107,8 @@
         """Choose a target for a request, once its model is loaded."""
         # The time left counts from the arrival of the ask.
         request = ask_of(ask, now_s())
-        until_s = min(self._begun_s + FIRST_READ_S, request.first_by_s)
-        await _await_targets(self.beliefs, self._begun_s, until_s)
+        until_s = min(self.begun_s + FIRST_READ_S, request.first_by_s)
+        await _await_targets(self.beliefs, self.begun_s, until_s)
         if self._is_stopped:
             raise PeerError('the holder changed')
         now = now_s()
@@ -125,6 +133,7 @@
                 job.is_started = running.is_started
         for start in beat.starts:
             self.dispatcher.started(start.call, start.first_s)
+        self._settle(self.dispatcher.note_ends(map(end_of, beat.crashes), now))
         for end in beat.ends:
             outcome = CallOutcome(end.outcome)
             self._settle(
@@ -184,6 +193,8 @@
         deployment = self.beliefs.deployment
         members = self.members.log.since(beat.members_version)
         targets = self.targets.since(beat.targets_version)
+        self.suspects.look(self.dispatcher.crashes)
+        suspects = self.suspects.log.since(beat.suspects_version)
         return BeatReply(
             is_holder=True,
             fence=self.orders.fence,
@@ -198,6 +209,11 @@
             targets_gone=targets.gone,
             targets_whole=targets.is_whole,
             targets_version=self.targets.version,
+            suspects=suspects.rows,
+            suspects_gone=suspects.gone,
+            suspects_whole=suspects.is_whole,
+            suspects_version=self.suspects.log.version,
+            unsaved_s=now - self.saver.saved_s,
             interval_s=self.members.interval_s(),
         )
 
@@ -231,6 +247,7 @@
             load_ahead(self.dispatcher.pools.values(), now)
             self.watch.look(self.dispatcher.pools, now)
             self.weights.look(self.dispatcher.pools, now)
+            _follow_crashes(self, now)
             self._forget(now)
             self._start_orders()
             await asyncio.sleep(TICK_S)
@@ -320,6 +337,15 @@
         await asyncio.sleep(READ_POLL_S)
 
 
+def _follow_crashes(holder: Holder, now: float) -> None:
+    view = holder.view()
+    # Entries of targets that ended before its time were not seen to go.
+    since_s = max(view.since_s, holder.begun_s)
+    view = attrs.evolve(view, since_s=since_s)
+    holder.dispatcher.crashes.follow_entries(view, now)
+    holder.suspects.look(holder.dispatcher.crashes)
+
+
 def _needs_run(target: EngineTarget) -> bool:
     has_work = bool(target.steps) or not target.is_synced
     return has_work and not target.is_ordering
--- a/mimosaworks/node/holder_link.py
+++ b/mimosaworks/node/holder_link.py
@@ -19,6 +19,7 @@
     MAX_SILENCE_S,
     MIN_INTERVAL_S,
 )
+from mimosaworks.node.crash_view import CrashView
 from mimosaworks.node.election import Lease
 from mimosaworks.node.told_view import ToldView
 from mimosaworks.wire import (
@@ -71,6 +72,7 @@
     on_lost: Callable[[], None]
     told: ToldView = attrs.field(factory=ToldView)
     news: BeatNews = attrs.field(factory=BeatNews)
+    crashes: CrashView = attrs.field(factory=CrashView)
     fence: int = 0
     heard_s: float = 0
     lost_s: float = attrs.field(factory=now_s)
@@ -187,7 +189,7 @@
         lease = self.lease()
         is_first = lease is None or self.fence != lease.fence
         beat = self._make_beat(is_first=is_first)
-        self._take_over(await local.on_beat(beat))
+        self._take_over(await local.on_beat(beat), beat)
 
     async def _beat(self, lease: Lease) -> None:
         is_first = self.fence != lease.fence or not self.is_up()
@@ -204,7 +206,7 @@
                 self._lose(str(exc))
             return
         if reply.is_holder and reply.fence == lease.fence:
-            self._take_over(reply)
+            self._take_over(reply, beat)
         else:
             self.news.keep(beat)
             self._lose(f'{lease.holder} does not hold the lease')
@@ -218,13 +220,15 @@
                 fence=self.fence,
                 running=self.running() if is_first else (),
                 leaving=tuple(starmap(TargetLeaving, leaving.items())),
+                crashes=self.crashes.seen() if is_first else (),
                 targets_version=0 if is_first else told.targets_version,
                 members_version=0 if is_first else told.members_version,
+                suspects_version=0 if is_first else self.crashes.told_version,
                 wants_levels=is_first or told.wants_levels(now_s()),
             )
         )
 
-    def _take_over(self, reply: BeatReply) -> None:
+    def _take_over(self, reply: BeatReply, beat: Beat) -> None:
         if self.fence != reply.fence or not self.heard_s:
             log_event(
                 Event.DEPENDENCY_REGAINED,
@@ -237,6 +241,7 @@
         self._lost.clear()
         self._interval_s = reply.interval_s or FIRST_BEAT_S
         self.told.take_over(reply, self.heard_s)
+        self.crashes.take_over(reply, beat, self.heard_s)
         self.on_reply(reply)
 
     def _lose(self, reason: str) -> None:
--- a/mimosaworks/node/meters.py
+++ b/mimosaworks/node/meters.py
@@ -25,6 +25,7 @@
     orders: Counter = attrs.field(init=False)
     store_calls: Counter = attrs.field(init=False)
     notices: Counter = attrs.field(init=False)
+    ends: Counter = attrs.field(init=False)
     wait: Histogram = attrs.field(init=False)
     first: Histogram = attrs.field(init=False)
     whole: Histogram = attrs.field(init=False)
@@ -86,6 +87,11 @@
             'Targets that are left out on notice.',
             'kind',
         )
+        self.ends = self._counter(
+            'mimosa_target_ends',
+            'Requests under which a target may have ended.',
+            'kind',
+        )
 
     def _make_histograms(self) -> None:
         self.wait = self._histogram(
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -23,6 +23,7 @@
 from mimosaworks.platform import (
     BootSettings,
     EngineCalls,
+    RowChange,
     StoreClient,
     read_boot,
 )
@@ -113,17 +114,31 @@
             ),
             on_fenced=self.election.step_down,
             is_sure=self.election.is_sure,
+            view=self.views.entries_view,
             lease_version=lease.version,
         )
         # They are kept until they fall silent; the directory needs them.
         for row in self.link.told.members.values():
             if row.name != previous:
                 self.holder.members.note(row, now_s())
+        self.link.crashes.stored.tell(self.holder.dispatcher.crashes)
         self.holder.start()
         self.electorate.tell_members(lease)
         levels = self.link.told.levels
         self.holder.dispatcher.limiter.cap_levels(levels, now_s())
 
+    def unsaved(self) -> tuple[RowChange, ...]:
+        """Return the holder's rows that are not in the store."""
+        if self.holder is None:
+            return ()
+        book = self.holder.dispatcher.crashes
+        return self.holder.saver.unsaved(book, self.cfg.row_bytes)
+
+    def note_saved(self, begun_s: float) -> None:
+        """Note that the store has the holder's rows of a time."""
+        if self.holder is not None:
+            self.holder.saver.note_saved(begun_s)
+
     def lose_lease(self) -> None:
         """Stop deciding."""
         if self.holder is not None:
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -125,6 +125,9 @@
         members=lambda: node.electorate.count_members(),
         handicap_s=max(1 - strength(cfg), 0) * WEAK_HANDICAP_S,
         eagerness=lambda: node.electorate.eagerness(),
+        unsaved=node.unsaved,
+        on_saved=node.note_saved,
+        on_rows=node.link.crashes.stored.take_rows,
     )
     node.electorate = Electorate(cfg, node.link, node.election)
     chooser = Chooser(
--- /dev/null
+++ b/mimosaworks/node/suspect_watch.py
@@ -0,0 +1,41 @@
+"""Tells nodes and the log of contents under which several targets ended."""
+
+import attrs
+
+from mimosaworks.dispatch import CrashBook, judge_ends
+from mimosaworks.dispatch.crash_book import APART_ENDS
+from mimosaworks.events import Event, log_event
+from mimosaworks.node.change_log import ChangeLog
+from mimosaworks.wire import SuspectRow
+
+
+@attrs.define(eq=False)
+class SuspectWatch:
+    """The contents that nodes are told of, as of the last look.
+
+    Nodes need not know the many that were beside one end.
+    """
+
+    log: ChangeLog[SuspectRow] = attrs.field(factory=ChangeLog)
+    _version: int = 0
+
+    def look(self, book: CrashBook) -> None:
+        """Take over what has changed."""
+        if book.version == self._version:
+            return
+        self._version = book.version
+        rows = {
+            mark: SuspectRow(mark, tuple(suspect.ends))
+            for mark, suspect in book.counted(APART_ENDS)
+        }
+        for mark in self.log.rows.keys() - rows.keys():
+            log_event(Event.CONTENT_CLEARED, mark=mark)
+        for mark, row in rows.items():
+            if self.log.set(mark, row):
+                log_event(
+                    Event.CONTENT_SUSPECTED,
+                    mark=mark,
+                    ends=list(row.ends),
+                    verdict=judge_ends(len(row.ends)).value,
+                )
+        self.log.replace(rows)
--- a/mimosaworks/node/views.py
+++ b/mimosaworks/node/views.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from mimosaworks.dispatch import EntriesView
 from mimosaworks.events import Event, log_event
 from mimosaworks.node.beliefs import Beliefs
 from mimosaworks.node.holder_link import HolderLink
@@ -75,6 +76,11 @@
         """
         return age_s < self.drain_s() * VIEW_SHARE or self.targets_feed.is_lost
 
+    def entries_view(self) -> EntriesView:
+        """Return the targets' entries as they were read."""
+        feed = self.targets_feed
+        return EntriesView(self.beliefs.targets, feed.outage_end_s, feed.read_s)
+
     def _known_version(self) -> int:
         deployment = self.beliefs.deployment
         return 0 if deployment is None else deployment.version
--- a/mimosaworks/platform/boot.py
+++ b/mimosaworks/platform/boot.py
@@ -12,10 +12,12 @@
     number,
     table,
     text,
+    whole,
 )
 
 MS_PER_S = 1000
 UNLIMITED_MBPS = 1000.0
+ROW_BYTES = 65536  # where the settings name no bound
 LEASE_MS = 3000  # where a deployment without engines names none
 _PORT_SPAN = 2
 
@@ -43,7 +45,8 @@
 class BootSettings:
     """What one process is told at its start; addresses are host:port.
 
-    cores is the power of the VM's processor in cores.
+    cores is the power of the VM's processor in cores, row_bytes the size that
+    the store allows for a row.
     """
 
     name: str
@@ -57,6 +60,7 @@
     cores: float
     link_mbps: float
     store_address: str
+    row_bytes: int
     bounds: Bounds
 
     @property
@@ -105,6 +109,7 @@
         cores=_cores(limits),
         link_mbps=limits.get('link-mbps', UNLIMITED_MBPS),
         store_address=text(table(parsed, 'platform'), 'address'),
+        row_bytes=whole(table(parsed, 'platform'), 'row-bytes', ROW_BYTES),
         bounds=_bounds(table(parsed, 'bounds')),
     )
 
--- a/mimosaworks/wire/__init__.py
+++ b/mimosaworks/wire/__init__.py
@@ -38,6 +38,8 @@
 )
 from mimosaworks.wire.routing_messages import SuspectNotice
 from mimosaworks.wire.target_messages import (
+    CrashNote,
+    SuspectRow,
     TargetLeaving,
     TargetModel,
     TargetRow,
@@ -51,11 +53,13 @@
     'CallEnd',
     'CallReply',
     'CallStart',
+    'CrashNote',
     'LeaseNotice',
     'NodeRow',
     'PartNote',
     'RunningCall',
     'Spent',
+    'SuspectRow',
     'TargetLeaving',
     'TargetModel',
     'TargetRow',
--- a/mimosaworks/wire/dispatch.capnp
+++ b/mimosaworks/wire/dispatch.capnp
@@ -110,6 +110,21 @@
   membersVersion @7 :UInt64;
   wantsLevels @8 :Bool;
   leaving @9 :List(TargetLeaving);
+  crashes @10 :List(CrashNote);
+  suspectsVersion @11 :UInt64;
+}
+
+struct CrashNote {
+  mark @0 :Text;
+  target @1 :Text;
+  born @2 :UInt64;
+  number @3 :UInt32;
+  isSilent @4 :Bool;
+}
+
+struct SuspectRow {
+  mark @0 :Text;
+  ends @1 :List(Text);
 }
 
 struct TargetLeaving {
@@ -118,8 +133,8 @@
 }
 
 struct BeatReply {
-  # targets and members are those that changed since the node's version of
-  # them, or all where they are whole.
+  # targets, members and suspects are those that changed since the node's
+  # version of them, or all where they are whole.
   isHolder @0 :Bool;
   fence @1 :UInt64;
   members @2 :List(NodeRow);
@@ -134,4 +149,9 @@
   targetsGone @11 :List(Text);
   membersWhole @12 :Bool;
   targetsWhole @13 :Bool;
+  suspects @14 :List(SuspectRow);
+  suspectsGone @15 :List(Text);
+  suspectsWhole @16 :Bool;
+  suspectsVersion @17 :UInt64;
+  unsavedS @18 :Float64;
 }
--- a/mimosaworks/wire/dispatch_messages.py
+++ b/mimosaworks/wire/dispatch_messages.py
@@ -1,8 +1,15 @@
 """Messages between entry nodes and the holder of the dispatch lease."""
 
+import math
+
 import attrs
 
-from mimosaworks.wire.target_messages import TargetLeaving, TargetRow
+from mimosaworks.wire.target_messages import (
+    CrashNote,
+    SuspectRow,
+    TargetLeaving,
+    TargetRow,
+)
 
 
 @attrs.frozen
@@ -116,7 +123,8 @@
     running is filled in the first beat to a holder, spent with the tokens
     that the node admitted without one. wants_levels asks for the tokens that
     workspaces have left. leaving are targets that announced that to the
-    node, in the first beat to a holder all of them.
+    node, crashes those that ended under its requests, in the first beat to a
+    holder all of them.
     """
 
     row: NodeRow
@@ -129,14 +137,17 @@
     members_version: int = 0
     wants_levels: bool = False
     leaving: tuple[TargetLeaving, ...] = ()
+    crashes: tuple[CrashNote, ...] = ()
+    suspects_version: int = 0
 
 
 @attrs.frozen
 class BeatReply:
-    """The holder's view: token levels, and changed members and targets.
+    """The holder's view: token levels; changed members, targets and suspects.
 
-    Those that are gone are named. Where members or targets are whole, they
-    are all there are. lease_version is the lease row's version at the last
+    Those that are gone are named. Where they are whole, they are all there
+    are. What the holder knew of suspects unsaved_s ago is in the store.
+    lease_version is the lease row's version at the last
     renewal, deployment_version the newest deployment that the holder knows.
     """
 
@@ -154,3 +165,8 @@
     targets_gone: tuple[str, ...] = ()
     members_whole: bool = False
     targets_whole: bool = False
+    suspects: tuple[SuspectRow, ...] = ()
+    suspects_gone: tuple[str, ...] = ()
+    suspects_whole: bool = False
+    suspects_version: int = 0
+    unsaved_s: float = math.inf
--- a/mimosaworks/wire/target_messages.py
+++ b/mimosaworks/wire/target_messages.py
@@ -31,3 +31,22 @@
 
     target: str
     born: int
+
+
+@attrs.frozen
+class CrashNote:
+    """A target may have ended while it ran a request; see TargetEnd."""
+
+    mark: str
+    target: str
+    born: int
+    number: int
+    is_silent: bool
+
+
+@attrs.frozen
+class SuspectRow:
+    """A content under which targets ended, and the names of these ends."""
+
+    mark: str
+    ends: tuple[str, ...]
--- a/tests/test_dispatch_crash_book.py
+++ b/tests/test_dispatch_crash_book.py
@@ -1,69 +1,238 @@
-"""Refuses a request after which several targets have ended."""
+"""Contents under which targets ended: counted, cleared, refused, tried."""
 
 import attrs
+import pytest
 
-from mimosaworks.deployment import TargetEntry
-from mimosaworks.dispatch import Assignment, CallOutcome, Dispatcher, Refusal
-from mimosaworks.dispatch.crash_book import REMEMBER_S, CrashBook
-from mimosaworks.dispatch.plain_pool import PlainPool
-from mimosaworks.dispatch.resend_budget import ResendBudgets, ResendTerms
-from mimosaworks.errors import ErrorKind
-from tests.dispatch_world import entry, make_ask
+from mimosaworks.deployment import TargetEntry, TargetState
+from mimosaworks.dispatch import CrashBook, EntriesView, TargetEnd, Verdict
+from mimosaworks.dispatch.crash_book import (
+    ANSWERS_FOR_END,
+    KEEP_S,
+    LAPSE_S,
+    MAX_ENDS,
+    MAX_SUSPECTS,
+    REFUSED_ENDS,
+    TRIAL_S,
+)
+from tests.dispatch_world import entry
 
+POISON = 'poison'
 
-def reborn(old: TargetEntry) -> TargetEntry:
-    return attrs.evolve(old, born=old.born + 1)
 
+def end(number: int, mark: str = POISON, **facts: bool) -> TargetEnd:
+    """Return an end of a target of its own."""
+    return TargetEnd(mark, f't{number}', 1, **facts)
 
-def test_a_request_is_refused_after_its_second_crash() -> None:
+
+def alive(*names: str, born: int = 1) -> dict[str, TargetEntry]:
+    return {name: attrs.evolve(entry(name), born=born) for name in names}
+
+
+def view(entries: dict[str, TargetEntry], read_s: float) -> EntriesView:
+    return EntriesView(entries, 0, read_s)
+
+
+def crashed(ends: int, mark: str = POISON) -> CrashBook:
+    """Return a book that counts so many ends under a content."""
+    book = CrashBook()
+    for number in range(ends):
+        book.note_end(end(number, mark), None, 0)
+    return book
+
+
+@pytest.mark.parametrize(
+    ('ends', 'verdict'),
+    [
+        (0, Verdict.SERVED),
+        (1, Verdict.SERVED),
+        (2, Verdict.APART),
+        (3, Verdict.REFUSED),
+        (4, Verdict.REFUSED),
+    ],
+)
+def test_a_content_is_refused_from_its_third_end_on(
+    ends: int, verdict: Verdict
+) -> None:
+    book = crashed(ends)
+    assert book.judge(POISON, 0) is verdict
+    assert book.judge('other', 0) is Verdict.SERVED
+
+
+def test_a_broken_connection_to_a_target_that_lives_on_is_taken_back() -> None:
+    book = crashed(3)
+    living = alive('t0', 't1', 't2')
+    book.follow_entries(view(living, LAPSE_S), LAPSE_S)
+    assert book.judge(POISON, LAPSE_S) is Verdict.REFUSED
+    book.follow_entries(view(living, LAPSE_S + 0.1), LAPSE_S + 0.1)
+    assert book.judge(POISON, LAPSE_S + 0.1) is Verdict.SERVED
+
+
+def test_an_end_that_entries_show_stays_counted() -> None:
+    book = crashed(3)
+    shown = alive('t0', 't1', born=2)  # t2 is gone
+    book.follow_entries(view(shown, 1), 1)
+    later = alive('t0', 't1', 't2')
+    book.follow_entries(view(later, 50), 50)
+    assert book.judge(POISON, 50) is Verdict.REFUSED
+
+
+def test_entries_that_were_read_before_an_end_show_nothing() -> None:
     book = CrashBook()
-    target = entry('t1')
-    for _ in range(2):
-        assert not book.is_refused('mark')
-        book.note_broken('mark', target, 0)
-        target = reborn(target)
-        book.follow_entries({'t1': target}, 1)
-    assert book.is_refused('mark')
+    book.note_end(end(0), None, 10)
+    book.follow_entries(view({}, 9), 11)
+    book.follow_entries(view(alive('t0'), 30), 30)
+    assert not book.suspects
 
 
-def test_a_broken_connection_is_no_crash() -> None:
+# Guards against ends that are forgotten because the store says nothing.
+def test_ends_stay_counted_while_the_store_is_silent() -> None:
+    book = crashed(3)
+    living = alive('t0', 't1', 't2')
+    for now in range(1, 40):
+        book.follow_entries(EntriesView(living, 0, 0.5), now)
+    assert book.judge(POISON, 40) is Verdict.REFUSED
+    # It is read again from 40 s on, and the entries need time to lapse.
+    book.follow_entries(EntriesView(living, 40, 42), 42)
+    assert book.judge(POISON, 42) is Verdict.REFUSED
+    book.follow_entries(EntriesView(alive('t0', born=2), 40, 43), 43)
+    book.follow_entries(EntriesView(living, 40, 50), 50)
+    assert book.judge(POISON, 50) is Verdict.REFUSED
+
+
+# Guards against a target that crashes three times before its entry is read:
+# the three ends have one birth and counted once.
+def test_ends_of_one_birth_count_each() -> None:
+    book = CrashBook()
+    for number in range(3):
+        book.note_end(TargetEnd(POISON, 't1', 1, number), None, number)
+    assert book.judge(POISON, 3) is Verdict.REFUSED
+
+
+def test_one_end_that_several_nodes_saw_counts_once() -> None:
     book = CrashBook()
-    target = entry('t1')
     for _ in range(3):
-        book.note_broken('mark', target, 0)
-        book.follow_entries({'t1': target}, 1)
-    assert not book.is_refused('mark')
+        book.note_end(end(1), None, 0)
+    assert book.judge(POISON, 0) is Verdict.SERVED
+
+
+# Guards against targets that go silent: their requests end without an answer,
+# or their callers give up first.
+def test_a_request_without_an_answer_counts_once_its_target_has_ended() -> None:
+    book = CrashBook()
+    for number in range(3):
+        book.note_end(end(number, is_silent=True), None, 0)
+    book.follow_entries(view(alive('t0', 't1', 't2'), 1), 1)
+    assert book.judge(POISON, 1) is Verdict.SERVED
+    book.follow_entries(view({}, 4), 4)
+    assert book.judge(POISON, 4) is Verdict.REFUSED
 
 
-def test_one_crash_counts_once_for_a_request() -> None:
+def test_a_request_without_an_answer_at_a_living_target_never_counts() -> None:
     book = CrashBook()
-    target = entry('t1')
-    book.note_broken('mark', target, 0)
-    book.note_broken('mark', target, 0)
-    book.follow_entries({}, 1)
-    assert not book.is_refused('mark')
+    book.note_end(end(0, is_silent=True), None, 0)
+    book.follow_entries(view(alive('t0'), LAPSE_S + 1), LAPSE_S + 1)
+    book.follow_entries(view({}, LAPSE_S + 2), LAPSE_S + 2)
+    assert not book.suspects
 
 
-def test_a_target_that_leaves_later_was_not_crashed() -> None:
+def test_a_target_that_leaves_as_planned_has_not_crashed() -> None:
     book = CrashBook()
-    book.note_broken('mark', entry('t1'), 0)
-    book.follow_entries({'t1': entry('t1')}, REMEMBER_S + 1)
-    assert not book.follow_entries({}, REMEMBER_S + 2)
-
-
-def test_the_dispatcher_refuses_what_crashes_its_targets() -> None:
-    dispatcher = Dispatcher(ResendBudgets(ResendTerms(0.2, 50, 10)))
-    dispatcher.pools['ledger'] = PlainPool()
-    target = entry('t1', service='ledger')
-    for now in range(2):
-        dispatcher.follow_entries({'t1': target}, now)
-        ask = make_ask(mark='poison')
-        assert dispatcher.admit(ask, now) == 0
-        assert isinstance(dispatcher.submit(ask, now), Assignment)
-        dispatcher.ended(ask.call, CallOutcome.BROKEN, 0.1, now)
-        target = reborn(target)
-    dispatcher.follow_entries({'t1': target}, 2)
-    refused = dispatcher.admit(make_ask(mark='poison'), 2)
-    assert isinstance(refused, Refusal)
-    assert refused.kind is ErrorKind.CRASH_SUSPECT
-    assert dispatcher.admit(make_ask(mark='other'), 2) == 0
+    leaving = attrs.evolve(entry('t0'), state=TargetState.DRAINING)
+    book.note_end(end(0), leaving, 0)
+    book.note_end(end(0, is_silent=True), leaving, 0)
+    book.follow_entries(view({}, 1), 1)
+    assert not book.suspects
+
+
+def test_a_birth_that_was_not_known_is_taken_from_the_entry() -> None:
+    book = CrashBook()
+    book.note_end(TargetEnd(POISON, 't0', 0), alive('t0')['t0'], 0)
+    book.follow_entries(view(alive('t0'), LAPSE_S + 1), LAPSE_S + 1)
+    assert not book.suspects
+
+
+# Guards against bystanders that are refused: sixty requests run on the target
+# that one of them ends, and run whole elsewhere.
+def test_bystanders_of_one_end_are_served() -> None:
+    book = CrashBook()
+    beside = [f'beside-{number}' for number in range(60)]
+    for mark in beside:
+        book.note_end(end(0, mark), None, 0)
+    for number in range(3):
+        book.note_end(end(number), None, 0)
+    assert {book.judge(mark, 0) for mark in beside} == {Verdict.SERVED}
+    assert book.judge(POISON, 0) is Verdict.REFUSED
+
+
+# Guards against a content that crashes every other target and that one whole
+# answer cleared each time.
+def test_a_content_that_runs_whole_now_and_then_is_refused() -> None:
+    book = CrashBook()
+    for number in range(REFUSED_ENDS):
+        book.note_end(end(number), None, number)
+        book.note_answer(POISON)
+    assert book.judge(POISON, 3) is Verdict.REFUSED
+
+
+def test_a_popular_content_is_cleared_by_its_answers() -> None:
+    book = CrashBook()
+    for number in range(20):
+        book.note_end(end(number), None, number)
+        for _ in range(ANSWERS_FOR_END):
+            book.note_answer(POISON)
+    assert not book.suspects
+
+
+# Guards against a content that is refused for good though targets ended
+# beside it by chance: it is tried, ever more seldom.
+def test_a_refused_content_is_tried_ever_more_seldom() -> None:
+    book = crashed(3)
+    tried_s = []
+    for now in range(int(TRIAL_S * 25)):
+        if book.judge(POISON, now) is Verdict.APART:
+            book.note_run(POISON, now)
+            tried_s.append(now)
+            book.note_end(end(3), None, now)
+    assert tried_s == [60, 300, 1260]
+
+
+def test_a_trial_that_ends_whole_clears_step_by_step() -> None:
+    book = crashed(3)
+    book.note_run(POISON, TRIAL_S)
+    for _ in range(ANSWERS_FOR_END):
+        book.note_answer(POISON)
+    assert book.judge(POISON, TRIAL_S) is Verdict.APART
+    for _ in range(2 * ANSWERS_FOR_END):
+        book.note_answer(POISON)
+    assert not book.suspects
+
+
+def test_ends_are_forgotten_in_time() -> None:
+    book = crashed(2)
+    book.follow_entries(view({}, 1), 1)
+    book.follow_entries(view({}, KEEP_S), KEEP_S)
+    assert POISON in book.suspects
+    book.follow_entries(view({}, KEEP_S + 1), KEEP_S + 1)
+    assert not book.suspects
+
+
+def test_the_book_is_bounded_and_keeps_what_is_refused() -> None:
+    book = crashed(3)
+    for number in range(MAX_SUSPECTS + 50):
+        book.note_end(end(7, f'one-{number}'), None, 1)
+    for number in range(MAX_ENDS + 5):
+        book.note_end(end(number), None, 2)
+    assert len(book.suspects) == MAX_SUSPECTS
+    assert len(book.suspects[POISON].ends) == MAX_ENDS
+    assert 'one-0' not in book.suspects
+    book.follow_entries(view({}, 3), 3)
+    assert book.judge(POISON, 3) is Verdict.REFUSED
+
+
+def test_a_new_holder_adds_what_the_last_one_knew() -> None:
+    old, new = crashed(2), CrashBook()
+    new.note_end(end(5), None, 0)
+    for mark, suspect in old.suspects.items():
+        new.adopt(mark, suspect, 1)
+        new.adopt(mark, suspect, 1)
+    assert new.judge(POISON, 1) is Verdict.REFUSED
--- /dev/null
+++ b/tests/test_dispatch_suspect_rules.py
@@ -0,0 +1,116 @@
+"""What the dispatcher does with requests that may crash their targets."""
+
+import pytest
+
+from mimosaworks.dispatch import (
+    Assignment,
+    CallOutcome,
+    Dispatcher,
+    PlainPool,
+    Refusal,
+    ResendBudgets,
+    ResendTerms,
+    TargetEnd,
+)
+from mimosaworks.dispatch.crash_book import ANSWERS_FOR_END
+from mimosaworks.errors import ErrorKind
+from tests.dispatch_world import entry, make_ask
+
+POISON = 'poison'
+
+
+@pytest.fixture
+def dispatcher() -> Dispatcher:
+    """Return one with three targets of a service, of one slot each."""
+    made = Dispatcher(ResendBudgets(ResendTerms(0.2, 50, 10)))
+    made.pools['ledger'] = PlainPool()
+    names = ('t0', 't1', 't2')
+    entries = [entry(name, service='ledger', slots=1) for name in names]
+    made.follow_entries({one.name: one for one in entries}, 0)
+    return made
+
+
+def crash(dispatcher: Dispatcher, *numbers: int, mark: str = POISON) -> None:
+    """Tell of ends of targets that are gone since."""
+    ends = [TargetEnd(mark, f'gone-{number}', 1) for number in numbers]
+    dispatcher.note_ends(ends, 0)
+
+
+def run(dispatcher: Dispatcher, mark: str) -> Assignment | Refusal | None:
+    """Ask for a target for a request; None while it waits."""
+    ask = make_ask(mark=mark, service='ledger')
+    admitted = dispatcher.admit(ask, 0)
+    if isinstance(admitted, Refusal):
+        return admitted
+    return dispatcher.submit(ask, 0)
+
+
+def test_a_content_that_crashed_three_targets_is_refused_at_once(
+    dispatcher: Dispatcher,
+) -> None:
+    crash(dispatcher, 0, 1, 2)
+    refused = run(dispatcher, POISON)
+    assert isinstance(refused, Refusal)
+    assert refused.kind is ErrorKind.CRASH_SUSPECT
+    assert refused.retry_after_s == 0
+    assert isinstance(run(dispatcher, 'other'), Assignment)
+
+
+# Guards against a third and a fourth run that begin before the end of the
+# second is known.
+def test_a_content_under_two_ends_runs_one_at_a_time(
+    dispatcher: Dispatcher,
+) -> None:
+    crash(dispatcher, 0, 1)
+    assert isinstance(run(dispatcher, POISON), Assignment)
+    refused = run(dispatcher, POISON)
+    assert isinstance(refused, Refusal)
+    assert refused.kind is ErrorKind.NO_TARGET
+    call = next(iter(dispatcher.jobs))
+    dispatcher.ended(call, CallOutcome.ANSWERED, 0.1, 0)
+    assert isinstance(run(dispatcher, POISON), Assignment)
+
+
+def test_suspects_run_at_targets_of_their_own(dispatcher: Dispatcher) -> None:
+    marks = (POISON, 'beside', 'beside-too', 'last')
+    for suspect in marks:
+        crash(dispatcher, 0, 1, mark=suspect)
+    placed = [run(dispatcher, mark) for mark in marks]
+    targets = {one.target for one in placed if isinstance(one, Assignment)}
+    assert targets == {'t0', 't1', 't2'}
+    assert isinstance(placed[-1], Refusal)
+
+
+# Guards against requests that wait for a target while it becomes known that
+# they crash it.
+def test_waiting_requests_are_refused_with_the_third_end(
+    dispatcher: Dispatcher,
+) -> None:
+    for _ in range(3):
+        assert isinstance(run(dispatcher, 'busy'), Assignment)
+    assert run(dispatcher, POISON) is None
+    assert run(dispatcher, 'other') is None
+    ends = [TargetEnd(POISON, f'gone-{number}', 1) for number in range(3)]
+    decided = dispatcher.note_ends(ends, 0)
+    kinds = [one.kind for _, one in decided if isinstance(one, Refusal)]
+    assert kinds == [ErrorKind.CRASH_SUSPECT]
+    assert len(dispatcher.jobs) == 4
+
+
+@pytest.mark.parametrize(
+    ('outcome', 'is_cleared'),
+    [
+        (CallOutcome.ANSWERED, True),
+        (CallOutcome.FAILED, True),
+        (CallOutcome.BROKEN, False),
+        (CallOutcome.REFUSED, False),
+    ],
+)
+def test_targets_that_live_on_clear_a_content(
+    dispatcher: Dispatcher, outcome: CallOutcome, *, is_cleared: bool
+) -> None:
+    crash(dispatcher, 0)
+    for _ in range(ANSWERS_FOR_END):
+        assert isinstance(run(dispatcher, POISON), Assignment)
+        dispatcher.ended(next(iter(dispatcher.jobs)), outcome, 0.1, 0)
+    assert (POISON not in dispatcher.crashes.suspects) == is_cleared
--- /dev/null
+++ b/tests/test_node_crash_view.py
@@ -0,0 +1,154 @@
+"""What a node knows of crashing contents, with a holder and without."""
+
+import attrs
+
+from mimosaworks.dispatch import CrashBook, TargetEnd
+from mimosaworks.node.crash_view import MAX_ENDS, CrashView, end_of
+from mimosaworks.node.stored_suspects import (
+    SUSPECTS_ROW,
+    StoredSuspects,
+    SuspectSaver,
+    decode_suspects,
+    encode_suspects,
+)
+from mimosaworks.node.suspect_watch import SuspectWatch
+from mimosaworks.platform import StoredRow
+from mimosaworks.wire import Beat, BeatReply, NodeRow, SuspectRow
+
+POISON = 'poison'
+ROW_BYTES = 65536
+
+
+def beat(view: CrashView) -> Beat:
+    return Beat(NodeRow('n1', '', '', ''), 1, crashes=view.seen())
+
+
+def see(view: CrashView, target: str, begun_s: float, now: float) -> str:
+    note = view.see(TargetEnd(POISON, target, 1), begun_s, now)
+    return end_of(note).name
+
+
+def book_of(ends: int) -> CrashBook:
+    book = CrashBook()
+    for number in range(ends):
+        book.note_end(TargetEnd(POISON, f't{number}', 1), None, 5)
+    return book
+
+
+def test_a_request_that_began_after_an_end_saw_another_one() -> None:
+    view = CrashView()
+    assert see(view, 't1', 0, 1) == 't1/1/0'
+    assert see(view, 't1', 0.5, 1.1) == 't1/1/0'
+    assert see(view, 't1', 1.5, 2) == 't1/1/1'
+    assert view.count(POISON) == 2
+
+
+def test_what_was_seen_counts_at_once_and_before_a_holder_tells_it() -> None:
+    view = CrashView()
+    see(view, 't1', 0, 1)
+    told = SuspectRow(POISON, ('t1/1/0', 't2/1/0'))
+    reply = BeatReply(True, fence=1, suspects=(told,), suspects_whole=True)
+    view.take_over(reply, beat(view), 2)
+    assert view.count(POISON) == 2
+    see(view, 't3', 3, 4)
+    assert view.count(POISON) == 3
+    assert view.count('other') == 0
+
+
+# Guards against ends that only a holder knows which is lost before it stores
+# them: its successor hears of them from the nodes that saw them.
+def test_ends_are_told_to_each_holder_until_one_has_stored_them() -> None:
+    view = CrashView()
+    see(view, 't1', 0, 1)
+    told = BeatReply(True, fence=1, unsaved_s=5)
+    view.take_over(told, beat(view), 2)
+    view.take_over(told, beat(view), 3)
+    assert len(view.seen()) == 1
+    # A new holder has stored all it knows, before it heard of this end.
+    view.take_over(BeatReply(True, fence=2, unsaved_s=0.1), beat(view), 4)
+    assert len(view.seen()) == 1
+    view.take_over(BeatReply(True, fence=2, unsaved_s=0.1), beat(view), 5)
+    assert not view.seen()
+
+
+def test_stored_ends_count_for_a_node_alone() -> None:
+    view = CrashView()
+    row = encode_suspects(book_of(3).suspects, ROW_BYTES, 0)
+    view.stored.take_rows([StoredRow(SUSPECTS_ROW, 7, row)])
+    assert view.count(POISON, is_alone=True) == 3
+    assert view.count(POISON) == 0
+
+
+def test_silent_ends_count_for_nobody_before_they_are_shown() -> None:
+    view = CrashView()
+    view.see(TargetEnd(POISON, 't1', 1, is_silent=True), 0, 1)
+    assert view.count(POISON) == 0
+    assert view.seen()[0].is_silent
+
+
+def test_what_a_node_saw_is_bounded() -> None:
+    view = CrashView()
+    for number in range(MAX_ENDS + 10):
+        see(view, f't{number}', 0, 1)
+    assert len(view.seen()) == MAX_ENDS
+
+
+# Guards against a loss of all nodes, with which all counts were lost.
+def test_suspects_come_back_from_the_store_as_they_were() -> None:
+    book = book_of(3)
+    book.note_answer(POISON)
+    book.note_run(POISON, 70)
+    row = encode_suspects(book.suspects, ROW_BYTES, 1000)
+    # The clock of another process began 400 s later.
+    read = decode_suspects(row, 1400)[POISON]
+    known = book.suspects[POISON]
+    assert read == attrs.evolve(known, noted_s=known.noted_s - 400)
+
+
+def test_rows_that_cannot_be_read_are_left_out() -> None:
+    for content in (b'', b'[]', b'[1]', b'{"a": 1}', b'{"a": {"ends": [[]]}}'):
+        assert decode_suspects(content, 0) == {}
+
+
+def test_a_row_keeps_within_its_bytes_and_what_is_refused() -> None:
+    book = book_of(3)
+    for number in range(500):
+        end = TargetEnd(f'one-{number}', 't1', 1)
+        book.note_end(end, None, 9)
+    row = encode_suspects(book.suspects, 4096, 0)
+    assert len(row) <= 4096
+    assert POISON in decode_suspects(row, 0)
+
+
+def test_only_news_are_saved_and_only_answered_ones_count() -> None:
+    saver, book = SuspectSaver(), book_of(0)
+    assert saver.unsaved(book, ROW_BYTES) == ()
+    saver.note_saved(1)
+    book.note_end(TargetEnd(POISON, 't1', 1), None, 2)
+    for _ in range(2):  # the first write gets no answer
+        changes = saver.unsaved(book, ROW_BYTES)
+        assert [change.name for change in changes] == [SUSPECTS_ROW]
+    assert saver.saved_s == 1
+    saver.note_saved(3)
+    assert saver.unsaved(book, ROW_BYTES) == ()
+
+
+def test_a_stored_row_tells_a_new_holder() -> None:
+    stored = StoredSuspects()
+    row = encode_suspects(book_of(3).suspects, ROW_BYTES, 0)
+    stored.take_rows([StoredRow(SUSPECTS_ROW, 7, row)])
+    stored.take_rows([StoredRow(SUSPECTS_ROW, 6, b'{}')])
+    book = CrashBook()
+    stored.tell(book)
+    assert len(book.suspects[POISON].ends) == 3
+
+
+def test_nodes_are_told_of_contents_under_several_ends() -> None:
+    watch, book = SuspectWatch(), book_of(2)
+    book.note_end(TargetEnd('beside', 't0', 1), None, 5)
+    watch.look(book)
+    assert set(watch.log.rows) == {POISON}
+    for _ in range(5):
+        book.note_answer(POISON)
+    watch.look(book)
+    assert not watch.log.rows
--- a/tests/test_node_crashing_requests.py
+++ b/tests/test_node_crashing_requests.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import time
+import types
 from collections.abc import AsyncGenerator, AsyncIterator
 from pathlib import Path
 
@@ -14,9 +15,15 @@
 from standins.agency.world import AgencyWorld, NodeHandle, open_agency
 from tests.test_node_processes import holder_of, until, until_served
 
+ENGINES = 3
+MODEL = types.MappingProxyType({
+    'X_Model': 'alpha',
+    'X_Token_Counts': '500,20',
+})
 PAUSE_S = 0.1
 CONTACT_S = 3.0  # the bound in the nodes' settings
 MAX_LATE = 3
+PLAIN = ('/look/x', '/post/x')
 LEDGERS = 4
 
 
@@ -25,6 +32,10 @@
     async with open_agency(tmp_path) as opened:
         for number in range(LEDGERS):
             await opened.add_replica(f'ledger-{number}', service='ledger')
+        for number in range(ENGINES):
+            await opened.add_replica(
+                f'engine-{number}', models={'alpha': set()}
+            )
         for number in range(3):
             await opened.add_node(f'node-{number}')
         for node in opened.nodes:
@@ -34,6 +45,7 @@
 
 async def repeat(world: AgencyWorld, path: str) -> None:
     """Send the request that crashes targets, again and again."""
+    extra = {} if path in PLAIN else MODEL
     for number in itertools.count():
         await asyncio.sleep(PAUSE_S)
         if not world.nodes:
@@ -41,7 +53,7 @@
         node = world.nodes[number % len(world.nodes)]
         with contextlib.suppress(aiohttp.ClientError):
             async with world.request(
-                node, path, f'poison-{number}', POISON
+                node, path, f'poison-{number}', POISON, **extra
             ) as resp:
                 await resp.read()
 
@@ -53,6 +65,9 @@
     await until(lambda: len(world.crashed_s) >= 3)
     yield
     task.cancel()
+    # Other requests of the same caller on the same path are served.
+    for node in world.nodes:
+        await until_served(world, node)
 
 
 def late_arrivals(world: AgencyWorld) -> int:
@@ -72,7 +87,7 @@
 
 # Guards against a request that goes on crashing targets after each change of
 # the holder, which counted its crashes for itself.
-@pytest.mark.parametrize('path', ['/look/x', '/post/x'])
+@pytest.mark.parametrize('path', [*PLAIN, '/chat/x', '/draft/x'])
 async def test_a_new_holder_refuses_what_crashed_targets_before(
     world: AgencyWorld, path: str
 ) -> None:
@@ -109,3 +124,19 @@
         await asyncio.sleep(CONTACT_S)
     assert late_arrivals(world) <= MAX_LATE
     assert time.monotonic() > world.crashed_s[2] + CONTACT_S
+
+
+# Guards against nodes that decide alone and know nothing of what the holder
+# had refused before it was lost.
+async def test_nodes_alone_refuse_what_the_last_holder_refused(
+    world: AgencyWorld,
+) -> None:
+    async with repeated(world, '/look/x'):
+        await asyncio.sleep(CONTACT_S)
+        world.faults.is_silent = True
+        await holder_of(*world.nodes).process.kill()
+        await asyncio.sleep(2 * CONTACT_S)
+        world.faults.is_silent = False
+        world.nodes.remove(holder_of(*world.nodes))
+        await asyncio.sleep(CONTACT_S)
+    assert late_arrivals(world) <= MAX_LATE
--- a/tests/test_node_election.py
+++ b/tests/test_node_election.py
@@ -15,18 +15,29 @@
 )
 from mimosaworks.node import election as module
 from mimosaworks.node.election import LEASE_ROW, Election, Lease
-from mimosaworks.platform import RowChange, RowNeed, RowsAnswer, StoredRow
+from mimosaworks.platform import (
+    RowChange,
+    RowName,
+    RowNeed,
+    RowsAnswer,
+    StoredRow,
+)
 from tests.node_clock import Clock, set_clock
 
 
 @attrs.define(eq=False)
 class MemoryStore:
-    """Holds the lease row; failure is raised by the next calls."""
+    """Holds the lease row; failure is raised by the next calls.
+
+    others are the rows that were written with the lease last.
+    """
 
     version: int = 0
     content: bytes | None = None
     failure: PlatformError | None = None
     loses_answer: bool = False
+    rejects_rows: bool = False
+    others: list[RowName] = attrs.field(factory=list)
 
     async def read(self, table: str) -> RowsAnswer:
         """Return the row if there is one."""
@@ -44,8 +55,11 @@
             raise self.failure
         if needs[0].version != self.version:
             raise StoreConflictError('conflict', (self._row(),))
+        if self.rejects_rows and len(changes) > 1:
+            raise StoreUnavailableError('status 413')
         self.version += 1
         self.content = changes[0].content
+        self.others = [change.name for change in changes[1:]]
         if self.loses_answer:
             self.loses_answer = False
             raise StoreInDoubtError('no answer')
@@ -75,6 +89,7 @@
         eagerness=facts.pop('eagerness', int),
         handicap_s=0,
         quiet_s=facts.pop('quiet_s', 0),
+        **facts,
     )
 
 
@@ -249,3 +264,46 @@
     turn(holder)
     turn(holder)
     assert len(backs) == 1
+
+
+ROW = RowChange(RowName('mimosaworks', 'more'), b'{}')
+
+
+def test_rows_are_written_with_the_renewal_of_the_lease(clock: Clock) -> None:
+    store = MemoryStore()
+    saved: list[float] = []
+    holder = make(store, 'a', unsaved=lambda: (ROW,), on_saved=saved.append)
+    turn(holder)
+    clock.now += 0.5
+    turn(holder)
+    assert store.others == [ROW.name]
+    assert saved[-1] == clock.now
+
+
+# Guards against a holder that can't renew its lease, as the store rejects a
+# row that is written with it.
+def test_a_row_that_the_store_rejects_does_not_cost_the_lease(
+    clock: Clock,
+) -> None:
+    store = MemoryStore()
+    saved: list[float] = []
+    holder = make(store, 'a', unsaved=lambda: (ROW,), on_saved=saved.append)
+    turn(holder)
+    saved.clear()
+    store.rejects_rows = True
+    versions = []
+    for _ in range(4):
+        clock.now += 0.5
+        turn(holder)
+        versions.append(store.version)
+    assert holder.is_holder
+    assert versions == [1, 2, 2, 3]
+    assert not saved
+
+
+def test_a_look_at_the_lease_tells_of_the_other_rows(clock: Clock) -> None:
+    store = MemoryStore()
+    seen: list[tuple[StoredRow, ...]] = []
+    turn(make(store, 'a'))
+    turn(make(store, 'b', on_rows=seen.append))
+    assert [row.name for row in seen[0]] == [LEASE_ROW]
--- a/tests/test_node_holder.py
+++ b/tests/test_node_holder.py
@@ -6,7 +6,12 @@
 import attrs
 
 from mimosaworks.clock import now_s
-from mimosaworks.dispatch import Dispatcher, ResendBudgets, ResendTerms
+from mimosaworks.dispatch import (
+    Dispatcher,
+    EntriesView,
+    ResendBudgets,
+    ResendTerms,
+)
 from mimosaworks.node import holder as module
 from mimosaworks.node.beliefs import Beliefs
 from mimosaworks.node.holder import Holder
@@ -26,6 +31,7 @@
         orders=None,  # type: ignore[arg-type]
         on_fenced=lambda reason: None,
         is_sure=lambda: True,
+        view=lambda: EntriesView({}, 0, 0),
     )
 
 
@@ -51,6 +57,6 @@
 
 async def test_asks_are_decided_when_the_store_does_not_answer() -> None:
     holder = make_holder()
-    holder._begun_s -= module.FIRST_READ_S
+    holder.begun_s -= module.FIRST_READ_S
     reply = await asyncio.wait_for(holder.on_ask(make_ask()), 0.5)
     assert reply.kind == 'no_target'
