Answers of targets and of the store have a bound

A target's bytes may come without end; one such answer used up a VM's memory and ended its process with all its requests. Cause: bodies were read whole, unfinished events were held without bound and copied with each piece, interim answers never ended.

Each connection counts what arrives for an answer, heads and framing too, and is closed beyond the bound; bodies are held up to a bound for one and for all answers and passed on in pieces beyond it; an event that may be resumed must fit. The target is left out for a while, the caller gets a failure or an answer that breaks off. Reports and rows are bounded likewise. A refusal after a send that broke says that it may have run.

--- /dev/null
+++ b/mimosaworks/bounded_answers.py
@@ -0,0 +1,164 @@
+"""Bounds on the bytes of one answer, whatever the other side sends."""
+
+import asyncio
+import contextlib
+import functools
+from collections.abc import Generator
+from http import HTTPStatus
+from typing import Any
+
+import aiohttp
+import attrs
+from aiohttp.client_proto import ResponseHandler
+
+from mimosaworks.events import Event, log_event
+
+KB = 1000
+MB = 1000000
+ANSWER_MB = 64
+HELD_KB = 1000
+ALL_HELD_MB = 48
+HEAD_BYTES = 262144  # a head with some fields of the longest allowed size
+
+
+@attrs.frozen
+class AnswerBounds:
+    """How many bytes an answer of a target may have, and how many are held.
+
+    held_bytes are of one answer, all_held_bytes of all at once. A larger
+    body is passed on in pieces; an event must be held until it ends.
+    """
+
+    answer_bytes: int = ANSWER_MB * MB
+    held_bytes: int = HELD_KB * KB
+    all_held_bytes: int = ALL_HELD_MB * MB
+
+
+class OversizedError(aiohttp.ClientPayloadError):
+    """An answer has more bytes than it may; its connection is closed."""
+
+    def __init__(self, size: int, most: int) -> None:
+        super().__init__(f'{size} bytes of an answer, {most} are allowed')
+        self.size = size
+        self.most = most
+
+
+def log_cut(target: str, exc: OversizedError) -> None:
+    """Tell that an answer was cut; target is who sent it."""
+    log_event(Event.ANSWER_CUT, target=target, bytes=exc.size, allowed=exc.most)
+
+
+async def read_bounded(resp: aiohttp.ClientResponse, most: int) -> bytes:
+    """Return a whole body of at most so many bytes.
+
+    Raises OversizedError, once the connection is closed, and ClientError.
+    """
+    chunks: list[bytes] = []
+    size = 0
+    async for chunk in resp.content.iter_any():
+        size += len(chunk)
+        if size > most:
+            resp.close()
+            raise OversizedError(size, most)
+        chunks.append(chunk)
+    return b''.join(chunks)
+
+
+class _BoundedHandler(ResponseHandler):
+    """Counts what arrives for one answer, before it is parsed and after.
+
+    Interim answers, long heads and framing count as well as the body.
+    """
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, answer_bytes: int
+    ) -> None:
+        super().__init__(loop)
+        self._answer_bytes = answer_bytes
+        self._most = HEAD_BYTES
+        self._size = 0
+
+    def set_response_params(self, **options: Any) -> None:
+        """Begin to count for the next answer."""
+        self._most = HEAD_BYTES
+        self._size = 0
+        super().set_response_params(**options)
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Allow a body behind a head that is no interim one."""
+        message, _ = data
+        if message.code >= HTTPStatus.OK:
+            self._most = self._answer_bytes
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Close the connection when too much has come."""
+        self._size += len(data)
+        if self._size <= HEAD_BYTES:
+            super().data_received(data)
+            return
+        body = self._payload
+        super().data_received(data)
+        if self._size > self._most:
+            self._cut(body or self._payload)
+
+    def _cut(self, body: aiohttp.StreamReader | None) -> None:
+        exc = OversizedError(self._size, self._most)
+        self.set_exception(exc)
+        if body is not None:
+            body.set_exception(exc)
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class BoundedConnector(aiohttp.TCPConnector):
+    """Connects like its base; answers have at most answer_bytes bytes."""
+
+    def __init__(self, answer_bytes: int, **options: Any) -> None:
+        super().__init__(**options)
+        # The base has no parameter for the protocol of its connections.
+        self._factory = functools.partial(  # type: ignore[assignment]
+            _BoundedHandler, self._loop, answer_bytes
+        )
+
+
+@attrs.define(eq=False)
+class HeldBytes:
+    """The bytes of answers that a process holds at once.
+
+    one_bytes bounds those of one answer, all_bytes those of all.
+    """
+
+    one_bytes: int
+    all_bytes: int
+    held: int = 0
+
+    @contextlib.contextmanager
+    def hold(self) -> 'Generator[Hold, None, None]':
+        """Return the part of one answer, which is let go in the end."""
+        part = Hold(self)
+        try:
+            yield part
+        finally:
+            part.let_go()
+
+
+@attrs.define(eq=False)
+class Hold:
+    """What is held of one answer."""
+
+    books: HeldBytes
+    size: int = 0
+
+    def keep(self, size: int) -> bool:
+        """Hold this many bytes from now on, if there is room for them."""
+        held = self.books.held - self.size + size
+        if size > self.books.one_bytes or held > self.books.all_bytes:
+            return False
+        self.books.held = held
+        self.size = size
+        return True
+
+    def let_go(self) -> None:
+        """Hold nothing more."""
+        self.keep(0)
--- a/mimosaworks/cmdline/node.py
+++ b/mimosaworks/cmdline/node.py
@@ -4,10 +4,20 @@
 import uvloop
 
 from mimosaworks import __version__
+from mimosaworks.bounded_answers import (
+    ALL_HELD_MB,
+    ANSWER_MB,
+    HELD_KB,
+    KB,
+    MB,
+    AnswerBounds,
+)
 from mimosaworks.errors import SettingError
 from mimosaworks.node import run_node
 from mimosaworks.platform import read_boot
 
+_SIZE = click.IntRange(min=1)
+
 
 @click.command(name='mimosa-node')
 @click.option(
@@ -22,17 +32,44 @@
     is_flag=True,
     help='Check the settings file, print what was read, and exit.',
 )
+@click.option(
+    '--answer-mb',
+    type=_SIZE,
+    default=ANSWER_MB,
+    show_default=True,
+    help='The most megabytes that an answer of a target may have.',
+)
+@click.option(
+    '--held-kb',
+    type=_SIZE,
+    default=HELD_KB,
+    show_default=True,
+    help='The most kilobytes of an answer that are held in memory.',
+)
+@click.option(
+    '--all-held-mb',
+    type=_SIZE,
+    default=ALL_HELD_MB,
+    show_default=True,
+    help='The most megabytes of all answers that are held in memory.',
+)
 @click.version_option(__version__)
-def main(boot: str, *, check: bool) -> None:
+def main(boot: str, *, check: bool, **sizes: int) -> None:
     """Serve callers on one entry VM of the platform."""
     try:
         cfg = read_boot(boot)
     except SettingError as exc:
         raise click.UsageError(str(exc)) from exc
+    bounds = AnswerBounds(
+        sizes['answer_mb'] * MB,
+        sizes['held_kb'] * KB,
+        sizes['all_held_mb'] * MB,
+    )
     if check:
         click.echo(cfg)
+        click.echo(bounds)
         return
-    uvloop.run(run_node(cfg, boot))
+    uvloop.run(run_node(cfg, boot, bounds))
 
 
 if __name__ == '__main__':
--- a/mimosaworks/dispatch/health.py
+++ b/mimosaworks/dispatch/health.py
@@ -15,8 +15,10 @@
 _UNHEALTHY = frozenset((
     CallOutcome.FAILED,
     CallOutcome.BROKEN,
+    CallOutcome.OVERSIZED,
     CallOutcome.TIMED_OUT,
 ))
+_LEFT_OUT = frozenset((CallOutcome.UNREACHABLE, CallOutcome.OVERSIZED))
 
 
 @attrs.define
@@ -50,9 +52,9 @@
         """Learn from how a request left the target."""
         if outcome is CallOutcome.ANSWERED:
             self.note_success(now)
-        elif outcome is CallOutcome.UNREACHABLE:
+        if outcome in _LEFT_OUT:
             self.note_unreachable(now)
-        elif outcome in _UNHEALTHY:
+        if outcome in _UNHEALTHY:
             self.note_failure(now)
 
     def note_unreachable(self, now: float) -> None:
--- a/mimosaworks/dispatch/outcome.py
+++ b/mimosaworks/dispatch/outcome.py
@@ -9,6 +9,7 @@
     ANSWERED = 'answered'
     FAILED = 'failed'
     BROKEN = 'broken'
+    OVERSIZED = 'oversized'  # more bytes came than an answer may have
     UNREACHABLE = 'unreachable'
     REFUSED = 'refused'
     TIMED_OUT = 'timed_out'
--- a/mimosaworks/node/call.py
+++ b/mimosaworks/node/call.py
@@ -51,8 +51,8 @@
 
     deadline_s is on this process's clock; time after it helps nobody.
     asks counts the times a target was asked for, resends the sends after
-    the first; target is where it runs now. passed is what the caller has
-    of a stream.
+    the first; target is where it runs now. may_have_run: a send failed that
+    may have run. passed is what the caller has of an answer.
     """
 
     req: web.BaseRequest
@@ -73,11 +73,13 @@
     ask: CallAsk | None = None
     target: str = ''
     is_started: bool = False
+    may_have_run: bool = False
     passed: PassedStream | None = None
 
     def may_resend(self) -> bool:
         """Tell whether it may be sent again though it may have run."""
-        may_repeat = self.route.may_repeat or self.route.is_resumable
+        may_repeat = self.route.may_repeat and self.passed is None
+        may_repeat = may_repeat or self.route.is_resumable
         return may_repeat and self.resends + 1 < self.route.max_attempts
 
     def left_s(self) -> float:
--- a/mimosaworks/node/chooser.py
+++ b/mimosaworks/node/chooser.py
@@ -54,10 +54,10 @@
     data_centre: str
     beliefs: Beliefs
     link: HolderLink
-    local: LocalChoice
     notices: TargetNotices
     members: Callable[[], int]
     is_view_usable: Callable[[float], bool]
+    local: LocalChoice = attrs.field(factory=LocalChoice)
     _numbers: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
 
     async def choose(self, call: Call) -> Assignment:
--- a/mimosaworks/node/event_buffer.py
+++ b/mimosaworks/node/event_buffer.py
@@ -19,6 +19,11 @@
     last_id: str = ''
     _cutter: EventCutter = attrs.field(factory=EventCutter)
 
+    @property
+    def held(self) -> int:
+        """How many bytes of an unfinished event are held."""
+        return self._cutter.held
+
     def feed(self, chunk: bytes) -> bytes:
         """Return the bytes up to the end of the last whole event."""
         whole = self._cutter.feed(chunk)
--- a/mimosaworks/node/exchange.py
+++ b/mimosaworks/node/exchange.py
@@ -15,6 +15,12 @@
 )
 from yarl import URL
 
+from mimosaworks.bounded_answers import (
+    HeldBytes,
+    Hold,
+    OversizedError,
+    log_cut,
+)
 from mimosaworks.clock import now_s
 from mimosaworks.deployment import Repeat
 from mimosaworks.dispatch import Assignment, CallOutcome
@@ -47,6 +53,7 @@
 
     session: ClientSession
     notices: TargetNotices
+    held: HeldBytes
 
     async def send(
         self, call: Call, assignment: Assignment, on_first: OnFirst
@@ -58,14 +65,17 @@
         when the answer is not whole.
         """
         begun_s = now_s()
+
+        def told() -> None:
+            on_first(now_s() - begun_s)
+
         resp = await self._open(call, assignment)
-        async with resp:
-            is_stream = call.route.repeat is Repeat.STREAM
-            if is_stream and resp.status == HTTPStatus.OK:
-                return await _pass_stream(call, resp, on_first, begun_s)
-            body = await _read_all(resp)
-        on_first(now_s() - begun_s)
-        return _whole_answer(call, resp, body)
+        with self.held.hold() as hold:
+            async with resp:
+                try:
+                    return await _pass_on(call, resp, told, hold)
+                except (ClientError, OSError) as exc:
+                    raise _failed(exc, assignment.target) from exc
 
     async def _open(self, call: Call, assignment: Assignment) -> ClientResponse:
         headers = target_headers(
@@ -93,7 +103,7 @@
                 CallOutcome.UNREACHABLE, repr(exc), is_not_run=True
             ) from exc
         except (ClientError, OSError) as exc:
-            raise AttemptError(CallOutcome.BROKEN, repr(exc)) from exc
+            raise _failed(exc, assignment.target) from exc
         self._note_head(assignment.target, resp)
         _check_head(call, resp)
         return resp
@@ -114,49 +124,113 @@
             self.notices.note_pause(target, pause_s, now_s())
 
 
-async def _pass_stream(
-    call: Call, resp: ClientResponse, on_first: OnFirst, begun_s: float
+async def _pass_on(
+    call: Call, resp: ClientResponse, told: Callable[[], None], hold: Hold
 ) -> web.StreamResponse:
-    passed = call.passed
-    if passed is None:
-        headers = answer_headers(resp.headers)
-        passed = PassedStream(web.StreamResponse(headers=headers))
+    """Pass an answer on; raises ClientError or OSError when it breaks off.
+
+    told is called with the first bytes.
+    """
     check_reset = _watch_reset(resp)
+    if call.route.repeat is Repeat.STREAM and resp.status == HTTPStatus.OK:
+        passed = call.passed or _begin_answer(resp)
+        await _pass_stream(call, passed, resp, told, hold)
+    else:
+        body, is_whole = await _hold_body(resp, hold)
+        _check_status(call, resp)
+        if is_whole:
+            check_reset()
+            told()
+            return web.Response(
+                status=resp.status,
+                headers=answer_headers(resp.headers),
+                body=body,
+            )
+        hold.let_go()
+        told()
+        passed = await _pass_rest(call, resp, body)
+    check_reset()
+    call.passed = passed
+    await passed.end(call.req)
+    return passed.out
+
+
+async def _pass_stream(
+    call: Call,
+    passed: PassedStream,
+    resp: ClientResponse,
+    told: Callable[[], None],
+    hold: Hold,
+) -> None:
     try:
         async for chunk in resp.content.iter_any():
             if not call.is_started:
                 call.is_started = True
-                on_first(now_s() - begun_s)
-            await _pass_chunk(call, passed, chunk)
-        check_reset()
-    except (ClientError, OSError) as exc:
+                told()
+            await _pass_chunk(call, passed, chunk, hold)
+    except (ClientError, OSError):
         passed.buffer.drop()
-        raise AttemptError(CallOutcome.BROKEN, repr(exc)) from exc
-    call.passed = passed
-    await passed.end(call.req)
-    return passed.out
+        raise
 
 
-async def _pass_chunk(call: Call, passed: PassedStream, chunk: bytes) -> None:
+async def _pass_chunk(
+    call: Call, passed: PassedStream, chunk: bytes, hold: Hold
+) -> None:
     if call.route.is_resumable:
         # The caller gets whole events, so that another target can go on.
         chunk = passed.buffer.feed(chunk)
+        if not hold.keep(passed.buffer.held):
+            raise OversizedError(passed.buffer.held, hold.books.one_bytes)
     if chunk:
         call.passed = passed
         await passed.write(call.req, chunk)
 
 
-def _whole_answer(
+async def _hold_body(resp: ClientResponse, hold: Hold) -> tuple[bytes, bool]:
+    """Return a body, or what came of it until it could not be held."""
+    chunks: list[bytes] = []
+    size = 0
+    async for chunk in resp.content.iter_any():
+        chunks.append(chunk)
+        size += len(chunk)
+        if not hold.keep(size):
+            return b''.join(chunks), False
+    return b''.join(chunks), True
+
+
+async def _pass_rest(
     call: Call, resp: ClientResponse, body: bytes
-) -> web.Response:
+) -> PassedStream:
+    """Pass on a body that is too large to be held, in pieces."""
+    passed = _begin_answer(resp)
+    passed.out.content_length = resp.content_length
+    call.passed = passed
+    await passed.write(call.req, body)
+    async for chunk in resp.content.iter_any():
+        await passed.write(call.req, chunk)
+    return passed
+
+
+def _begin_answer(resp: ClientResponse) -> PassedStream:
+    headers = answer_headers(resp.headers)
+    return PassedStream(web.StreamResponse(status=resp.status, headers=headers))
+
+
+def _check_status(call: Call, resp: ClientResponse) -> None:
+    """Raise AttemptError for a failure after which another try may help."""
     is_failure = resp.status >= HTTPStatus.INTERNAL_SERVER_ERROR
     if call.passed is not None or (is_failure and call.may_resend()):
         raise AttemptError(
             CallOutcome.FAILED, f'the target answered {resp.status}'
         )
-    return web.Response(
-        status=resp.status, headers=answer_headers(resp.headers), body=body
-    )
+
+
+def _failed(exc: ClientError | OSError, target: str) -> AttemptError:
+    """Return how a send failed whose answer broke off."""
+    if isinstance(exc, OversizedError):
+        log_cut(target, exc)
+        return AttemptError(CallOutcome.OVERSIZED, str(exc))
+    return AttemptError(CallOutcome.BROKEN, repr(exc))
 
 
 def _check_head(call: Call, resp: ClientResponse) -> None:
@@ -192,13 +266,3 @@
             raise ClientPayloadError(f'reset: {exc!r}') from exc
 
     return check
-
-
-async def _read_all(resp: ClientResponse) -> bytes:
-    check_reset = _watch_reset(resp)
-    try:
-        body = await resp.read()
-        check_reset()
-    except (ClientError, OSError) as exc:
-        raise AttemptError(CallOutcome.BROKEN, repr(exc)) from exc
-    return body
--- a/mimosaworks/node/front.py
+++ b/mimosaworks/node/front.py
@@ -108,13 +108,15 @@
         """Find a target while there is time left to end the answer."""
         longest_s = _longest_wait_s(call, self.stop_left_s())
         if longest_s == 0:
-            raise _stopping()
+            raise _after_sends(call, _stopping())
         try:
             async with asyncio.timeout(longest_s) as wait:
                 self.waits[call] = wait
                 return await self.chooser.choose(call)
         except TimeoutError as exc:
-            raise _stopping() from exc
+            raise _after_sends(call, _stopping()) from exc
+        except RequestError as exc:
+            raise _after_sends(call, exc) from exc
         finally:
             self.waits.pop(call, None)
 
@@ -194,6 +196,7 @@
             if exc.is_not_run:
                 kind = ErrorKind.NO_TARGET
             raise RequestError(kind, exc.reason) from exc
+        call.may_have_run |= not exc.is_not_run
         if exc.outcome is not CallOutcome.UNREACHABLE:
             call.resends += 1
         call_log.log_resent(call, exc.outcome)
@@ -250,8 +253,19 @@
     )
 
 
+def _after_sends(call: Call, refusal: RequestError) -> RequestError:
+    """Return a refusal that holds for what was sent before it too."""
+    if not call.may_have_run:
+        return refusal
+    return RequestError(
+        ErrorKind.TARGET_ANSWER_LOST,
+        f'an answer was lost, then: {refusal.message}',
+        retry_after_s=refusal.retry_after_s,
+    )
+
+
 def _out_of_time(call: Call) -> RequestError:
-    may_have_run = bool(call.target) or call.is_started
+    may_have_run = bool(call.target) or call.may_have_run
     return RequestError(
         ErrorKind.DEADLINE_EXCEEDED,
         f'no whole answer in {call.age_s():.2f} s',
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from mimosaworks.bounded_answers import AnswerBounds, HeldBytes
 from mimosaworks.clock import now_s
 from mimosaworks.events import Event, JsonStream, json_logging, log_event
 from mimosaworks.node.beliefs import Beliefs
@@ -17,7 +18,6 @@
 from mimosaworks.node.exchange import Exchange
 from mimosaworks.node.front import Front
 from mimosaworks.node.holder_link import HolderLink
-from mimosaworks.node.local_choice import LocalChoice
 from mimosaworks.node.meters import Meters
 from mimosaworks.node.node import Node
 from mimosaworks.node.pages import serve_pages
@@ -35,6 +35,8 @@
 NONCE_BYTES = 6
 IDLE_TARGET_CONN_S = 6.0  # targets may close idle connections unannounced
 IDLE_PEER_CONN_S = 20.0
+STORE_BYTES = 4000000  # a page of rows, which the store bounds to 1 MB
+PEER_BYTES = 16000000  # all members, targets and levels of the largest size
 # Of the grace, after which a holder that stops gives the lease back: nodes that
 # were restarted before it are there again, and take it for longer.
 HAND_OVER_SHARE = 0.55
@@ -45,7 +47,9 @@
 WEAK_HANDICAP_S = 0.5  # some times the spread of the VMs' starts
 
 
-async def run_node(cfg: BootSettings, boot_path: str) -> None:
+async def run_node(
+    cfg: BootSettings, boot_path: str, bounds: AnswerBounds
+) -> None:
     """Serve until SIGTERM, then end what callers have begun.
 
     boot_path is the settings file, which SIGHUP has read again.
@@ -53,7 +57,7 @@
     async with contextlib.AsyncExitStack() as stack:
         log = stack.enter_context(json_logging())
         stopping = stop_event()
-        node = await _wire(cfg, stack)
+        node = await _wire(cfg, bounds, stack)
         loop = asyncio.get_running_loop()
         reload = functools.partial(node.reload, boot_path)
         loop.add_signal_handler(signal.SIGHUP, reload)
@@ -71,10 +75,16 @@
         log_event(Event.NODE_STOPPED, node=cfg.name, dropped=log.dropped)
 
 
-async def _wire(cfg: BootSettings, stack: contextlib.AsyncExitStack) -> Node:
-    store_session = await open_session(stack, IDLE_PEER_CONN_S)
-    target_session = await open_session(stack, IDLE_TARGET_CONN_S)
-    peer_session = await open_session(stack, IDLE_PEER_CONN_S)
+async def _wire(
+    cfg: BootSettings,
+    bounds: AnswerBounds,
+    stack: contextlib.AsyncExitStack,
+) -> Node:
+    store_session = await open_session(stack, IDLE_PEER_CONN_S, STORE_BYTES)
+    target_session = await open_session(
+        stack, IDLE_TARGET_CONN_S, bounds.answer_bytes
+    )
+    peer_session = await open_session(stack, IDLE_PEER_CONN_S, PEER_BYTES)
     store_address = cfg.store_address
     meters = Meters()
     notices = TargetNotices(
@@ -136,14 +146,17 @@
         data_centre=cfg.data_centre,
         beliefs=node.beliefs,
         link=node.link,
-        local=LocalChoice(),
         notices=notices,
         members=lambda: node.electorate.count_members(),
         is_view_usable=node.views.is_usable,
     )
     node.front = Front(
         chooser=chooser,
-        exchange=Exchange(target_session, notices),
+        exchange=Exchange(
+            target_session,
+            notices,
+            HeldBytes(bounds.held_bytes, bounds.all_held_bytes),
+        ),
         meters=meters,
         stop_left_s=node.stop_left_s,
     )
--- a/mimosaworks/node/sessions.py
+++ b/mimosaworks/node/sessions.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from mimosaworks.bounded_answers import BoundedConnector
 from mimosaworks.node.exchange import CONNECT_TIMEOUT_S
 
 FIELD_BYTES = 65536  # callers list all parts of a prompt in one field
@@ -19,11 +20,17 @@
 
 
 async def open_session(
-    stack: contextlib.AsyncExitStack, idle_s: float
+    stack: contextlib.AsyncExitStack, idle_s: float, answer_bytes: int
 ) -> aiohttp.ClientSession:
-    """Return a session that keeps idle connections for idle_s seconds."""
-    connector = aiohttp.TCPConnector(
-        limit=0, keepalive_timeout=idle_s, socket_factory=_make_socket
+    """Return a session that keeps idle connections for idle_s seconds.
+
+    It closes those on which an answer has more than answer_bytes bytes.
+    """
+    connector = BoundedConnector(
+        answer_bytes,
+        limit=0,
+        keepalive_timeout=idle_s,
+        socket_factory=_make_socket,
     )
     session = aiohttp.ClientSession(
         connector=connector,
--- a/mimosaworks/platform/engine_calls.py
+++ b/mimosaworks/platform/engine_calls.py
@@ -9,6 +9,7 @@
 import aiohttp
 import attrs
 
+from mimosaworks.bounded_answers import read_bounded
 from mimosaworks.deployment import Residence
 from mimosaworks.platform.entries import decode_residences
 from mimosaworks.platform.fields import flag, whole
@@ -18,6 +19,7 @@
 # accepted is refused by its count.
 ORDER_TIMEOUT_S = 0.25
 REPORT_TIMEOUT_S = 0.6
+REPORT_BYTES = 1000000  # all models and runs of a target
 
 
 class OrderAnswer(enum.Enum):
@@ -113,7 +115,9 @@
             raise_for_status=True,
         ) as resp:
             self._note_head(target, resp)
-            return _decode_report(json.loads(await resp.read()))
+            return _decode_report(
+                json.loads(await read_bounded(resp, REPORT_BYTES))
+            )
 
     def _note_head(self, target: str, resp: aiohttp.ClientResponse) -> None:
         if says_leaving(resp.headers):
--- a/mimosaworks/platform/store.py
+++ b/mimosaworks/platform/store.py
@@ -10,6 +10,7 @@
 import attrs
 from yarl import URL
 
+from mimosaworks.bounded_answers import OversizedError, log_cut
 from mimosaworks.errors import (
     StoreConflictError,
     StoreHistoryError,
@@ -167,6 +168,10 @@
                 return _Answer(resp.status, await resp.read())
         except aiohttp.ClientConnectorError as exc:
             raise StoreUnavailableError(f'store: {exc}') from exc
+        except OversizedError as exc:
+            log_cut('store', exc)
+            self.on_call(kind, 'oversized')
+            raise StoreInDoubtError(f'store: {exc}') from exc
         except (TimeoutError, aiohttp.ClientError) as exc:
             self.on_call(kind, 'unanswered')
             raise StoreInDoubtError(f'store: no answer: {exc!r}') from exc
--- a/tests/test_node_crashing_requests.py
+++ b/tests/test_node_crashing_requests.py
@@ -140,3 +140,18 @@
         world.nodes.remove(holder_of(*world.nodes))
         await asyncio.sleep(CONTACT_S)
     assert late_arrivals(world) <= MAX_LATE
+
+
+# Guards against a refusal that says "not run" of a request whose first send
+# broke off.
+async def test_a_refusal_after_a_send_that_broke_says_that_it_may_have_run(
+    tmp_path: Path,
+) -> None:
+    async with open_agency(tmp_path) as world:
+        await world.add_replica('ledger-0', service='ledger')
+        node = await world.add_node('node-0')
+        await until_served(world, node)
+        async with world.request(node, '/look/x', 'p-1', POISON) as resp:
+            assert resp.status == 502
+            assert resp.headers['Mimosa-Run'] == 'may-have-run'
+        await until(lambda: bool(node.events('call_resent')))
