The soak has requests that crash their targets

Its load had none, so that a count of crashes was never asked for. One content a seed is sent again and again to any node through all faults; what is checked: at most three targets crash later than 3 s after the third, and at the end no other request is refused as if it crashed targets.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -4,12 +4,14 @@
 import contextlib
 import random
 import tempfile
+from collections.abc import Iterator
 from pathlib import Path
 
 import attrs
 
+from bench.soak_crashes import SoakCrashes, broken_counts
 from bench.soak_faults import SoakFaults
-from bench.soak_load import OK, SoakLoad, broken_promises
+from bench.soak_load import OK, Seen, SoakLoad, broken_promises
 from bench.soak_notices import SoakNotices, broken_notices
 from standins.agency.world import MODELS, AgencyWorld, open_agency
 
@@ -22,45 +24,45 @@
 
 @attrs.frozen
 class SoakResult:
-    """What one seed showed; broken is empty when all promises held."""
+    """What one seed showed; broken is empty when all promises held.
+
+    crashed counts the targets that a request crashed.
+    """
 
     seed: int
     requests: int
     answered: int
     recovered: int
+    crashed: int
     faults: tuple[str, ...]
     broken: tuple[str, ...]
 
 
 async def run_soak(seed: int, duration_s: float, folder: Path) -> SoakResult:
     """Run one seed for duration_s seconds of faults."""
-    rng = random.Random(seed)
     async with open_agency(folder) as world:
         await _populate(world)
         load = SoakLoad(world, random.Random(seed + 1))
+        crashes = SoakCrashes(world, random.Random(seed + 3))
         calling = asyncio.create_task(load.run())
-        history = await _strike_and_notify(world, rng, seed, duration_s)
+        crashing = asyncio.create_task(crashes.run())
+        history = await _strike_and_notify(world, seed, duration_s)
         await asyncio.sleep(SETTLE_S)
-        calling.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await calling
+        await _cancel(calling)
+        await _cancel(crashing)
         await load.finish()
         before = len(load.seen)
         await asyncio.gather(*(load.call() for _ in range(PROBES)))
         after = load.seen[before:]
-        recovered = sum(one.status == OK for one in after)
-        broken = broken_promises(world, load.seen)
-        broken.extend(broken_notices(world, load.sent))
-    if recovered < PROBES / 2:
-        broken.append(f'{recovered} of {PROBES} are served after the faults')
-    return SoakResult(
-        seed=seed,
-        requests=len(load.seen),
-        answered=sum(one.status == OK for one in load.seen),
-        recovered=recovered,
-        faults=history,
-        broken=tuple(broken),
-    )
+        return SoakResult(
+            seed=seed,
+            requests=len(load.seen),
+            answered=sum(one.status == OK for one in load.seen),
+            recovered=sum(one.status == OK for one in after),
+            crashed=len(world.crashed_s),
+            faults=history,
+            broken=tuple(_find_broken(world, load, crashes, after)),
+        )
 
 
 def run_seeds(seeds: list[int], duration_s: float) -> list[SoakResult]:
@@ -72,11 +74,29 @@
     return outcomes
 
 
+def _find_broken(
+    world: AgencyWorld, load: SoakLoad, crashes: SoakCrashes, after: list[Seen]
+) -> Iterator[str]:
+    """Yield the promises that were broken; after are the last requests."""
+    yield from broken_promises(world, load.seen + crashes.seen)
+    yield from broken_notices(world, load.sent)
+    yield from broken_counts(world, after)
+    recovered = sum(one.status == OK for one in after)
+    if recovered < PROBES / 2:
+        yield f'{recovered} of {PROBES} are served after the faults'
+
+
+async def _cancel(task: 'asyncio.Task[None]') -> None:
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
+
+
 async def _strike_and_notify(
-    world: AgencyWorld, rng: random.Random, seed: int, duration_s: float
+    world: AgencyWorld, seed: int, duration_s: float
 ) -> tuple[str, ...]:
     """Inject faults, while targets leave and reject requests."""
-    faults = SoakFaults(world, rng)
+    faults = SoakFaults(world, random.Random(seed))
     notices = SoakNotices(world, random.Random(seed + 2))
     noticing = asyncio.create_task(notices.run())
     await _strike(faults, duration_s)
--- a/bench/soak_command.py
+++ b/bench/soak_command.py
@@ -29,7 +29,8 @@
 def _show(outcome: SoakResult) -> None:
     click.echo(
         f'seed {outcome.seed}: {outcome.answered} of {outcome.requests} '
-        f'answered, {outcome.recovered} after the faults'
+        f'answered, {outcome.recovered} after the faults, '
+        f'{outcome.crashed} crashed targets'
     )
     faults = ' '.join(outcome.faults)
     click.echo(f'  faults: {faults}')
--- /dev/null
+++ b/bench/soak_crashes.py
@@ -0,0 +1,69 @@
+"""A request of a soak that crashes each target that runs it."""
+
+import asyncio
+import contextlib
+import itertools
+import random
+from collections.abc import Iterator
+
+import aiohttp
+import attrs
+
+from bench.soak_load import STREAMS, Seen
+from standins.agency.replica import POISON
+from standins.agency.world import MODELS, AgencyWorld
+
+PATHS = ('/post/', '/look/', '/chat/', '/draft/')
+PAUSE_S = (0.1, 0.5)
+CONTACT_S = 3.0  # the bound in the nodes' settings
+ALLOWED = 3  # crashes, and crashes that are later than that after these
+SUSPECT = b'crash_suspect'
+
+
+@attrs.define(eq=False)
+class SoakCrashes:
+    """Sends one content again and again, to any node, until cancelled.
+
+    Its own random numbers leave the faults of known seeds as they were.
+    """
+
+    world: AgencyWorld
+    rng: random.Random
+    seen: list[Seen] = attrs.field(factory=list)
+    _numbers: Iterator[int] = attrs.field(factory=itertools.count)
+
+    async def run(self) -> None:
+        """Repeat the request."""
+        path = self.rng.choice(PATHS)
+        extra = {}
+        if path in STREAMS:
+            extra['X_Model'] = self.rng.choice(MODELS)
+            extra['X_Token_Counts'] = '500,20'
+        while True:  # noqa: WPS457 -- ends when the task is cancelled
+            await asyncio.sleep(self.rng.uniform(*PAUSE_S))
+            if self.world.nodes:
+                await self._send(path, extra)
+
+    async def _send(self, path: str, extra: dict[str, str]) -> None:
+        node = self.rng.choice(self.world.nodes)
+        request_id = f'crash-{next(self._numbers)}'
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with self.world.request(
+                node, path, request_id, POISON, **extra
+            ) as resp:
+                body = await resp.read()
+                self.seen.append(Seen(request_id, path, resp.status, body))
+
+
+def broken_counts(world: AgencyWorld, bystanders: list[Seen]) -> Iterator[str]:
+    """Return crashes that are too many, and bystanders that are refused.
+
+    bystanders are requests at the end, when nothing is disturbed.
+    """
+    third_s = max(world.crashed_s[:ALLOWED], default=0)
+    late = sum(at_s > third_s + CONTACT_S for at_s in world.crashed_s)
+    if late > ALLOWED:
+        yield f'{late} targets crashed long after the third one'
+    refused = sum(SUSPECT in one.body for one in bystanders)
+    if refused:
+        yield f'{refused} other requests are refused as if they crash targets'
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -42,6 +42,8 @@
             self._configure,
         ]
         fault = self.rng.choice(faults)
+        if not self.world.nodes:
+            return  # All are being started again.
         self.history.append(fault.__name__.strip('_'))
         await fault()
 
--- a/bench/soak_load.py
+++ b/bench/soak_load.py
@@ -63,6 +63,8 @@
 
     async def call(self) -> None:
         """Send one request and note what came back."""
+        if not self.world.nodes:
+            return
         path = self.rng.choice(('/post/', '/look/', '/chat/', '/draft/'))
         request_id = f'soak-{next(self._numbers)}'
         extra = {}
