--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import itertools
 import time
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
@@ -71,6 +72,25 @@
         return resp.status, await resp.read()
 
 
+async def ask_until_it_waits(
+    world: AgencyWorld, node: NodeHandle
+) -> 'asyncio.Task[tuple[int, bytes]]':
+    """Ask for a model that lies nowhere, until a request waits for its load.
+
+    Requests are refused while another load takes the place.
+    """
+    end_s = time.monotonic() + PATIENCE_S
+    for number in itertools.count():
+        assert time.monotonic() < end_s, 'not in time'
+        asked = asyncio.create_task(
+            read_stream(world, node, '/draft/a', f'waits-{number}', 'gamma')
+        )
+        await asyncio.wait({asked}, timeout=0.5)
+        if not asked.done():
+            break
+    return asked
+
+
 def has_applied_two(node: NodeHandle) -> bool:
     return len(node.events('deployment_applied')) > 1
 
@@ -311,9 +331,7 @@
     pair = await open_pair(world, on_disk=[], load_s=LONG_LOAD_S)
     holder = holder_of(*pair)
     node = pair[1] if holder is pair[0] else pair[0]
-    asked = asyncio.create_task(
-        read_stream(world, node, '/draft/a', 'waits', 'gamma')
-    )
+    asked = await ask_until_it_waits(world, node)
     await until(lambda: bool(holder.events('call_queued')))
     node.process.terminate()
     status, _ = await asked
