--- a/bench/soak.py
+++ b/bench/soak.py
@@ -65,13 +65,11 @@
         )
 
 
-def run_seeds(seeds: list[int], duration_s: float) -> list[SoakResult]:
+def run_seeds(seeds: list[int], duration_s: float) -> Iterator[SoakResult]:
     """Run seeds one after the other; folders of failed ones are kept."""
-    outcomes = []
     for seed in seeds:
         folder = Path(tempfile.mkdtemp(prefix=f'mimosa-soak-{seed}-'))
-        outcomes.append(asyncio.run(run_soak(seed, duration_s, folder)))
-    return outcomes
+        yield asyncio.run(run_soak(seed, duration_s, folder))
 
 
 def _find_broken(
--- a/bench/soak_command.py
+++ b/bench/soak_command.py
@@ -19,10 +19,11 @@
     """Run real nodes under random faults; exit 1 if a promise was broken."""
     logging.disable(logging.CRITICAL)
     drawn = [secrets.randbelow(FRESH_SEEDS) for _ in range(fresh)]
-    outcomes = run_seeds([*seeds, *drawn], duration_s)
-    for outcome in outcomes:
+    is_broken = False
+    for outcome in run_seeds([*seeds, *drawn], duration_s):
         _show(outcome)
-    if any(one.broken for one in outcomes):
+        is_broken = is_broken or bool(outcome.broken)
+    if is_broken:
         click.get_current_context().exit(1)
 
 
--- a/standins/agency/replica.py
+++ b/standins/agency/replica.py
@@ -159,13 +159,13 @@
     async def serve(req: web.Request) -> web.StreamResponse:
         expected = req.headers.get('X-Expect-Instance', replica.name)
         model, _, adapter = req.headers.get('X-Model', '').partition('/')
+        request_id = req.headers['X-Request-Id']
+        replica.births[request_id] = replica.born
         if expected != replica.name or not _holds(replica, model, adapter):
             return web.Response(status=HTTPStatus.MISDIRECTED_REQUEST)
-        request_id = req.headers['X-Request-Id']
         body = await req.read()
         now = time.monotonic()
         replica.arrivals[request_id] = now
-        replica.births[request_id] = replica.born
         if replica.pause_s:
             replica.rejected[request_id] = (now, replica.pause_s)
             head = {'X-Not-Executed': '1', 'Retry-After': f'{replica.pause_s}'}
