The budget of resends holds over several holders, and for nodes alone

A process that takes the lease over uses a smaller share until a window is over, so that what others spent and it spends keep within the budget; nodes alone share what is left.

--- a/mimosaworks/dispatch/resend_budget.py
+++ b/mimosaworks/dispatch/resend_budget.py
@@ -5,6 +5,9 @@
 import attrs
 
 SAFETY = 0.6  # share of the promised budget that is used
+# The share while the sends of earlier holders are in the window as well: of
+# two holders before and nodes alone between them.
+TAKEN_OVER = 0.2
 
 
 @attrs.frozen
@@ -33,11 +36,11 @@
         self._requests.append(now)
         self._forget(now)
 
-    def try_spend(self, now: float) -> bool:
-        """Take one resend if the window has room for it."""
+    def try_spend(self, now: float, share: float = SAFETY) -> bool:
+        """Take one resend if this share of the window has room for it."""
         self._forget(now)
         allowed = self.terms.ratio * len(self._requests) + self.terms.slack
-        if len(self._resends) + 1 > allowed * SAFETY:
+        if len(self._resends) + 1 > allowed * share:
             return False
         self._resends.append(now)
         return True
@@ -50,15 +53,26 @@
 
 @attrs.define
 class ResendBudgets:
-    """The budget of each service."""
+    """The budget of each service.
+
+    taken_over_s is when this process began to count, None if no other one
+    has counted before.
+    """
 
     terms: ResendTerms
+    taken_over_s: float | None = None
     _budgets: dict[str, ResendBudget] = attrs.field(factory=dict)
 
     def admit(self, service: str, now: float, *, is_resend: bool) -> bool:
         """Count a send; return whether it is within the budget."""
         budget = self._budgets.setdefault(service, ResendBudget(self.terms))
         if is_resend:
-            return budget.try_spend(now)
+            return budget.try_spend(now, self._share(now))
         budget.note_request(now)
         return True
+
+    def _share(self, now: float) -> float:
+        since_s = self.taken_over_s
+        if since_s is None or now - since_s > self.terms.window_s:
+            return SAFETY
+        return TAKEN_OVER
--- a/mimosaworks/node/chooser.py
+++ b/mimosaworks/node/chooser.py
@@ -12,6 +12,7 @@
     Assignment,
     CallOutcome,
     Refusal,
+    ResendTerms,
     TargetEnd,
     Verdict,
     judge_ends,
@@ -46,7 +47,7 @@
     node, nonce and data_centre name this process and its place; notices are
     the targets to leave out for now. members gives the number of nodes, 0
     when it is not known. is_view_usable tells whether a view of the targets
-    of this age (s) may decide.
+    of this age (s) may decide, resend_terms the bound on resends of all nodes.
     """
 
     node: str
@@ -57,6 +58,7 @@
     notices: TargetNotices
     members: Callable[[], int]
     is_view_usable: Callable[[float], bool]
+    resend_terms: Callable[[], ResendTerms]
     local: LocalChoice = attrs.field(factory=LocalChoice)
     _numbers: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
 
@@ -159,6 +161,7 @@
         members = self.members() or UNKNOWN_MEMBERS
         targets = self._targets()
         self.local.enter(deployment, self.link.told.levels, members, now)
+        self.local.bound_resends(self.resend_terms())
         decided = self.local.choose(ask, call.facts, targets, now)
         if isinstance(decided, Assignment):
             self.link.news.note_spent(ask.workspace, ask.cost)
--- a/mimosaworks/node/local_choice.py
+++ b/mimosaworks/node/local_choice.py
@@ -11,8 +11,9 @@
     TargetEntry,
     TargetState,
 )
-from mimosaworks.dispatch import Assignment, Refusal
+from mimosaworks.dispatch import Assignment, Refusal, ResendTerms
 from mimosaworks.dispatch.limiter import Limiter
+from mimosaworks.dispatch.resend_budget import TAKEN_OVER, ResendBudget
 from mimosaworks.errors import ErrorKind
 from mimosaworks.wire import CallAsk
 
@@ -32,6 +33,8 @@
     running: dict[str, int] = attrs.field(factory=dict)
     _version: int = 0
     _shares: int = 0
+    _terms: ResendTerms | None = None
+    _resends: dict[str, ResendBudget] = attrs.field(factory=dict)
 
     def note(self, target: str, change: int) -> None:
         """Count a request that begins (1) or ends (-1) at a target."""
@@ -65,6 +68,11 @@
             {name: level / members for name, level in levels.items()}, now
         )
 
+    def bound_resends(self, terms: ResendTerms) -> None:
+        """Take this node's share of the resends of all nodes."""
+        slack = terms.slack / max(self._shares, 1)
+        self._terms = attrs.evolve(terms, slack=slack)
+
     def leave(self) -> None:
         """Forget the shares: a holder counts again."""
         if self._version:
@@ -79,6 +87,9 @@
         now: float,
     ) -> Assignment | Refusal:
         """Return a target that holds the model, or a refusal."""
+        if not self._may_send(ask, now):
+            reason = "this node's share of the resends is used up"
+            return Refusal(ErrorKind.NO_TARGET, RETRY_S, reason)
         taken = self.limiter.take(ask.workspace, ask.cost, now)
         if not taken.is_taken:
             reason = "this node's share is used up"
@@ -99,6 +110,22 @@
             chosen.name, chosen.address, DEFAULT_PRIORITY, 'no holder is heard'
         )
 
+    def _may_send(self, ask: CallAsk, now: float) -> bool:
+        """Count a send; tell whether resends have room for it.
+
+        The sends of the last holder, and of the next one, count as well.
+        """
+        if self._terms is None:
+            return True
+        budget = self._resends.setdefault(
+            ask.service, ResendBudget(self._terms)
+        )
+        budget.terms = self._terms
+        if ask.resends:
+            return budget.try_spend(now, TAKEN_OVER)
+        budget.note_request(now)
+        return True
+
     def _fits(self, entry: TargetEntry, ask: CallAsk, facts: CallFacts) -> bool:
         is_usable = (
             entry.service == ask.service
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -102,13 +102,11 @@
 
     def take_lease(self, lease: Lease, previous: str) -> None:
         """Begin to decide for all nodes, after the previous holder."""
-        bounds = self.cfg.bounds
-        terms = ResendTerms(
-            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
-        )
+        taken_over_s = now_s() if lease.fence > 1 else None
+        budgets = ResendBudgets(resend_terms(self), taken_over_s)
         self.holder = Holder(
             beliefs=self.beliefs,
-            dispatcher=Dispatcher(ResendBudgets(terms)),
+            dispatcher=Dispatcher(budgets),
             orders=OrderRunner(
                 self.calls, self.cfg.name, lease.fence, self.meters.note_order
             ),
@@ -202,3 +200,11 @@
             meters.tokens.labels(workspace).set(left)
         if self.beliefs.deployment is not None:
             meters.version.set(self.beliefs.deployment.version)
+
+
+def resend_terms(node: Node) -> ResendTerms:
+    """Return the bound on resends of all nodes together."""
+    bounds = node.cfg.bounds
+    return ResendTerms(
+        bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
+    )
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -19,7 +19,7 @@
 from mimosaworks.node.front import Front
 from mimosaworks.node.holder_link import HolderLink
 from mimosaworks.node.meters import Meters
-from mimosaworks.node.node import Node
+from mimosaworks.node.node import Node, resend_terms
 from mimosaworks.node.pages import serve_pages
 from mimosaworks.node.sessions import open_session
 from mimosaworks.node.target_notices import TargetNotices
@@ -149,6 +149,7 @@
         notices=notices,
         members=lambda: node.electorate.count_members(),
         is_view_usable=node.views.is_usable,
+        resend_terms=functools.partial(resend_terms, node),
     )
     node.front = Front(
         chooser=chooser,
