The time in which an end shows follows the targets' heartbeats

It was a constant for heartbeats of 1.2 s: with longer ones an end would have been taken back before the entry could lapse. Expired suspects are looked for once a second, not at each tick.

--- a/mimosaworks/dispatch/crash_book.py
+++ b/mimosaworks/dispatch/crash_book.py
@@ -11,10 +11,8 @@
 APART_ENDS = 2  # from here on one run at a time
 REFUSED_ENDS = 3
 ANSWERS_FOR_END = 5  # answers that take back one end
-# Three heartbeat intervals of targets, after which an entry lapses, and two
-# reads of the entries.
-LAPSE_S = 6.0
 KEEP_S = 600.0
+EXPIRY_PERIOD_S = 1.0
 TRIAL_S = 60.0  # until a refused content is tried once more
 TRIAL_GROWTH = 4  # of that pause with each trial
 MAX_SUSPECTS = 1000
@@ -53,11 +51,15 @@
 
 @attrs.frozen
 class EntriesView:
-    """The targets' entries, read without a gap from since_s to read_s."""
+    """The targets' entries, read without a gap from since_s to read_s.
+
+    An end shows within lapse_s.
+    """
 
     entries: Mapping[str, TargetEntry]
     since_s: float
     read_s: float
+    lapse_s: float
 
     def shows(self, end: TargetEnd, noted_s: float) -> bool:
         """Tell whether entries that were read after it show an end."""
@@ -67,7 +69,7 @@
 
     def would_show(self, noted_s: float) -> bool:
         """Tell whether an end before noted_s had to show by now."""
-        return self.read_s - max(noted_s, self.since_s) > LAPSE_S
+        return self.read_s - max(noted_s, self.since_s) > self.lapse_s
 
 
 @attrs.define
@@ -115,6 +117,7 @@
     suspects: dict[str, Suspect] = attrs.field(factory=dict)
     _open: dict[tuple[str, str], float] = attrs.field(factory=dict)
     _silent: dict[str, tuple[TargetEnd, float]] = attrs.field(factory=dict)
+    _expiry_s: float = 0
 
     def judge(self, mark: str, now: float) -> Verdict:
         """Return how requests with this content are served now."""
@@ -171,8 +174,10 @@
                 self._silent.pop(key)
             if is_shown:
                 self._count(end, now)
-        for mark in list(self._expired(now)):
-            self._drop(mark)
+        if now > self._expiry_s:
+            self._expiry_s = now + EXPIRY_PERIOD_S
+            for mark in list(self._expired(now)):
+                self._drop(mark)
 
     def adopt(self, mark: str, suspect: Suspect, now: float) -> None:
         """Take over what an earlier holder knew of a content."""
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -35,6 +35,8 @@
 NONCE_BYTES = 6
 IDLE_TARGET_CONN_S = 6.0  # targets may close idle connections unannounced
 IDLE_PEER_CONN_S = 20.0
+LAPSE_BEATS = 3  # heartbeats of a target without which its entry lapses
+LAPSE_READS_S = 2.4  # one wait for changes, and the answer of a slow store
 STORE_BYTES = 4000000  # a page of rows, which the store bounds to 1 MB
 PEER_BYTES = 16000000  # all members, targets and levels of the largest size
 # Of the grace, after which a holder that stops gives the lease back: nodes that
@@ -120,6 +122,7 @@
         link=node.link,
         is_holder=lambda: node.holder is not None,
         drain_s=lambda: node.cfg.bounds.drain_s,
+        lapse_s=lambda: LAPSE_BEATS * node.cfg.heartbeat_s + LAPSE_READS_S,
     )
     node.election = Election(
         store=attrs.evolve(node.store, timeout_s=STORE_TIMEOUT_S),
--- a/mimosaworks/node/views.py
+++ b/mimosaworks/node/views.py
@@ -24,7 +24,8 @@
     """A node's feeds of the deployment and of the targets.
 
     is_holder tells whether this node decides for all, drain_s gives the time
-    in which a target that leaves must be known. told_version is the
+    in which a target that leaves must be known, lapse_s the one in which the
+    entry of a target that ended has changed. told_version is the
     deployment that the holder knew last.
     """
 
@@ -33,6 +34,7 @@
     link: HolderLink
     is_holder: Callable[[], bool]
     drain_s: Callable[[], float]
+    lapse_s: Callable[[], float]
     told_version: int = 0
     desired_feed: TableFeed = attrs.field(init=False)
     targets_feed: TableFeed = attrs.field(init=False)
@@ -79,7 +81,12 @@
     def entries_view(self) -> EntriesView:
         """Return the targets' entries as they were read."""
         feed = self.targets_feed
-        return EntriesView(self.beliefs.targets, feed.outage_end_s, feed.read_s)
+        return EntriesView(
+            self.beliefs.targets,
+            since_s=feed.outage_end_s,
+            read_s=feed.read_s,
+            lapse_s=self.lapse_s(),
+        )
 
     def _known_version(self) -> int:
         deployment = self.beliefs.deployment
--- a/mimosaworks/platform/boot.py
+++ b/mimosaworks/platform/boot.py
@@ -17,6 +17,7 @@
 
 MS_PER_S = 1000
 UNLIMITED_MBPS = 1000.0
+HEARTBEAT_MS = 1200  # where the settings name none
 ROW_BYTES = 65536  # where the settings name no bound
 LEASE_MS = 3000  # where a deployment without engines names none
 _PORT_SPAN = 2
@@ -46,7 +47,8 @@
     """What one process is told at its start; addresses are host:port.
 
     cores is the power of the VM's processor in cores, row_bytes the size that
-    the store allows for a row.
+    the store allows for a row, heartbeat_s the pause between two signs of
+    life of a target.
     """
 
     name: str
@@ -61,6 +63,7 @@
     link_mbps: float
     store_address: str
     row_bytes: int
+    heartbeat_s: float
     bounds: Bounds
 
     @property
@@ -110,6 +113,7 @@
         link_mbps=limits.get('link-mbps', UNLIMITED_MBPS),
         store_address=text(table(parsed, 'platform'), 'address'),
         row_bytes=whole(table(parsed, 'platform'), 'row-bytes', ROW_BYTES),
+        heartbeat_s=parsed.get('heartbeat-ms', HEARTBEAT_MS) / MS_PER_S,
         bounds=_bounds(table(parsed, 'bounds')),
     )
 
--- a/tests/test_node_views.py
+++ b/tests/test_node_views.py
@@ -45,6 +45,7 @@
         link=link,  # type: ignore[arg-type]
         is_holder=lambda: is_holder,
         drain_s=lambda: 2,
+        lapse_s=lambda: 6,
     )
 
 
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -212,3 +212,11 @@
     assert says_not_run(421, {})
     assert not says_not_run(503, {})
     assert not says_not_run(429, {})
+
+
+def test_the_pause_of_heartbeats_and_the_size_of_rows_are_read(
+    tmp_path: Path,
+) -> None:
+    assert read_boot(write_boot(tmp_path)).row_bytes == 65536
+    cfg = read_boot(write_boot(tmp_path, **{'heartbeat-ms': 2500}))
+    assert cfg.heartbeat_s == 5 / 2
