Contents that ran whole before are not refused for ends beside them

Answers that came before the first end make up for two ends; a trial comes after 10 s and takes an end back at once when it ends whole; a target that answers a later request within a second has not ended.

--- a/mimosaworks/dispatch/crash_book.py
+++ b/mimosaworks/dispatch/crash_book.py
@@ -11,10 +11,13 @@
 APART_ENDS = 2  # from here on one run at a time
 REFUSED_ENDS = 3
 ANSWERS_FOR_END = 5  # answers that take back one end
+MAX_CREDIT = 10  # answers in advance, for two ends
+MAX_CREDITS = 2000  # contents with answers in advance
 KEEP_S = 600.0
 EXPIRY_PERIOD_S = 1.0
-TRIAL_S = 60.0  # until a refused content is tried once more
+TRIAL_S = 10.0  # until a refused content is tried once more
 TRIAL_GROWTH = 4  # of that pause with each trial
+LIFE_S = 1.0  # less than a target needs to start anew
 MAX_SUSPECTS = 1000
 MAX_ENDS = 8  # of one content; more tell nothing new
 MAX_SILENT = 2000
@@ -110,13 +113,15 @@
 
     An end counts at once, and is taken back if the target's entry shows that
     it lives on. A content that was beside the one to blame is cleared by
-    answers. version grows with each change.
+    answers, also by those that came before. version grows with each change.
     """
 
     version: int = 0
     suspects: dict[str, Suspect] = attrs.field(factory=dict)
     _open: dict[tuple[str, str], float] = attrs.field(factory=dict)
     _silent: dict[str, tuple[TargetEnd, float]] = attrs.field(factory=dict)
+    _credits: dict[str, int] = attrs.field(factory=dict)
+    _paid: dict[str, bool] = attrs.field(factory=dict)
     _expiry_s: float = 0
 
     def judge(self, mark: str, now: float) -> Verdict:
@@ -158,12 +163,25 @@
         """Note that a target ran a content and lived on."""
         suspect = self.suspects.get(mark)
         if suspect is None:
+            credit = self._credits.pop(mark, 0)
+            self._credits[mark] = min(credit + 1, MAX_CREDIT)
+            forget_oldest(self._credits, MAX_CREDITS)
             return
         suspect.answers += 1
-        if suspect.answers >= ANSWERS_FOR_END:
+        # One that crashes whatever runs it has no trial that ends whole.
+        is_tried = suspect.trials > 0 and len(suspect.ends) >= REFUSED_ENDS
+        if is_tried or suspect.answers >= ANSWERS_FOR_END:
             suspect.answers = 0
             self._take_back(mark, next(iter(suspect.ends)))
 
+    def note_life(self, target: str, granted_s: float, now: float) -> None:
+        """Take back ends of a target that answered a later request at once."""
+        for (mark, name), noted_s in list(self._open.items()):
+            is_later = noted_s < granted_s and now - noted_s < LIFE_S
+            end = self.suspects[mark].ends[name]
+            if is_later and end.target == target:
+                self._take_back(mark, name)
+
     def follow_entries(self, view: EntriesView, now: float) -> None:
         """Compare ends with the targets' entries, and forget old ones."""
         for place, noted_s in list(self._open.items()):
@@ -196,6 +214,8 @@
                 yield (mark, suspect)
 
     def _count(self, end: TargetEnd, now: float) -> None:
+        if self._is_paid(end):
+            return
         suspect = self.suspects.pop(end.mark, None) or Suspect()
         self.suspects[end.mark] = suspect
         if end.name in suspect.ends:
@@ -225,6 +245,16 @@
     def _count_ends(self, mark: str) -> int:
         return len(self.suspects[mark].ends)
 
+    def _is_paid(self, end: TargetEnd) -> bool:
+        """Tell whether answers in advance make up for an end."""
+        key = f'{end.mark}/{end.name}'
+        credit = self._credits.get(end.mark, 0)
+        if key not in self._paid and credit >= ANSWERS_FOR_END:
+            self._credits[end.mark] = credit - ANSWERS_FOR_END
+            self._paid[key] = True
+            forget_oldest(self._paid, MAX_CREDITS)
+        return key in self._paid
+
     def _take_back(self, mark: str, name: str) -> None:
         suspect = self.suspects[mark]
         suspect.ends.pop(name)
--- a/mimosaworks/dispatch/dispatcher.py
+++ b/mimosaworks/dispatch/dispatcher.py
@@ -271,6 +271,7 @@
 ) -> None:
     if outcome in _SURVIVED:
         dispatcher.crashes.note_answer(job.ask.mark)
+        dispatcher.crashes.note_life(job.target, job.granted_s, now)
     target = _find_target(dispatcher, job.ask.service, job.target)
     if target is None:
         return
--- a/standins/agency/world.py
+++ b/standins/agency/world.py
@@ -168,7 +168,7 @@
     """The store, the targets and the nodes of one test.
 
     crashed_s are the times at which requests crashed targets, which start
-    again crash_down_s later.
+    again crash_down_s later; crashed_by are these requests' ids.
     """
 
     stack: contextlib.AsyncExitStack
@@ -183,6 +183,7 @@
     replicas: dict[str, Replica] = attrs.field(factory=dict)
     nodes: list[NodeHandle] = attrs.field(factory=list)
     crashed_s: list[float] = attrs.field(factory=list)
+    crashed_by: list[str] = attrs.field(factory=list)
     crash_down_s: float = CRASH_DOWN_S
     _crashes: set['asyncio.Task[None]'] = attrs.field(factory=set)
 
@@ -278,7 +279,8 @@
         url = f'http://{node.front}{path}'
         return self.session.post(url, headers=headers, data=body)
 
-    def _on_crash(self, name: str) -> None:
+    def _on_crash(self, name: str, request_id: str) -> None:
+        self.crashed_by.append(request_id)
         self.crashed_s.append(time.monotonic())
         task = asyncio.ensure_future(self.crash(name, self.crash_down_s))
         self._crashes.add(task)
