Nodes log the limits that targets name

The field reached callers and nobody else, so that the logs could not tell which VM had passed on a named limit, and when. Each change that a node reads is one line (E861 to E863) and a count of mimosa_target_notices. Nothing keeps to a limit yet.

--- a/mimosaworks/node/exchange.py
+++ b/mimosaworks/node/exchange.py
@@ -27,6 +27,7 @@
 from mimosaworks.events import Event, log_event
 from mimosaworks.node.attempt_error import AttemptError
 from mimosaworks.node.call import Call, PassedStream
+from mimosaworks.node.limit_view import LimitView
 from mimosaworks.node.target_notices import TargetNotices
 from mimosaworks.platform.headers import (
     LAST_EVENT,
@@ -48,11 +49,12 @@
 class Exchange:
     """Talks to targets over kept connections; used by the front.
 
-    notices takes what targets say of further requests.
+    notices and limits take what targets say of further requests.
     """
 
     session: ClientSession
     notices: TargetNotices
+    limits: LimitView
     held: HeldBytes
 
     async def send(
@@ -112,6 +114,9 @@
         """Note whether the target wants further requests."""
         if says_leaving(resp.headers):
             self.notices.note_leaving(target)
+        if resp.status != HTTPStatus.MISDIRECTED_REQUEST:
+            # Another process may have the target's address.
+            self.limits.read_head(target, resp.headers)
         try:
             pause_s = read_pause_s(resp.status, resp.headers)
         except ValueError as exc:
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -17,6 +17,7 @@
 from mimosaworks.node.front import Front
 from mimosaworks.node.holder import Holder
 from mimosaworks.node.holder_link import HolderLink
+from mimosaworks.node.limit_view import LimitView
 from mimosaworks.node.meters import Meters
 from mimosaworks.node.order_runner import OrderRunner
 from mimosaworks.node.views import Views
@@ -48,6 +49,13 @@
     store: StoreClient
     calls: EngineCalls
     meters: Meters
+    limits: LimitView = attrs.field(
+        init=False,
+        default=attrs.Factory(
+            lambda node: LimitView(node.find_born, node.meters.note_notice),
+            takes_self=True,
+        ),
+    )
     views: Views = attrs.field(init=False)
     election: Election = attrs.field(init=False)
     electorate: Electorate = attrs.field(init=False)
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -159,6 +159,7 @@
         exchange=Exchange(
             target_session,
             notices,
+            node.limits,
             HeldBytes(bounds.held_bytes, bounds.all_held_bytes),
         ),
         meters=meters,
--- a/mimosaworks/platform/headers.py
+++ b/mimosaworks/platform/headers.py
@@ -20,6 +20,7 @@
 LAST_EVENT = 'Last-Event-Id'
 NOT_RUN = 'X-Not-Executed'
 LEAVING = 'Server-Leaving'
+LIMIT = 'Server-Limit'
 RETRY_AFTER = 'Retry-After'
 MAX_PAUSE_S = 60.0  # what is longer is no pause but a mistake
 _BEARER = 'bearer '
