--- a/standins/agency/replica.py
+++ b/standins/agency/replica.py
@@ -17,6 +17,27 @@
 POISON = b'poison'  # the body of requests that crash what runs them
 
 
+@attrs.frozen
+class Hit:
+    """One call that reached a target; sender is the holder of an order.
+
+    request_id is empty for calls that are no requests.
+    """
+
+    at_s: float
+    request_id: str = ''
+    sender: str = ''
+
+
+@attrs.frozen
+class NamedLimit:
+    """An answer to a request that named a limit, empty without one."""
+
+    at_s: float
+    request_id: str
+    limit: str
+
+
 def _survive(_name: str, _request_id: str) -> None:
     """Go on."""
 
@@ -31,7 +52,9 @@
     beyond the memory. All answers of one that is_leaving announce it; while
     pause_s is set, requests are rejected with this time to back off. arrivals
     and told_leaving give a time for each request, rejected the pause as well,
-    births the birth that it met.
+    births the birth that it met. limit is named in all answers as it
+    is spelled; hits are all calls, named the answers to requests from its first
+    use on.
     """
 
     name: str
@@ -62,8 +85,21 @@
     births: dict[str, int] = attrs.field(factory=dict)
     rejected: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     told_leaving: dict[str, float] = attrs.field(factory=dict)
+    limit: str = ''
+    hits: list[Hit] = attrs.field(factory=list)
+    named: list[NamedLimit] = attrs.field(factory=list)
     on_crash: Callable[[str, str], None] = _survive
 
+    def note_hit(self, request_id: str = '', sender: str = '') -> None:
+        """Note a call that has arrived."""
+        self.hits.append(Hit(time.monotonic(), request_id, sender))
+
+    def name_limit(self, request_id: str) -> None:
+        """Note what an answer to a request says of a limit."""
+        if self.limit or self.named:
+            now = time.monotonic()
+            self.named.append(NamedLimit(now, request_id, self.limit))
+
     def restart(self) -> None:
         """Start anew: what was held and counted is gone, the disk stays."""
         self.born += 1
@@ -148,19 +184,35 @@
         ]
 
 
+def _say_more(replica: Replica, req: web.Request, resp: Any) -> None:
+    """Add to an answer what the target says of further requests."""
+    request_id = req.headers.get('X-Request-Id', '')
+    if replica.is_leaving:
+        resp.headers['Server-Leaving'] = '1'
+        replica.told_leaving[request_id] = time.monotonic()
+    if replica.limit:
+        resp.headers['Server-Limit'] = replica.limit
+    if request_id:
+        replica.name_limit(request_id)
+
+
 def replica_app(replica: Replica) -> web.Application:
     """Return the application of one target."""
 
     async def order(req: web.Request) -> web.Response:
-        return web.Response(status=await replica.order(await req.json()))
+        ask = await req.json()
+        replica.note_hit(sender=ask['holder'])
+        return web.Response(status=await replica.order(ask))
 
     async def report(_: web.Request) -> web.Response:
+        replica.note_hit()
         return web.json_response(replica.report())
 
     async def serve(req: web.Request) -> web.StreamResponse:
         expected = req.headers.get('X-Expect-Instance', replica.name)
         model, _, adapter = req.headers.get('X-Model', '').partition('/')
         request_id = req.headers['X-Request-Id']
+        replica.note_hit(request_id)
         replica.births[request_id] = replica.born
         if expected != replica.name or not _holds(replica, model, adapter):
             return web.Response(status=HTTPStatus.MISDIRECTED_REQUEST)
@@ -181,14 +233,11 @@
             replica.cancelled.append(request_id)
             raise
 
-    async def say_leaving(req: web.Request, resp: web.StreamResponse) -> None:
-        if replica.is_leaving:
-            resp.headers['Server-Leaving'] = '1'
-            request_id = req.headers.get('X-Request-Id', '')
-            replica.told_leaving[request_id] = time.monotonic()
+    async def say_more(req: web.Request, resp: web.StreamResponse) -> None:
+        _say_more(replica, req, resp)
 
     app = web.Application()
-    app.on_response_prepare.append(say_leaving)
+    app.on_response_prepare.append(say_more)
     app.router.add_post('/v1/order', order)
     app.router.add_get('/v1/report', report)
     app.router.add_route('*', '/{tail:.*}', serve)
