--- a/mimosaworks/dispatch/__init__.py
+++ b/mimosaworks/dispatch/__init__.py
@@ -12,12 +12,14 @@
 from mimosaworks.dispatch.engine_pool import EnginePool
 from mimosaworks.dispatch.engine_target import EngineTarget, Step
 from mimosaworks.dispatch.job import Ask, Assignment, Job, Refusal
+from mimosaworks.dispatch.limit_rules import NamedLimit, note_limit
 from mimosaworks.dispatch.load_ahead import load_ahead
 from mimosaworks.dispatch.load_time import timed
 from mimosaworks.dispatch.outcome import CallOutcome
 from mimosaworks.dispatch.plain_pool import PlainPool, PlainTarget
 from mimosaworks.dispatch.reconcile import adopt_models
 from mimosaworks.dispatch.resend_budget import ResendBudgets, ResendTerms
+from mimosaworks.dispatch.target_limits import TargetLimits
 
 __all__ = [
     'Ask',
@@ -30,6 +32,7 @@
     'EngineTarget',
     'EntriesView',
     'Job',
+    'NamedLimit',
     'PlainPool',
     'PlainTarget',
     'Refusal',
@@ -38,9 +41,11 @@
     'Step',
     'Suspect',
     'TargetEnd',
+    'TargetLimits',
     'Verdict',
     'adopt_models',
     'judge_ends',
     'load_ahead',
+    'note_limit',
     'timed',
 ]
--- a/mimosaworks/dispatch/dispatcher.py
+++ b/mimosaworks/dispatch/dispatcher.py
@@ -25,6 +25,7 @@
     set_apart,
     waiting_refused,
 )
+from mimosaworks.dispatch.target_limits import TargetLimits
 from mimosaworks.errors import ErrorKind
 
 Decided = tuple[str, Assignment | Refusal]
@@ -46,10 +47,12 @@
     """Requests, targets and limits of all services.
 
     Messages return what they decided for waiting requests, by call. leaving
-    gives the births of targets that announced it before their entries do.
+    gives the births of targets that announced it before their entries do,
+    limits what targets have named.
     """
 
     resends: ResendBudgets
+    limits: TargetLimits = attrs.field(factory=TargetLimits)
     pools: dict[str, EnginePool | PlainPool] = attrs.field(factory=dict)
     jobs: dict[str, Job] = attrs.field(factory=dict)
     limiter: Limiter = attrs.field(factory=Limiter)
@@ -68,6 +71,7 @@
         self, entries: dict[str, TargetEntry], now: float
     ) -> list[Decided]:
         """Follow what the targets say of themselves."""
+        self.limits.forget_gone(entries, now)
         displaced: list[Job] = []
         for name, pool in self.pools.items():
             own = (
@@ -188,11 +192,11 @@
             if isinstance(pool, EnginePool):
                 decided += self._replace(pool.overdue(now), now)
             else:
-                granted = pool.next_grants(now)
-                decided += [(job.ask.call, one) for job, one in granted]
                 for job in pool.hopeless(now):
                     self._give_up(job)
                     decided.append((job.ask.call, _too_late()))
+            granted = pool.next_grants(now)
+            decided += [(other.ask.call, one) for other, one in granted]
         return decided
 
     def step_done(
@@ -241,11 +245,11 @@
         pool = self.pools.get(service.name)
         if service.engine is None:
             if not isinstance(pool, PlainPool):
-                self.pools[service.name] = PlainPool()
+                self.pools[service.name] = PlainPool(self.limits)
         elif isinstance(pool, EnginePool):
             pool.follow_terms(service.engine)
         else:
-            self.pools[service.name] = EnginePool(service.engine)
+            self.pools[service.name] = EnginePool(service.engine, self.limits)
 
 
 def _believed(leaving: dict[str, int], entry: TargetEntry) -> TargetEntry:
--- a/mimosaworks/dispatch/engine_pool.py
+++ b/mimosaworks/dispatch/engine_pool.py
@@ -11,6 +11,7 @@
 from mimosaworks.dispatch.job import Assignment, Job, Refusal
 from mimosaworks.dispatch.late_jobs import outrun_jobs, overdue_jobs
 from mimosaworks.dispatch.option_choice import OptionChoice
+from mimosaworks.dispatch.paced_jobs import PacedJobs
 from mimosaworks.dispatch.prefix_cache import PrefixCache
 from mimosaworks.dispatch.reconcile import adopt_entry
 from mimosaworks.dispatch.store_loads import StoreLoads
@@ -23,6 +24,7 @@
     stranded_jobs,
     waiting_jobs,
 )
+from mimosaworks.dispatch.target_limits import TargetLimits
 from mimosaworks.dispatch.waiting_room import WaitingRoom
 from mimosaworks.dispatch.wanted import WantedModels
 
@@ -36,10 +38,12 @@
     """All targets of a service with engines, and the requests for them.
 
     refused are the models at hand that requests were refused for, _outrun
-    requests that wait for a model on one target while another has it.
+    requests that wait for a model on one target while another has it, paced
+    those that wait for a place within their target's limit.
     """
 
     terms: EngineTerms
+    limits: TargetLimits = attrs.field(factory=TargetLimits)
     targets: dict[str, EngineTarget] = attrs.field(factory=dict)
     demand: ModelDemand = attrs.field(factory=ModelDemand)
     copies: dict[str, int] = attrs.field(factory=dict)
@@ -48,15 +52,16 @@
     _checked_s: float = 0
     refused: WantedModels = attrs.field(init=False)
     loads: StoreLoads = attrs.field(init=False)
+    paced: PacedJobs = attrs.field(init=False)
     estimator: Estimator = attrs.field(init=False)
     choice: OptionChoice = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.loads = StoreLoads(self.terms, self.targets, self.demand)
         self.refused = WantedModels(self.demand)
-        self.estimator = Estimator(
-            SwapPlanner(self.demand, self.copies, self.loads.count_at_hand)
-        )
+        self.paced = PacedJobs(self.limits)
+        swaps = SwapPlanner(self.demand, self.copies, self.loads.count_at_hand)
+        self.estimator = Estimator(swaps, self.paced)
         self.choice = OptionChoice(
             targets=self.targets,
             copies=self.copies,
@@ -93,12 +98,20 @@
         target = option.target
         self.enqueue(target, option.steps, now)
         target.add_job(job, now)
-        job.due_s = now + option.ready_s
+        job.due_s = now + max(option.ready_s, option.limit_s)
+        job.limit_s = option.limit_s
         job.prefill_tokens = option.prefill_tokens
-        if target.is_ready_for(job):
+        if target.is_ready_for(job) and self.paced.enter(job, now):
             return self.grant(job, now)
         return None
 
+    def next_grants(self, now: float) -> list[tuple[Job, Assignment]]:
+        """Send waiting requests for which limits have a place by now."""
+        if not self.paced:
+            return []
+        admitted = self.paced.admitted(now)
+        return [(job, self.grant(job, now)) for job in admitted]
+
     def grant(self, job: Job, now: float) -> Assignment:
         """Return the assignment of a request whose model is loaded."""
         target = self.targets[job.target]
@@ -116,6 +129,8 @@
             address=target.entry.address,
             priority=min(max(job.ask.priority, 0), LAST_PRIORITY),
             reason=_describe(job, self.estimator.writing.write_s(job)),
+            granted_s=now,
+            is_counted=self.limits.is_limited(target.entry.name),
         )
 
     def overdue(self, now: float) -> list[Job]:
@@ -129,6 +144,7 @@
         self._outrun.clear()
         if now - self._checked_s >= CHECK_S:
             self._checked_s = now
+            late.extend(self.paced.late(now))
             for target in self.targets.values():
                 late.extend(overdue_jobs(target, now))
         return list(dict.fromkeys(late))
@@ -136,6 +152,7 @@
     def drop(self, job: Job) -> None:
         """Forget a request that ended or was withdrawn."""
         self.waiting.discard(job)
+        self.paced.discard(job)
         target = self.targets.get(job.target)
         if target is not None:
             target.drop_job(job)
@@ -190,7 +207,10 @@
         self._count_copies()
         if step.is_load and not step.adapter:
             self._outrun.extend(outrun_jobs(self.targets.values(), step.model))
-        return [job for job in waiting_jobs(target) if target.is_ready_for(job)]
+        ready = [
+            job for job in waiting_jobs(target) if target.is_ready_for(job)
+        ]
+        return [job for job in ready if self.paced.enter(job, now)]
 
     def step_failed(
         self, target: EngineTarget, step: Step, now: float
--- a/mimosaworks/dispatch/estimate.py
+++ b/mimosaworks/dispatch/estimate.py
@@ -6,6 +6,7 @@
 from mimosaworks.dispatch.demand import ModelDemand
 from mimosaworks.dispatch.engine_target import EngineTarget, Step
 from mimosaworks.dispatch.job import Job
+from mimosaworks.dispatch.paced_jobs import PacedJobs
 from mimosaworks.dispatch.swap import (
     ADAPTER_LOAD_S,
     SwapPlanner,
@@ -40,7 +41,8 @@
     """One way to serve a request.
 
     queued_s is the time until the target can load, ready_s that until the
-    model is loaded, wait_s that to the first event.
+    model is loaded, wait_s that to the first event, limit_s that until the
+    target's limit has a place for its orders and the request.
     """
 
     target: EngineTarget
@@ -50,6 +52,7 @@
     wait_s: float
     cost_s: float
     prefill_tokens: int
+    limit_s: float = 0
 
     @property
     def is_early(self) -> bool:
@@ -65,10 +68,12 @@
 class Estimator:
     """Predicts waits, and learns each model's pace from measured ones.
 
-    order_rates counts the orders to each target.
+    order_rates counts the orders to each target, paced are the requests
+    that wait for places within limits.
     """
 
     swaps: SwapPlanner
+    paced: PacedJobs
     order_rates: ModelDemand = attrs.field(factory=ModelDemand)
     paces: dict[str, float] = attrs.field(factory=dict)
     writing: WritingTime = attrs.field(factory=WritingTime)
@@ -87,12 +92,8 @@
         steps, ready_s, loss_s = plan
         facts = job.ask.facts
         tokens = _tokens_to_read(target, facts)
-        before = target.backlog_tokens(job.ask.priority)
-        wait_s = max(
-            ready_s,
-            self.backlog_s(target, before, now),
-            self.slot_s(target, job),
-        )
+        limit_s = self.limit_s(target, job, len(steps), now)
+        wait_s = max(ready_s, limit_s, self._busy_s(target, job, now))
         wait_s += self.read_s(target, facts.model, tokens)
         extra_s = loss_s + _penalty_s(target, job, now)
         if not steps and self._is_spare(target, facts.model):
@@ -107,8 +108,17 @@
             wait_s=wait_s,
             cost_s=wait_s + extra_s,
             prefill_tokens=tokens,
+            limit_s=limit_s,
         )
 
+    def limit_s(
+        self, target: EngineTarget, job: Job, orders: int, now: float
+    ) -> float:
+        """Return the wait for places of orders and of the request."""
+        name = target.entry.name
+        places = self.paced.count_before(name, job) + orders + 1
+        return self.paced.limits.predict_s(name, places, now)
+
     def backlog_s(
         self, target: EngineTarget, tokens: float, now: float
     ) -> float:
@@ -156,6 +166,13 @@
         self.paces[model] = _bounded(self.pace(model) * error)
         target.health.slowness = _bounded(target.health.slowness * error)
 
+    def _busy_s(self, target: EngineTarget, job: Job, now: float) -> float:
+        """Return how long prompts and answers before this one take."""
+        before = target.backlog_tokens(job.ask.priority)
+        return max(
+            self.backlog_s(target, before, now), self.slot_s(target, job)
+        )
+
     def _is_spare(self, target: EngineTarget, model: str) -> bool:
         """Tell whether a replica is idle that is not the only one."""
         loaded = target.models.get(model)
--- a/mimosaworks/dispatch/job.py
+++ b/mimosaworks/dispatch/job.py
@@ -34,21 +34,32 @@
 
 @attrs.frozen
 class Assignment:
-    """The target of a request, and the engine's priority for it."""
+    """The target of a request, and the engine's priority for it.
+
+    granted_s is the time of the decision on the clock of the process that
+    reads it. is_counted: it has a place within the limit that the target
+    has named.
+    """
 
     target: str
     address: str
     priority: int
     reason: str = ''
+    granted_s: float = 0
+    is_counted: bool = False
 
 
 @attrs.frozen
 class Refusal:
-    """Why a request gets no target, and when the caller may come back."""
+    """Why a request gets no target, and when the caller may come back.
+
+    is_limited: a target that named a limit would have to get more.
+    """
 
     kind: ErrorKind
     retry_after_s: float
     reason: str
+    is_limited: bool = False
 
 
 @attrs.define(eq=False)
@@ -60,6 +71,7 @@
     its send to its first event. is_started: that has come. is_noted: it
     counts in the demand for its model. waits_for_slot: all slots were taken
     when it was sent. It waits for room until room_by_s.
+    limit_s is the predicted wait for a place within its target's limit.
     """
 
     ask: Ask
@@ -71,6 +83,7 @@
     estimate_s: float = 0
     first_s: float = 0
     room_by_s: float = 0
+    limit_s: float = 0
     is_granted: bool = False
     is_started: bool = False
     is_noted: bool = False
--- a/mimosaworks/dispatch/option_choice.py
+++ b/mimosaworks/dispatch/option_choice.py
@@ -81,7 +81,7 @@
             )
         if not self._is_in_time(best, job, now):
             self._note_refused(job, now)
-            return _too_late(best, job, self._return_s(best, job), now)
+            return self._too_late(best, job, now)
         if best.is_early:
             return Refusal(
                 ErrorKind.MODEL_NOT_READY,
@@ -126,6 +126,25 @@
             self.refused.note(job, now, would_wait=True)
         return self.loads.refused(job, now)
 
+    def _too_late(self, best: Option, job: Job, now: float) -> Refusal:
+        left_s = min(job.ask.first_by_s, job.ask.give_up_s) - now
+        reason = f'predicted {best.wait_s:.2f} s, {left_s:.2f} s left'
+        if best.limit_s < best.wait_s / 2:
+            return Refusal(
+                ErrorKind.DEADLINE_UNREACHABLE,
+                _bounded(self._return_s(best, job)),
+                reason,
+            )
+        name = best.target.entry.name
+        limits = self.estimator.paced.limits
+        retry_s = limits.book_return(name, best.limit_s, now)
+        return Refusal(
+            ErrorKind.DEADLINE_UNREACHABLE,
+            max(retry_s, MIN_RETRY_S),
+            '; '.join((reason, limits.describe(name, best.limit_s))),
+            is_limited=True,
+        )
+
     def _return_s(self, best: Option, job: Job) -> float:
         """Return when a refused caller can be served, behind those before."""
         returning = self.refused.count(job.ask.facts.model)
@@ -159,12 +178,3 @@
 
 def _bounded(retry_s: float) -> float:
     return min(max(retry_s, MIN_RETRY_S), MAX_RETRY_S)
-
-
-def _too_late(best: Option, job: Job, return_s: float, now: float) -> Refusal:
-    left_s = min(job.ask.first_by_s, job.ask.give_up_s) - now
-    return Refusal(
-        ErrorKind.DEADLINE_UNREACHABLE,
-        _bounded(return_s),
-        f'predicted {best.wait_s:.2f} s, {left_s:.2f} s left',
-    )
--- /dev/null
+++ b/mimosaworks/dispatch/paced_jobs.py
@@ -0,0 +1,70 @@
+"""Requests that wait until their target's limit has a place for them."""
+
+import attrs
+
+from mimosaworks.dispatch.job import Job
+from mimosaworks.dispatch.target_limits import TargetLimits
+
+
+@attrs.define(eq=False)
+class PacedJobs:
+    """Holds requests that are ready to be sent, the most urgent first."""
+
+    limits: TargetLimits
+    _jobs: dict[str, Job] = attrs.field(factory=dict)
+
+    def __len__(self) -> int:
+        """Return the number of requests that wait."""
+        return len(self._jobs)
+
+    def enter(self, job: Job, now: float) -> bool:
+        """Take a place for a request; False if it has to wait for one."""
+        is_first = not self.count_before(job.target, job)
+        if is_first and self.limits.take(job.target, now):
+            self.discard(job)
+            return True
+        self._jobs[job.ask.call] = job
+        # Other requests may have gone first; late() looks after it.
+        job.due_s = job.ask.first_by_s
+        return False
+
+    def discard(self, job: Job) -> None:
+        """Forget a request that was sent, placed anew or withdrawn."""
+        self._jobs.pop(job.ask.call, None)
+
+    def count_before(self, target: str, job: Job) -> int:
+        """Return how many requests a target gets before this one."""
+        if not self.limits.is_limited(target):
+            return 0
+        own = _order(job)
+        return sum(
+            other.target == target and _order(other) < own
+            for other in self._jobs.values()
+        )
+
+    def admitted(self, now: float) -> list[Job]:
+        """Take out and return the requests that may be sent now."""
+        admitted = [
+            job
+            for job in sorted(self._jobs.values(), key=_order)
+            if self.limits.take(job.target, now)
+        ]
+        for job in admitted:
+            self.discard(job)
+        return admitted
+
+    def late(self, now: float) -> list[Job]:
+        """Return the requests that more urgent ones have made late."""
+        return [
+            job
+            for job in self._jobs.values()
+            if now + self._wait_s(job, now) > job.ask.first_by_s
+        ]
+
+    def _wait_s(self, job: Job, now: float) -> float:
+        places = self.count_before(job.target, job) + 1
+        return self.limits.wait_s(job.target, places, now)
+
+
+def _order(job: Job) -> tuple[int, float]:
+    return (job.ask.priority, job.arrived_s)
--- a/mimosaworks/dispatch/plain_pool.py
+++ b/mimosaworks/dispatch/plain_pool.py
@@ -8,6 +8,7 @@
 from mimosaworks.deployment import TargetEntry, TargetState
 from mimosaworks.dispatch.health import Health
 from mimosaworks.dispatch.job import Assignment, Job, Refusal
+from mimosaworks.dispatch.target_limits import TargetLimits
 from mimosaworks.errors import ErrorKind
 
 FIRST_WORK_S = 0.05  # expected duration before any was measured
@@ -45,43 +46,44 @@
     work_s is the average duration of a request at a target.
     """
 
+    limits: TargetLimits = attrs.field(factory=TargetLimits)
     targets: dict[str, PlainTarget] = attrs.field(factory=dict)
     waiting: list[Job] = attrs.field(factory=list)
     work_s: float = FIRST_WORK_S
 
     def submit(self, job: Job, now: float) -> Assignment | Refusal | None:
-        """Choose a target; None while all slots are taken."""
+        """Choose a target; None while all slots and places are taken."""
         usable = self._usable(job, now)
         if not usable:
             return Refusal(
                 ErrorKind.NO_TARGET, MAX_RETRY_S / 2, 'no target in service'
             )
-        free = [target for target in usable if target.has_slot]
-        if free:
+        free = self._free(usable, now)
+        if free and not self._is_behind(job, free):
             return self._grant(job, free, now)
-        wait_s = self.wait_s(job, usable)
-        left_s = job.ask.give_up_s - now
-        if wait_s + self.work_s >= left_s:
-            retry_s = min(max(wait_s, MIN_RETRY_S), MAX_RETRY_S)
-            reason = f'predicted {wait_s:.2f} s of queue, {left_s:.2f} s left'
-            return Refusal(ErrorKind.DEADLINE_UNREACHABLE, retry_s, reason)
+        wait_s = self.wait_s(job, usable, now)
+        if now + wait_s + self.work_s >= job.ask.give_up_s:
+            return self._refuse(job, usable, wait_s, now)
         self.waiting.append(job)
+        if any(self.limits.is_limited(one.entry.name) for one in usable):
+            job.limit_s = wait_s
         return None
 
-    def wait_s(self, job: Job, usable: list[PlainTarget]) -> float:
+    def wait_s(self, job: Job, usable: list[PlainTarget], now: float) -> float:
         """Return the expected wait behind requests that go first."""
         own = _order(job)
         before = [other for other in self.waiting if _order(other) <= own]
+        places = len(before) + 1
         slots = sum(target.entry.slots for target in usable)
-        return (len(before) + 1) * self.work_s / max(slots, 1)
+        slot_s = places * self.work_s / max(slots, 1)
+        names = [target.entry.name for target in usable]
+        return max(slot_s, self.limits.shared_wait_s(names, places, now))
 
     def next_grants(self, now: float) -> list[tuple[Job, Assignment]]:
         """Give free slots to waiting requests, the most urgent first."""
         grants = []
         for job in sorted(self.waiting, key=_order):
-            free = [
-                target for target in self._usable(job, now) if target.has_slot
-            ]
+            free = self._free(self._usable(job, now), now)
             if free:
                 self.waiting.remove(job)
                 grants.append((job, self._grant(job, free, now)))
@@ -89,11 +91,7 @@
 
     def hopeless(self, now: float) -> list[Job]:
         """Take out and return waiting requests that can't be in time."""
-        late = [
-            job
-            for job in self.waiting
-            if job.ask.give_up_s - now <= self.work_s / 2
-        ]
+        late = [job for job in self.waiting if self._is_hopeless(job, now)]
         for job in late:
             self.waiting.remove(job)
         return late
@@ -126,6 +124,59 @@
                 target.entry = entry
         return []
 
+    def _free(
+        self, usable: Iterable[PlainTarget], now: float
+    ) -> list[PlainTarget]:
+        """Return the targets that would begin a request at once."""
+        return [
+            target
+            for target in usable
+            if target.has_slot
+            and not self.limits.wait_s(target.entry.name, 1, now)
+        ]
+
+    def _is_behind(self, job: Job, free: Iterable[PlainTarget]) -> bool:
+        """Tell whether the free places are those of requests that wait."""
+        own = _order(job)
+        return any(
+            _takes(target, other)
+            for target in free
+            if self.limits.is_limited(target.entry.name)
+            for other in self.waiting
+            if _order(other) <= own
+        )
+
+    def _is_hopeless(self, job: Job, now: float) -> bool:
+        left_s = job.ask.give_up_s - now
+        if left_s <= self.work_s / 2:
+            return True
+        if not job.limit_s:
+            return False
+        # More urgent requests may have taken the places that it waited for.
+        names = [target.entry.name for target in self._usable(job, now)]
+        own = _order(job)
+        places = sum(_order(other) <= own for other in self.waiting)
+        return self.limits.shared_wait_s(names, places, now) >= left_s
+
+    def _refuse(
+        self, job: Job, usable: list[PlainTarget], wait_s: float, now: float
+    ) -> Refusal:
+        left_s = job.ask.give_up_s - now
+        reason = f'predicted {wait_s:.2f} s of queue, {left_s:.2f} s left'
+        names = [target.entry.name for target in usable]
+        if not all(map(self.limits.is_limited, names)):
+            retry_s = min(max(wait_s, MIN_RETRY_S), MAX_RETRY_S)
+            return Refusal(ErrorKind.DEADLINE_UNREACHABLE, retry_s, reason)
+        # The one with the most places.
+        name = max(names, key=self.limits.rate)
+        retry_s = self.limits.book_return(name, wait_s, now)
+        return Refusal(
+            ErrorKind.DEADLINE_UNREACHABLE,
+            max(retry_s, MIN_RETRY_S),
+            '; '.join((reason, self.limits.describe(name, wait_s))),
+            is_limited=True,
+        )
+
     def _usable(self, job: Job, now: float) -> list[PlainTarget]:
         ready = [
             target for target in self.targets.values() if _takes(target, job)
@@ -149,14 +200,18 @@
 
         chosen = min(free, key=load)
         slots = chosen.entry.slots
+        name = chosen.entry.name
+        self.limits.take(name, now)
         chosen.add_job(job, now)
         job.is_granted = True
         job.granted_s = now
         return Assignment(
-            chosen.entry.name,
+            name,
             chosen.entry.address,
             job.ask.priority,
             f'slot {len(chosen.jobs)} of {slots}',
+            granted_s=now,
+            is_counted=self.limits.is_limited(name),
         )
 
 
--- a/mimosaworks/events/event.py
+++ b/mimosaworks/events/event.py
@@ -90,6 +90,7 @@
     TARGET_LIMITED = 861
     LIMIT_LIFTED = 862
     LIMIT_IGNORED = 863
+    LIMIT_TOLD = 864
 
 
 FAILURE_EVENTS = frozenset((
--- a/mimosaworks/node/beat_news.py
+++ b/mimosaworks/node/beat_news.py
@@ -9,6 +9,7 @@
     CallEnd,
     CallStart,
     CrashNote,
+    LimitNote,
     Spent,
     TargetLeaving,
 )
@@ -27,6 +28,7 @@
     _spent: dict[str, float] = attrs.field(factory=dict)
     _leaving: list[TargetLeaving] = attrs.field(factory=list)
     _crashes: list[CrashNote] = attrs.field(factory=list)
+    _limits: list[LimitNote] = attrs.field(factory=list)
 
     def note_start(self, call: str, first_s: float) -> None:
         """Tell the holder of a first event."""
@@ -52,6 +54,11 @@
         self._crashes.append(note)
         self.has_news.set()
 
+    def note_limit(self, note: LimitNote) -> None:
+        """Tell the holder of a limit that a target has named."""
+        self._limits.append(note)
+        self.has_news.set()
+
     def fill(self, beat: Beat) -> Beat:
         """Move all news into a beat."""
         filled = attrs.evolve(
@@ -63,7 +70,9 @@
             ),
             leaving=(*beat.leaving, *self._leaving),
             crashes=(*beat.crashes, *self._crashes),
+            limits=(*beat.limits, *self._limits),
         )
+        self._limits.clear()
         self._crashes.clear()
         self._leaving.clear()
         self._starts.clear()
@@ -81,5 +90,6 @@
         self._ends = [*beat.ends, *self._ends]
         self._leaving = [*beat.leaving, *self._leaving]
         self._crashes = [*beat.crashes, *self._crashes]
+        self._limits = [*beat.limits, *self._limits]
         for spent in beat.spent:
             self.note_spent(spent.workspace, spent.cost)
--- a/mimosaworks/node/call.py
+++ b/mimosaworks/node/call.py
@@ -52,7 +52,8 @@
     deadline_s is on this process's clock; time after it helps nobody.
     asks counts the times a target was asked for, resends the sends after
     the first; target is where it runs now. may_have_run: a send failed that
-    may have run. passed is what the caller has of an answer.
+    may have run. passed is what the caller has of an answer,
+    sent_s when it was sent last.
     """
 
     req: web.BaseRequest
@@ -72,6 +73,7 @@
     excluded: set[str] = attrs.field(factory=set)
     ask: CallAsk | None = None
     target: str = ''
+    sent_s: float = 0
     is_started: bool = False
     may_have_run: bool = False
     passed: PassedStream | None = None
--- a/mimosaworks/node/chooser.py
+++ b/mimosaworks/node/chooser.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 from collections.abc import Callable, Iterator, Mapping
 
 import attrs
@@ -20,6 +21,8 @@
 from mimosaworks.errors import ErrorKind, PeerError, RequestError
 from mimosaworks.events import Event, log_event
 from mimosaworks.node import call_log
+from mimosaworks.node.attempt_error import AttemptError
+from mimosaworks.node.beat_times import MIN_MEMBER_LOST_S
 from mimosaworks.node.beliefs import Beliefs
 from mimosaworks.node.call import Call
 from mimosaworks.node.conversions import parts_of
@@ -32,6 +35,10 @@
 HOLDER_POLL_S = 0.1
 ANSWER_S = 0.7  # a swap from disk and a prompt, once a holder is there
 MIN_ASK_S = 0.03  # less time than this serves nobody
+# From a decision to its first byte: a place within a target's limit is for the
+# moment; other requests leave the holder's books when their node is silent.
+PLACE_S = 0.5
+DECIDED_S = MIN_MEMBER_LOST_S
 # A node that knows of no other admits this share of a rate.
 UNKNOWN_MEMBERS = 100
 _WORTH_WAITING = frozenset((
@@ -59,9 +66,12 @@
     members: Callable[[], int]
     is_view_usable: Callable[[float], bool]
     resend_terms: Callable[[], ResendTerms]
-    local: LocalChoice = attrs.field(factory=LocalChoice)
+    local: LocalChoice = attrs.field(init=False)
     _numbers: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
 
+    def __attrs_post_init__(self) -> None:
+        self.local = LocalChoice(limit_of=self.link.limits.per_s)
+
     async def choose(self, call: Call) -> Assignment:
         """Return a target; raises RequestError with the refusal."""
         decided = await self._decide(call)
@@ -87,6 +97,31 @@
         self.link.news.note_crash(note)
         call_log.log_end_seen(call, note)
 
+    def check_grant(self, assignment: Assignment) -> None:
+        """Check a decision right before its first byte is sent.
+
+        This process may have been paused since, or have heard more of the
+        target. Raises AttemptError when the request must not be sent.
+        """
+        reason = self._stale_reason(assignment, now_s())
+        if reason:
+            # The holder may not have heard yet what is known here.
+            self.link.news.has_news.set()
+            raise AttemptError(CallOutcome.NOT_SENT, reason, is_not_run=True)
+
+    def _stale_reason(self, assignment: Assignment, now: float) -> str:
+        target = assignment.target
+        age_s = now - assignment.granted_s
+        longest_s = PLACE_S if assignment.is_counted else DECIDED_S
+        if age_s > longest_s:
+            return f'{target} was chosen {age_s:.2f} s ago'
+        if target in self.notices.blocked(now):
+            return f'{target} has asked to be left out'
+        limit_per_s = self.link.limits.per_s(target)
+        if limit_per_s < math.inf and not assignment.is_counted:
+            return f'{target} was chosen before its limit was known'
+        return ''
+
     def _retry_after_s(self, call: Call, refusal: Refusal) -> float:
         """Return when a refused caller may come back.
 
@@ -126,6 +161,7 @@
 
     async def _ask_holder(self, ask: CallAsk) -> Assignment | Refusal | None:
         """Return the decision; None if its target is to be left out now."""
+        asked_s = now_s()
         try:
             reply = await self.link.ask(ask)
         except (asyncio.CancelledError, PeerError):
@@ -141,7 +177,13 @@
             self.link.news.note_end(ask.call, CallOutcome.NOT_SENT.value, 0)
             return None
         return Assignment(
-            reply.target, reply.address, reply.priority, reply.reason
+            reply.target,
+            reply.address,
+            reply.priority,
+            reply.reason,
+            # The decision is younger than that by the way of the ask.
+            granted_s=asked_s + reply.waited_s,
+            is_counted=reply.is_counted,
         )
 
     def _decide_alone(self, call: Call, ask: CallAsk) -> Assignment | Refusal:
--- a/mimosaworks/node/conversions.py
+++ b/mimosaworks/node/conversions.py
@@ -51,8 +51,8 @@
     return tuple(PartNote(part.part, part.tokens) for part in facts.parts)
 
 
-def reply_of(decided: Assignment | Refusal) -> CallReply:
-    """Return the message that tells a decision."""
+def reply_of(decided: Assignment | Refusal, asked_s: float) -> CallReply:
+    """Return the message that tells a decision on an ask of asked_s."""
     if isinstance(decided, Refusal):
         return CallReply(
             kind=decided.kind.value,
@@ -64,6 +64,8 @@
         address=decided.address,
         priority=decided.priority,
         reason=decided.reason,
+        is_counted=decided.is_counted,
+        waited_s=max(decided.granted_s - asked_s, 0),
     )
 
 
--- a/mimosaworks/node/exchange.py
+++ b/mimosaworks/node/exchange.py
@@ -11,6 +11,7 @@
     ClientResponse,
     ClientSession,
     ConnectionTimeoutError,
+    ServerDisconnectedError,
     web,
 )
 from yarl import URL
@@ -39,10 +40,12 @@
     says_not_run,
     target_headers,
 )
+from mimosaworks.send_guard import SendGuard
 
 CONNECT_TIMEOUT_S = 0.5  # some round trips and a lost packet
 _SKIPPED = ('User-Agent', 'Accept', 'Accept-Encoding', 'Content-Type')
 OnFirst = Callable[[float], None]
+CheckGrant = Callable[[Assignment], None]
 
 
 @attrs.define(eq=False)
@@ -58,20 +61,26 @@
     held: HeldBytes
 
     async def send(
-        self, call: Call, assignment: Assignment, on_first: OnFirst
+        self,
+        call: Call,
+        assignment: Assignment,
+        check: CheckGrant,
+        on_first: OnFirst,
     ) -> web.StreamResponse:
         """Send a request and pass the whole answer to its caller.
 
-        A stream of which the caller has a part goes on behind it. on_first
-        is called with the seconds until the first bytes. Raises AttemptError
-        when the answer is not whole.
+        A stream of which the caller has a part goes on behind it. check is
+        called right before the first byte leaves; on_first with the seconds
+        until the first bytes of the answer. Raises AttemptError when the
+        answer is not whole, and what check raises.
         """
         begun_s = now_s()
 
         def told() -> None:
             on_first(now_s() - begun_s)
 
-        resp = await self._open(call, assignment)
+        guard = _guard(assignment, check)
+        resp = await self._open(call, assignment, guard)
         with self.held.hold() as hold:
             async with resp:
                 try:
@@ -79,7 +88,9 @@
                 except (ClientError, OSError) as exc:
                     raise _failed(exc, assignment.target) from exc
 
-    async def _open(self, call: Call, assignment: Assignment) -> ClientResponse:
+    async def _open(
+        self, call: Call, assignment: Assignment, guard: SendGuard
+    ) -> ClientResponse:
         headers = target_headers(
             call.req.headers,
             target=assignment.target,
@@ -99,6 +110,7 @@
                 headers=headers,
                 skip_auto_headers=_SKIPPED,
                 allow_redirects=False,
+                trace_request_ctx=guard,
             )
         except (ClientConnectorError, ConnectionTimeoutError) as exc:
             raise AttemptError(
@@ -106,17 +118,15 @@
             ) from exc
         except (ClientError, OSError) as exc:
             raise _failed(exc, assignment.target) from exc
-        self._note_head(assignment.target, resp)
+        self._note_head(call, assignment.target, resp)
         _check_head(call, resp)
         return resp
 
-    def _note_head(self, target: str, resp: ClientResponse) -> None:
+    def _note_head(self, call: Call, target: str, resp: ClientResponse) -> None:
         """Note whether the target wants further requests."""
         if says_leaving(resp.headers):
             self.notices.note_leaving(target)
-        if resp.status != HTTPStatus.MISDIRECTED_REQUEST:
-            # Another process may have the target's address.
-            self.limits.read_head(target, resp.headers)
+        self.limits.read_head(call, resp, now_s())
         try:
             pause_s = read_pause_s(resp.status, resp.headers)
         except ValueError as exc:
@@ -129,6 +139,23 @@
             self.notices.note_pause(target, pause_s, now_s())
 
 
+def _guard(assignment: Assignment, check: CheckGrant) -> SendGuard:
+    """Return a guard that checks once, before the first byte.
+
+    Where a kept connection was closed the client may use another one, for
+    which a limit has no place.
+    """
+
+    def check_once() -> None:
+        if not guard.is_sending:
+            check(assignment)
+        elif assignment.is_counted:
+            raise ServerDisconnectedError('a kept connection was closed')
+
+    guard = SendGuard(check_once)
+    return guard
+
+
 async def _pass_on(
     call: Call, resp: ClientResponse, told: Callable[[], None], hold: Hold
 ) -> web.StreamResponse:
--- a/mimosaworks/node/front.py
+++ b/mimosaworks/node/front.py
@@ -127,7 +127,10 @@
         call_log.log_sent(call, assignment, self.chooser.link.fence)
         with self._visit(call, assignment):
             answer = await self.exchange.send(
-                call, assignment, functools.partial(self._started, call)
+                call,
+                assignment,
+                self.chooser.check_grant,
+                functools.partial(self._started, call),
             )
         self.meters.answers.labels(call.service, str(answer.status)).inc()
         self.meters.whole.labels(call.service).observe(call.age_s())
@@ -142,6 +145,7 @@
         begun_s = now_s()
         name = '' if call.ask is None else call.ask.call
         call.target = assignment.target
+        call.sent_s = begun_s
         self.calls[name] = call
         self.chooser.local.note(assignment.target, 1)
         born = self.chooser.notices.find_born(assignment.target)
@@ -196,6 +200,10 @@
             if exc.is_not_run:
                 kind = ErrorKind.NO_TARGET
             raise RequestError(kind, exc.reason) from exc
+        if exc.outcome is CallOutcome.NOT_SENT:
+            call.target = ''
+            await asyncio.sleep(REFUSED_PAUSE_S)
+            return
         call.may_have_run |= not exc.is_not_run
         if exc.outcome is not CallOutcome.UNREACHABLE:
             call.resends += 1
--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -32,6 +32,7 @@
     row_of_target,
 )
 from mimosaworks.node.crash_view import end_of
+from mimosaworks.node.limit_watch import LimitWatch
 from mimosaworks.node.members import Members
 from mimosaworks.node.order_runner import FencedError, OrderRunner
 from mimosaworks.node.stored_suspects import SuspectSaver
@@ -56,6 +57,10 @@
 FORGET_S = 3.0  # after the moment at which a request is given up
 
 
+def _tell_nobody(_news: str) -> None:
+    """Need no news."""
+
+
 @attrs.define(eq=False)
 class Holder:
     """Decides under one election, until its tasks are cancelled.
@@ -63,7 +68,8 @@
     on_fenced is called when a target has seen a later holder, is_sure tells
     whether the lease was looked at lately, view gives the targets' entries
     as they were read. replies holds the requests that wait, by the name of
-    their ask.
+    their ask. on_limited is called with what became of a request for which
+    a target's limit has no place: waited, or refused.
     """
 
     beliefs: Beliefs
@@ -72,10 +78,12 @@
     on_fenced: Callable[[str], None]
     is_sure: Callable[[], bool]
     view: Callable[[], EntriesView]
+    on_limited: Callable[[str], None] = _tell_nobody
     members: Members = attrs.field(factory=Members)
     watch: TargetWatch = attrs.field(factory=TargetWatch)
     weights: WeightsWatch = attrs.field(factory=WeightsWatch)
     suspects: SuspectWatch = attrs.field(factory=SuspectWatch)
+    limits: LimitWatch = attrs.field(factory=LimitWatch)
     saver: SuspectSaver = attrs.field(factory=SuspectSaver)
     lease_version: int = 0
     replies: dict[str, 'asyncio.Future[Assignment | Refusal]'] = attrs.field(
@@ -106,7 +114,8 @@
     async def on_ask(self, ask: CallAsk) -> CallReply:
         """Choose a target for a request, once its model is loaded."""
         # The time left counts from the arrival of the ask.
-        request = ask_of(ask, now_s())
+        asked_s = now_s()
+        request = ask_of(ask, asked_s)
         until_s = min(self.begun_s + FIRST_READ_S, request.first_by_s)
         await _await_targets(self.beliefs, self.begun_s, until_s)
         if self._is_stopped:
@@ -116,10 +125,10 @@
         admitted = self.dispatcher.admit(request, now)
         if isinstance(admitted, Refusal):
             _log_decided(ask, admitted, 0)
-            return reply_of(admitted)
+            return reply_of(admitted, asked_s)
         if admitted:
             await self._await_tokens(ask, admitted)
-        return await self._place(ask, request)
+        return reply_of(await self._place(ask, request), asked_s)
 
     async def on_beat(self, beat: Beat) -> BeatReply:
         """Take over what happened at a node; return this process's view."""
@@ -131,6 +140,7 @@
                     ask_of(running.ask, now), running.target, now
                 )
                 job.is_started = running.is_started
+        self.limits.take_notes(self.dispatcher, beat, now)
         for start in beat.starts:
             self.dispatcher.started(start.call, start.first_s)
         self._settle(self.dispatcher.note_ends(map(end_of, beat.crashes), now))
@@ -168,13 +178,17 @@
         if self._is_stopped:
             raise PeerError('the holder changed')
 
-    async def _place(self, ask: CallAsk, request: Ask) -> CallReply:
+    async def _place(self, ask: CallAsk, request: Ask) -> Assignment | Refusal:
         decided = self.dispatcher.submit(request, now_s())
         self._start_orders()
+        if isinstance(decided, Refusal) and decided.is_limited:
+            self.on_limited('refused')
         if decided is not None:
             _log_decided(ask, decided, 0)
-            return reply_of(decided)
+            return decided
         job = self.dispatcher.jobs[ask.call]
+        if job.limit_s:
+            self.on_limited('waited')
         log_event(
             Event.CALL_QUEUED,
             request_id=ask.request_id,
@@ -183,6 +197,7 @@
             model=ask.model,
             adapter=ask.adapter,
             left_s=ask.left_s,
+            limit_s=job.limit_s,
         )
         return await self._wait(ask)
 
@@ -195,6 +210,8 @@
         targets = self.targets.since(beat.targets_version)
         self.suspects.look(self.dispatcher.crashes)
         suspects = self.suspects.log.since(beat.suspects_version)
+        self.limits.look(self.dispatcher.limits)
+        limits = self.limits.log.since(beat.limits_version)
         return BeatReply(
             is_holder=True,
             fence=self.orders.fence,
@@ -214,10 +231,14 @@
             suspects_whole=suspects.is_whole,
             suspects_version=self.suspects.log.version,
             unsaved_s=now - self.saver.saved_s,
+            limits=limits.rows,
+            limits_gone=limits.gone,
+            limits_whole=limits.is_whole,
+            limits_version=self.limits.log.version,
             interval_s=self.members.interval_s(),
         )
 
-    async def _wait(self, ask: CallAsk) -> CallReply:
+    async def _wait(self, ask: CallAsk) -> Assignment | Refusal:
         begun_s = now_s()
         fut: asyncio.Future[Assignment | Refusal]
         fut = asyncio.get_running_loop().create_future()
@@ -231,7 +252,7 @@
         finally:
             self.replies.pop(ask.call, None)
         _log_decided(ask, decided, now_s() - begun_s)
-        return reply_of(decided)
+        return decided
 
     def _settle(self, decided: list[Decided]) -> None:
         for call, outcome in decided:
--- a/mimosaworks/node/holder_link.py
+++ b/mimosaworks/node/holder_link.py
@@ -21,6 +21,7 @@
 )
 from mimosaworks.node.crash_view import CrashView
 from mimosaworks.node.election import Lease
+from mimosaworks.node.limit_view import LimitView
 from mimosaworks.node.told_view import ToldView
 from mimosaworks.wire import (
     Ack,
@@ -73,6 +74,7 @@
     told: ToldView = attrs.field(factory=ToldView)
     news: BeatNews = attrs.field(factory=BeatNews)
     crashes: CrashView = attrs.field(factory=CrashView)
+    limits: LimitView = attrs.field(factory=LimitView)
     fence: int = 0
     heard_s: float = 0
     lost_s: float = attrs.field(factory=now_s)
@@ -221,9 +223,11 @@
                 running=self.running() if is_first else (),
                 leaving=tuple(starmap(TargetLeaving, leaving.items())),
                 crashes=self.crashes.seen() if is_first else (),
+                limits=self.limits.notes() if is_first else (),
                 targets_version=0 if is_first else told.targets_version,
                 members_version=0 if is_first else told.members_version,
                 suspects_version=0 if is_first else self.crashes.told_version,
+                limits_version=0 if is_first else self.limits.told_version,
                 wants_levels=is_first or told.wants_levels(now_s()),
             )
         )
@@ -242,6 +246,7 @@
         self._interval_s = reply.interval_s or FIRST_BEAT_S
         self.told.take_over(reply, self.heard_s)
         self.crashes.take_over(reply, beat, self.heard_s)
+        self.limits.take_over(reply, beat, self.heard_s)
         self.on_reply(reply)
 
     def _lose(self, reason: str) -> None:
--- a/mimosaworks/node/local_choice.py
+++ b/mimosaworks/node/local_choice.py
@@ -1,7 +1,8 @@
 """Chooses targets from a node's own view while no holder is heard."""
 
+import math
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import attrs
 
@@ -15,21 +16,29 @@
 from mimosaworks.dispatch.limiter import Limiter
 from mimosaworks.dispatch.resend_budget import TAKEN_OVER, ResendBudget
 from mimosaworks.errors import ErrorKind
+from mimosaworks.node.alone_places import AlonePlaces
 from mimosaworks.wire import CallAsk
 
 RETRY_S = 1.0  # about the time in which a new holder is elected
 DEFAULT_PRIORITY = 5
 
 
+def _no_limit(_target: str) -> float:
+    return math.inf
+
+
 @attrs.define(eq=False)
 class LocalChoice:
     """The requests of one node at targets, and its share of the rates.
 
     It sends only to targets that hold a request's model, and takes no more
-    of a target's slots than one of members nodes may.
+    of a target's slots than one of members nodes may. limit_of gives what a
+    target takes in a second, inf where it has named no limit.
     """
 
     limiter: Limiter = attrs.field(factory=Limiter)
+    limit_of: Callable[[str], float] = _no_limit
+    places: AlonePlaces = attrs.field(factory=AlonePlaces)
     running: dict[str, int] = attrs.field(factory=dict)
     _version: int = 0
     _shares: int = 0
@@ -95,7 +104,9 @@
             reason = "this node's share is used up"
             return Refusal(ErrorKind.RATE_EXCEEDED, taken.wait_s, reason)
         fitting = [
-            entry for entry in targets.values() if self._fits(entry, ask, facts)
+            entry
+            for entry in targets.values()
+            if self._fits(entry, ask, facts) and self._has_place(entry, now)
         ]
         if not fitting:
             self.limiter.give_back(ask.workspace, ask.cost)
@@ -106,8 +117,14 @@
             return Refusal(kind, RETRY_S, reason)
         pair = random.sample(fitting, min(2, len(fitting)))
         chosen = min(pair, key=self._load)
+        self.places.use(chosen.name, now)
         return Assignment(
-            chosen.name, chosen.address, DEFAULT_PRIORITY, 'no holder is heard'
+            chosen.name,
+            chosen.address,
+            DEFAULT_PRIORITY,
+            'no holder is heard',
+            granted_s=now,
+            is_counted=self.limit_of(chosen.name) < math.inf,
         )
 
     def _may_send(self, ask: CallAsk, now: float) -> bool:
@@ -134,6 +151,12 @@
         )
         return is_usable and _holds(entry, facts) and self._has_slot(entry)
 
+    def _has_place(self, entry: TargetEntry, now: float) -> bool:
+        per_s = self.limit_of(entry.name)
+        if per_s == math.inf:
+            return True
+        return self.places.is_open(entry.name, per_s, self._shares, now)
+
     def _load(self, entry: TargetEntry) -> int:
         return self.running.get(entry.name, 0)
 
--- a/mimosaworks/node/meters.py
+++ b/mimosaworks/node/meters.py
@@ -26,6 +26,7 @@
     store_calls: Counter = attrs.field(init=False)
     notices: Counter = attrs.field(init=False)
     ends: Counter = attrs.field(init=False)
+    limited: Counter = attrs.field(init=False)
     wait: Histogram = attrs.field(init=False)
     first: Histogram = attrs.field(init=False)
     whole: Histogram = attrs.field(init=False)
@@ -36,6 +37,7 @@
     tokens: Gauge = attrs.field(init=False)
     ages: Gauge = attrs.field(init=False)
     version: Gauge = attrs.field(init=False)
+    limits: Gauge = attrs.field(init=False)
     dropped_lines: Gauge = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -51,6 +53,10 @@
         """Count an order to a target."""
         self.orders.labels(kind, source, answer).inc()
 
+    def note_limited(self, result: str) -> None:
+        """Count a request for which a target's limit has no place."""
+        self.limited.labels(result).inc()
+
     def note_notice(self, kind: str) -> None:
         """Count a target that told this node to stay away."""
         self.notices.labels(kind).inc()
@@ -93,6 +99,12 @@
             'kind',
         )
 
+        self.limited = self._counter(
+            'mimosa_limited',
+            "Requests for which a target's limit had no place.",
+            'result',
+        )
+
     def _make_histograms(self) -> None:
         self.wait = self._histogram(
             'mimosa_wait_seconds', 'From arrival to a target.'
@@ -121,6 +133,9 @@
         self.ages = self._gauge(
             'mimosa_view_age_seconds', 'Age of what is believed.', 'view'
         )
+        self.limits = self._gauge(
+            'mimosa_named_limits', 'Targets that have named a limit.'
+        )
         self.version = self._gauge(
             'mimosa_deployment_version', 'Version in force here.'
         )
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -1,6 +1,7 @@
 """The parts of an entry node and how they call each other."""
 
 import asyncio
+import math
 import time
 from collections.abc import Callable
 
@@ -8,7 +9,12 @@
 from aiohttp import web
 
 from mimosaworks.clock import now_s
-from mimosaworks.dispatch import Dispatcher, ResendBudgets, ResendTerms
+from mimosaworks.dispatch import (
+    Dispatcher,
+    ResendBudgets,
+    ResendTerms,
+    TargetLimits,
+)
 from mimosaworks.errors import PeerError, SettingError
 from mimosaworks.events import Event, log_event
 from mimosaworks.node.beliefs import Beliefs
@@ -19,6 +25,7 @@
 from mimosaworks.node.holder_link import HolderLink
 from mimosaworks.node.limit_view import LimitView
 from mimosaworks.node.meters import Meters
+from mimosaworks.node.order_pace import make_interval, make_pace
 from mimosaworks.node.order_runner import OrderRunner
 from mimosaworks.node.views import Views
 from mimosaworks.platform import (
@@ -49,13 +56,7 @@
     store: StoreClient
     calls: EngineCalls
     meters: Meters
-    limits: LimitView = attrs.field(
-        init=False,
-        default=attrs.Factory(
-            lambda node: LimitView(node.find_born, node.meters.note_notice),
-            takes_self=True,
-        ),
-    )
+    limits: LimitView = attrs.field(init=False)
     views: Views = attrs.field(init=False)
     election: Election = attrs.field(init=False)
     electorate: Electorate = attrs.field(init=False)
@@ -112,15 +113,24 @@
         """Begin to decide for all nodes, after the previous holder."""
         taken_over_s = now_s() if lease.fence > 1 else None
         budgets = ResendBudgets(resend_terms(self), taken_over_s)
+        limits = TargetLimits()
+        for target, per_s in self.limits.all_per_s().items():
+            limits.note(target, per_s, -math.inf, now_s())
         self.holder = Holder(
             beliefs=self.beliefs,
-            dispatcher=Dispatcher(budgets),
+            dispatcher=Dispatcher(budgets, limits),
             orders=OrderRunner(
-                self.calls, self.cfg.name, lease.fence, self.meters.note_order
+                self.calls,
+                self.cfg.name,
+                lease.fence,
+                self.meters.note_order,
+                make_pace(limits, self.election.is_sure),
+                make_interval(limits),
             ),
             on_fenced=self.election.step_down,
             is_sure=self.election.is_sure,
             view=self.views.entries_view,
+            on_limited=self.meters.note_limited,
             lease_version=lease.version,
         )
         # They are kept until they fall silent; the directory needs them.
@@ -200,6 +210,7 @@
         targets_age_s = now_s() - self.beliefs.targets_read_s
         meters.ages.labels('holder').set(self.link.silent_s())
         meters.ages.labels('targets').set(targets_age_s)
+        meters.limits.set(len(self.limits.all_per_s()))
         meters.members.set(len(self.link.told.members))
         meters.holder.set(self.holder is not None)
         waiting = 0 if self.holder is None else len(self.holder.replies)
@@ -210,6 +221,16 @@
             meters.version.set(self.beliefs.deployment.version)
 
 
+def limit_view(node: Node) -> LimitView:
+    """Return the limits that a node knows, wired to its other parts."""
+    return LimitView(
+        find_born=node.find_born,
+        on_notice=node.meters.note_notice,
+        on_news=lambda note: node.link.news.note_limit(note),
+        is_alone=lambda: not node.link.is_up(),
+    )
+
+
 def resend_terms(node: Node) -> ResendTerms:
     """Return the bound on resends of all nodes together."""
     bounds = node.cfg.bounds
--- a/mimosaworks/node/order_runner.py
+++ b/mimosaworks/node/order_runner.py
@@ -1,7 +1,7 @@
 """Carries out the holder's orders at one target."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import aiohttp
 import attrs
@@ -32,6 +32,17 @@
 _NO_REPORT = (aiohttp.ClientError, TimeoutError, ValueError, TypeError)
 
 
+Pace = Callable[[str], Awaitable[None]]
+
+
+async def _go_at_once(_target: str) -> None:
+    """Know no limits."""
+
+
+def _no_interval(_target: str) -> float:
+    return 0
+
+
 class FencedError(MimosaError):
     """A target has seen an order of a later holder."""
 
@@ -40,13 +51,17 @@
 class OrderRunner:
     """Sends orders under one election, each with the expected count.
 
-    on_order is called with the kind, where weights come from, and the answer.
+    on_order is called with the kind, where weights come from, and the answer;
+    pace waits until a target's limit has a place for a call. Before a report
+    interval_s is left, so that requests get places between.
     """
 
     calls: EngineCalls
     holder: str
     fence: int
     on_order: Callable[[str, str, str], None]
+    pace: Pace = _go_at_once
+    interval_s: Callable[[str], float] = _no_interval
 
     async def sync(self, target: EngineTarget) -> None:
         """Ask a target what it holds; it is synced if it answered.
@@ -108,6 +123,7 @@
         return answer
 
     async def _send(self, target: EngineTarget, step: Step) -> OrderAnswer:
+        await self.pace(target.entry.name)
         order = TargetOrder(
             is_load=step.is_load,
             model=step.model,
@@ -180,6 +196,8 @@
 
     async def _report(self, target: EngineTarget) -> TargetReport | None:
         entry = target.entry
+        await asyncio.sleep(self.interval_s(entry.name))
+        await self.pace(entry.name)
         try:
             return await self.calls.report(entry.name, entry.address)
         except _NO_REPORT:
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -19,10 +19,10 @@
 from mimosaworks.node.front import Front
 from mimosaworks.node.holder_link import HolderLink
 from mimosaworks.node.meters import Meters
-from mimosaworks.node.node import Node, resend_terms
+from mimosaworks.node.node import Node, limit_view, resend_terms
 from mimosaworks.node.pages import serve_pages
 from mimosaworks.node.sessions import open_session
-from mimosaworks.node.target_notices import TargetNotices
+from mimosaworks.node.target_notices import TargetNotices, read_head
 from mimosaworks.node.views import Views
 from mimosaworks.platform import (
     BootSettings,
@@ -103,9 +103,11 @@
         store=StoreClient(
             store_session, f'http://{store_address}', meters.note_store_call
         ),
-        calls=EngineCalls(target_session, notices.note_leaving),
+        calls=EngineCalls(target_session),
         meters=meters,
     )
+    node.limits = limit_view(node)
+    node.calls.on_head = functools.partial(read_head, notices, node.limits)
     node.link = HolderLink(
         peers=PeerClient(peer_session),
         lease=lambda: node.election.lease,
@@ -115,6 +117,7 @@
         leaving=notices.leaving,
         on_reply=node.on_holder_reply,
         on_lost=lambda: node.views.ask_again(),
+        limits=node.limits,
     )
     node.views = Views(
         store=node.store,
--- a/mimosaworks/node/sessions.py
+++ b/mimosaworks/node/sessions.py
@@ -8,6 +8,7 @@
 
 from mimosaworks.bounded_answers import BoundedConnector
 from mimosaworks.node.exchange import CONNECT_TIMEOUT_S
+from mimosaworks.send_guard import guard_trace
 
 FIELD_BYTES = 65536  # callers list all parts of a prompt in one field
 # Unacknowledged bytes for this long (ms) close a connection that fell silent.
@@ -42,6 +43,7 @@
         read_bufsize=FIELD_BYTES,
         max_line_size=FIELD_BYTES,
         max_field_size=FIELD_BYTES,
+        trace_configs=[guard_trace()],
     )
     return await stack.enter_async_context(session)
 
--- a/mimosaworks/node/target_notices.py
+++ b/mimosaworks/node/target_notices.py
@@ -3,9 +3,13 @@
 from collections.abc import Callable
 
 import attrs
+from multidict import MultiMapping
 
 from mimosaworks.bounded import forget_oldest
+from mimosaworks.clock import now_s
 from mimosaworks.events import Event, log_event
+from mimosaworks.node.limit_view import LimitView
+from mimosaworks.platform.headers import says_leaving
 
 MAX_NOTICES = 1000  # more than targets that a deployment has
 
@@ -66,3 +70,15 @@
         """Return the seconds until the first pause ends, None without one."""
         left_s = [until_s - now for until_s in self._paused_until_s.values()]
         return min((one for one in left_s if one > 0), default=None)
+
+
+def read_head(
+    notices: TargetNotices,
+    limits: LimitView,
+    target: str,
+    headers: MultiMapping[str],
+) -> None:
+    """Take over what the answer to an order or report says of requests."""
+    if says_leaving(headers):
+        notices.note_leaving(target)
+    limits.read_other(target, headers, now_s())
--- a/mimosaworks/platform/engine_calls.py
+++ b/mimosaworks/platform/engine_calls.py
@@ -8,12 +8,13 @@
 
 import aiohttp
 import attrs
+from multidict import MultiMapping
 
 from mimosaworks.bounded_answers import read_bounded
 from mimosaworks.deployment import Residence
 from mimosaworks.platform.entries import decode_residences
 from mimosaworks.platform.fields import flag, whole
-from mimosaworks.platform.headers import EXPECTED_TARGET, says_leaving
+from mimosaworks.platform.headers import EXPECTED_TARGET
 
 # Orders are answered within some steps; a second send of one that was
 # accepted is refused by its count.
@@ -69,7 +70,7 @@
 }
 
 
-def _ignore_leaving(_target: str) -> None:
+def _ignore_head(_target: str, _headers: MultiMapping[str]) -> None:
     """Tell nobody."""
 
 
@@ -77,11 +78,11 @@
 class EngineCalls:
     """Sends orders and reads reports; used by the holder.
 
-    on_leaving is called with a target whose answer announces that.
+    on_head is called with a target and the head of its answer.
     """
 
     session: aiohttp.ClientSession
-    on_leaving: Callable[[str], None] = _ignore_leaving
+    on_head: Callable[[str, MultiMapping[str]], None] = _ignore_head
 
     async def order(
         self, target: str, address: str, order: TargetOrder
@@ -95,7 +96,7 @@
                 headers={EXPECTED_TARGET: target},
                 timeout=limit,
             ) as resp:
-                self._note_head(target, resp)
+                self.on_head(target, resp.headers)
                 return _ANSWERS.get(
                     HTTPStatus(resp.status), OrderAnswer.UNANSWERED
                 )
@@ -114,15 +115,11 @@
             timeout=limit,
             raise_for_status=True,
         ) as resp:
-            self._note_head(target, resp)
+            self.on_head(target, resp.headers)
             return _decode_report(
                 json.loads(await read_bounded(resp, REPORT_BYTES))
             )
 
-    def _note_head(self, target: str, resp: aiohttp.ClientResponse) -> None:
-        if says_leaving(resp.headers):
-            self.on_leaving(target)
-
 
 def _order_body(order: TargetOrder) -> dict[str, Any]:
     body: dict[str, Any] = {
--- a/mimosaworks/platform/headers.py
+++ b/mimosaworks/platform/headers.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from http import HTTPStatus
 
-from multidict import CIMultiDict
+from multidict import CIMultiDict, MultiMapping
 
 from mimosaworks.deployment import CallFacts, PromptPart
 from mimosaworks.platform.boot import MS_PER_S
@@ -140,7 +140,7 @@
     return NOT_RUN in headers or status == HTTPStatus.MISDIRECTED_REQUEST
 
 
-def says_leaving(headers: Mapping[str, str]) -> bool:
+def says_leaving(headers: MultiMapping[str] | Mapping[str, str]) -> bool:
     """Tell whether a target's answer announces that it leaves."""
     return headers.get(LEAVING, '').strip() == '1'
 
--- a/mimosaworks/relay/__init__.py
+++ b/mimosaworks/relay/__init__.py
@@ -4,9 +4,9 @@
 from mimosaworks.relay.claimed_run import ClaimedRuns
 from mimosaworks.relay.exchange import Exchange
 from mimosaworks.relay.frontend import Frontend
-from mimosaworks.relay.send_guard import guard_trace
 from mimosaworks.relay.upstream import Upstream
 from mimosaworks.relay.view import View
+from mimosaworks.send_guard import guard_trace
 
 __all__ = [
     'ClaimBook',
--- a/mimosaworks/relay/exchange.py
+++ b/mimosaworks/relay/exchange.py
@@ -20,7 +20,6 @@
 from mimosaworks.relay.headers import copy_answer_headers
 from mimosaworks.relay.not_run import says_not_run
 from mimosaworks.relay.outgoing import Outgoing
-from mimosaworks.relay.send_guard import SendGuard
 from mimosaworks.relay.upstream import STREAM_IDLE_S, Upstream
 from mimosaworks.relay.usage import read_completion_tokens
 from mimosaworks.routing import (
@@ -30,6 +29,7 @@
     Slot,
     Ticket,
 )
+from mimosaworks.send_guard import SendGuard
 from mimosaworks.serving import REQUEST_ID_HEADER
 
 SSE_TYPE = 'text/event-stream'
--- a/mimosaworks/relay/upstream.py
+++ b/mimosaworks/relay/upstream.py
@@ -9,7 +9,7 @@
 
 from mimosaworks.entities import Target
 from mimosaworks.relay.outgoing import Outgoing
-from mimosaworks.relay.send_guard import SendGuard
+from mimosaworks.send_guard import SendGuard
 
 CONNECT_TIMEOUT_S = 1.0
 STREAM_IDLE_S = 15.0
--- a/mimosaworks/relay/send_guard.py
+++ b/mimosaworks/send_guard.py
@@ -12,7 +12,7 @@
 class SendGuard:
     """Travels with one attempt; the trace below calls it.
 
-    check raises RequestError when the request must not be sent any more.
+    check raises an error when the request must not be sent any more.
     is_sending is set when bytes may begin to leave.
     """
 
@@ -28,7 +28,9 @@
 async def _on_connected(
     _session: aiohttp.ClientSession, context: SimpleNamespace, _event: Any
 ) -> None:
-    context.trace_request_ctx.begin_sending()
+    guard = context.trace_request_ctx
+    if guard is not None:
+        guard.begin_sending()
 
 
 def guard_trace() -> aiohttp.TraceConfig:
--- a/mimosaworks/wire/__init__.py
+++ b/mimosaworks/wire/__init__.py
@@ -39,6 +39,8 @@
 from mimosaworks.wire.routing_messages import SuspectNotice
 from mimosaworks.wire.target_messages import (
     CrashNote,
+    LimitNote,
+    LimitRow,
     SuspectRow,
     TargetLeaving,
     TargetModel,
@@ -55,6 +57,8 @@
     'CallStart',
     'CrashNote',
     'LeaseNotice',
+    'LimitNote',
+    'LimitRow',
     'NodeRow',
     'PartNote',
     'RunningCall',
--- a/mimosaworks/wire/dispatch.capnp
+++ b/mimosaworks/wire/dispatch.capnp
@@ -39,6 +39,8 @@
   reason @3 :Text;
   kind @4 :Text;
   retryAfterS @5 :Float64;
+  isCounted @6 :Bool;
+  waitedS @7 :Float64;
 }
 
 struct CallStart {
@@ -112,6 +114,20 @@
   leaving @9 :List(TargetLeaving);
   crashes @10 :List(CrashNote);
   suspectsVersion @11 :UInt64;
+  limits @12 :List(LimitNote);
+  limitsVersion @13 :UInt64;
+}
+
+struct LimitNote {
+  # perS is infinite for an answer that names no limit.
+  target @0 :Text;
+  perS @1 :Float64;
+  call @2 :Text;
+}
+
+struct LimitRow {
+  target @0 :Text;
+  perS @1 :Float64;
 }
 
 struct CrashNote {
@@ -133,7 +149,7 @@
 }
 
 struct BeatReply {
-  # targets, members and suspects are those that changed since the node's
+  # targets, members, suspects and limits are those that changed since the node's
   # version of them, or all where they are whole.
   isHolder @0 :Bool;
   fence @1 :UInt64;
@@ -154,4 +170,8 @@
   suspectsWhole @16 :Bool;
   suspectsVersion @17 :UInt64;
   unsavedS @18 :Float64;
+  limits @19 :List(LimitRow);
+  limitsGone @20 :List(Text);
+  limitsWhole @21 :Bool;
+  limitsVersion @22 :UInt64;
 }
--- a/mimosaworks/wire/dispatch_messages.py
+++ b/mimosaworks/wire/dispatch_messages.py
@@ -6,6 +6,8 @@
 
 from mimosaworks.wire.target_messages import (
     CrashNote,
+    LimitNote,
+    LimitRow,
     SuspectRow,
     TargetLeaving,
     TargetRow,
@@ -55,7 +57,11 @@
 
 @attrs.frozen
 class CallReply:
-    """A target, or an error kind with the seconds to stay away."""
+    """A target, or an error kind with the seconds to stay away.
+
+    The decision was made waited_s after the ask had arrived. is_counted: the
+    request has a place within the limit that the target has named.
+    """
 
     target: str = ''
     address: str = ''
@@ -63,6 +69,8 @@
     reason: str = ''
     kind: str = ''
     retry_after_s: float = 0
+    is_counted: bool = False
+    waited_s: float = 0
 
 
 @attrs.frozen
@@ -123,8 +131,8 @@
     running is filled in the first beat to a holder, spent with the tokens
     that the node admitted without one. wants_levels asks for the tokens that
     workspaces have left. leaving are targets that announced that to the
-    node, crashes those that ended under its requests, in the first beat to a
-    holder all of them.
+    node, crashes those that ended under its requests, limits what answers
+    have named, in the first beat to a holder all of them.
     """
 
     row: NodeRow
@@ -139,11 +147,15 @@
     leaving: tuple[TargetLeaving, ...] = ()
     crashes: tuple[CrashNote, ...] = ()
     suspects_version: int = 0
+    limits: tuple[LimitNote, ...] = ()
+    limits_version: int = 0
 
 
 @attrs.frozen
 class BeatReply:
-    """The holder's view: token levels; changed members, targets and suspects.
+    """The holder's view: token levels, and what has changed.
+
+    That are members, targets, suspects and limits.
 
     Those that are gone are named. Where they are whole, they are all there
     are. What the holder knew of suspects unsaved_s ago is in the store.
@@ -170,3 +182,7 @@
     suspects_whole: bool = False
     suspects_version: int = 0
     unsaved_s: float = math.inf
+    limits: tuple[LimitRow, ...] = ()
+    limits_gone: tuple[str, ...] = ()
+    limits_whole: bool = False
+    limits_version: int = 0
--- a/mimosaworks/wire/target_messages.py
+++ b/mimosaworks/wire/target_messages.py
@@ -50,3 +50,20 @@
 
     mark: str
     ends: tuple[str, ...]
+
+
+@attrs.frozen
+class LimitNote:
+    """A target's answer named a limit, or none any more; see NamedLimit."""
+
+    target: str
+    per_s: float
+    call: str = ''
+
+
+@attrs.frozen
+class LimitRow:
+    """The requests a second that a target takes from all nodes together."""
+
+    target: str
+    per_s: float
