--- /dev/null
+++ b/tests/test_node_limit_view.py
@@ -0,0 +1,311 @@
+"""What nodes read of limits, and what they do with it without a holder."""
+
+import json
+import math
+import types
+
+import attrs
+import pytest
+from multidict import CIMultiDict
+
+from mimosaworks.dispatch import Assignment, CallOutcome, TargetLimits
+from mimosaworks.node import chooser as chooser_module
+from mimosaworks.node.alone_places import AlonePlaces
+from mimosaworks.node.attempt_error import AttemptError
+from mimosaworks.node.chooser import DECIDED_S, PLACE_S, Chooser
+from mimosaworks.node.limit_view import (
+    MAX_LIMITS,
+    MAX_SHOWN,
+    LimitView,
+    read_limit_per_s,
+)
+from mimosaworks.node.limit_watch import LimitWatch
+from mimosaworks.node.local_choice import LocalChoice
+from mimosaworks.wire import Beat, BeatReply, LimitNote, LimitRow, NodeRow
+from tests.dispatch_world import entry
+from tests.node_clock import set_clock
+from tests.test_node_local_choice import DEPLOYMENT, choose, make_ask
+
+LIMIT = 'Server-Limit'
+HUGE = '9' * 8192
+GOLDEN = 0.618  # spreads draws evenly
+
+
+def head(*limits: str) -> CIMultiDict[str]:
+    return CIMultiDict((LIMIT, limit) for limit in limits)
+
+
+@attrs.define(eq=False)
+class Node:
+    """A node's view, and what it told the holder."""
+
+    told: list[LimitNote] = attrs.field(factory=list)
+    kinds: list[str] = attrs.field(factory=list)
+    is_alone: bool = False
+    view: LimitView = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.view = LimitView(
+            on_notice=self.kinds.append,
+            on_news=self.told.append,
+            is_alone=lambda: self.is_alone,
+        )
+
+    def read(
+        self, *limits: str, sent_s: float = 0, status: int = 200, now: float = 1
+    ) -> None:
+        """Read the head of an answer to call c of target t1."""
+        call = types.SimpleNamespace(
+            target='t1', sent_s=sent_s, ask=types.SimpleNamespace(call='c')
+        )
+        resp = types.SimpleNamespace(headers=head(*limits), status=status)
+        self.view.read_head(call, resp, now)  # type: ignore[arg-type]
+
+
+def reply(*rows: LimitRow, **facts: object) -> BeatReply:
+    return BeatReply(True, fence=1, limits=rows, **facts)  # type: ignore[arg-type]
+
+
+def beat(*notes: LimitNote) -> Beat:
+    return Beat(NodeRow('n1', '', '', ''), 1, limits=notes)
+
+
+@pytest.mark.parametrize(
+    ('sent', 'per_s'),
+    [('0', 0), ('0.1', 0.1), ('2.5', 2.5), ('1e9', 1e9), (' 3 ', 3)],
+)
+def test_a_limit_is_a_decimal_number(sent: str, per_s: float) -> None:
+    assert read_limit_per_s(head(sent)) == per_s
+    assert read_limit_per_s(head()) == math.inf
+
+
+@pytest.mark.parametrize(
+    'sent', ['-1', 'nan', 'inf', '', 'few', '1_0', HUGE, '1,1', '0x1']
+)
+def test_what_is_no_limit_changes_nothing(
+    sent: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    node = Node()
+    node.read(sent)
+    assert node.view.per_s('t1') == math.inf
+    node.read('1')
+    node.read(sent, sent_s=5)
+    node.is_alone = True
+    node.read(sent, sent_s=9)
+    assert node.view.per_s('t1') == 1
+    assert node.kinds.count('limit_ignored') == 3
+    assert len(node.told) == 1
+
+
+def test_a_limit_that_is_named_twice_is_not_read() -> None:
+    node = Node()
+    node.read('1', '2')
+    assert node.view.per_s('t1') == math.inf
+    assert node.kinds == ['limit_ignored']
+
+
+def test_only_the_begin_of_a_long_field_is_logged(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    lines: list[dict[str, object]] = []
+    monkeypatch.setattr(
+        'mimosaworks.node.limit_view.log_event',
+        lambda _, **fields: lines.append(fields),
+    )
+    Node().read(HUGE)
+    assert len(json.dumps(lines)) < 4 * MAX_SHOWN
+
+
+def test_a_lower_limit_holds_at_once_a_higher_one_is_the_holders() -> None:
+    node = Node()
+    node.read('4')
+    node.read('2')
+    node.read('9', sent_s=5)
+    node.read(sent_s=5)
+    assert node.view.per_s('t1') == 2
+    assert [note.per_s for note in node.told] == [4, 2, 9, math.inf]
+    assert {note.call for note in node.told} == {'c'}
+
+
+def test_an_address_that_another_process_has_lifts_nothing() -> None:
+    node = Node()
+    node.read('2')
+    node.read(status=421)
+    assert node.view.per_s('t1') == 2
+    assert len(node.told) == 1
+
+
+def test_answers_to_other_calls_name_limits_but_lift_none() -> None:
+    node = Node()
+    node.view.read_other('t1', head('3'), 1)
+    node.view.read_other('t1', head(), 2)
+    node.view.read_other('t1', head('5'), 2)
+    node.view.read_other('t1', head('no'), 2)
+    assert node.view.per_s('t1') == 3
+    assert [note.per_s for note in node.told] == [3]
+
+
+def test_the_holders_word_replaces_what_it_has_heard() -> None:
+    node = Node()
+    node.read('2')
+    node.view.take_over(reply(), beat(), 2)
+    assert node.view.per_s('t1') == 2  # not heard yet
+    heard = beat(LimitNote('t1', 2))
+    node.view.take_over(
+        reply(LimitRow('t1', 2), limits_version=1, limits_whole=True), heard, 3
+    )
+    assert node.view.per_s('t1') == 2
+    node.view.take_over(reply(limits_gone=('t1',)), beat(), 4)
+    assert node.view.per_s('t1') == math.inf
+    assert not node.view.all_per_s()
+
+
+def test_a_new_holder_hears_all_that_is_known() -> None:
+    node = Node()
+    node.view.take_over(reply(LimitRow('t2', 5), limits_whole=True), beat(), 1)
+    node.read('2')
+    assert set(node.view.notes()) == {LimitNote('t1', 2), LimitNote('t2', 5)}
+
+
+def test_a_node_alone_believes_newer_answers() -> None:
+    node = Node(is_alone=True)
+    node.read('2', now=5)
+    node.read(sent_s=4.9, now=6)
+    assert node.view.per_s('t1') == 2
+    node.read('3', sent_s=5.1, now=7)
+    assert node.view.per_s('t1') == 3
+    node.read(sent_s=7.1, now=8)
+    assert node.view.per_s('t1') == math.inf
+
+
+def test_what_a_node_knows_is_bounded() -> None:
+    view = LimitView()
+    for number in range(MAX_LIMITS + 5):
+        view.read_other(f't{number}', head('1'), 1)
+    assert len(view.all_per_s()) == MAX_LIMITS
+
+
+def test_nodes_are_told_of_changes_only() -> None:
+    watch = LimitWatch()
+    limits = TargetLimits()
+    limits.note('t1', 2, -math.inf, 0)
+    watch.look(limits)
+    version = watch.log.version
+    assert watch.log.since(0).rows == (LimitRow('t1', 2),)
+    limits.take('t1', 9)
+    watch.look(limits)
+    assert not watch.log.since(version).rows
+    limits.note('t1', math.inf, 1, 2)
+    watch.look(limits)
+    assert watch.log.since(version).gone == ('t1',)
+
+
+def grant(**facts: object) -> Assignment:
+    return Assignment('t1', 't1:1', 0, **facts)  # type: ignore[arg-type]
+
+
+# Guards against a process that was paused for some seconds and sends what was
+# decided before.
+@pytest.mark.parametrize(
+    ('is_counted', 'longest_s'), [(True, PLACE_S), (False, DECIDED_S)]
+)
+def test_a_decision_is_for_the_moment(
+    monkeypatch: pytest.MonkeyPatch, is_counted: bool, longest_s: float
+) -> None:
+    clock = set_clock(monkeypatch, chooser_module)
+    chooser = make_chooser()
+    decided = grant(granted_s=clock.now, is_counted=is_counted)
+    clock.now += longest_s - 0.01
+    chooser.check_grant(decided)
+    clock.now += 0.02
+    with pytest.raises(AttemptError) as caught:
+        chooser.check_grant(decided)
+    assert caught.value.is_not_run
+    assert caught.value.outcome is CallOutcome.NOT_SENT
+
+
+def make_chooser(**blocked: float) -> Chooser:
+    link = types.SimpleNamespace(
+        limits=LimitView(),
+        news=types.SimpleNamespace(
+            has_news=types.SimpleNamespace(set=lambda: None)
+        ),
+    )
+    return Chooser(
+        node='n1',
+        nonce='x',
+        data_centre='north',
+        beliefs=None,  # type: ignore[arg-type]
+        link=link,  # type: ignore[arg-type]
+        notices=types.SimpleNamespace(blocked=lambda _: set(blocked)),  # type: ignore[arg-type]
+        members=lambda: 3,
+        is_view_usable=lambda _: True,
+        resend_terms=lambda: None,  # type: ignore[arg-type,return-value]
+    )
+
+
+def test_a_decision_without_the_limit_that_was_read_since_is_given_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    clock = set_clock(monkeypatch, chooser_module)
+    chooser = make_chooser()
+    chooser.link.limits.read_other('t1', head('5'), clock.now)
+    chooser.check_grant(grant(granted_s=clock.now, is_counted=True))
+    with pytest.raises(AttemptError):
+        chooser.check_grant(grant(granted_s=clock.now))
+
+
+def test_a_target_that_asked_to_be_left_out_meanwhile_gets_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    clock = set_clock(monkeypatch, chooser_module)
+    with pytest.raises(AttemptError):
+        make_chooser(t1=1).check_grant(grant(granted_s=clock.now))
+
+
+@pytest.mark.parametrize('members', [1, 6, 30, 195, 300])
+@pytest.mark.parametrize('limit', [0.2, 1, 10])
+def test_nodes_alone_keep_to_the_limit_together(
+    members: int, limit: float
+) -> None:
+    draws = [math.modf(number * GOLDEN)[0] for number in range(members)]
+    nodes = [AlonePlaces(iter((drawn,)).__next__) for drawn in draws]
+    sent: list[float] = []
+    for step in range(600):
+        now = step * 0.1
+        for node in nodes:
+            if node.is_open('t1', limit, members, now):
+                node.use('t1', now)
+                sent.append(now)
+    for begin_s in sent:
+        count = sum(begin_s <= at_s < begin_s + 4 for at_s in sent)
+        # The rest is for the last holder's and the next one's places.
+        assert count <= 1.5 * limit + 4
+
+
+def test_places_that_were_not_used_do_not_add_up() -> None:
+    node = AlonePlaces(lambda: 0.5)
+    node.is_open('t1', 1, 6, 0)
+    times = [step / 10 for step in range(2400, 2880)]
+    opened = [at_s for at_s in times if node.is_open('t1', 1, 6, at_s)]
+    # A second in each period of 24.
+    assert len(opened) == pytest.approx(20, abs=2)
+
+
+def test_a_node_alone_sends_only_in_its_place() -> None:
+    local = LocalChoice(limit_of={'t1': 1.0, 't2': math.inf}.__getitem__)
+    local.places.draw = lambda: 0.5
+    local.enter(DEPLOYMENT, {'small': 1500}, 2, 0)
+    targets = [entry(name, service='ledger') for name in ('t1', 't2')]
+    first = choose(local, make_ask(), *targets)
+    assert isinstance(first, Assignment)
+    assert first.target == 't2'
+    assert not first.is_counted
+    assert not isinstance(choose(local, make_ask(), targets[0]), Assignment)
+    # Its places begin 4 s after each 8 s.
+    second = choose(local, make_ask(), targets[0], now=12.5)
+    assert isinstance(second, Assignment)
+    assert second.is_counted
+    assert not isinstance(
+        choose(local, make_ask(), targets[0], now=12.6), Assignment
+    )
--- a/tests/test_node_named_limits.py
+++ b/tests/test_node_named_limits.py
@@ -166,9 +166,13 @@
 # Guards against orders that a target with a limit gets beside its requests.
 async def test_orders_count_against_a_limit(world: AgencyWorld) -> None:
     replica = world.replicas['engine-0']
-    replica.limit = '1'
-    async with loaded(world, '/chat/x', **ALPHA | {'X_Model': ANY_ADAPTER}):
+    replica.limit = '2'
+    await drain(world, 'engine-1')
+    adapters = ALPHA | {'X_Model': ANY_ADAPTER}
+    async with loaded(world, '/chat/x', **adapters) as load:
         await asyncio.sleep(RUN_S)
+        assert load.statuses[200] > 2
+    assert any(hit.sender for hit in replica.hits)
     assert not in_excess(replica)
 
 
