The fuzz of crashing contents has a clock of its own

On a VM that had been up for less than some 450 s the test failed: what is stored and taken over read the machine's clock, all else the test's, which begins at 1000 s. Only the test was at fault: nodes use one clock for both. The clock is handed in now, and the time at which a new holder takes over.

--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -137,7 +137,8 @@
         for row in self.link.told.members.values():
             if row.name != previous:
                 self.holder.members.note(row, now_s())
-        self.link.crashes.stored.tell(self.holder.dispatcher.crashes)
+        book = self.holder.dispatcher.crashes
+        self.link.crashes.stored.tell(book, now_s())
         self.holder.start()
         self.electorate.tell_members(lease)
         levels = self.link.told.levels
--- a/mimosaworks/node/stored_suspects.py
+++ b/mimosaworks/node/stored_suspects.py
@@ -3,7 +3,7 @@
 import json
 import math
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import attrs
@@ -18,13 +18,20 @@
 FILL_SHARE = 0.5
 
 
+def boot_epoch_s() -> float:
+    """Return the Unix time at which this process's clock was 0."""
+    return time.time() - now_s()
+
+
 @attrs.define(eq=False)
 class SuspectSaver:
     """Tells what a holder has to store.
 
-    What it knew at saved_s is in the store.
+    What it knew at saved_s is in the store. epoch_s gives the Unix time at
+    which this process's clock was 0.
     """
 
+    epoch_s: Callable[[], float] = boot_epoch_s
     saved_s: float = -math.inf
     _saving_version: int = 0
     _saved_version: int = 0
@@ -34,7 +41,8 @@
         self._saving_version = book.version
         if book.version == self._saved_version:
             return ()
-        content = encode_suspects(book.suspects, max_bytes, _epoch_s())
+        epoch_s = self.epoch_s()
+        content = encode_suspects(book.suspects, max_bytes, epoch_s)
         return (RowChange(SUSPECTS_ROW, content),)
 
     def note_saved(self, begun_s: float) -> None:
@@ -45,8 +53,9 @@
 
 @attrs.define(eq=False)
 class StoredSuspects:
-    """The suspects as they were read last."""
+    """The suspects as they were read last; epoch_s is as for SuspectSaver."""
 
+    epoch_s: Callable[[], float] = boot_epoch_s
     suspects: dict[str, Suspect] = attrs.field(factory=dict)
     _version: int = 0
 
@@ -56,11 +65,11 @@
             is_newer = row.name == SUSPECTS_ROW and row.version > self._version
             if is_newer and row.content is not None:
                 self._version = row.version
-                self.suspects = decode_suspects(row.content, _epoch_s())
+                epoch_s = self.epoch_s()
+                self.suspects = decode_suspects(row.content, epoch_s)
 
-    def tell(self, book: CrashBook) -> None:
+    def tell(self, book: CrashBook, now: float) -> None:
         """Have a new holder's book take over the suspects."""
-        now = now_s()
         for mark, suspect in self.suspects.items():
             book.adopt(mark, suspect, now)
 
@@ -102,11 +111,6 @@
         return {}
 
 
-def _epoch_s() -> float:
-    """Return the Unix time at which this process's clock was 0."""
-    return time.time() - now_s()
-
-
 def _fields(suspect: Suspect, epoch_s: float) -> dict[str, Any]:
     return {
         'ends': [
