The soak has targets that name limits

One target after the other names limits that change and end, beside all other faults. Calls count from processes that had passed on an answer with the limit, orders from the holder's.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -11,6 +11,7 @@
 
 from bench.soak_crashes import SoakCrashes, broken_counts
 from bench.soak_faults import SoakFaults
+from bench.soak_limits import SoakLimits, broken_limits
 from bench.soak_load import OK, Seen, SoakLoad, broken_promises
 from bench.soak_notices import SoakNotices, broken_notices
 from standins.agency.world import MODELS, AgencyWorld, open_agency
@@ -81,6 +82,7 @@
     """Yield the promises that were broken; after are the last requests."""
     yield from broken_promises(world, load.seen + crashes.seen)
     yield from broken_notices(world, load.sent)
+    yield from broken_limits(world, load)
     recovered = sum(one.status == OK for one in after)
     if recovered < PROBES / 2:
         yield f'{recovered} of {PROBES} are served after the faults'
@@ -95,12 +97,16 @@
 async def _strike_and_notify(
     world: AgencyWorld, seed: int, duration_s: float
 ) -> SoakFaults:
-    """Inject faults, while targets leave and reject requests."""
+    """Inject faults, while targets leave, reject requests and name limits."""
     faults = SoakFaults(world, random.Random(seed))
     notices = SoakNotices(world, random.Random(seed + 2))
-    noticing = asyncio.create_task(notices.run())
+    limits = SoakLimits(world, random.Random(seed + 4))
+    tasks = [
+        asyncio.create_task(notices.run()),
+        asyncio.create_task(limits.run()),
+    ]
     await _strike(faults, duration_s)
-    noticing.cancel()
+    await asyncio.gather(*map(_cancel, tasks))
     return faults
 
 
--- a/bench/soak_limits.py
+++ b/bench/soak_limits.py
@@ -1,18 +1,27 @@
 """Targets that name limits, and who sends them more."""
 
+import asyncio
+import contextlib
 import itertools
 import operator
+import random
+import time
 from collections.abc import Callable, Iterator, Sequence
 
 import attrs
 
+from bench.soak_load import OK, SoakLoad
 from standins.agency.replica import Hit, NamedLimit, Replica
+from standins.agency.world import AgencyWorld
 
 WINDOW_S = 4.0
 CONTACT_S = 3.0  # the bound in the nodes' settings
 NOTICED_S = 0.5  # after which a node's sends count
 EXCESS = 1.5
 SLACK = 5
+QUIET_S = (0.2, 1.0)
+NAMED_S = (CONTACT_S, 2 * CONTACT_S)
+LIMITS = ('0.2', '0.5', '1', '2', '5')
 
 # Returns the process that sent a call, None if it is not known.
 Sender = Callable[[Hit], object]
@@ -70,6 +79,7 @@
         for named in span.named:
             who = sender(Hit(named.at_s, named.request_id))
             told_s.setdefault(who, named.at_s + NOTICED_S)
+        told_s.pop(None, None)
         times = [
             hit.at_s
             for hit in replica.hits
@@ -81,3 +91,54 @@
                 f'{replica.name} named a limit of {span.limit} a second and '
                 f'got {most} in {WINDOW_S:.0f} s, allowed {span.allowed:.0f}'
             )
+
+
+@attrs.define(eq=False)
+class SoakLimits:
+    """Has targets name limits that change and end, until cancelled.
+
+    Its own random numbers leave the faults of known seeds as they were.
+    """
+
+    world: AgencyWorld
+    rng: random.Random
+
+    async def run(self) -> None:
+        """Use one target after the other."""
+        while True:  # noqa: WPS457 -- ends when the task is cancelled
+            name = self.rng.choice(sorted(self.world.replicas))
+            replica = self.world.replicas[name]
+            with contextlib.ExitStack() as stack:
+                stack.callback(setattr, replica, 'limit', '')
+                await self._name_limit(replica)
+                await self._name_limit(replica)
+            await asyncio.sleep(self.rng.uniform(*QUIET_S))
+
+    async def _name_limit(self, replica: Replica) -> None:
+        replica.limit = self.rng.choice(LIMITS)
+        await asyncio.sleep(self.rng.uniform(*NAMED_S))
+
+
+def broken_limits(world: AgencyWorld, load: SoakLoad) -> Iterator[str]:
+    """Return the limits that processes exceeded though they were told."""
+    answered = {one.request_id for one in load.seen if one.status == OK}
+    sent = sorted(load.sent.values(), key=operator.attrgetter('at_s'))
+
+    def sender(hit: Hit) -> object:
+        if hit.request_id:
+            known = load.sent.get(hit.request_id)
+            return None if known is None else known.node
+        earlier = [
+            one.node
+            for one in sent
+            if one.node[0] == hit.sender and one.at_s <= hit.at_s
+        ]
+        return earlier[-1] if earlier else None
+
+    for replica in world.replicas.values():
+        replica.named = [
+            one
+            for one in replica.named
+            if one.request_id in answered or not one.limit
+        ]
+        yield from exceeded(replica, time.monotonic(), sender)
