Waits beside a limited target count the other targets' slots alone

Found on reading: while one of two targets had named a limit, the predicted wait for a slot counted the slots of both. Late requests are found in one pass over those that wait.

--- a/mimosaworks/dispatch/paced_jobs.py
+++ b/mimosaworks/dispatch/paced_jobs.py
@@ -1,5 +1,7 @@
 """Requests that wait until their target's limit has a place for them."""
 
+from collections import Counter
+
 import attrs
 
 from mimosaworks.dispatch.job import Job
@@ -55,15 +57,15 @@
 
     def late(self, now: float) -> list[Job]:
         """Return the requests that more urgent ones have made late."""
-        return [
-            job
-            for job in self._jobs.values()
-            if now + self._wait_s(job, now) > job.ask.first_by_s
-        ]
-
-    def _wait_s(self, job: Job, now: float) -> float:
-        places = self.count_before(job.target, job) + 1
-        return self.limits.wait_s(job.target, places, now)
+        late: list[Job] = []
+        places: Counter[str] = Counter()
+        for job in sorted(self._jobs.values(), key=_order):
+            places[job.target] += 1
+            count = places[job.target]
+            wait_s = self.limits.wait_s(job.target, count, now)
+            if now + wait_s > job.ask.first_by_s:
+                late.append(job)
+        return late
 
 
 def _order(job: Job) -> tuple[int, float]:
--- a/mimosaworks/dispatch/plain_pool.py
+++ b/mimosaworks/dispatch/plain_pool.py
@@ -65,7 +65,7 @@
         if now + wait_s + self.work_s >= job.ask.give_up_s:
             return self._refuse(job, usable, wait_s, now)
         self.waiting.append(job)
-        if any(self.limits.is_limited(one.entry.name) for one in usable):
+        if all(self.limits.is_limited(one.entry.name) for one in usable):
             job.limit_s = wait_s
         return None
 
@@ -74,9 +74,14 @@
         own = _order(job)
         before = [other for other in self.waiting if _order(other) <= own]
         places = len(before) + 1
-        slots = sum(target.entry.slots for target in usable)
-        slot_s = places * self.work_s / max(slots, 1)
         names = [target.entry.name for target in usable]
+        limited = set(filter(self.limits.is_limited, names))
+        slots = sum(
+            target.entry.slots
+            for target in usable
+            if target.entry.name not in limited or len(limited) == len(names)
+        )
+        slot_s = places * self.work_s / max(slots, 1)
         place_s = self.limits.shared_wait_s(names, places, now)
         return max(slot_s, place_s + LOOK_S if place_s else 0)
 
--- a/mimosaworks/node/call.py
+++ b/mimosaworks/node/call.py
@@ -52,8 +52,8 @@
     deadline_s is on this process's clock; time after it helps nobody.
     asks counts the times a target was asked for, resends the sends after
     the first; target is where it runs now. may_have_run: a send failed that
-    may have run. passed is what the caller has of an answer,
-    sent_s when it was sent last.
+    may have run. passed is what the caller has of an
+    answer, sent_s when the request went to its target.
     """
 
     req: web.BaseRequest
--- a/mimosaworks/node/limit_view.py
+++ b/mimosaworks/node/limit_view.py
@@ -23,7 +23,7 @@
     return 0
 
 
-def _heard() -> bool:
+def _never() -> bool:
     return False
 
 
@@ -44,7 +44,7 @@
     find_born: Callable[[str], int] = _unknown_birth
     on_notice: Callable[[str], None] = _tell_nobody
     on_news: Callable[[LimitNote], None] = _tell_nobody
-    is_alone: Callable[[], bool] = _heard
+    is_alone: Callable[[], bool] = _never
     told: dict[str, LimitRow] = attrs.field(factory=dict)
     told_version: int = 0
     _own: dict[str, float] = attrs.field(factory=dict)
@@ -177,7 +177,7 @@
         return math.inf
     if len(sent) > 1:
         raise ValueError(f'{LIMIT} is named {len(sent)} times')
-    # Unlike a field of the wire, float() takes digits in groups.
+    # float() also accepts underscores between digits.
     limit_per_s = float(sent[0].replace('_', ','))
     if not 0 <= limit_per_s < math.inf:
         raise ValueError(f'{LIMIT} must be a finite number from 0 on')
--- a/tests/test_dispatch_target_limits.py
+++ b/tests/test_dispatch_target_limits.py
@@ -273,6 +273,15 @@
     assert isinstance(decided[later.call], Assignment)
 
 
+# Guards against slots of a limited target that count as free for requests
+# which wait for another one.
+def test_the_wait_beside_a_limited_target_is_that_for_the_others() -> None:
+    _, pool = plain(0.1, math.inf)
+    usable = list(pool.targets.values())
+    alone_s = pool.wait_s(make_job(), usable[1:], 0)
+    assert pool.wait_s(make_job(), usable, 0) == alone_s
+
+
 def test_other_targets_are_not_slowed() -> None:
     dispatcher, _ = plain(0.2, math.inf)
     for number in range(20):
