One order, one margin and one message for requests that wait for limits

Both pools sorted waiting requests by the same pair, each with a function of its own, and added the same margin to a predicted wait. What a node tells of a limit was copied into a second class with the same fields to look one job up. Decisions are as before.

--- a/mimosaworks/dispatch/__init__.py
+++ b/mimosaworks/dispatch/__init__.py
@@ -11,8 +11,7 @@
 from mimosaworks.dispatch.dispatcher import Decided, Dispatcher
 from mimosaworks.dispatch.engine_pool import EnginePool
 from mimosaworks.dispatch.engine_target import EngineTarget, Step
-from mimosaworks.dispatch.job import Ask, Assignment, Job, Refusal
-from mimosaworks.dispatch.limit_rules import NamedLimit, note_limit
+from mimosaworks.dispatch.job import Ask, Assignment, Job, Refusal, granted_s
 from mimosaworks.dispatch.load_ahead import load_ahead
 from mimosaworks.dispatch.load_time import timed
 from mimosaworks.dispatch.outcome import CallOutcome
@@ -32,7 +31,6 @@
     'EngineTarget',
     'EntriesView',
     'Job',
-    'NamedLimit',
     'PlainPool',
     'PlainTarget',
     'Refusal',
@@ -44,8 +42,8 @@
     'TargetLimits',
     'Verdict',
     'adopt_models',
+    'granted_s',
     'judge_ends',
     'load_ahead',
-    'note_limit',
     'timed',
 ]
--- a/mimosaworks/dispatch/estimate.py
+++ b/mimosaworks/dispatch/estimate.py
@@ -12,7 +12,7 @@
     SwapPlanner,
     plan_adapter,
 )
-from mimosaworks.dispatch.target_limits import LOOK_S
+from mimosaworks.dispatch.target_limits import until_used_s
 from mimosaworks.dispatch.writing_time import WritingTime
 
 PREFILL_TOKENS_PER_S = 38_000.0  # the engines' rate before any measurement
@@ -118,8 +118,7 @@
         """Return the wait for places of orders and of the request."""
         name = target.entry.name
         places = self.paced.count_before(name, job) + orders + 1
-        wait_s = self.paced.limits.wait_s(name, places, now)
-        return wait_s + LOOK_S if wait_s else 0
+        return until_used_s(self.paced.limits.wait_s(name, places, now))
 
     def backlog_s(
         self, target: EngineTarget, tokens: float, now: float
--- a/mimosaworks/dispatch/job.py
+++ b/mimosaworks/dispatch/job.py
@@ -1,5 +1,8 @@
 """A request in the holder's books, and what is decided about it."""
 
+import math
+from collections.abc import Mapping
+
 import attrs
 
 from mimosaworks.deployment import CallFacts
@@ -88,3 +91,16 @@
     is_started: bool = False
     is_noted: bool = False
     waits_for_slot: bool = False
+
+    @property
+    def turn(self) -> tuple[int, float]:
+        """What orders requests that wait: urgent ones first, then by age."""
+        return (self.ask.priority, self.arrived_s)
+
+
+def granted_s(jobs: Mapping[str, Job], call: str, target: str) -> float:
+    """Return when an ask was granted this target, -inf if it was not."""
+    job = jobs.get(call)
+    if job is None or job.target != target:
+        return -math.inf
+    return job.granted_s
--- a/mimosaworks/dispatch/paced_jobs.py
+++ b/mimosaworks/dispatch/paced_jobs.py
@@ -1,5 +1,6 @@
 """Requests that wait until their target's limit has a place for them."""
 
+import operator
 from collections import Counter
 
 import attrs
@@ -7,6 +8,8 @@
 from mimosaworks.dispatch.job import Job
 from mimosaworks.dispatch.target_limits import TargetLimits
 
+_TURN = operator.attrgetter('turn')
+
 
 @attrs.define(eq=False)
 class PacedJobs:
@@ -38,9 +41,9 @@
         """Return how many requests a target gets before this one."""
         if not self.limits.is_limited(target):
             return 0
-        own = _order(job)
+        own = job.turn
         return sum(
-            other.target == target and _order(other) < own
+            other.target == target and other.turn < own
             for other in self._jobs.values()
         )
 
@@ -48,7 +51,7 @@
         """Take out and return the requests that may be sent now."""
         admitted = [
             job
-            for job in sorted(self._jobs.values(), key=_order)
+            for job in sorted(self._jobs.values(), key=_TURN)
             if self.limits.take(job.target, now)
         ]
         for job in admitted:
@@ -59,14 +62,10 @@
         """Return the requests that more urgent ones have made late."""
         late: list[Job] = []
         places: Counter[str] = Counter()
-        for job in sorted(self._jobs.values(), key=_order):
+        for job in sorted(self._jobs.values(), key=_TURN):
             places[job.target] += 1
             count = places[job.target]
             wait_s = self.limits.wait_s(job.target, count, now)
             if now + wait_s > job.ask.first_by_s:
                 late.append(job)
         return late
-
-
-def _order(job: Job) -> tuple[int, float]:
-    return (job.ask.priority, job.arrived_s)
--- a/mimosaworks/dispatch/plain_pool.py
+++ b/mimosaworks/dispatch/plain_pool.py
@@ -1,5 +1,6 @@
 """Chooses targets for requests to plain services."""
 
+import operator
 import statistics
 from collections.abc import Iterable
 
@@ -8,7 +9,7 @@
 from mimosaworks.deployment import TargetEntry, TargetState
 from mimosaworks.dispatch.health import Health
 from mimosaworks.dispatch.job import Assignment, Job, Refusal
-from mimosaworks.dispatch.target_limits import LOOK_S, TargetLimits
+from mimosaworks.dispatch.target_limits import TargetLimits, until_used_s
 from mimosaworks.errors import ErrorKind
 
 FIRST_WORK_S = 0.05  # expected duration before any was measured
@@ -19,6 +20,8 @@
 FAILURE_LOAD = 4.0  # slots: a failed request costs more than a short wait
 REST_SHARE = 1.5  # failures over the mean by this factor count
 
+_TURN = operator.attrgetter('turn')
+
 
 @attrs.define(eq=False)
 class PlainTarget:
@@ -71,8 +74,8 @@
 
     def wait_s(self, job: Job, usable: list[PlainTarget], now: float) -> float:
         """Return the expected wait behind requests that go first."""
-        own = _order(job)
-        before = [other for other in self.waiting if _order(other) <= own]
+        own = job.turn
+        before = [other for other in self.waiting if other.turn <= own]
         places = len(before) + 1
         names = [target.entry.name for target in usable]
         limited = set(filter(self.limits.is_limited, names))
@@ -83,12 +86,12 @@
         )
         slot_s = places * self.work_s / max(slots, 1)
         place_s = self.limits.shared_wait_s(names, places, now)
-        return max(slot_s, place_s + LOOK_S if place_s else 0)
+        return max(slot_s, until_used_s(place_s))
 
     def next_grants(self, now: float) -> list[tuple[Job, Assignment]]:
         """Give free slots to waiting requests, the most urgent first."""
         grants = []
-        for job in sorted(self.waiting, key=_order):
+        for job in sorted(self.waiting, key=_TURN):
             free = self._free(self._usable(job, now), now)
             if free:
                 self.waiting.remove(job)
@@ -143,13 +146,13 @@
 
     def _is_behind(self, job: Job, free: Iterable[PlainTarget]) -> bool:
         """Tell whether the free places are those of requests that wait."""
-        own = _order(job)
+        own = job.turn
         return any(
             _takes(target, other)
             for target in free
             if self.limits.is_limited(target.entry.name)
             for other in self.waiting
-            if _order(other) <= own
+            if other.turn <= own
         )
 
     def _is_hopeless(self, job: Job, now: float) -> bool:
@@ -160,8 +163,8 @@
             return False
         # More urgent requests may have taken the places that it waited for.
         names = [target.entry.name for target in self._usable(job, now)]
-        own = _order(job)
-        places = sum(_order(other) <= own for other in self.waiting)
+        own = job.turn
+        places = sum(other.turn <= own for other in self.waiting)
         place_s = self.limits.shared_wait_s(names, places, now)
         return place_s + self.work_s / 2 >= left_s
 
@@ -227,7 +230,3 @@
         target.entry.state is TargetState.READY
         and target.entry.name not in job.ask.excluded
     )
-
-
-def _order(job: Job) -> tuple[int, float]:
-    return (job.ask.priority, job.arrived_s)
--- a/mimosaworks/dispatch/target_limits.py
+++ b/mimosaworks/dispatch/target_limits.py
@@ -16,6 +16,11 @@
 UNSEEN_S = 60.0  # after which the limit of a target without entry is forgotten
 
 
+def until_used_s(wait_s: float) -> float:
+    """Return the time until a place that is there in wait_s is used."""
+    return wait_s + LOOK_S if wait_s else 0
+
+
 @attrs.define
 class _Limited:
     """A target's limit, when it was noted, and what may be sent now.
--- a/mimosaworks/node/limit_watch.py
+++ b/mimosaworks/node/limit_watch.py
@@ -4,12 +4,7 @@
 
 import attrs
 
-from mimosaworks.dispatch import (
-    Dispatcher,
-    NamedLimit,
-    TargetLimits,
-    note_limit,
-)
+from mimosaworks.dispatch import Dispatcher, TargetLimits, granted_s
 from mimosaworks.events import Event, log_event
 from mimosaworks.node.change_log import ChangeLog
 from mimosaworks.wire import Beat, LimitRow
@@ -27,9 +22,9 @@
     ) -> None:
         """Take over what answers at a node have named."""
         for note in beat.limits:
-            named = NamedLimit(note.target, note.per_s, note.call)
-            is_taken = note_limit(
-                dispatcher.limits, dispatcher.jobs, named, now
+            begun_s = granted_s(dispatcher.jobs, note.call, note.target)
+            is_taken = dispatcher.limits.note(
+                note.target, note.per_s, begun_s, now
             )
             log_event(
                 Event.LIMIT_TOLD,
--- a/mimosaworks/wire/target_messages.py
+++ b/mimosaworks/wire/target_messages.py
@@ -54,7 +54,10 @@
 
 @attrs.frozen
 class LimitNote:
-    """A target's answer named a limit, or none any more; see NamedLimit."""
+    """A target's answer named a limit; per_s is inf where it named none.
+
+    call names the ask of its request; it is empty for other calls.
+    """
 
     target: str
     per_s: float
--- a/tests/test_dispatch_target_limits.py
+++ b/tests/test_dispatch_target_limits.py
@@ -9,13 +9,12 @@
     Assignment,
     Dispatcher,
     Job,
-    NamedLimit,
     PlainPool,
     Refusal,
     ResendBudgets,
     ResendTerms,
     TargetLimits,
-    note_limit,
+    granted_s,
 )
 from mimosaworks.dispatch.target_limits import (
     LEAST_PER_S,
@@ -106,14 +105,18 @@
     job.target = 't1'
     job.granted_s = 5
     jobs = {job.ask.call: job}
-    assert not note_limit(
-        limits, jobs, NamedLimit('t2', math.inf, 'gone'), 6
-    ) or not limits.is_limited('t2')
-    assert not note_limit(limits, jobs, NamedLimit('t1', 9, 'gone'), 6)
+
+    def note(target: str, per_s: float, call: str) -> bool:
+        begun_s = granted_s(jobs, call, target)
+        return limits.note(target, per_s, begun_s, 6)
+
+    assert note('t2', math.inf, 'gone')
+    assert not limits.is_limited('t2')
+    assert not note('t1', 9, 'gone')
     job.target = 't3'
-    assert not note_limit(limits, jobs, NamedLimit('t1', 9, job.ask.call), 6)
+    assert not note('t1', 9, job.ask.call)
     job.target = 't1'
-    assert note_limit(limits, jobs, NamedLimit('t1', 9, job.ask.call), 6)
+    assert note('t1', 9, job.ask.call)
 
 
 def test_orders_take_places_in_advance() -> None:
