--- a/tests/test_node_limits_faults.py
+++ b/tests/test_node_limits_faults.py
@@ -42,6 +42,58 @@
     assert not in_excess(replica)
 
 
+# Guards against a limit that a restart of all nodes takes along, so that each
+# of them spends a burst before it hears of it again.
+async def test_a_limit_holds_over_restarts_of_all_nodes(
+    world: AgencyWorld,
+) -> None:
+    replica = world.replicas['ledger-0']
+    replica.limit = '1'
+    async with loaded(world, '/look/x'):
+        await asyncio.sleep(CONTACT_S)
+        for _ in range(2):
+            await restart(world, *world.nodes)
+            await asyncio.sleep(CONTACT_S)
+    assert not in_excess(replica)
+
+
+# Guards against a limit that needs the store.
+async def test_a_limit_holds_while_the_store_is_silent(
+    world: AgencyWorld,
+) -> None:
+    replica = world.replicas['ledger-0']
+    replica.limit = '1'
+    world.faults.is_silent = True
+    async with loaded(world, '/look/x') as load:
+        await asyncio.sleep(RUN_S)
+        assert_served(load)
+    assert not in_excess(replica)
+
+
+# Guards against a limit that a new birth at the same name and address gets
+# twice, or never rid of.
+@pytest.mark.parametrize('limit', ['1', ''])
+async def test_a_target_that_is_born_anew_has_the_limit_that_it_names(
+    world: AgencyWorld, limit: str
+) -> None:
+    replica = world.replicas['ledger-0']
+    replica.limit = '1'
+    async with loaded(world, '/look/x') as load:
+        await asyncio.sleep(CONTACT_S)
+        replica.limit = limit
+        replica.restart()
+        replica.register(world.store)
+        await asyncio.sleep(CONTACT_S)
+        await drain(world, 'ledger-1')
+        begun_s = time.monotonic()
+        await asyncio.sleep(2)
+        assert load.statuses[200]
+    assert not in_excess(replica)
+    # Without a limit it takes all that comes.
+    takes_all = count_hits(replica, begun_s) > 0.8 * 2 / PAUSE_S
+    assert takes_all is not bool(limit)
+
+
 # Guards against nodes that hear no holder and each send what the limit allows.
 async def test_a_limit_holds_for_nodes_that_decide_alone(
     world: AgencyWorld,
