--- a/bench/soak_limits.py
+++ b/bench/soak_limits.py
@@ -106,8 +106,7 @@
     async def run(self) -> None:
         """Use one target after the other."""
         while True:  # noqa: WPS457 -- ends when the task is cancelled
-            name = self.rng.choice(sorted(self.world.replicas))
-            replica = self.world.replicas[name]
+            replica = self.world.draw_replica(self.rng)
             with contextlib.ExitStack() as stack:
                 stack.callback(setattr, replica, 'limit', '')
                 await self._name_limit(replica)
--- a/bench/soak_notices.py
+++ b/bench/soak_notices.py
@@ -33,8 +33,7 @@
         """Use one target after the other."""
         while True:  # noqa: WPS457 -- ends when the task is cancelled
             await asyncio.sleep(self.rng.uniform(*QUIET_S))
-            name = self.rng.choice(sorted(self.world.replicas))
-            replica = self.world.replicas[name]
+            replica = self.world.draw_replica(self.rng)
             if self.rng.random() < 1 / 2:
                 await self._leave(replica)
             else:
--- a/standins/agency/world.py
+++ b/standins/agency/world.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import random
 import socket
 import time
 import types
@@ -238,6 +239,10 @@
         self.nodes.append(node)
         return node
 
+    def draw_replica(self, rng: random.Random) -> Replica:
+        """Return a target that is drawn at random."""
+        return self.replicas[rng.choice(sorted(self.replicas))]
+
     async def crash(self, name: str, down_s: float) -> None:
         """End a target at once and start it again down_s later."""
         proxy = self.proxies[name]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,8 +5,10 @@
 
 import pytest
 
+from standins.agency.world import AgencyWorld
 from tests.harness import Cluster, open_cluster
 from tests.harness_entry import ROUTER_FLAGS, Entry
+from tests.limits_world import open_limited
 
 pytest_plugins = ('tests.known_red',)
 
@@ -25,3 +27,10 @@
     journals.mkdir()
     router = await cluster.start_program('router', *ROUTER_FLAGS)
     yield Entry(cluster, router, journals)
+
+
+@pytest.fixture
+async def limited_world(tmp_path: Path) -> AsyncIterator[AgencyWorld]:
+    """Real nodes and targets that may name limits."""
+    async with open_limited(tmp_path) as opened:
+        yield opened
--- a/tests/test_node_limits_faults.py
+++ b/tests/test_node_limits_faults.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator
-from pathlib import Path
 
 import pytest
 
@@ -17,27 +15,22 @@
     drain,
     in_excess,
     loaded,
-    open_limited,
 )
 from tests.test_node_crashing_requests import restart
 from tests.test_node_processes import holder_of, until
 
 
-@pytest.fixture
-async def world(tmp_path: Path) -> AsyncIterator[AgencyWorld]:
-    async with open_limited(tmp_path) as opened:
-        yield opened
-
-
 # Guards against a limit that a new holder does not know, or whose burst it
 # gives once more.
-async def test_a_limit_holds_over_three_holders(world: AgencyWorld) -> None:
-    replica = world.replicas['ledger-0']
+async def test_a_limit_holds_over_three_holders(
+    limited_world: AgencyWorld,
+) -> None:
+    replica = limited_world.replicas['ledger-0']
     replica.limit = '1'
-    async with loaded(world, '/look/x'):
+    async with loaded(limited_world, '/look/x'):
         await asyncio.sleep(CONTACT_S)
         for _ in range(3):
-            await restart(world, holder_of(*world.nodes))
+            await restart(limited_world, holder_of(*limited_world.nodes))
             await asyncio.sleep(2)
     assert not in_excess(replica)
 
@@ -45,26 +38,26 @@
 # Guards against a limit that a restart of all nodes takes along, so that each
 # of them spends a burst before it hears of it again.
 async def test_a_limit_holds_over_restarts_of_all_nodes(
-    world: AgencyWorld,
+    limited_world: AgencyWorld,
 ) -> None:
-    replica = world.replicas['ledger-0']
+    replica = limited_world.replicas['ledger-0']
     replica.limit = '1'
-    async with loaded(world, '/look/x'):
+    async with loaded(limited_world, '/look/x'):
         await asyncio.sleep(CONTACT_S)
         for _ in range(2):
-            await restart(world, *world.nodes)
+            await restart(limited_world, *limited_world.nodes)
             await asyncio.sleep(CONTACT_S)
     assert not in_excess(replica)
 
 
 # Guards against a limit that needs the store.
 async def test_a_limit_holds_while_the_store_is_silent(
-    world: AgencyWorld,
+    limited_world: AgencyWorld,
 ) -> None:
-    replica = world.replicas['ledger-0']
+    replica = limited_world.replicas['ledger-0']
     replica.limit = '1'
-    world.faults.is_silent = True
-    async with loaded(world, '/look/x') as load:
+    limited_world.faults.is_silent = True
+    async with loaded(limited_world, '/look/x') as load:
         await asyncio.sleep(RUN_S)
         assert_served(load)
     assert not in_excess(replica)
@@ -74,17 +67,17 @@
 # twice, or never rid of.
 @pytest.mark.parametrize('limit', ['1', ''])
 async def test_a_target_that_is_born_anew_has_the_limit_that_it_names(
-    world: AgencyWorld, limit: str
+    limited_world: AgencyWorld, limit: str
 ) -> None:
-    replica = world.replicas['ledger-0']
+    replica = limited_world.replicas['ledger-0']
     replica.limit = '1'
-    async with loaded(world, '/look/x') as load:
+    async with loaded(limited_world, '/look/x') as load:
         await asyncio.sleep(CONTACT_S)
         replica.limit = limit
         replica.restart()
-        replica.register(world.store)
+        replica.register(limited_world.store)
         await asyncio.sleep(CONTACT_S)
-        await drain(world, 'ledger-1')
+        await drain(limited_world, 'ledger-1')
         begun_s = time.monotonic()
         await asyncio.sleep(2)
         assert load.statuses[200]
@@ -96,16 +89,16 @@
 
 # Guards against nodes that hear no holder and each send what the limit allows.
 async def test_a_limit_holds_for_nodes_that_decide_alone(
-    world: AgencyWorld,
+    limited_world: AgencyWorld,
 ) -> None:
-    replica = world.replicas['ledger-0']
+    replica = limited_world.replicas['ledger-0']
     replica.limit = '2'
-    async with loaded(world, '/look/x') as load:
+    async with loaded(limited_world, '/look/x') as load:
         await asyncio.sleep(CONTACT_S)
-        world.faults.is_silent = True
-        await holder_of(*world.nodes).process.kill()
+        limited_world.faults.is_silent = True
+        await holder_of(*limited_world.nodes).process.kill()
         await asyncio.sleep(RUN_S)
-        world.faults.is_silent = False
+        limited_world.faults.is_silent = False
         assert load.statuses[200]
     assert not in_excess(replica)
 
@@ -113,13 +106,13 @@
 # Guards against a node that was paused with a decision in hand and sends as
 # soon as it wakes.
 async def test_a_limit_holds_for_nodes_that_were_paused(
-    world: AgencyWorld,
+    limited_world: AgencyWorld,
 ) -> None:
-    replica = world.replicas['ledger-0']
+    replica = limited_world.replicas['ledger-0']
     replica.limit = '1'
-    async with loaded(world, '/look/x'):
+    async with loaded(limited_world, '/look/x'):
         await asyncio.sleep(CONTACT_S)
-        for node in world.nodes * 2:
+        for node in limited_world.nodes * 2:
             node.process.pause()
             await asyncio.sleep(1.5)
             node.process.resume()
@@ -130,16 +123,16 @@
 # or that a target which is hardly used never lifts.
 @pytest.mark.parametrize('limit', ['0', '0.2'])
 async def test_a_limit_ends_when_answers_name_none(
-    world: AgencyWorld, limit: str
+    limited_world: AgencyWorld, limit: str
 ) -> None:
-    replica = world.replicas['ledger-0']
+    replica = limited_world.replicas['ledger-0']
     replica.limit = limit
-    async with loaded(world, '/look/x') as load:
+    async with loaded(limited_world, '/look/x') as load:
         await until(lambda: bool(replica.named))
         await asyncio.sleep(CONTACT_S)
         replica.limit = ''
         await until(lambda: not replica.named[-1].limit)
-        await drain(world, 'ledger-1')
+        await drain(limited_world, 'ledger-1')
         begun_s = time.monotonic()
         await asyncio.sleep(2)
         assert_served(load)
@@ -150,11 +143,11 @@
 # Guards against a field that can't be read and ends a process, or lifts a
 # limit that holds.
 async def test_a_limit_that_can_not_be_read_changes_nothing(
-    world: AgencyWorld,
+    limited_world: AgencyWorld,
 ) -> None:
-    replica = world.replicas['ledger-0']
+    replica = limited_world.replicas['ledger-0']
     replica.limit = '1'
-    async with loaded(world, '/look/x') as load:
+    async with loaded(limited_world, '/look/x') as load:
         await until(lambda: bool(replica.named))
         await asyncio.sleep(CONTACT_S)
         begun_s = time.monotonic()
@@ -164,5 +157,5 @@
         assert_served(load)
     # It is asked rarely: some of these are in no answer.
     assert count_hits(replica, begun_s) <= 1.5 * 4 + 5
-    assert all(node.process.is_running() for node in world.nodes)
-    assert any(node.events('limit_ignored') for node in world.nodes)
+    assert all(node.process.is_running() for node in limited_world.nodes)
+    assert any(node.events('limit_ignored') for node in limited_world.nodes)
--- a/tests/test_node_named_limits.py
+++ b/tests/test_node_named_limits.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator
-from pathlib import Path
 
 import pytest
 
@@ -18,26 +16,21 @@
     drain,
     in_excess,
     loaded,
-    open_limited,
 )
 from tests.test_node_processes import until
 
 
-@pytest.fixture
-async def world(tmp_path: Path) -> AsyncIterator[AgencyWorld]:
-    async with open_limited(tmp_path) as opened:
-        yield opened
-
-
 # Guards against a limit that reaches the callers and nobody else.
 @pytest.mark.parametrize('path', ['/look/x', '/post/x', '/chat/x', '/draft/x'])
 async def test_a_target_that_names_a_limit_gets_no_more(
-    world: AgencyWorld, path: str
+    limited_world: AgencyWorld, path: str
 ) -> None:
     is_plain = path in {'/look/x', '/post/x'}
-    replica = world.replicas['ledger-0' if is_plain else 'engine-0']
+    replica = limited_world.replicas['ledger-0' if is_plain else 'engine-0']
     replica.limit = '1'
-    async with loaded(world, path, **({} if is_plain else ALPHA)) as load:
+    async with loaded(
+        limited_world, path, **({} if is_plain else ALPHA)
+    ) as load:
         await asyncio.sleep(RUN_S)
         # The other target has room for all.
         assert_served(load)
@@ -47,12 +40,12 @@
 # Guards against a target that is left out once it has named a limit, and
 # against callers who wait for it in vain.
 async def test_a_lone_target_is_used_up_to_its_limit(
-    world: AgencyWorld,
+    limited_world: AgencyWorld,
 ) -> None:
-    replica = world.replicas['ledger-0']
+    replica = limited_world.replicas['ledger-0']
     replica.limit = '2'
-    await drain(world, 'ledger-1')
-    async with loaded(world, '/look/x') as load:
+    await drain(limited_world, 'ledger-1')
+    async with loaded(limited_world, '/look/x') as load:
         await until(lambda: bool(replica.named))
         begun_s = time.monotonic()
         await asyncio.sleep(RUN_S)
@@ -63,12 +56,12 @@
 
 
 # Guards against orders that a target with a limit gets beside its requests.
-async def test_orders_count_against_a_limit(world: AgencyWorld) -> None:
-    replica = world.replicas['engine-0']
+async def test_orders_count_against_a_limit(limited_world: AgencyWorld) -> None:
+    replica = limited_world.replicas['engine-0']
     replica.limit = '2'
-    await drain(world, 'engine-1')
+    await drain(limited_world, 'engine-1')
     adapters = ALPHA | {'X_Model': ANY_ADAPTER}
-    async with loaded(world, '/chat/x', **adapters) as load:
+    async with loaded(limited_world, '/chat/x', **adapters) as load:
         await asyncio.sleep(RUN_S)
         assert load.statuses[200] > 2
     assert any(hit.sender for hit in replica.hits)
