--- a/bench/soak_limits.py
+++ b/bench/soak_limits.py
@@ -1,4 +1,4 @@
-"""Targets that name limits, and who sends them more."""
+"""Targets with rate limits, and who exceeds these."""
 
 import asyncio
 import contextlib
@@ -29,7 +29,7 @@
 
 @attrs.frozen
 class Span:
-    """A time in which all answers name one limit."""
+    """A time in which a target kept one rate limit."""
 
     limit: str
     begun_s: float
@@ -38,12 +38,12 @@
 
     @property
     def allowed(self) -> float:
-        """The calls that the target may get in any WINDOW_S."""
+        """The most calls in any WINDOW_S."""
         return EXCESS * WINDOW_S * float(self.limit) + SLACK
 
 
 def spans(replica: Replica, ended_s: float) -> Iterator[Span]:
-    """Return the times in which a target named a limit without a change."""
+    """Return the times in which a target kept one rate limit."""
     groups = [
         (limit, tuple(group))
         for limit, group in itertools.groupby(
@@ -70,9 +70,9 @@
 
 
 def exceeded(replica: Replica, ended_s: float, sender: Sender) -> Iterator[str]:
-    """Return the limits of a target that processes exceeded.
+    """Yield the rate limits of a target that were exceeded.
 
-    Calls count from processes that had passed on an answer that named it.
+    Calls count from processes that had passed on an answer with it.
     """
     for span in spans(replica, ended_s):
         told_s: dict[object, float] = {}
@@ -88,14 +88,14 @@
         most = most_hits(times, span.begun_s + CONTACT_S, span.ended_s)
         if most > span.allowed:
             yield (
-                f'{replica.name} named a limit of {span.limit} a second and '
-                f'got {most} in {WINDOW_S:.0f} s, allowed {span.allowed:.0f}'
+                f'rate limit of {replica.name} is {span.limit}/s: '
+                f'{most} calls in {WINDOW_S:.0f} s, at most {span.allowed:.0f}'
             )
 
 
 @attrs.define(eq=False)
 class SoakLimits:
-    """Has targets name limits that change and end, until cancelled.
+    """Gives targets rate limits that change and end, until cancelled.
 
     Its own random numbers leave the faults of known seeds as they were.
     """
@@ -119,7 +119,7 @@
 
 
 def broken_limits(world: AgencyWorld, load: SoakLoad) -> Iterator[str]:
-    """Return the limits that processes exceeded though they were told."""
+    """Yield the rate limits that informed processes exceeded."""
     answered = {one.request_id for one in load.seen if one.status == OK}
     sent = sorted(load.sent.values(), key=operator.attrgetter('at_s'))
 
--- a/mimosaworks/dispatch/dispatcher.py
+++ b/mimosaworks/dispatch/dispatcher.py
@@ -48,7 +48,7 @@
 
     Messages return what they decided for waiting requests, by call. leaving
     gives the births of targets that announced it before their entries do,
-    limits what targets have named.
+    limits the rate limits of targets.
     """
 
     resends: ResendBudgets
--- a/mimosaworks/dispatch/job.py
+++ b/mimosaworks/dispatch/job.py
@@ -40,8 +40,7 @@
     """The target of a request, and the engine's priority for it.
 
     granted_s is the time of the decision on the clock of the process that
-    reads it. is_counted: it has a place within the limit that the target
-    has named.
+    reads it. is_counted: it has a place within the target's rate limit.
     """
 
     target: str
@@ -56,7 +55,7 @@
 class Refusal:
     """Why a request gets no target, and when the caller may come back.
 
-    is_limited: a target that named a limit would have to get more.
+    is_limited: the target's rate limit has no place in time.
     """
 
     kind: ErrorKind
--- a/mimosaworks/dispatch/target_limits.py
+++ b/mimosaworks/dispatch/target_limits.py
@@ -1,4 +1,4 @@
-"""Bounds what targets get by the limits that they have named."""
+"""Keeps to the rate limits that targets announce."""
 
 import math
 from collections.abc import Collection
@@ -36,7 +36,7 @@
 
 @attrs.define(eq=False)
 class TargetLimits:
-    """Requests a second that targets take from all nodes together.
+    """Rate limits of targets, in calls a second over all nodes.
 
     Buckets start empty, so that no change of holder gives a burst twice.
     Orders and reports count as well. version grows with each change.
@@ -78,7 +78,7 @@
         return {name: one.per_s for name, one in self._limited.items()}
 
     def is_limited(self, target: str) -> bool:
-        """Tell whether a target has named a limit."""
+        """Tell whether a target has a rate limit."""
         return target in self._limited
 
     def rate(self, target: str) -> float:
@@ -135,13 +135,13 @@
         return known.return_s - now
 
     def describe(self, target: str, wait_s: float) -> str:
-        """Return a limit and the wait for a place, for a reason."""
+        """Return a rate limit and the wait for a place, for a reason."""
         known = self._limited.get(target)
         if known is None:
             return ''
         per_s = known.per_s
-        taken = f'{target} takes {per_s} a second'
-        return f'{taken}, next place in {wait_s:.2f} s'
+        limit = f'rate limit of {target} is {per_s}/s'
+        return f'{limit}, next place in {wait_s:.2f} s'
 
     def forget_gone(self, targets: Collection[str], now: float) -> None:
         """Forget the limits of targets that have been gone for a while."""
--- a/mimosaworks/node/beat_news.py
+++ b/mimosaworks/node/beat_news.py
@@ -55,7 +55,7 @@
         self.has_news.set()
 
     def note_limit(self, note: LimitNote) -> None:
-        """Tell the holder of a limit that a target has named."""
+        """Tell the holder of a rate limit that a target announced."""
         self._limits.append(note)
         self.has_news.set()
 
--- a/mimosaworks/node/limit_view.py
+++ b/mimosaworks/node/limit_view.py
@@ -1,4 +1,4 @@
-"""What a node knows of limits that targets have named."""
+"""What a node knows of the rate limits of targets."""
 
 import math
 from collections.abc import Callable
@@ -33,7 +33,7 @@
 
 @attrs.define(eq=False)
 class LimitView:
-    """Requests a second that targets take from all nodes together.
+    """Rate limits of targets, in calls a second over all nodes.
 
     find_born gives the birth of a target as it is known, 0 if it is not,
     is_alone tells whether no holder is heard. on_notice is called with the
@@ -87,9 +87,9 @@
     def read_other(
         self, target: str, headers: MultiMapping[str], now: float
     ) -> None:
-        """Take over a limit that the answer to another call names.
+        """Take over a lower limit from the answer to another call.
 
-        Such answers may name none though the limit holds.
+        Such answers may lack it though the limit holds.
         """
         per_s = self._read(target, headers)
         if per_s is not None and per_s < self.per_s(target):
@@ -114,7 +114,7 @@
                 self._own.pop(target)
 
     def _read(self, target: str, headers: MultiMapping[str]) -> float | None:
-        """Return the limit that a head names, None if it can't be read."""
+        """Return the rate limit in a head, None if it can't be read."""
         try:
             return read_limit_per_s(headers)
         except ValueError as exc:
@@ -168,7 +168,7 @@
 
 
 def read_limit_per_s(headers: MultiMapping[str]) -> float:
-    """Return the requests a second that a target takes; inf if it names none.
+    """Return the rate limit in a head, in calls a second; inf without one.
 
     Raises ValueError for anything but one finite number from 0 on.
     """
@@ -176,7 +176,7 @@
     if not sent:
         return math.inf
     if len(sent) > 1:
-        raise ValueError(f'{LIMIT} is named {len(sent)} times')
+        raise ValueError(f'{LIMIT} is given {len(sent)} times')
     # float() also accepts underscores between digits.
     limit_per_s = float(sent[0].replace('_', ','))
     if not 0 <= limit_per_s < math.inf:
--- a/mimosaworks/node/limit_watch.py
+++ b/mimosaworks/node/limit_watch.py
@@ -20,7 +20,7 @@
     def take_notes(
         self, dispatcher: Dispatcher, beat: Beat, now: float
     ) -> None:
-        """Take over what answers at a node have named."""
+        """Take over what answers at a node said."""
         for note in beat.limits:
             begun_s = granted_s(dispatcher.jobs, note.call, note.target)
             is_taken = dispatcher.limits.note(
--- a/mimosaworks/node/local_choice.py
+++ b/mimosaworks/node/local_choice.py
@@ -32,8 +32,8 @@
     """The requests of one node at targets, and its share of the rates.
 
     It sends only to targets that hold a request's model, and takes no more
-    of a target's slots than one of members nodes may. limit_of gives what a
-    target takes in a second, inf where it has named no limit.
+    of a target's slots than one of members nodes may. limit_of gives the rate
+    limit of a target, inf without one.
     """
 
     limiter: Limiter = attrs.field(factory=Limiter)
--- a/mimosaworks/node/meters.py
+++ b/mimosaworks/node/meters.py
@@ -54,7 +54,7 @@
         self.orders.labels(kind, source, answer).inc()
 
     def note_limited(self, result: str) -> None:
-        """Count a request for which a target's limit has no place."""
+        """Count a request that a target's rate limit holds up."""
         self.limited.labels(result).inc()
 
     def note_notice(self, kind: str) -> None:
@@ -101,7 +101,7 @@
 
         self.limited = self._counter(
             'mimosa_limited',
-            "Requests for which a target's limit had no place.",
+            "Requests that a target's rate limit held up.",
             'result',
         )
 
@@ -134,7 +134,7 @@
             'mimosa_view_age_seconds', 'Age of what is believed.', 'view'
         )
         self.limits = self._gauge(
-            'mimosa_named_limits', 'Targets that have named a limit.'
+            'mimosa_target_limits', 'Targets with a rate limit.'
         )
         self.version = self._gauge(
             'mimosa_deployment_version', 'Version in force here.'
--- a/mimosaworks/node/order_pace.py
+++ b/mimosaworks/node/order_pace.py
@@ -29,7 +29,7 @@
 
 
 def make_interval(limits: TargetLimits) -> Callable[[str], float]:
-    """Return what tells the seconds between two calls that a target takes."""
+    """Return what tells the seconds between two calls to a target."""
 
     def interval_s(target: str) -> float:
         return 1 / limits.rate(target)
--- a/mimosaworks/wire/dispatch.capnp
+++ b/mimosaworks/wire/dispatch.capnp
@@ -119,7 +119,7 @@
 }
 
 struct LimitNote {
-  # perS is infinite for an answer that names no limit.
+  # perS is infinite for an answer without a rate limit.
   target @0 :Text;
   perS @1 :Float64;
   call @2 :Text;
--- a/mimosaworks/wire/dispatch_messages.py
+++ b/mimosaworks/wire/dispatch_messages.py
@@ -60,7 +60,7 @@
     """A target, or an error kind with the seconds to stay away.
 
     The decision was made waited_s after the ask had arrived. is_counted: the
-    request has a place within the limit that the target has named.
+    request has a place within the target's rate limit.
     """
 
     target: str = ''
@@ -131,8 +131,8 @@
     running is filled in the first beat to a holder, spent with the tokens
     that the node admitted without one. wants_levels asks for the tokens that
     workspaces have left. leaving are targets that announced that to the
-    node, crashes those that ended under its requests, limits what answers
-    have named, in the first beat to a holder all of them.
+    node, crashes those that ended under its requests, rate limits that
+    answers gave, in the first beat to a holder all of them.
     """
 
     row: NodeRow
--- a/mimosaworks/wire/target_messages.py
+++ b/mimosaworks/wire/target_messages.py
@@ -54,7 +54,7 @@
 
 @attrs.frozen
 class LimitNote:
-    """A target's answer named a limit; per_s is inf where it named none.
+    """The rate limit in a target's answer; per_s is inf without one.
 
     call names the ask of its request; it is empty for other calls.
     """
@@ -66,7 +66,7 @@
 
 @attrs.frozen
 class LimitRow:
-    """The requests a second that a target takes from all nodes together."""
+    """The rate limit of a target, in calls a second over all nodes."""
 
     target: str
     per_s: float
--- a/standins/agency/replica.py
+++ b/standins/agency/replica.py
@@ -31,7 +31,7 @@
 
 @attrs.frozen
 class NamedLimit:
-    """An answer to a request that named a limit, empty without one."""
+    """The rate limit in an answer to a request, empty without one."""
 
     at_s: float
     request_id: str
--- a/tests/test_dispatch_target_limits.py
+++ b/tests/test_dispatch_target_limits.py
@@ -191,7 +191,7 @@
     told = [one.retry_after_s for one in refused if isinstance(one, Refusal)]
     assert told == pytest.approx([told[0], told[0] + 2, told[0] + 4])
     assert told[0] >= 2
-    assert 't1 takes 0.5 a second' in str(refused[0])
+    assert 'rate limit of t1 is 0.5/s' in str(refused[0])
 
 
 def test_waiting_requests_that_others_made_late_are_refused() -> None:
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -103,7 +103,7 @@
     assert resp.status == 503
     lines = await story(world.folder, 'limit-2', 'call_refused')
     decided = next(one for one in lines if one['event'] == 'call_decided')
-    assert 'ledger-1 takes 0.1 a second' in decided['reason']
+    assert 'rate limit of ledger-1 is 0.1/s' in decided['reason']
     found = run_command(world.folder, 'target_limited', TARGET='ledger-1')
     assert {'target_limited', 'limit_told'} <= {one['event'] for one in found}
 
