Nodes alone count resends with the holder's own class

LocalChoice repeated ResendBudgets.admit, with the same budgets by service. Bounds are as before: nodes alone have the share that is left while others count.

--- a/mimosaworks/dispatch/resend_budget.py
+++ b/mimosaworks/dispatch/resend_budget.py
@@ -56,7 +56,7 @@
     """The budget of each service.
 
     taken_over_s is when this process began to count, None if no other one
-    has counted before.
+    has counted before, inf for one beside which others always count.
     """
 
     terms: ResendTerms
@@ -66,6 +66,7 @@
     def admit(self, service: str, now: float, *, is_resend: bool) -> bool:
         """Count a send; return whether it is within the budget."""
         budget = self._budgets.setdefault(service, ResendBudget(self.terms))
+        budget.terms = self.terms
         if is_resend:
             return budget.try_spend(now, self._share(now))
         budget.note_request(now)
--- a/mimosaworks/node/local_choice.py
+++ b/mimosaworks/node/local_choice.py
@@ -12,9 +12,13 @@
     TargetEntry,
     TargetState,
 )
-from mimosaworks.dispatch import Assignment, Refusal, ResendTerms
+from mimosaworks.dispatch import (
+    Assignment,
+    Refusal,
+    ResendBudgets,
+    ResendTerms,
+)
 from mimosaworks.dispatch.limiter import Limiter
-from mimosaworks.dispatch.resend_budget import TAKEN_OVER, ResendBudget
 from mimosaworks.errors import ErrorKind
 from mimosaworks.node.alone_places import AlonePlaces
 from mimosaworks.wire import CallAsk
@@ -42,8 +46,7 @@
     running: dict[str, int] = attrs.field(factory=dict)
     _version: int = 0
     _shares: int = 0
-    _terms: ResendTerms | None = None
-    _resends: dict[str, ResendBudget] = attrs.field(factory=dict)
+    _resends: ResendBudgets | None = None
 
     def note(self, target: str, change: int) -> None:
         """Count a request that begins (1) or ends (-1) at a target."""
@@ -80,7 +83,11 @@
     def bound_resends(self, terms: ResendTerms) -> None:
         """Take this node's share of the resends of all nodes."""
         slack = terms.slack / max(self._shares, 1)
-        self._terms = attrs.evolve(terms, slack=slack)
+        share = attrs.evolve(terms, slack=slack)
+        if self._resends is None:
+            # The last holder's sends, and the next one's, count as well.
+            self._resends = ResendBudgets(share, math.inf)
+        self._resends.terms = share
 
     def leave(self) -> None:
         """Forget the shares: a holder counts again."""
@@ -128,20 +135,12 @@
         )
 
     def _may_send(self, ask: CallAsk, now: float) -> bool:
-        """Count a send; tell whether resends have room for it.
-
-        The sends of the last holder, and of the next one, count as well.
-        """
-        if self._terms is None:
+        """Count a send; tell whether resends have room for it."""
+        if self._resends is None:
             return True
-        budget = self._resends.setdefault(
-            ask.service, ResendBudget(self._terms)
+        return self._resends.admit(
+            ask.service, now, is_resend=bool(ask.resends)
         )
-        budget.terms = self._terms
-        if ask.resends:
-            return budget.try_spend(now, TAKEN_OVER)
-        budget.note_request(now)
-        return True
 
     def _fits(self, entry: TargetEntry, ask: CallAsk, facts: CallFacts) -> bool:
         is_usable = (
