--- a/standins/agency/replica.py
+++ b/standins/agency/replica.py
@@ -15,6 +15,7 @@
 EVENT_S = 0.005
 EVENTS = 5
 POISON = b'poison'  # the body of requests that crash what runs them
+POISON_PATH = '/poison'  # or the end of their path, for those without a body
 
 
 @attrs.frozen
@@ -254,7 +255,7 @@
 async def _run(
     replica: Replica, req: web.Request, body: bytes, model: str
 ) -> web.StreamResponse:
-    if body == POISON:
+    if body == POISON or req.path.endswith(POISON_PATH):
         replica.on_crash(replica.name, req.headers['X-Request-Id'])
     head = {
         'X-Request-Id': req.headers['X-Request-Id'],
