A request without a body leaves once in an attempt, and its target's end is seen

What callers saw: a lookup (GET) that crashes targets went on crashing them, four in one attempt, and one that may run once ran four times.

Cause: aiohttp repeats requests without a body by itself where a kept connection is closed. The target that ended under the first send refuses the second connection; the node took that for a target that could not be reached. Such a send counts neither as an end nor as a resend, and the next target follows, up to eight in one attempt.

Change: the guard that checks each send right before its first byte also refuses a second one, before a connection is made for it. The first send's loss is then what the node sees: it may have run. Until now that held for targets with a rate limit alone.

The router's guard is the same one. Its cancel calls are repeated as before: they carry no guard any more, as a cancel that comes twice does no harm.

--- a/mimosaworks/node/exchange.py
+++ b/mimosaworks/node/exchange.py
@@ -11,7 +11,6 @@
     ClientResponse,
     ClientSession,
     ConnectionTimeoutError,
-    ServerDisconnectedError,
     web,
 )
 from yarl import URL
@@ -79,7 +78,7 @@
         def told() -> None:
             on_first(now_s() - begun_s)
 
-        guard = _guard(assignment, check)
+        guard = SendGuard(lambda: check(assignment))
         resp = await self._open(call, assignment, guard)
         with self.held.hold() as hold:
             async with resp:
@@ -139,23 +138,6 @@
             self.notices.note_pause(target, pause_s, now_s())
 
 
-def _guard(assignment: Assignment, check: CheckGrant) -> SendGuard:
-    """Return a guard that checks once, before the first byte.
-
-    Where a kept connection was closed the client may use another one, for
-    which a limit has no place.
-    """
-
-    def check_once() -> None:
-        if not guard.is_sending:
-            check(assignment)
-        elif assignment.is_counted:
-            raise ServerDisconnectedError('a kept connection was closed')
-
-    guard = SendGuard(check_once)
-    return guard
-
-
 async def _pass_on(
     call: Call, resp: ClientResponse, told: Callable[[], None], hold: Hold
 ) -> web.StreamResponse:
--- a/mimosaworks/relay/upstream.py
+++ b/mimosaworks/relay/upstream.py
@@ -60,11 +60,8 @@
         """Ask an engine to stop a request; failures do not matter."""
         url = f'{target.url}/requests/{request_id}'
         limit = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S)
-        guard = SendGuard(lambda: None)
         try:
-            async with self.pooled.delete(
-                url, timeout=limit, trace_request_ctx=guard
-            ):
+            async with self.pooled.delete(url, timeout=limit):
                 return
         except (aiohttp.ClientError, TimeoutError):
             return
--- a/mimosaworks/send_guard.py
+++ b/mimosaworks/send_guard.py
@@ -21,9 +21,29 @@
 
     def begin_sending(self) -> None:
         """Check, then note that bytes may leave from now on."""
+        self.forbid_repeat()
         self.check()
         self.is_sending = True
 
+    def forbid_repeat(self) -> None:
+        """Raise ServerDisconnectedError if the request was sent before.
+
+        aiohttp repeats requests without a body where a kept connection is
+        closed. The target may have run, or ended under, the first of them.
+        """
+        if self.is_sending:
+            raise aiohttp.ServerDisconnectedError(
+                'the connection was closed after the request was sent'
+            )
+
+
+async def _on_connecting(
+    _session: aiohttp.ClientSession, context: SimpleNamespace, _event: Any
+) -> None:
+    guard = context.trace_request_ctx
+    if guard is not None:
+        guard.forbid_repeat()
+
 
 async def _on_connected(
     _session: aiohttp.ClientSession, context: SimpleNamespace, _event: Any
@@ -38,9 +58,11 @@
 
     The hooks run after a connection was made or taken from the pool and
     before the first byte of the request is written, so a process that was
-    paused while it connected checks its view again.
+    paused while it connected checks its view again. No connection is made
+    for a request that was sent already.
     """
     trace = aiohttp.TraceConfig()
+    trace.on_connection_create_start.append(_on_connecting)
     trace.on_connection_create_end.append(_on_connected)
     trace.on_connection_reuseconn.append(_on_connected)
     return trace
--- a/standins/agency/world.py
+++ b/standins/agency/world.py
@@ -271,6 +271,7 @@
         request_id: str,
         body: bytes = b'{}',
         /,
+        method: str = 'POST',
         **extra: str,
     ) -> Any:
         """Send a request as a caller does."""
@@ -282,7 +283,9 @@
             **{name.replace('_', '-'): text for name, text in extra.items()},
         }
         url = f'http://{node.front}{path}'
-        return self.session.post(url, headers=headers, data=body)
+        return self.session.request(
+            method, url, headers=headers, data=body or None
+        )
 
     def _on_crash(self, name: str, request_id: str) -> None:
         self.crashed_by.append(request_id)
