--- a/mimosaworks/dispatch/__init__.py
+++ b/mimosaworks/dispatch/__init__.py
@@ -1,6 +1,7 @@
 """Decisions on where requests run and what is loaded; no input or output."""
 
 from mimosaworks.dispatch.crash_book import (
+    BookNews,
     CrashBook,
     EntriesView,
     Suspect,
@@ -23,6 +24,7 @@
 __all__ = [
     'Ask',
     'Assignment',
+    'BookNews',
     'CallOutcome',
     'CrashBook',
     'Decided',
--- a/mimosaworks/dispatch/crash_book.py
+++ b/mimosaworks/dispatch/crash_book.py
@@ -1,6 +1,8 @@
 """Counts, for each request's content, the targets that ended under it."""
 
 import enum
+import functools
+from collections import deque
 from collections.abc import Iterable, Iterator, Mapping
 
 import attrs
@@ -21,6 +23,7 @@
 MAX_SUSPECTS = 1000
 MAX_ENDS = 8  # of one content; more tell nothing new
 MAX_SILENT = 2000
+MAX_NEWS = 200  # between two looks of the log
 
 
 class Verdict(enum.Enum):
@@ -52,6 +55,18 @@
         return f'{self.target}/{self.born}/{self.number}'
 
 
+@attrs.frozen
+class BookNews:
+    """A trial of a content, or an end that counts no more, and why.
+
+    end is None for a trial.
+    """
+
+    mark: str
+    reason: str
+    end: TargetEnd | None = None
+
+
 @attrs.frozen
 class EntriesView:
     """The targets' entries, read without a gap from since_s to read_s.
@@ -114,10 +129,14 @@
     An end counts at once, and is taken back if the target's entry shows that
     it lives on. A content that was beside the one to blame is cleared by
     answers, also by those that came before. version grows with each change.
+    news are trials and ends that count no more, for the log.
     """
 
     version: int = 0
     suspects: dict[str, Suspect] = attrs.field(factory=dict)
+    news: deque[BookNews] = attrs.field(
+        factory=functools.partial(deque, maxlen=MAX_NEWS)
+    )
     _open: dict[tuple[str, str], float] = attrs.field(factory=dict)
     _silent: dict[str, tuple[TargetEnd, float]] = attrs.field(factory=dict)
     _credits: dict[str, int] = attrs.field(factory=dict)
@@ -141,6 +160,7 @@
             suspect.trials += 1
             suspect.noted_s = now
             self.version += 1
+            self.news.append(BookNews(mark, 'trial'))
 
     def note_end(
         self, end: TargetEnd, entry: TargetEntry | None, now: float
@@ -172,7 +192,7 @@
         is_tried = suspect.trials > 0 and len(suspect.ends) >= REFUSED_ENDS
         if is_tried or suspect.answers >= ANSWERS_FOR_END:
             suspect.answers = 0
-            self._take_back(mark, next(iter(suspect.ends)))
+            self._take_back(mark, next(iter(suspect.ends)), 'answers')
 
     def note_life(self, target: str, granted_s: float, now: float) -> None:
         """Take back ends of a target that answered a later request at once."""
@@ -180,7 +200,7 @@
             is_later = noted_s < granted_s and now - noted_s < LIFE_S
             end = self.suspects[mark].ends[name]
             if is_later and end.target == target:
-                self._take_back(mark, name)
+                self._take_back(mark, name, 'life')
 
     def follow_entries(self, view: EntriesView, now: float) -> None:
         """Compare ends with the targets' entries, and forget old ones."""
@@ -236,7 +256,7 @@
         if view.shows(self.suspects[mark].ends[name], noted_s):
             self._open.pop(place)
         elif view.would_show(noted_s):
-            self._take_back(mark, name)
+            self._take_back(mark, name, 'entry')
 
     def _least(self) -> str:
         """Return the content with the fewest ends, the oldest of these."""
@@ -255,9 +275,10 @@
             forget_oldest(self._paid, MAX_CREDITS)
         return key in self._paid
 
-    def _take_back(self, mark: str, name: str) -> None:
+    def _take_back(self, mark: str, name: str, reason: str) -> None:
         suspect = self.suspects[mark]
-        suspect.ends.pop(name)
+        end = suspect.ends.pop(name)
+        self.news.append(BookNews(mark, reason, end))
         self._open.pop((mark, name), None)
         self.version += 1
         if not suspect.ends:
--- a/mimosaworks/node/suspect_watch.py
+++ b/mimosaworks/node/suspect_watch.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from mimosaworks.dispatch import CrashBook, judge_ends
+from mimosaworks.dispatch import BookNews, CrashBook, judge_ends
 from mimosaworks.dispatch.crash_book import APART_ENDS
 from mimosaworks.events import Event, log_event
 from mimosaworks.node.change_log import ChangeLog
@@ -23,6 +23,8 @@
         """Take over what has changed."""
         if book.version == self._version:
             return
+        while book.news:
+            _log_news(book.news.popleft())
         self._version = book.version
         rows = {
             mark: SuspectRow(mark, tuple(suspect.ends))
@@ -39,3 +41,17 @@
                     verdict=judge_ends(len(row.ends)).value,
                 )
         self.log.replace(rows)
+
+
+def _log_news(news: BookNews) -> None:
+    if news.end is None:
+        log_event(Event.CONTENT_TRIED, mark=news.mark, reason=news.reason)
+        return
+    log_event(
+        Event.TARGET_END_DROPPED,
+        mark=news.mark,
+        target=news.end.target,
+        born=news.end.born,
+        number=news.end.number,
+        reason=news.reason,
+    )
