Ends are told with the birth that the holder sent the request to

What callers saw: a request that crashes a target that is soon back crashes it once more than the count allows.

Cause: a node named an end by the target's birth as it knew it itself. The holder hears of a new birth first and may send to it at once; two nodes that still know the birth before name the ends of two births alike, and they count as one.

Change: a decision carries the birth, as its address does.

Evidence: tests/test_node_births.py, one ledger that is back after 20 ms, five nodes: 4 crashes before, 3 now (two may run, and the third sets the refusal).

--- a/mimosaworks/dispatch/engine_pool.py
+++ b/mimosaworks/dispatch/engine_pool.py
@@ -131,6 +131,7 @@
             reason=_describe(job, self.estimator.writing.write_s(job)),
             granted_s=now,
             is_counted=self.limits.is_limited(target.entry.name),
+            born=target.entry.born,
         )
 
     def overdue(self, now: float) -> list[Job]:
--- a/mimosaworks/dispatch/job.py
+++ b/mimosaworks/dispatch/job.py
@@ -39,6 +39,7 @@
 class Assignment:
     """The target of a request, and the engine's priority for it.
 
+    born is the target's birth as it was known then, 0 if it was not.
     granted_s is the time of the decision on the clock of the process that
     reads it. is_counted: it has a place within the target's rate limit.
     """
@@ -49,6 +50,7 @@
     reason: str = ''
     granted_s: float = 0
     is_counted: bool = False
+    born: int = 0
 
 
 @attrs.frozen
--- a/mimosaworks/dispatch/plain_pool.py
+++ b/mimosaworks/dispatch/plain_pool.py
@@ -222,6 +222,7 @@
             f'slot {len(chosen.jobs)} of {slots}',
             granted_s=now,
             is_counted=self.limits.is_limited(name),
+            born=chosen.entry.born,
         )
 
 
--- a/mimosaworks/node/chooser.py
+++ b/mimosaworks/node/chooser.py
@@ -184,6 +184,7 @@
             # The decision is younger than that by the way of the ask.
             granted_s=asked_s + reply.waited_s,
             is_counted=reply.is_counted,
+            born=reply.born,
         )
 
     def _decide_alone(self, call: Call, ask: CallAsk) -> Assignment | Refusal:
--- a/mimosaworks/node/front.py
+++ b/mimosaworks/node/front.py
@@ -148,7 +148,6 @@
         call.sent_s = begun_s
         self.calls[name] = call
         self.chooser.local.note(assignment.target, 1)
-        born = self.chooser.notices.find_born(assignment.target)
         outcome = CallOutcome.ANSWERED
         try:
             yield
@@ -162,7 +161,7 @@
             call_log.log_abandoned(call, outcome)
             raise
         finally:
-            self._note_end(call, outcome, born, begun_s)
+            self._note_end(call, outcome, assignment.born, begun_s)
             self._leave(name, assignment, outcome, now_s() - begun_s)
 
     def _leave(
--- a/mimosaworks/node/local_choice.py
+++ b/mimosaworks/node/local_choice.py
@@ -132,6 +132,7 @@
             'no holder is heard',
             granted_s=now,
             is_counted=self.limit_of(chosen.name) < math.inf,
+            born=chosen.born,
         )
 
     def _may_send(self, ask: CallAsk, now: float) -> bool:
--- a/mimosaworks/wire/dispatch_messages.py
+++ b/mimosaworks/wire/dispatch_messages.py
@@ -60,7 +60,8 @@
     """A target, or an error kind with the seconds to stay away.
 
     The decision was made waited_s after the ask had arrived. is_counted: the
-    request has a place within the target's rate limit.
+    request has a place within the target's rate limit. born is the target's
+    birth, 0 if it is not known.
     """
 
     target: str = ''
@@ -70,6 +71,7 @@
     kind: str = ''
     retry_after_s: float = 0
     is_counted: bool = False
+    born: int = 0
     waited_s: float = 0
 
 
