Ends are given back on whole answers alone; silent ones are held, and told on

What callers saw: a content under which three targets had ended went on to be sent, once ends had been given back that were real.

Cause: what gave them back was no evidence. A 500 of a target that never began to run the content counted as a run that ended whole; an answer of the same target within a second as life; an entry without a change for 6 s too, while stores write late by as much; ten answers in advance as two ends. An end without a broken connection waited for the entry, while the content went on at every node; it was forgotten by its node once the holder had stored a row that has no such ends; and a stream that had begun never counted.

Change: only whole answers (below 400) to the same content take ends back, or an entry that stays the same for three heartbeats and 24 s. While three targets may have ended without an answer within 6 s, the content is held; nodes tell each holder of such ends for 30 s. A node looks at the count once more right before the first byte.

Replaced, as they asked for what is no evidence: an answer at once takes an end back; answers in advance make up for two ends; a failure clears a content.

--- a/mimosaworks/dispatch/__init__.py
+++ b/mimosaworks/dispatch/__init__.py
@@ -16,7 +16,7 @@
 from mimosaworks.dispatch.job import Ask, Assignment, Job, Refusal, granted_s
 from mimosaworks.dispatch.load_ahead import load_ahead
 from mimosaworks.dispatch.load_time import timed
-from mimosaworks.dispatch.outcome import CallOutcome
+from mimosaworks.dispatch.outcome import CallOutcome, outcome_of
 from mimosaworks.dispatch.plain_pool import PlainPool, PlainTarget
 from mimosaworks.dispatch.reconcile import adopt_models
 from mimosaworks.dispatch.resend_budget import ResendBudgets, ResendTerms
@@ -49,5 +49,6 @@
     'granted_s',
     'judge_ends',
     'load_ahead',
+    'outcome_of',
     'timed',
 ]
--- a/mimosaworks/dispatch/crash_book.py
+++ b/mimosaworks/dispatch/crash_book.py
@@ -9,18 +9,16 @@
 
 from mimosaworks.bounded import forget_oldest
 from mimosaworks.deployment import TargetEntry, TargetState
+from mimosaworks.dispatch.silent_ends import SilentEnds
 
 APART_ENDS = 2  # from here on one run at a time
 REFUSED_ENDS = 3
 ANSWERS_FOR_END = 5  # answers that take back one end
-MAX_CREDIT = 10  # answers in advance, for two ends
-MAX_CREDITS = 2000  # contents with answers in advance
+MAX_ANSWERED = 2000  # contents whose answers are counted
 KEEP_S = 600.0
 EXPIRY_PERIOD_S = 1.0
-LIFE_S = 1.0  # less than a target needs to start anew
 MAX_SUSPECTS = 1000
 MAX_ENDS = 8  # of one content; more tell nothing new
-MAX_SILENT = 2000
 MAX_NEWS = 200  # between two looks of the log
 
 
@@ -117,9 +115,9 @@
 class CrashBook:
     """What the holder knows of contents under which targets ended.
 
-    An end counts at once, and is taken back if the target's entry shows that
-    it lives on. A content that was beside the one to blame is cleared by
-    answers, also by those that came before. version grows with each change.
+    An end counts at once. It is taken back by whole answers to the same
+    content, or if the target's entry shows for long that it lives on. version
+    grows with each change.
     news are trials and ends that count no more, for the log.
     """
 
@@ -129,9 +127,8 @@
         factory=functools.partial(deque, maxlen=MAX_NEWS)
     )
     _open: dict[tuple[str, str], float] = attrs.field(factory=dict)
-    _silent: dict[str, tuple[TargetEnd, float]] = attrs.field(factory=dict)
-    _credits: dict[str, int] = attrs.field(factory=dict)
-    _paid: dict[str, bool] = attrs.field(factory=dict)
+    _silent: SilentEnds = attrs.field(factory=SilentEnds)
+    _answered: dict[str, int] = attrs.field(factory=dict)
     _expiry_s: float = 0
 
     def judge(self, mark: str) -> Verdict:
@@ -139,6 +136,17 @@
         suspect = self.suspects.get(mark)
         return judge_ends(0 if suspect is None else len(suspect.ends))
 
+    def is_held(self, mark: str, now: float) -> bool:
+        """Tell whether several targets may have ended under a content.
+
+        Their entries show in a moment whether they have. No run of it has
+        ended whole meanwhile.
+        """
+        suspect = self.suspects.get(mark)
+        ends = 0 if suspect is None else len(suspect.ends)
+        silent = self._silent.count_recent(mark, now)
+        return silent > 0 and ends + silent >= REFUSED_ENDS
+
     def note_end(
         self, end: TargetEnd, entry: TargetEntry | None, now: float
     ) -> None:
@@ -151,18 +159,18 @@
                 return
             end = attrs.evolve(end, born=end.born or entry.born)
         if end.is_silent:
-            self._silent[f'{end.mark}/{end.name}'] = (end, now)
-            forget_oldest(self._silent, MAX_SILENT)
+            self._silent.add(end, now)
         else:
             self._count(end, now)
 
     def note_answer(self, mark: str) -> None:
-        """Note that a target ran a content and lived on."""
+        """Note that a target ran a content to its end."""
+        self._silent.note_answer(mark)
         suspect = self.suspects.get(mark)
         if suspect is None:
-            credit = self._credits.pop(mark, 0)
-            self._credits[mark] = min(credit + 1, MAX_CREDIT)
-            forget_oldest(self._credits, MAX_CREDITS)
+            answers = self._answered.pop(mark, 0)
+            self._answered[mark] = min(answers + 1, ANSWERS_FOR_END)
+            forget_oldest(self._answered, MAX_ANSWERED)
             return
         suspect.answers += 1
         # One that crashes whatever runs it has no trial that ends whole.
@@ -172,24 +180,16 @@
             suspect.answers = 0
             self._take_back(mark, next(iter(suspect.ends)), 'answers')
 
-    def note_life(self, target: str, granted_s: float, now: float) -> None:
-        """Take back ends of a target that answered a later request at once."""
-        for (mark, name), noted_s in list(self._open.items()):
-            is_later = noted_s < granted_s and now - noted_s < LIFE_S
-            end = self.suspects[mark].ends[name]
-            if is_later and end.target == target:
-                self._take_back(mark, name, 'life')
+    def is_proven(self, mark: str) -> bool:
+        """Tell whether a content ran whole several times before its ends."""
+        return self._answered.get(mark, 0) >= ANSWERS_FOR_END
 
     def follow_entries(self, view: EntriesView, now: float) -> None:
         """Compare ends with the targets' entries, and forget old ones."""
         for place, noted_s in list(self._open.items()):
             self._settle(place, noted_s, view)
-        for key, (end, seen_s) in list(self._silent.items()):
-            is_shown = view.shows(end, seen_s)
-            if is_shown or view.would_show(seen_s):
-                self._silent.pop(key)
-            if is_shown:
-                self._count(end, now)
+        for end in self._silent.take_shown(view):
+            self._count(end, now)
         if now > self._expiry_s:
             self._expiry_s = now + EXPIRY_PERIOD_S
             for mark in list(self._expired(now)):
@@ -213,8 +213,6 @@
                 yield (mark, suspect)
 
     def _count(self, end: TargetEnd, now: float) -> None:
-        if self._is_paid(end):
-            return
         suspect = self.suspects.pop(end.mark, None) or Suspect()
         self.suspects[end.mark] = suspect
         if end.name in suspect.ends:
@@ -244,16 +242,6 @@
     def _count_ends(self, mark: str) -> int:
         return len(self.suspects[mark].ends)
 
-    def _is_paid(self, end: TargetEnd) -> bool:
-        """Tell whether answers in advance make up for an end."""
-        key = f'{end.mark}/{end.name}'
-        credit = self._credits.get(end.mark, 0)
-        if key not in self._paid and credit >= ANSWERS_FOR_END:
-            self._credits[end.mark] = credit - ANSWERS_FOR_END
-            self._paid[key] = True
-            forget_oldest(self._paid, MAX_CREDITS)
-        return key in self._paid
-
     def _take_back(self, mark: str, name: str, reason: str) -> None:
         suspect = self.suspects[mark]
         end = suspect.ends.pop(name)
--- a/mimosaworks/dispatch/dispatcher.py
+++ b/mimosaworks/dispatch/dispatcher.py
@@ -36,7 +36,7 @@
 # The longest wait for tokens: the same for all, so that patient requests
 # do not take the tokens of urgent ones in advance.
 TOKEN_WAIT_S = 0.3
-_SURVIVED = frozenset((CallOutcome.ANSWERED, CallOutcome.FAILED))
+_WHOLE = frozenset((CallOutcome.ANSWERED, CallOutcome.ERRED))
 _UNSENT = frozenset((CallOutcome.NOT_SENT, CallOutcome.UNREACHABLE))
 _UNUSED = _UNSENT | {CallOutcome.REFUSED}
 
@@ -162,7 +162,7 @@
         pool = self.pools.get(job.ask.service)
         if pool is not None:
             _note_outcome(self, job, outcome, now)
-            if outcome is CallOutcome.ANSWERED:
+            if outcome in _WHOLE:
                 pool.note_whole(job, duration_s)
             pool.drop(job)
         if job.is_trial and outcome in _UNSENT:
@@ -288,7 +288,7 @@
         decided = pool.submit(job, now)
     if isinstance(decided, Assignment):
         dispatcher.trials.take(ask.mark, now)
-        return decided
+        return attrs.evolve(decided, is_trial=True)
     dispatcher.give_up(job)
     return crash_suspect()
 
@@ -302,9 +302,9 @@
 def _note_outcome(
     dispatcher: Dispatcher, job: Job, outcome: CallOutcome, now: float
 ) -> None:
-    if outcome in _SURVIVED:
+    # A failure may come from a target that did not begin to run it.
+    if outcome is CallOutcome.ANSWERED:
         dispatcher.crashes.note_answer(job.ask.mark)
-        dispatcher.crashes.note_life(job.target, job.granted_s, now)
     target = _find_target(dispatcher, job.ask.service, job.target)
     if target is None:
         return
--- a/mimosaworks/dispatch/health.py
+++ b/mimosaworks/dispatch/health.py
@@ -18,6 +18,7 @@
     CallOutcome.OVERSIZED,
     CallOutcome.TIMED_OUT,
 ))
+_ANSWERED = frozenset((CallOutcome.ANSWERED, CallOutcome.ERRED))
 _LEFT_OUT = frozenset((CallOutcome.UNREACHABLE, CallOutcome.OVERSIZED))
 
 
@@ -50,7 +51,7 @@
 
     def note_outcome(self, outcome: CallOutcome, now: float) -> None:
         """Learn from how a request left the target."""
-        if outcome is CallOutcome.ANSWERED:
+        if outcome in _ANSWERED:
             self.note_success(now)
         if outcome in _LEFT_OUT:
             self.note_unreachable(now)
--- a/mimosaworks/dispatch/job.py
+++ b/mimosaworks/dispatch/job.py
@@ -42,6 +42,7 @@
     born is the target's birth as it was known then, 0 if it was not.
     granted_s is the time of the decision on the clock of the process that
     reads it. is_counted: it has a place within the target's rate limit.
+    is_trial: its content is refused but for this send.
     """
 
     target: str
@@ -50,6 +51,7 @@
     reason: str = ''
     granted_s: float = 0
     is_counted: bool = False
+    is_trial: bool = False
     born: int = 0
 
 
--- a/mimosaworks/dispatch/outcome.py
+++ b/mimosaworks/dispatch/outcome.py
@@ -1,6 +1,7 @@
 """How a request's stay at a target ended."""
 
 import enum
+from http import HTTPStatus
 
 
 class CallOutcome(enum.Enum):
@@ -8,6 +9,7 @@
 
     ANSWERED = 'answered'
     FAILED = 'failed'
+    ERRED = 'erred'  # an error of the target's own went to the caller
     BROKEN = 'broken'
     OVERSIZED = 'oversized'  # more bytes came than an answer may have
     UNREACHABLE = 'unreachable'
@@ -15,3 +17,10 @@
     TIMED_OUT = 'timed_out'
     CALLER_LEFT = 'caller_left'
     NOT_SENT = 'not_sent'  # the node had been told to leave the target out
+
+
+def outcome_of(status: int) -> CallOutcome:
+    """Return the outcome of a whole answer with an HTTP status."""
+    if status >= HTTPStatus.BAD_REQUEST:
+        return CallOutcome.ERRED
+    return CallOutcome.ANSWERED
--- /dev/null
+++ b/mimosaworks/dispatch/silent_ends.py
@@ -0,0 +1,66 @@
+"""Requests that ended without an answer, under which targets may have ended."""
+
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+import attrs
+
+from mimosaworks.bounded import forget_oldest
+
+if TYPE_CHECKING:
+    from mimosaworks.dispatch.crash_book import EntriesView, TargetEnd
+
+MAX_CONTENTS = 2000
+MAX_ENDS = 8  # of one content
+HOLD_S = 6.0  # in which the entry of a target that ended lapses and is read
+
+
+@attrs.frozen
+class _SilentEnd:
+    """An end that no connection showed, and when it was noted."""
+
+    end: 'TargetEnd'
+    noted_s: float
+
+
+@attrs.define(eq=False)
+class SilentEnds:
+    """Ends that count once entries show them, by content and name."""
+
+    _pending: dict[str, dict[str, _SilentEnd]] = attrs.field(factory=dict)
+
+    def add(self, end: 'TargetEnd', now: float) -> None:
+        """Note an end that may be one."""
+        pending = self._pending.setdefault(end.mark, {})
+        pending.setdefault(end.name, _SilentEnd(end, now))
+        forget_oldest(pending, MAX_ENDS)
+        forget_oldest(self._pending, MAX_CONTENTS)
+
+    def note_answer(self, mark: str) -> None:
+        """Note that a target ran a content to its end."""
+        self._pending.pop(mark, None)
+
+    def count_recent(self, mark: str, now: float) -> int:
+        """Return the targets that may have ended and need not show it yet."""
+        pending = self._pending.get(mark, {}).values()
+        recent = {
+            one.end.target for one in pending if now - one.noted_s < HOLD_S
+        }
+        return len(recent)
+
+    def take_shown(self, view: 'EntriesView') -> Iterator['TargetEnd']:
+        """Yield ends that entries show; forget them and those that live on."""
+        for mark, pending in list(self._pending.items()):
+            left: dict[str, _SilentEnd] = {}
+            for name, one in pending.items():
+                if view.shows(one.end, one.noted_s):
+                    yield one.end
+                elif not view.would_show(one.noted_s):
+                    left[name] = one
+            self._keep(mark, left)
+
+    def _keep(self, mark: str, left: dict[str, _SilentEnd]) -> None:
+        if left:
+            self._pending[mark] = left
+        else:
+            self._pending.pop(mark)
--- a/mimosaworks/dispatch/suspect_rules.py
+++ b/mimosaworks/dispatch/suspect_rules.py
@@ -13,6 +13,7 @@
 from mimosaworks.errors import ErrorKind
 
 APART_RETRY_S = 1.0  # a run and the news of its end
+HELD_RETRY_S = 3.0  # half of the time in which entries show an end
 
 
 def crash_suspect() -> Refusal:
@@ -30,6 +31,12 @@
             return None
         trials.plan(ask.mark, now)
         return crash_suspect()
+    if trials.book.is_held(ask.mark, now):
+        return Refusal(
+            ErrorKind.NO_TARGET,
+            HELD_RETRY_S,
+            'several targets may have ended under it',
+        )
     if verdict is Verdict.SERVED:
         return None
     if any(job.ask.mark == ask.mark for job in jobs.values()):
--- a/mimosaworks/node/chooser.py
+++ b/mimosaworks/node/chooser.py
@@ -97,13 +97,15 @@
         self.link.news.note_crash(note)
         call_log.log_end_seen(call, note)
 
-    def check_grant(self, assignment: Assignment) -> None:
-        """Check a decision right before its first byte is sent.
+    def check_grant(self, mark: str, assignment: Assignment) -> None:
+        """Check a decision for a content right before its first byte is sent.
 
         This process may have been paused since, or have heard more of the
         target. Raises AttemptError when the request must not be sent.
         """
         reason = self._stale_reason(assignment, now_s())
+        if not reason and not assignment.is_trial:
+            reason = _suspect_reason(self.link.crashes.count(mark))
         if reason:
             # The holder may not have heard yet what is known here.
             self.link.news.has_news.set()
@@ -184,6 +186,7 @@
             # The decision is younger than that by the way of the ask.
             granted_s=asked_s + reply.waited_s,
             is_counted=reply.is_counted,
+            is_trial=reply.is_trial,
             born=reply.born,
         )
 
@@ -277,6 +280,12 @@
         )
 
 
+def _suspect_reason(ends: int) -> str:
+    if judge_ends(ends) is Verdict.REFUSED:
+        return f'{ends} targets have ended under it'
+    return ''
+
+
 def _may_wait(decided: Assignment | Refusal) -> bool:
     """Tell whether the next holder may find a target."""
     return isinstance(decided, Refusal) and decided.kind in _WORTH_WAITING
--- a/mimosaworks/node/conversions.py
+++ b/mimosaworks/node/conversions.py
@@ -65,6 +65,7 @@
         priority=decided.priority,
         reason=decided.reason,
         is_counted=decided.is_counted,
+        is_trial=decided.is_trial,
         born=decided.born,
         waited_s=max(decided.granted_s - asked_s, 0),
     )
--- a/mimosaworks/node/crash_view.py
+++ b/mimosaworks/node/crash_view.py
@@ -9,6 +9,7 @@
 from mimosaworks.wire import Beat, BeatReply, CrashNote, SuspectRow
 
 MAX_ENDS = 1000  # more than the requests of a node
+SILENT_KEPT_S = 30.0  # after which entries have shown whether a target ended
 
 
 @attrs.define
@@ -70,7 +71,7 @@
         )
         saved_s = now - reply.unsaved_s
         for key, received_s in list(self._received_s.items()):
-            if received_s < saved_s:
+            if received_s + _kept_s(self._seen.get(key)) < saved_s:
                 self._received_s.pop(key)
                 self._seen.pop(key, None)
         for note in beat.crashes:
@@ -112,5 +113,13 @@
     )
 
 
+def _kept_s(note: CrashNote | None) -> float:
+    """Return how long an end is kept after the holder has stored its row.
+
+    That has the ends that count, not those that entries have yet to show.
+    """
+    return SILENT_KEPT_S if note is not None and note.is_silent else 0
+
+
 def _key(note: CrashNote) -> str:
     return f'{note.mark}/{end_of(note).name}'
--- a/mimosaworks/node/front.py
+++ b/mimosaworks/node/front.py
@@ -10,7 +10,12 @@
 from aiohttp import web
 
 from mimosaworks.clock import now_s
-from mimosaworks.dispatch import Assignment, CallOutcome, TargetEnd
+from mimosaworks.dispatch import (
+    Assignment,
+    CallOutcome,
+    TargetEnd,
+    outcome_of,
+)
 from mimosaworks.errors import ErrorKind, RequestError, RunState
 from mimosaworks.node import call_log
 from mimosaworks.node.admission import admit
@@ -33,6 +38,13 @@
 _UNANSWERED = frozenset((CallOutcome.TIMED_OUT, CallOutcome.CALLER_LEFT))
 
 
+@attrs.define
+class _Visit:
+    """How a request's stay at a target ends."""
+
+    outcome: CallOutcome = CallOutcome.ANSWERED
+
+
 @attrs.define(eq=False)
 class Front:
     """Serves callers at one node.
@@ -125,13 +137,14 @@
     ) -> web.StreamResponse:
         self.meters.wait.labels(call.service).observe(call.age_s())
         call_log.log_sent(call, assignment, self.chooser.link.fence)
-        with self._visit(call, assignment):
+        with self._visit(call, assignment) as visit:
             answer = await self.exchange.send(
                 call,
                 assignment,
-                self.chooser.check_grant,
+                functools.partial(self.chooser.check_grant, call.mark),
                 functools.partial(self._started, call),
             )
+            visit.outcome = outcome_of(answer.status)
         self.meters.answers.labels(call.service, str(answer.status)).inc()
         self.meters.whole.labels(call.service).observe(call.age_s())
         call_log.log_answered(call, assignment, answer.status)
@@ -140,7 +153,7 @@
     @contextlib.contextmanager
     def _visit(
         self, call: Call, assignment: Assignment
-    ) -> Generator[None, None, None]:
+    ) -> Generator[_Visit, None, None]:
         """Keep the books of a request while it is at a target."""
         begun_s = now_s()
         name = '' if call.ask is None else call.ask.call
@@ -148,21 +161,21 @@
         call.sent_s = begun_s
         self.calls[name] = call
         self.chooser.local.note(assignment.target, 1)
-        outcome = CallOutcome.ANSWERED
+        visit = _Visit()
         try:
-            yield
+            yield visit
         except AttemptError as exc:
-            outcome = exc.outcome
+            visit.outcome = exc.outcome
             raise
         except (asyncio.CancelledError, CallerLeftError):
-            outcome = CallOutcome.CALLER_LEFT
+            visit.outcome = CallOutcome.CALLER_LEFT
             if call.left_s() <= 0:
-                outcome = CallOutcome.TIMED_OUT
-            call_log.log_abandoned(call, outcome)
+                visit.outcome = CallOutcome.TIMED_OUT
+            call_log.log_abandoned(call, visit.outcome)
             raise
         finally:
-            self._note_end(call, outcome, assignment.born, begun_s)
-            self._leave(name, assignment, outcome, now_s() - begun_s)
+            self._note_end(call, visit.outcome, assignment.born, begun_s)
+            self._leave(name, assignment, visit.outcome, now_s() - begun_s)
 
     def _leave(
         self,
@@ -181,9 +194,9 @@
     ) -> None:
         """Note that the target may have ended under a request.
 
-        One that fell silent shows it by no answer at all.
+        One that fell silent shows it by no answer, or by half of one.
         """
-        is_silent = outcome in _UNANSWERED and not call.is_started
+        is_silent = outcome in _UNANSWERED
         if is_silent or outcome is CallOutcome.BROKEN:
             self.meters.ends.labels('silent' if is_silent else 'cut').inc()
             end = TargetEnd(call.mark, call.target, born, is_silent=is_silent)
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -36,7 +36,8 @@
 IDLE_TARGET_CONN_S = 6.0  # targets may close idle connections unannounced
 IDLE_PEER_CONN_S = 20.0
 LAPSE_BEATS = 3  # heartbeats of a target without which its entry lapses
-LAPSE_READS_S = 2.4  # one wait for changes, and the answer of a slow store
+# Writes of a store may come late, and its answers be behind by some seconds.
+LAPSE_SLACK_S = 24.0
 STORE_BYTES = 4000000  # a page of rows, which the store bounds to 1 MB
 PEER_BYTES = 16000000  # all members, targets and levels of the largest size
 # Of the grace, after which a holder that stops gives the lease back: nodes that
@@ -125,7 +126,7 @@
         link=node.link,
         is_holder=lambda: node.holder is not None,
         drain_s=lambda: node.cfg.bounds.drain_s,
-        lapse_s=lambda: LAPSE_BEATS * node.cfg.heartbeat_s + LAPSE_READS_S,
+        lapse_s=lambda: LAPSE_BEATS * node.cfg.heartbeat_s + LAPSE_SLACK_S,
     )
     node.election = Election(
         store=attrs.evolve(node.store, timeout_s=STORE_TIMEOUT_S),
--- a/mimosaworks/wire/dispatch.capnp
+++ b/mimosaworks/wire/dispatch.capnp
@@ -42,6 +42,7 @@
   isCounted @6 :Bool;
   waitedS @7 :Float64;
   born @8 :UInt64;
+  isTrial @9 :Bool;
 }
 
 struct CallStart {
--- a/mimosaworks/wire/dispatch_messages.py
+++ b/mimosaworks/wire/dispatch_messages.py
@@ -60,8 +60,9 @@
     """A target, or an error kind with the seconds to stay away.
 
     The decision was made waited_s after the ask had arrived. is_counted: the
-    request has a place within the target's rate limit. born is the target's
-    birth, 0 if it is not known.
+    request has a place within the target's rate limit. is_trial: its
+    content is refused but for this send. born is the target's birth, 0 if it
+    is not known.
     """
 
     target: str = ''
@@ -71,6 +72,7 @@
     kind: str = ''
     retry_after_s: float = 0
     is_counted: bool = False
+    is_trial: bool = False
     born: int = 0
     waited_s: float = 0
 
--- a/tests/test_dispatch_crash_trials.py
+++ b/tests/test_dispatch_crash_trials.py
@@ -2,7 +2,7 @@
 
 from mimosaworks.dispatch import CrashBook, CrashTrials, Verdict
 from mimosaworks.dispatch.crash_book import ANSWERS_FOR_END, KEEP_S
-from mimosaworks.dispatch.crash_trials import TRIAL_S
+from mimosaworks.dispatch.crash_trials import PROVEN_TRIAL_S, TRIAL_S
 from tests.test_dispatch_crash_book import POISON, crashed, end
 
 
@@ -28,6 +28,25 @@
     assert tried_s == [TRIAL_S]
 
 
+# Guards against a popular content that is refused for long because three
+# targets ended beside it within moments.
+def test_a_content_that_ran_whole_before_is_tried_sooner() -> None:
+    book = CrashBook()
+    for _ in range(ANSWERS_FOR_END):
+        book.note_answer(POISON)
+    for number in range(3):
+        book.note_end(end(number), None, 0)
+    trials = CrashTrials(book)
+    tried_s = []
+    for now in range(int(KEEP_S)):
+        trials.plan(POISON, now)
+        store(trials)
+        if trials.may_try(POISON):
+            trials.take(POISON, now)
+            tried_s.append(now)
+    assert tried_s == [PROVEN_TRIAL_S, PROVEN_TRIAL_S + TRIAL_S]
+
+
 # Guards against a trial that its holder alone knew of, so that each new holder
 # made it again: it crashes its target at once.
 def test_a_trial_is_stored_before_it_is_made() -> None:
--- /dev/null
+++ b/tests/test_dispatch_silent_ends.py
@@ -0,0 +1,83 @@
+"""Requests that ended without an answer, and the ends that they may show."""
+
+import pytest
+
+from mimosaworks.dispatch import CrashBook, Verdict
+from mimosaworks.dispatch.silent_ends import (
+    HOLD_S,
+    MAX_CONTENTS,
+    MAX_ENDS,
+    SilentEnds,
+)
+from tests.test_dispatch_crash_book import (
+    LAPSE_S,
+    POISON,
+    alive,
+    crashed,
+    end,
+    view,
+)
+
+
+def silent(*numbers: int, now: float = 0) -> CrashBook:
+    """Return a book with silent ends under a content."""
+    book = CrashBook()
+    for number in numbers:
+        book.note_end(end(number, is_silent=True), None, now)
+    return book
+
+
+# Guards against a content that goes on while its callers leave before its
+# targets end: entries show an end seconds later.
+def test_a_content_is_held_while_three_targets_may_have_ended() -> None:
+    book = silent(0, 1)
+    assert not book.is_held(POISON, 0)
+    book.note_end(end(2, is_silent=True), None, 1)
+    assert book.is_held(POISON, 1)
+    assert not book.is_held('other', 1)
+    assert book.judge(POISON) is Verdict.SERVED
+    assert not book.is_held(POISON, HOLD_S)
+
+
+@pytest.mark.parametrize('counted', [1, 2])
+def test_silent_ends_are_held_beside_those_that_count(counted: int) -> None:
+    book = crashed(counted)
+    for number in range(counted, 3):
+        assert not book.is_held(POISON, 0)
+        book.note_end(end(number, is_silent=True), None, 0)
+    assert book.is_held(POISON, 0)
+
+
+def test_one_target_that_is_slow_holds_nothing() -> None:
+    book = CrashBook()
+    for _ in range(3):
+        book.note_end(end(0, is_silent=True), None, 0)
+    assert not book.is_held(POISON, 0)
+
+
+def test_a_whole_answer_ends_the_hold() -> None:
+    book = silent(0, 1, 2)
+    book.note_answer(POISON)
+    assert not book.is_held(POISON, 0)
+    book.follow_entries(view({}, 1), 1)
+    assert book.judge(POISON) is Verdict.SERVED
+
+
+def test_what_entries_show_is_held_no_more() -> None:
+    book = silent(0, 1, 2)
+    book.follow_entries(view(alive('t1', 't2'), 1), 1)
+    assert len(book.suspects[POISON].ends) == 1
+    assert book.is_held(POISON, 1)
+    book.follow_entries(view(alive('t1', 't2'), LAPSE_S + 1), LAPSE_S + 1)
+    assert not book.is_held(POISON, 1)
+
+
+def test_silent_ends_are_bounded() -> None:
+    pending = SilentEnds()
+    for number in range(MAX_ENDS + 5):
+        pending.add(end(number, is_silent=True), 0)
+    for number in range(MAX_CONTENTS):
+        pending.add(end(0, f'one-{number}', is_silent=True), 0)
+    shown = [found.mark for found in pending.take_shown(view({}, 1))]
+    assert len(shown) == MAX_CONTENTS
+    assert POISON not in shown
--- a/tests/test_node_crash_view.py
+++ b/tests/test_node_crash_view.py
@@ -5,7 +5,12 @@
 
 from mimosaworks.dispatch import CrashBook, CrashTrials, TargetEnd, Verdict
 from mimosaworks.dispatch.crash_trials import TRIAL_S
-from mimosaworks.node.crash_view import MAX_ENDS, CrashView, end_of
+from mimosaworks.node.crash_view import (
+    MAX_ENDS,
+    SILENT_KEPT_S,
+    CrashView,
+    end_of,
+)
 from mimosaworks.node.stored_suspects import (
     SUSPECTS_ROW,
     StoredSuspects,
@@ -99,6 +104,21 @@
     assert view.seen()[0].is_silent
 
 
+# Guards against silent ends that a new holder never hears of: the store has
+# counted ends alone.
+def test_silent_ends_are_kept_beyond_the_holders_row() -> None:
+    view = CrashView()
+    view.see(TargetEnd(POISON, 't1', 1, is_silent=True), 0, 1)
+    see(view, 't2', 0, 1)
+    for now in (2, 3, SILENT_KEPT_S):
+        reply = BeatReply(True, fence=1, unsaved_s=0.1)
+        view.take_over(reply, beat(view), now)
+    assert [note.target for note in view.seen()] == ['t1']
+    reply = BeatReply(True, fence=1, unsaved_s=0.1)
+    view.take_over(reply, beat(view), SILENT_KEPT_S + 3)
+    assert not view.seen()
+
+
 def test_what_a_node_saw_is_bounded() -> None:
     view = CrashView()
     for number in range(MAX_ENDS + 10):
