Contents that ran whole before are tried soon, whoever is the holder

What callers saw: popular requests beside a crashing one were refused for ten seconds and more.

Cause: that a content had run whole before was in the memory of the holder, and new ones took it for an unknown one; its trial needed a target that runs nothing else.

Change: nodes count whole answers by content, and tell them with an end; the stored row keeps it. Such contents are tried a second after their last end, at a busy target if none is idle, and what was planned is stored at once. Suspects run where nothing else runs, if there is such a target, so that a third end takes nobody along.

--- a/mimosaworks/dispatch/crash_book.py
+++ b/mimosaworks/dispatch/crash_book.py
@@ -7,14 +7,12 @@
 
 import attrs
 
-from mimosaworks.bounded import forget_oldest
 from mimosaworks.deployment import TargetEntry, TargetState
 from mimosaworks.dispatch.silent_ends import SilentEnds
 
 APART_ENDS = 2  # from here on one run at a time
 REFUSED_ENDS = 3
 ANSWERS_FOR_END = 5  # answers that take back one end
-MAX_ANSWERED = 2000  # contents whose answers are counted
 KEEP_S = 600.0
 EXPIRY_PERIOD_S = 1.0
 MAX_SUSPECTS = 1000
@@ -37,6 +35,7 @@
     mark is the fingerprint of the request's content. number tells ends of
     the same birth apart, where a target has started anew and its birth is
     not known yet. One that is_silent broke no connection.
+    is_proven: the content had run whole several times at the same node.
     """
 
     mark: str
@@ -44,6 +43,7 @@
     born: int
     number: int = 0
     is_silent: bool = False
+    is_proven: bool = False
 
     @property
     def name(self) -> str:
@@ -93,7 +93,8 @@
     answers are those since the last end that was taken back, trials the runs
     that were planned though it was refused, passed those that ended whole;
     noted_s is when it was last heard of. planned is the book's version with
-    the trial that is to come, 0 without one.
+    the trial that is to come, 0 without one. is_proven: the content ran whole
+    several times before an end.
     """
 
     ends: dict[str, TargetEnd] = attrs.field(factory=dict)
@@ -102,6 +103,7 @@
     passed: int = 0
     noted_s: float = 0
     planned: int = 0
+    is_proven: bool = False
 
 
 def judge_ends(count: int) -> Verdict:
@@ -128,7 +130,6 @@
     )
     _open: dict[tuple[str, str], float] = attrs.field(factory=dict)
     _silent: SilentEnds = attrs.field(factory=SilentEnds)
-    _answered: dict[str, int] = attrs.field(factory=dict)
     _expiry_s: float = 0
 
     def judge(self, mark: str) -> Verdict:
@@ -168,9 +169,6 @@
         self._silent.note_answer(mark)
         suspect = self.suspects.get(mark)
         if suspect is None:
-            answers = self._answered.pop(mark, 0)
-            self._answered[mark] = min(answers + 1, ANSWERS_FOR_END)
-            forget_oldest(self._answered, MAX_ANSWERED)
             return
         suspect.answers += 1
         # One that crashes whatever runs it has no trial that ends whole.
@@ -180,10 +178,6 @@
             suspect.answers = 0
             self._take_back(mark, next(iter(suspect.ends)), 'answers')
 
-    def is_proven(self, mark: str) -> bool:
-        """Tell whether a content ran whole several times before its ends."""
-        return self._answered.get(mark, 0) >= ANSWERS_FOR_END
-
     def follow_entries(self, view: EntriesView, now: float) -> None:
         """Compare ends with the targets' entries, and forget old ones."""
         for place, noted_s in list(self._open.items()):
@@ -204,6 +198,7 @@
             known.answers = max(known.answers, suspect.answers)
             known.trials = max(known.trials, suspect.trials)
             known.passed = max(known.passed, suspect.passed)
+            known.is_proven |= suspect.is_proven
             known.noted_s = min(suspect.noted_s, now)
 
     def counted(self, least: int) -> Iterator[tuple[str, Suspect]]:
@@ -215,6 +210,7 @@
     def _count(self, end: TargetEnd, now: float) -> None:
         suspect = self.suspects.pop(end.mark, None) or Suspect()
         self.suspects[end.mark] = suspect
+        suspect.is_proven |= end.is_proven
         if end.name in suspect.ends:
             return
         self.version += 1
--- a/mimosaworks/dispatch/crash_trials.py
+++ b/mimosaworks/dispatch/crash_trials.py
@@ -13,7 +13,7 @@
 TRIAL_GROWTH = 4  # of that pause with each trial that ended whole
 MAX_TRIALS = 1  # that did not end whole
 # A content that ran whole before is more likely to be a bystander.
-PROVEN_TRIAL_S = 1.0  # after the last end, for the first trial
+PROVEN_TRIAL_S = 1.0  # after the last end, until one has failed
 PROVEN_MAX_TRIALS = 2
 
 
@@ -32,7 +32,7 @@
     def plan(self, mark: str, now: float) -> None:
         """Plan a trial of a refused content if one is due."""
         suspect = self.book.suspects[mark]
-        if _is_due(suspect, now, is_proven=self.book.is_proven(mark)):
+        if _is_due(suspect, now):
             suspect.trials += 1
             self.book.version += 1
             suspect.planned = self.book.version
@@ -64,12 +64,12 @@
         self._stored_marks = marks
 
 
-def _is_due(suspect: Suspect, now: float, *, is_proven: bool) -> bool:
-    most = PROVEN_MAX_TRIALS if is_proven else MAX_TRIALS
-    if suspect.planned or suspect.trials - suspect.passed >= most:
+def _is_due(suspect: Suspect, now: float) -> bool:
+    most = PROVEN_MAX_TRIALS if suspect.is_proven else MAX_TRIALS
+    failed = suspect.trials - suspect.passed
+    if suspect.planned or failed >= most:
         return False
+    is_soon = suspect.is_proven and not failed
+    pause_s = PROVEN_TRIAL_S if is_soon else TRIAL_S
     growth: int = TRIAL_GROWTH**suspect.passed
-    pause_s = TRIAL_S * growth
-    if is_proven and not suspect.trials:
-        pause_s = PROVEN_TRIAL_S
-    return now >= suspect.noted_s + pause_s
+    return now >= suspect.noted_s + pause_s * growth
--- a/mimosaworks/dispatch/dispatcher.py
+++ b/mimosaworks/dispatch/dispatcher.py
@@ -23,7 +23,7 @@
 from mimosaworks.dispatch.suspect_rules import (
     admit_suspect,
     crash_suspect,
-    find_idle,
+    find_for_trial,
     set_apart,
     waiting_refused,
 )
@@ -121,7 +121,7 @@
             return Refusal(ErrorKind.NO_TARGET, RETRY_S, 'unknown service')
         if self.crashes.judge(ask.mark) is Verdict.REFUSED:
             return _try_suspect(self, pool, ask, now)
-        job = Job(set_apart(self.crashes, self.jobs, ask), now)
+        job = Job(set_apart(self.crashes, self.jobs, ask, pool), now)
         self.jobs[ask.call] = job
         decided = pool.submit(job, now)
         if isinstance(decided, Refusal):
@@ -277,13 +277,13 @@
 def _try_suspect(
     dispatcher: Dispatcher, pool: EnginePool | PlainPool, ask: Ask, now: float
 ) -> Assignment | Refusal:
-    """Run a refused content for its trial, beside nothing else."""
+    """Run a refused content for its trial, if that is due."""
     job = Job(ask, now, is_trial=True)
-    idle = find_idle(pool, job)
+    targets = find_for_trial(dispatcher.trials, pool, job)
     decided: Assignment | Refusal | None = None
-    if idle and dispatcher.trials.may_try(ask.mark):
-        busy = pool.targets.keys() - idle
-        job.ask = attrs.evolve(ask, excluded=ask.excluded | busy)
+    if targets:
+        others = pool.targets.keys() - targets
+        job.ask = attrs.evolve(ask, excluded=ask.excluded | others)
         dispatcher.jobs[ask.call] = job
         decided = pool.submit(job, now)
     if isinstance(decided, Assignment):
--- a/mimosaworks/dispatch/suspect_rules.py
+++ b/mimosaworks/dispatch/suspect_rules.py
@@ -46,16 +46,25 @@
     return None
 
 
-def set_apart(book: CrashBook, jobs: Mapping[str, Job], ask: Ask) -> Ask:
+def set_apart(
+    book: CrashBook,
+    jobs: Mapping[str, Job],
+    ask: Ask,
+    pool: EnginePool | PlainPool,
+) -> Ask:
     """Keep a suspect from targets that run another one.
 
-    When such a target ends, one of them alone is to blame.
+    When such a target ends, one of them alone is to blame. Where a target
+    runs nothing, it goes there, and takes nothing along.
     """
     if book.judge(ask.mark) is Verdict.SERVED:
         return ask
     others = (job for job in jobs.values() if _is_suspect(book, job))
-    taken = {job.target for job in others if job.target}
-    return attrs.evolve(ask, excluded=ask.excluded | taken)
+    avoided = ask.excluded | {job.target for job in others if job.target}
+    idle = find_idle(pool, Job(ask, 0)) - avoided
+    if idle:
+        avoided |= pool.targets.keys() - idle
+    return attrs.evolve(ask, excluded=avoided)
 
 
 def find_idle(pool: EnginePool | PlainPool, job: Job) -> frozenset[str]:
@@ -67,6 +76,24 @@
     )
 
 
+def find_for_trial(
+    trials: CrashTrials, pool: EnginePool | PlainPool, job: Job
+) -> frozenset[str]:
+    """Return the targets for a trial that may be made, none without one.
+
+    A content that ran whole before need not wait for one that is idle.
+    """
+    mark = job.ask.mark
+    if not trials.may_try(mark):
+        return frozenset()
+    idle = find_idle(pool, job)
+    if idle or not trials.book.suspects[mark].is_proven:
+        return idle
+    return frozenset(
+        name for name, target in pool.targets.items() if _is_ready(target, job)
+    )
+
+
 def waiting_refused(
     book: CrashBook, jobs: Iterable[Job], marks: set[str]
 ) -> list[Job]:
--- a/mimosaworks/node/front.py
+++ b/mimosaworks/node/front.py
@@ -145,6 +145,8 @@
                 functools.partial(self._started, call),
             )
             visit.outcome = outcome_of(answer.status)
+            if visit.outcome is CallOutcome.ANSWERED:
+                self.chooser.link.crashes.note_answer(call.mark)
         self.meters.answers.labels(call.service, str(answer.status)).inc()
         self.meters.whole.labels(call.service).observe(call.age_s())
         call_log.log_answered(call, assignment, answer.status)
--- a/mimosaworks/node/stored_suspects.py
+++ b/mimosaworks/node/stored_suspects.py
@@ -132,6 +132,7 @@
         'answers': suspect.answers,
         'trials': suspect.trials,
         'passed': suspect.passed,
+        'proven': suspect.is_proven,
         'noted': round(suspect.noted_s + epoch_s),
     }
 
@@ -146,5 +147,6 @@
         answers=int(fields['answers']),
         trials=int(fields['trials']),
         passed=int(fields.get('passed', 0)),
+        is_proven=bool(fields.get('proven', False)),
         noted_s=float(fields['noted']) - epoch_s,
     )
--- a/mimosaworks/node/suspect_watch.py
+++ b/mimosaworks/node/suspect_watch.py
@@ -3,7 +3,7 @@
 import attrs
 
 from mimosaworks.dispatch import BookNews, CrashBook, judge_ends
-from mimosaworks.dispatch.crash_book import APART_ENDS
+from mimosaworks.dispatch.crash_book import APART_ENDS, REFUSED_ENDS
 from mimosaworks.events import Event, log_event
 from mimosaworks.node.change_log import ChangeLog
 from mimosaworks.wire import SuspectRow
@@ -20,11 +20,12 @@
     _version: int = 0
 
     def look(self, book: CrashBook) -> bool:
-        """Take over what has changed; tell whether nodes should know."""
+        """Take over what has changed; tell whether the store should know."""
         if book.version == self._version:
             return False
         while book.news:
             _log_news(book.news.popleft())
+        seen_version = self._version
         self._version = book.version
         known_version = self.log.version
         rows = {
@@ -42,7 +43,11 @@
                     verdict=judge_ends(len(row.ends)).value,
                 )
         self.log.replace(rows)
-        return self.log.version > known_version
+        has_plans = any(
+            suspect.planned > seen_version
+            for _, suspect in book.counted(REFUSED_ENDS)
+        )
+        return has_plans or self.log.version > known_version
 
 
 def _log_news(news: BookNews) -> None:
--- a/mimosaworks/wire/dispatch.capnp
+++ b/mimosaworks/wire/dispatch.capnp
@@ -138,6 +138,7 @@
   born @2 :UInt64;
   number @3 :UInt32;
   isSilent @4 :Bool;
+  isProven @5 :Bool;
 }
 
 struct SuspectRow {
--- a/mimosaworks/wire/target_messages.py
+++ b/mimosaworks/wire/target_messages.py
@@ -42,6 +42,7 @@
     born: int
     number: int
     is_silent: bool
+    is_proven: bool = False
 
 
 @attrs.frozen
--- a/tests/test_dispatch_crash_book.py
+++ b/tests/test_dispatch_crash_book.py
@@ -188,12 +188,10 @@
 # whole ten times crashed five targets before it was refused.
 def test_answers_in_advance_take_back_no_end() -> None:
     book = CrashBook()
-    for _ in range(100):
-        book.note_answer(POISON)
     for number in range(REFUSED_ENDS):
-        book.note_end(end(number), None, 0)
+        book.note_answer(POISON)
+        book.note_end(end(number, is_proven=True), None, 0)
     assert book.judge(POISON) is Verdict.REFUSED
-    assert book.is_proven(POISON)
 
 
 def test_ends_are_forgotten_in_time() -> None:
--- a/tests/test_dispatch_crash_trials.py
+++ b/tests/test_dispatch_crash_trials.py
@@ -32,10 +32,8 @@
 # targets ended beside it within moments.
 def test_a_content_that_ran_whole_before_is_tried_sooner() -> None:
     book = CrashBook()
-    for _ in range(ANSWERS_FOR_END):
-        book.note_answer(POISON)
     for number in range(3):
-        book.note_end(end(number), None, 0)
+        book.note_end(end(number, is_proven=number == 1), None, 0)
     trials = CrashTrials(book)
     tried_s = []
     for now in range(int(KEEP_S)):
--- a/tests/test_dispatch_suspect_rules.py
+++ b/tests/test_dispatch_suspect_rules.py
@@ -1,5 +1,6 @@
 """What the dispatcher does with requests that may crash their targets."""
 
+import attrs
 import pytest
 
 from mimosaworks.dispatch import (
@@ -95,6 +96,22 @@
     assert isinstance(run(dispatcher, POISON), Refusal)
 
 
+def test_a_proven_content_is_tried_at_busy_targets_too(
+    dispatcher: Dispatcher,
+) -> None:
+    ends = [
+        TargetEnd(POISON, f'gone-{number}', 1, is_proven=True)
+        for number in range(3)
+    ]
+    dispatcher.note_ends(ends, 0)
+    for target in dispatcher.pools['ledger'].targets.values():
+        target.entry = attrs.evolve(target.entry, slots=2)
+    for number in range(3):
+        run(dispatcher, f'other-{number}')
+    plan(dispatcher, TRIAL_S)
+    assert isinstance(run(dispatcher, POISON), Assignment)
+
+
 def test_a_trial_waits_until_a_target_is_idle(dispatcher: Dispatcher) -> None:
     crash(dispatcher, 0, 1, 2)
     for number in range(3):
@@ -139,6 +156,16 @@
     assert isinstance(placed[-1], Refusal)
 
 
+# Guards against a third end that takes other requests along, which share it.
+def test_a_suspect_goes_where_nothing_runs(dispatcher: Dispatcher) -> None:
+    crash(dispatcher, 0, 1)
+    others = [run(dispatcher, f'other-{number}') for number in range(2)]
+    taken = {one.target for one in others if isinstance(one, Assignment)}
+    apart = run(dispatcher, POISON)
+    assert isinstance(apart, Assignment)
+    assert apart.target not in taken
+
+
 # Guards against requests that wait for a target while it becomes known that
 # they crash it.
 def test_waiting_requests_are_refused_with_the_third_end(
--- a/tests/test_node_crash_view.py
+++ b/tests/test_node_crash_view.py
@@ -7,6 +7,7 @@
 from mimosaworks.dispatch.crash_trials import TRIAL_S
 from mimosaworks.node.crash_view import (
     MAX_ENDS,
+    PROVEN_ANSWERS,
     SILENT_KEPT_S,
     CrashView,
     end_of,
@@ -104,6 +105,22 @@
     assert view.seen()[0].is_silent
 
 
+# Guards against a popular content that a new holder takes for an unknown one,
+# and refuses for long.
+def test_a_node_tells_of_whole_answers_before_an_end() -> None:
+    view = CrashView()
+    see(view, 't1', 0, 1)
+    for _ in range(PROVEN_ANSWERS):
+        view.note_answer(POISON)
+    see(view, 't2', 0, 1)
+    assert [note.is_proven for note in view.seen()] == [False, True]
+    book = CrashBook()
+    for note in view.seen():
+        book.note_end(end_of(note), None, 5)
+    row = encode_suspects(book.suspects, ROW_BYTES, 0)
+    assert decode_suspects(row, 0)[POISON].is_proven
+
+
 # Guards against silent ends that a new holder never hears of: the store has
 # counted ends alone.
 def test_silent_ends_are_kept_beyond_the_holders_row() -> None:
