One whole run before shows that a content does not crash every target

A content that crashes whatever runs it has no whole answer, so that one is enough to try it soon; answers since its ends count as well.

--- a/mimosaworks/dispatch/crash_book.py
+++ b/mimosaworks/dispatch/crash_book.py
@@ -35,7 +35,7 @@
     mark is the fingerprint of the request's content. number tells ends of
     the same birth apart, where a target has started anew and its birth is
     not known yet. One that is_silent broke no connection.
-    is_proven: the content had run whole several times at the same node.
+    is_proven: the content had run whole before, as its node saw.
     """
 
     mark: str
@@ -93,8 +93,8 @@
     answers are those since the last end that was taken back, trials the runs
     that were planned though it was refused, passed those that ended whole;
     noted_s is when it was last heard of. planned is the book's version with
-    the trial that is to come, 0 without one. is_proven: the content ran whole
-    several times before an end.
+    the trial that is to come, 0 without one. is_proven: it ran whole at some
+    target, which one that crashes all of them never does.
     """
 
     ends: dict[str, TargetEnd] = attrs.field(factory=dict)
@@ -171,6 +171,7 @@
         if suspect is None:
             return
         suspect.answers += 1
+        suspect.is_proven = True
         # One that crashes whatever runs it has no trial that ends whole.
         is_tried = suspect.trials > suspect.passed and not suspect.planned
         suspect.passed += is_tried
--- a/mimosaworks/node/crash_view.py
+++ b/mimosaworks/node/crash_view.py
@@ -9,8 +9,7 @@
 from mimosaworks.wire import Beat, BeatReply, CrashNote, SuspectRow
 
 MAX_ENDS = 1000  # more than the requests of a node
-MAX_ANSWERED = 1000  # contents whose answers are counted
-PROVEN_ANSWERS = 5
+MAX_ANSWERED = 1000  # contents that are known to have run whole
 SILENT_KEPT_S = 30.0  # after which entries have shown whether a target ended
 
 
@@ -28,8 +27,8 @@
 
     Ends that were seen here are kept, so that each new holder is told of
     them, until the holder has stored them. told holds the names of ends by
-    content as the holder tells them. _answers counts whole answers by
-    content.
+    content as the holder tells them. _answered are contents that ran
+    whole.
     """
 
     told: dict[str, SuspectRow] = attrs.field(factory=dict)
@@ -39,7 +38,7 @@
     _seen: dict[str, CrashNote] = attrs.field(factory=dict)
     _received_s: dict[str, float] = attrs.field(factory=dict)
     _last: dict[str, _LastEnd] = attrs.field(factory=dict)
-    _answers: dict[str, int] = attrs.field(factory=dict)
+    _answered: dict[str, bool] = attrs.field(factory=dict)
 
     def see(self, end: TargetEnd, begun_s: float, now: float) -> CrashNote:
         """Return the note of an end under a request that began at begun_s.
@@ -48,14 +47,13 @@
         that had started anew.
         """
         number = self._number(f'{end.target}/{end.born}', begun_s, now)
-        answers = self._answers.get(end.mark, 0)
         note = CrashNote(
             end.mark,
             end.target,
             end.born,
             number,
             is_silent=end.is_silent,
-            is_proven=answers >= PROVEN_ANSWERS,
+            is_proven=end.mark in self._answered,
         )
         self._seen[_key(note)] = note
         forget_oldest(self._seen, MAX_ENDS)
@@ -63,9 +61,9 @@
 
     def note_answer(self, mark: str) -> None:
         """Note that a target ran a content to its end."""
-        answers = self._answers.pop(mark, 0)
-        self._answers[mark] = min(answers + 1, PROVEN_ANSWERS)
-        forget_oldest(self._answers, MAX_ANSWERED)
+        self._answered.pop(mark, None)
+        self._answered[mark] = True
+        forget_oldest(self._answered, MAX_ANSWERED)
 
     def seen(self) -> tuple[CrashNote, ...]:
         """Return the ends that the store may not hold yet."""
