--- a/mimosaworks/dispatch/crash_book.py
+++ b/mimosaworks/dispatch/crash_book.py
@@ -35,7 +35,7 @@
     mark is the fingerprint of the request's content. number tells ends of
     the same birth apart, where a target has started anew and its birth is
     not known yet. One that is_silent broke no connection.
-    is_proven: the content had run whole before, as its node saw.
+    is_proven: its node had seen the content succeed before.
     """
 
     mark: str
@@ -91,10 +91,10 @@
     """The ends under one content, by name.
 
     answers are those since the last end that was taken back, trials the runs
-    that were planned though it was refused, passed those that ended whole;
+    that were planned though it was refused, passed those that succeeded;
     noted_s is when it was last heard of. planned is the book's version with
-    the trial that is to come, 0 without one. is_proven: it ran whole at some
-    target, which one that crashes all of them never does.
+    the trial that is to come, 0 without one. is_proven: it succeeded at some
+    target, as one that crashes all of them never does.
     """
 
     ends: dict[str, TargetEnd] = attrs.field(factory=dict)
@@ -117,10 +117,9 @@
 class CrashBook:
     """What the holder knows of contents under which targets ended.
 
-    An end counts at once. It is taken back by whole answers to the same
+    An end counts at once. It is taken back by successful answers to the same
     content, or if the target's entry shows for long that it lives on. version
-    grows with each change.
-    news are trials and ends that count no more, for the log.
+    grows with each change; news are what the log should tell.
     """
 
     version: int = 0
@@ -165,14 +164,14 @@
             self._count(end, now)
 
     def note_answer(self, mark: str) -> None:
-        """Note that a target ran a content to its end."""
+        """Note that a target answered a content with success."""
         self._silent.note_answer(mark)
         suspect = self.suspects.get(mark)
         if suspect is None:
             return
         suspect.answers += 1
         suspect.is_proven = True
-        # One that crashes whatever runs it has no trial that ends whole.
+        # One that crashes whatever runs it has no trial that succeeds.
         is_tried = suspect.trials > suspect.passed and not suspect.planned
         suspect.passed += is_tried
         if is_tried or suspect.answers >= ANSWERS_FOR_END:
--- a/mimosaworks/dispatch/crash_trials.py
+++ b/mimosaworks/dispatch/crash_trials.py
@@ -10,9 +10,9 @@
 )
 
 TRIAL_S = 10.0  # after the last end, or the last trial
-TRIAL_GROWTH = 4  # of that pause with each trial that ended whole
-MAX_TRIALS = 1  # that did not end whole
-# A content that ran whole before is more likely to be a bystander.
+TRIAL_GROWTH = 4  # of that pause with each trial that succeeded
+MAX_TRIALS = 1  # that did not succeed
+# A content that succeeded before is more likely to be a bystander.
 PROVEN_TRIAL_S = 1.0  # after the last end, for the first trial
 PROVEN_MAX_TRIALS = 2
 
@@ -21,8 +21,8 @@
 class CrashTrials:
     """Plans the trials of the contents in a book.
 
-    A trial is stored before it is made: what one holder has planned, the next
-    one takes for made.
+    A trial is stored before it is made, so that no other holder repeats it:
+    the next one takes a planned trial for made.
     """
 
     book: CrashBook
--- a/mimosaworks/dispatch/dispatcher.py
+++ b/mimosaworks/dispatch/dispatcher.py
@@ -36,7 +36,7 @@
 # The longest wait for tokens: the same for all, so that patient requests
 # do not take the tokens of urgent ones in advance.
 TOKEN_WAIT_S = 0.3
-_WHOLE = frozenset((CallOutcome.ANSWERED, CallOutcome.ERRED))
+_ANSWERED = frozenset((CallOutcome.ANSWERED, CallOutcome.ERRED))
 _UNSENT = frozenset((CallOutcome.NOT_SENT, CallOutcome.UNREACHABLE))
 _UNUSED = _UNSENT | {CallOutcome.REFUSED}
 
@@ -162,7 +162,7 @@
         pool = self.pools.get(job.ask.service)
         if pool is not None:
             _note_outcome(self, job, outcome, now)
-            if outcome in _WHOLE:
+            if outcome in _ANSWERED:
                 pool.note_whole(job, duration_s)
             pool.drop(job)
         if job.is_trial and outcome in _UNSENT:
--- a/mimosaworks/dispatch/silent_ends.py
+++ b/mimosaworks/dispatch/silent_ends.py
@@ -37,7 +37,7 @@
         forget_oldest(self._pending, MAX_CONTENTS)
 
     def note_answer(self, mark: str) -> None:
-        """Note that a target ran a content to its end."""
+        """Forget the ends of a content that a target answered."""
         self._pending.pop(mark, None)
 
     def count_recent(self, mark: str, now: float) -> int:
--- a/mimosaworks/dispatch/suspect_rules.py
+++ b/mimosaworks/dispatch/suspect_rules.py
@@ -81,7 +81,7 @@
 ) -> frozenset[str]:
     """Return the targets for a trial that may be made, none without one.
 
-    A content that ran whole before need not wait for one that is idle.
+    A content that succeeded before need not wait for one that is idle.
     """
     mark = job.ask.mark
     if not trials.may_try(mark):
--- a/mimosaworks/node/crash_view.py
+++ b/mimosaworks/node/crash_view.py
@@ -9,7 +9,7 @@
 from mimosaworks.wire import Beat, BeatReply, CrashNote, SuspectRow
 
 MAX_ENDS = 1000  # more than the requests of a node
-MAX_ANSWERED = 1000  # contents that are known to have run whole
+MAX_ANSWERED = 1000  # contents that succeeded
 SILENT_KEPT_S = 30.0  # after which entries have shown whether a target ended
 
 
@@ -27,8 +27,8 @@
 
     Ends that were seen here are kept, so that each new holder is told of
     them, until the holder has stored them. told holds the names of ends by
-    content as the holder tells them. _answered are contents that ran
-    whole.
+    content as the holder tells them. _answered are contents that
+    succeeded.
     """
 
     told: dict[str, SuspectRow] = attrs.field(factory=dict)
@@ -60,7 +60,7 @@
         return note
 
     def note_answer(self, mark: str) -> None:
-        """Note that a target ran a content to its end."""
+        """Note that a target answered a content with success."""
         self._answered.pop(mark, None)
         self._answered[mark] = True
         forget_oldest(self._answered, MAX_ANSWERED)
