Crash count: no twin of a set, a bound, a loop or a wait; no dead encoder

Found on reading the change again, behaviour as before. The outcomes of whole answers were listed twice, the bound on ends of a content too: TargetEnd and EntriesView have a module of their own, so that silent ends need no import for types alone. Two loops over ready targets are one. The encoder of the row was used by tests alone since the saver keeps the marks; the tests take the row from the saver. The pause between renewals had the name of the holder's pace of orders, and its wait was the beats' own: both call one.

--- a/mimosaworks/dispatch/__init__.py
+++ b/mimosaworks/dispatch/__init__.py
@@ -3,9 +3,7 @@
 from mimosaworks.dispatch.crash_book import (
     BookNews,
     CrashBook,
-    EntriesView,
     Suspect,
-    TargetEnd,
     Verdict,
     judge_ends,
 )
@@ -20,6 +18,7 @@
 from mimosaworks.dispatch.plain_pool import PlainPool, PlainTarget
 from mimosaworks.dispatch.reconcile import adopt_models
 from mimosaworks.dispatch.resend_budget import ResendBudgets, ResendTerms
+from mimosaworks.dispatch.target_ends import EntriesView, TargetEnd
 from mimosaworks.dispatch.target_limits import TargetLimits
 
 __all__ = [
--- a/mimosaworks/dispatch/crash_book.py
+++ b/mimosaworks/dispatch/crash_book.py
@@ -3,12 +3,17 @@
 import enum
 import functools
 from collections import deque
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator
 
 import attrs
 
 from mimosaworks.deployment import TargetEntry, TargetState
 from mimosaworks.dispatch.silent_ends import SilentEnds
+from mimosaworks.dispatch.target_ends import (
+    MAX_ENDS,
+    EntriesView,
+    TargetEnd,
+)
 
 APART_ENDS = 2  # from here on one run at a time
 REFUSED_ENDS = 3
@@ -16,7 +21,6 @@
 KEEP_S = 600.0
 EXPIRY_PERIOD_S = 1.0
 MAX_SUSPECTS = 1000
-MAX_ENDS = 8  # of one content; more tell nothing new
 MAX_NEWS = 200  # between two looks of the log
 
 
@@ -28,29 +32,6 @@
     REFUSED = 'refused'
 
 
-@attrs.frozen
-class TargetEnd:
-    """A target may have ended while it ran a request.
-
-    mark is the fingerprint of the request's content. number tells ends of
-    the same birth apart, where a target has started anew and its birth is
-    not known yet. One that is_silent broke no connection.
-    is_proven: its node had seen the content succeed before.
-    """
-
-    mark: str
-    target: str
-    born: int
-    number: int = 0
-    is_silent: bool = False
-    is_proven: bool = False
-
-    @property
-    def name(self) -> str:
-        """Which end of which target it is."""
-        return f'{self.target}/{self.born}/{self.number}'
-
-
 @attrs.frozen
 class BookNews:
     """A trial of a content, or an end that counts no more, and why.
@@ -63,29 +44,6 @@
     end: TargetEnd | None = None
 
 
-@attrs.frozen
-class EntriesView:
-    """The targets' entries, read without a gap from since_s to read_s.
-
-    An end shows within lapse_s.
-    """
-
-    entries: Mapping[str, TargetEntry]
-    since_s: float
-    read_s: float
-    lapse_s: float
-
-    def shows(self, end: TargetEnd, noted_s: float) -> bool:
-        """Tell whether entries that were read after it show an end."""
-        entry = self.entries.get(end.target)
-        has_changed = entry is None or entry.born != end.born
-        return has_changed and self.read_s > noted_s
-
-    def would_show(self, noted_s: float) -> bool:
-        """Tell whether an end before noted_s had to show by now."""
-        return self.read_s - max(noted_s, self.since_s) > self.lapse_s
-
-
 @attrs.define
 class Suspect:
     """The ends under one content, by name.
--- a/mimosaworks/dispatch/dispatcher.py
+++ b/mimosaworks/dispatch/dispatcher.py
@@ -11,13 +11,13 @@
     TargetEntry,
     TargetState,
 )
-from mimosaworks.dispatch.crash_book import CrashBook, TargetEnd, Verdict
+from mimosaworks.dispatch.crash_book import CrashBook, Verdict
 from mimosaworks.dispatch.crash_trials import CrashTrials
 from mimosaworks.dispatch.engine_pool import EnginePool
 from mimosaworks.dispatch.engine_target import EngineTarget, Step
 from mimosaworks.dispatch.job import Ask, Assignment, Job, Refusal
 from mimosaworks.dispatch.limiter import Limiter
-from mimosaworks.dispatch.outcome import CallOutcome
+from mimosaworks.dispatch.outcome import WHOLE, CallOutcome
 from mimosaworks.dispatch.plain_pool import PlainPool, PlainTarget
 from mimosaworks.dispatch.resend_budget import ResendBudgets
 from mimosaworks.dispatch.suspect_rules import (
@@ -27,6 +27,7 @@
     set_apart,
     waiting_refused,
 )
+from mimosaworks.dispatch.target_ends import TargetEnd
 from mimosaworks.dispatch.target_limits import TargetLimits
 from mimosaworks.errors import ErrorKind
 
@@ -36,7 +37,6 @@
 # The longest wait for tokens: the same for all, so that patient requests
 # do not take the tokens of urgent ones in advance.
 TOKEN_WAIT_S = 0.3
-_ANSWERED = frozenset((CallOutcome.ANSWERED, CallOutcome.ERRED))
 _UNSENT = frozenset((CallOutcome.NOT_SENT, CallOutcome.UNREACHABLE))
 _UNUSED = _UNSENT | {CallOutcome.REFUSED}
 
@@ -162,7 +162,7 @@
         pool = self.pools.get(job.ask.service)
         if pool is not None:
             _note_outcome(self, job, outcome, now)
-            if outcome in _ANSWERED:
+            if outcome in WHOLE:
                 pool.note_whole(job, duration_s)
             pool.drop(job)
         if job.is_trial and outcome in _UNSENT:
--- a/mimosaworks/dispatch/health.py
+++ b/mimosaworks/dispatch/health.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from mimosaworks.dispatch.outcome import CallOutcome
+from mimosaworks.dispatch.outcome import WHOLE, CallOutcome
 
 FAILURE_WEIGHT = 0.15  # share of the newest outcome in the average
 FAILURE_HALF_LIFE_S = 4.0
@@ -18,7 +18,6 @@
     CallOutcome.OVERSIZED,
     CallOutcome.TIMED_OUT,
 ))
-_ANSWERED = frozenset((CallOutcome.ANSWERED, CallOutcome.ERRED))
 _LEFT_OUT = frozenset((CallOutcome.UNREACHABLE, CallOutcome.OVERSIZED))
 
 
@@ -51,7 +50,7 @@
 
     def note_outcome(self, outcome: CallOutcome, now: float) -> None:
         """Learn from how a request left the target."""
-        if outcome in _ANSWERED:
+        if outcome in WHOLE:
             self.note_success(now)
         if outcome in _LEFT_OUT:
             self.note_unreachable(now)
--- a/mimosaworks/dispatch/outcome.py
+++ b/mimosaworks/dispatch/outcome.py
@@ -19,6 +19,10 @@
     NOT_SENT = 'not_sent'  # the node had been told to leave the target out
 
 
+# A whole answer went to the caller.
+WHOLE = frozenset((CallOutcome.ANSWERED, CallOutcome.ERRED))
+
+
 def outcome_of(status: int) -> CallOutcome:
     """Return the outcome of a whole answer with an HTTP status."""
     if status >= HTTPStatus.BAD_REQUEST:
--- a/mimosaworks/dispatch/silent_ends.py
+++ b/mimosaworks/dispatch/silent_ends.py
@@ -1,17 +1,17 @@
 """Requests that ended without an answer, under which targets may have ended."""
 
 from collections.abc import Iterator
-from typing import TYPE_CHECKING
 
 import attrs
 
 from mimosaworks.bounded import forget_oldest
-
-if TYPE_CHECKING:
-    from mimosaworks.dispatch.crash_book import EntriesView, TargetEnd
+from mimosaworks.dispatch.target_ends import (
+    MAX_ENDS,
+    EntriesView,
+    TargetEnd,
+)
 
 MAX_CONTENTS = 2000
-MAX_ENDS = 8  # of one content
 HOLD_S = 6.0  # in which the entry of a target that ended lapses and is read
 
 
@@ -19,7 +19,7 @@
 class _SilentEnd:
     """An end that no connection showed, and when it was noted."""
 
-    end: 'TargetEnd'
+    end: TargetEnd
     noted_s: float
 
 
@@ -29,7 +29,7 @@
 
     _pending: dict[str, dict[str, _SilentEnd]] = attrs.field(factory=dict)
 
-    def add(self, end: 'TargetEnd', now: float) -> None:
+    def add(self, end: TargetEnd, now: float) -> None:
         """Note an end that may be one."""
         pending = self._pending.setdefault(end.mark, {})
         pending.setdefault(end.name, _SilentEnd(end, now))
@@ -48,7 +48,7 @@
         }
         return len(recent)
 
-    def take_shown(self, view: 'EntriesView') -> Iterator['TargetEnd']:
+    def take_shown(self, view: EntriesView) -> Iterator[TargetEnd]:
         """Yield ends that entries show; forget them and those that live on."""
         for mark, pending in list(self._pending.items()):
             left: dict[str, _SilentEnd] = {}
--- a/mimosaworks/dispatch/suspect_rules.py
+++ b/mimosaworks/dispatch/suspect_rules.py
@@ -7,7 +7,6 @@
 from mimosaworks.dispatch.crash_book import CrashBook, Verdict
 from mimosaworks.dispatch.crash_trials import CrashTrials
 from mimosaworks.dispatch.engine_pool import EnginePool
-from mimosaworks.dispatch.engine_target import EngineTarget
 from mimosaworks.dispatch.job import Ask, Job, Refusal
 from mimosaworks.dispatch.plain_pool import PlainPool, PlainTarget
 from mimosaworks.errors import ErrorKind
@@ -69,11 +68,8 @@
 
 def find_idle(pool: EnginePool | PlainPool, job: Job) -> frozenset[str]:
     """Return the targets that run nothing else and need no load for it."""
-    return frozenset(
-        name
-        for name, target in pool.targets.items()
-        if not target.jobs and _is_ready(target, job)
-    )
+    ready = _find_ready(pool, job)
+    return frozenset(name for name in ready if not pool.targets[name].jobs)
 
 
 def find_for_trial(
@@ -89,9 +85,7 @@
     idle = find_idle(pool, job)
     if idle or not trials.book.suspects[mark].is_proven:
         return idle
-    return frozenset(
-        name for name, target in pool.targets.items() if _is_ready(target, job)
-    )
+    return _find_ready(pool, job)
 
 
 def waiting_refused(
@@ -108,5 +102,9 @@
     return book.judge(job.ask.mark) is not Verdict.SERVED
 
 
-def _is_ready(target: EngineTarget | PlainTarget, job: Job) -> bool:
-    return isinstance(target, PlainTarget) or target.is_ready_for(job)
+def _find_ready(pool: EnginePool | PlainPool, job: Job) -> frozenset[str]:
+    return frozenset(
+        name
+        for name, target in pool.targets.items()
+        if isinstance(target, PlainTarget) or target.is_ready_for(job)
+    )
--- a/mimosaworks/node/election.py
+++ b/mimosaworks/node/election.py
@@ -15,7 +15,7 @@
     StoreUnavailableError,
 )
 from mimosaworks.events import Event, log_event
-from mimosaworks.node.pace import Pace
+from mimosaworks.node.hurried_pause import HurriedPause
 from mimosaworks.platform import (
     RowChange,
     RowName,
@@ -84,8 +84,8 @@
 
     unsaved gives the holder's rows that are written with the next renewal,
     on_saved is called with the time at which one began that wrote them all,
-    on_rows with the rows beside the lease whenever that is looked at. pace
-    spaces out the renewals, and hurries one that writes urgent rows.
+    on_rows with the rows beside the lease whenever that is looked at.
+    pause is the one between renewals; urgent rows hurry it.
     """
 
     store: StoreClient
@@ -105,7 +105,7 @@
     unsaved: Callable[[], tuple[RowChange, ...]] = _save_nothing
     on_saved: Callable[[float], None] = _ignore_save
     on_rows: Callable[[tuple[StoredRow, ...]], None] = _ignore_rows
-    pace: Pace = attrs.field(factory=lambda: Pace(MIN_PAUSE_S))
+    pause: HurriedPause = attrs.field(factory=lambda: HurriedPause(MIN_PAUSE_S))
     may_hold: bool = True
     lease: Lease | None = None
     is_holder: bool = False
@@ -121,7 +121,7 @@
         await asyncio.sleep(self.handicap_s)
         while True:  # noqa: WPS457 -- ends when the task is cancelled
             if self.is_holder:
-                await self.pace.pause(self.lease_s / RENEWALS)
+                await self.pause.wait(self.lease_s / RENEWALS)
                 await self._renew()
             elif self.hears_holder():
                 await asyncio.sleep(POLL_S)
--- a/mimosaworks/node/holder_link.py
+++ b/mimosaworks/node/holder_link.py
@@ -21,6 +21,7 @@
 )
 from mimosaworks.node.crash_view import CrashView
 from mimosaworks.node.election import Lease
+from mimosaworks.node.hurried_pause import is_set_within
 from mimosaworks.node.limit_view import LimitView
 from mimosaworks.node.told_view import ToldView
 from mimosaworks.wire import (
@@ -179,13 +180,9 @@
             interval_s = min(interval_s, MIN_INTERVAL_S)
         if self._unanswered_s is not None or not self.is_up():
             interval_s = FIRST_BEAT_S
-        try:
-            async with asyncio.timeout(interval_s):
-                await self.news.has_news.wait()
-        except TimeoutError:
-            return
-        # Gathers what happens in the next moments into the same beat.
-        await asyncio.sleep(GATHER_S)
+        if await is_set_within(self.news.has_news, interval_s):
+            # Gathers what happens in the next moments into the same beat.
+            await asyncio.sleep(GATHER_S)
 
     async def _beat_locally(self, local: LocalHolder) -> None:
         lease = self.lease()
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -131,7 +131,7 @@
             is_sure=self.election.is_sure,
             view=self.views.entries_view,
             on_limited=self.meters.note_limited,
-            renew_soon=self.election.pace.hurry,
+            renew_soon=self.election.pause.hurry,
             lease_version=lease.version,
         )
         # They are kept until they fall silent; the directory needs them.
--- a/mimosaworks/node/stored_suspects.py
+++ b/mimosaworks/node/stored_suspects.py
@@ -78,16 +78,6 @@
             book.adopt(mark, suspect, now)
 
 
-def encode_suspects(
-    suspects: dict[str, Suspect], max_bytes: int, epoch_s: float
-) -> bytes:
-    """Return the row of these suspects, within max_bytes.
-
-    epoch_s is the Unix time at which the clock of their times was 0.
-    """
-    return json.dumps(_fitting(suspects, max_bytes, epoch_s)).encode()
-
-
 def decode_suspects(content: bytes, epoch_s: float) -> dict[str, Suspect]:
     """Return the suspects of a row; none for one that can't be read."""
     try:
@@ -104,9 +94,10 @@
 def _fitting(
     suspects: dict[str, Suspect], max_bytes: int, epoch_s: float
 ) -> dict[str, Any]:
-    """Return the row's fields by content.
+    """Return the fields of a row within max_bytes, by content.
 
-    Those with the most ends go first, then the newest.
+    Those with the most ends go first, then the newest. epoch_s is the Unix
+    time at which the clock of their times was 0.
     """
     ranked = sorted(
         suspects.items(),
--- a/tests/test_dispatch_crash_book.py
+++ b/tests/test_dispatch_crash_book.py
@@ -9,10 +9,10 @@
     ANSWERS_FOR_END,
     EXPIRY_PERIOD_S,
     KEEP_S,
-    MAX_ENDS,
     MAX_SUSPECTS,
     REFUSED_ENDS,
 )
+from mimosaworks.dispatch.target_ends import MAX_ENDS
 from tests.dispatch_world import entry
 
 POISON = 'poison'
--- a/tests/test_dispatch_silent_ends.py
+++ b/tests/test_dispatch_silent_ends.py
@@ -6,9 +6,9 @@
 from mimosaworks.dispatch.silent_ends import (
     HOLD_S,
     MAX_CONTENTS,
-    MAX_ENDS,
     SilentEnds,
 )
+from mimosaworks.dispatch.target_ends import MAX_ENDS
 from tests.test_dispatch_crash_book import (
     LAPSE_S,
     POISON,
--- a/tests/test_node_crash_view.py
+++ b/tests/test_node_crash_view.py
@@ -16,7 +16,6 @@
     StoredSuspects,
     SuspectSaver,
     decode_suspects,
-    encode_suspects,
 )
 from mimosaworks.node.suspect_watch import SuspectWatch
 from mimosaworks.platform import StoredRow
@@ -43,6 +42,13 @@
     return book
 
 
+def stored_row(book: CrashBook, max_bytes: int, epoch_s: float) -> bytes:
+    """Return the row that a holder stores."""
+    saver = SuspectSaver(lambda: epoch_s)
+    changes = saver.unsaved(book, max_bytes)
+    return changes[0].content or b''
+
+
 def trial_due_s(book: CrashBook, since_s: float) -> float:
     """Return when a trial is planned that nobody has asked for before."""
     trials = CrashTrials(book)
@@ -91,7 +97,7 @@
 
 def test_stored_ends_count_for_a_node_alone() -> None:
     view = CrashView()
-    row = encode_suspects(book_of(3).suspects, ROW_BYTES, 0)
+    row = stored_row(book_of(3), ROW_BYTES, 0)
     view.stored.take_rows([StoredRow(SUSPECTS_ROW, 7, row)])
     assert view.count(POISON, is_alone=True) == 3
     assert view.count(POISON) == 0
@@ -115,7 +121,7 @@
     book = CrashBook()
     for note in view.seen():
         book.note_end(end_of(note), None, 5)
-    row = encode_suspects(book.suspects, ROW_BYTES, 0)
+    row = stored_row(book, ROW_BYTES, 0)
     assert decode_suspects(row, 0)[POISON].is_proven
 
 
@@ -148,7 +154,7 @@
     trials = CrashTrials(book)
     trials.plan(POISON, 70)
     trials.take(POISON, 70)
-    row = encode_suspects(book.suspects, ROW_BYTES, 1000)
+    row = stored_row(book, ROW_BYTES, 1000)
     # The clock of another process began 400 s later.
     read = decode_suspects(row, 1400)[POISON]
     known = book.suspects[POISON]
@@ -165,7 +171,7 @@
     for number in range(500):
         end = TargetEnd(f'one-{number}', 't1', 1)
         book.note_end(end, None, 9)
-    row = encode_suspects(book.suspects, 4096, 0)
+    row = stored_row(book, 4096, 0)
     assert len(row) <= 4096
     assert POISON in decode_suspects(row, 0)
 
@@ -185,7 +191,7 @@
 
 def test_a_stored_row_tells_a_new_holder() -> None:
     stored = StoredSuspects()
-    row = encode_suspects(book_of(3).suspects, ROW_BYTES, 0)
+    row = stored_row(book_of(3), ROW_BYTES, 0)
     stored.take_rows([StoredRow(SUSPECTS_ROW, 7, row)])
     stored.take_rows([StoredRow(SUSPECTS_ROW, 6, b'{}')])
     book = CrashBook()
@@ -198,7 +204,7 @@
 @pytest.mark.parametrize('uptime_s', [1, 60, 604800])
 def test_stored_ends_count_on_vms_of_any_uptime(uptime_s: float) -> None:
     clock_s = 5000.0
-    row = encode_suspects(book_of(3).suspects, ROW_BYTES, 0)
+    row = stored_row(book_of(3), ROW_BYTES, 0)
     stored = StoredSuspects(lambda: clock_s - uptime_s)
     stored.take_rows([StoredRow(SUSPECTS_ROW, 7, row)])
     book = CrashBook()
@@ -216,7 +222,7 @@
 def test_a_step_of_the_time_of_day_moves_trials_by_no_more(
     step_s: float,
 ) -> None:
-    row = encode_suspects(book_of(3).suspects, ROW_BYTES, 0)
+    row = stored_row(book_of(3), ROW_BYTES, 0)
     stored = StoredSuspects(lambda: step_s)
     stored.take_rows([StoredRow(SUSPECTS_ROW, 7, row)])
     book = CrashBook()
