Ends are compared with entries once for each read, not with each tick

A holder compared all open and silent ends with the same entries twenty times a second; they are read each 0.4 s, and ends stay open for 27 s now, not for 6. What was noted since a read is not shown by it, so that the verdicts are the same.

--- a/mimosaworks/dispatch/crash_book.py
+++ b/mimosaworks/dispatch/crash_book.py
@@ -2,6 +2,7 @@
 
 import enum
 import functools
+import math
 from collections import deque
 from collections.abc import Iterable, Iterator
 
@@ -88,6 +89,7 @@
     _open: dict[tuple[str, str], float] = attrs.field(factory=dict)
     _silent: SilentEnds = attrs.field(factory=SilentEnds)
     _expiry_s: float = 0
+    _compared_s: float = -math.inf
 
     def judge(self, mark: str) -> Verdict:
         """Return how requests with this content are served."""
@@ -138,10 +140,10 @@
 
     def follow_entries(self, view: EntriesView, now: float) -> None:
         """Compare ends with the targets' entries, and forget old ones."""
-        for place, noted_s in list(self._open.items()):
-            self._settle(place, noted_s, view)
-        for end in self._silent.take_shown(view):
-            self._count(end, now)
+        # The same entries tell nothing more, also of ends since they were read.
+        if view.read_s > self._compared_s:
+            self._compared_s = view.read_s
+            self._compare(view, now)
         if now > self._expiry_s:
             self._expiry_s = now + EXPIRY_PERIOD_S
             for mark in list(self._expired(now)):
@@ -179,6 +181,12 @@
         if len(self.suspects) > MAX_SUSPECTS:
             self._drop(self._least())
 
+    def _compare(self, view: EntriesView, now: float) -> None:
+        for place, noted_s in list(self._open.items()):
+            self._settle(place, noted_s, view)
+        for end in self._silent.take_shown(view):
+            self._count(end, now)
+
     def _settle(
         self, place: tuple[str, str], noted_s: float, view: EntriesView
     ) -> None:
