An end is told apart by how often its target has ended, not by births alone

What callers saw: a request that crashes a target which is back before the store has its new birth crashed it once at each node.

Cause: all nodes and the holder then know the birth before, and each node numbers the ends of a birth by what it saw itself: the same name for each node's first one.

Change: a decision tells how often its target is known to have ended under that birth, and an end has at least that number.

--- a/mimosaworks/dispatch/crash_book.py
+++ b/mimosaworks/dispatch/crash_book.py
@@ -12,6 +12,7 @@
 from mimosaworks.dispatch.silent_ends import SilentEnds
 from mimosaworks.dispatch.target_ends import (
     MAX_ENDS,
+    EndedBirths,
     EntriesView,
     TargetEnd,
 )
@@ -86,6 +87,7 @@
     news: deque[BookNews] = attrs.field(
         factory=functools.partial(deque, maxlen=MAX_NEWS)
     )
+    births: EndedBirths = attrs.field(factory=EndedBirths)
     _open: dict[tuple[str, str], float] = attrs.field(factory=dict)
     _silent: SilentEnds = attrs.field(factory=SilentEnds)
     _expiry_s: float = 0
@@ -121,6 +123,7 @@
         if end.is_silent:
             self._silent.add(end, now)
         else:
+            self.births.note(end)
             self._count(end, now)
 
     def note_answer(self, mark: str) -> None:
--- a/mimosaworks/dispatch/job.py
+++ b/mimosaworks/dispatch/job.py
@@ -39,7 +39,8 @@
 class Assignment:
     """The target of a request, and the engine's priority for it.
 
-    born is the target's birth as it was known then, 0 if it was not.
+    born is the target's birth as it was known then, 0 if it was not, ended how
+    often it was known to have ended since.
     granted_s is the time of the decision on the clock of the process that
     reads it. is_counted: it has a place within the target's rate limit.
     is_trial: its content is refused but for this send.
@@ -53,6 +54,7 @@
     is_counted: bool = False
     is_trial: bool = False
     born: int = 0
+    ended: int = 0
 
 
 @attrs.frozen
--- a/mimosaworks/dispatch/target_ends.py
+++ b/mimosaworks/dispatch/target_ends.py
@@ -4,9 +4,11 @@
 
 import attrs
 
+from mimosaworks.bounded import forget_oldest
 from mimosaworks.deployment import TargetEntry
 
 MAX_ENDS = 8  # of one content; more tell nothing new
+MAX_BIRTHS = 1000  # whose ends are counted
 
 
 @attrs.frozen
@@ -53,3 +55,24 @@
     def would_show(self, noted_s: float) -> bool:
         """Tell whether an end before noted_s had to show by now."""
         return self.read_s - max(noted_s, self.since_s) > self.lapse_s
+
+
+@attrs.define(eq=False)
+class EndedBirths:
+    """How often targets have ended that are known by one birth.
+
+    They may have started anew without an entry that tells it.
+    """
+
+    _ended: dict[str, int] = attrs.field(factory=dict)
+
+    def note(self, end: TargetEnd) -> None:
+        """Count an end, once for all nodes that saw it."""
+        birth = f'{end.target}/{end.born}'
+        ended = self._ended.pop(birth, 0)
+        self._ended[birth] = max(ended, end.number + 1)
+        forget_oldest(self._ended, MAX_BIRTHS)
+
+    def count(self, target: str, born: int) -> int:
+        """Return the ends of a target that is known by a birth."""
+        return self._ended.get(f'{target}/{born}', 0)
--- a/mimosaworks/node/chooser.py
+++ b/mimosaworks/node/chooser.py
@@ -188,6 +188,7 @@
             is_counted=reply.is_counted,
             is_trial=reply.is_trial,
             born=reply.born,
+            ended=reply.ended,
         )
 
     def _decide_alone(self, call: Call, ask: CallAsk) -> Assignment | Refusal:
--- a/mimosaworks/node/conversions.py
+++ b/mimosaworks/node/conversions.py
@@ -67,6 +67,7 @@
         is_counted=decided.is_counted,
         is_trial=decided.is_trial,
         born=decided.born,
+        ended=decided.ended,
         waited_s=max(decided.granted_s - asked_s, 0),
     )
 
--- a/mimosaworks/node/crash_view.py
+++ b/mimosaworks/node/crash_view.py
@@ -44,9 +44,11 @@
         """Return the note of an end under a request that began at begun_s.
 
         A request that was sent after an end of the same birth met a target
-        that had started anew.
+        that had started anew; the number of an end is the least of its note.
         """
-        number = self._number(f'{end.target}/{end.born}', begun_s, now)
+        birth = f'{end.target}/{end.born}'
+        number = max(self._number(birth, begun_s, now), end.number)
+        self._last[birth].number = number
         note = CrashNote(
             end.mark,
             end.target,
--- a/mimosaworks/node/front.py
+++ b/mimosaworks/node/front.py
@@ -176,7 +176,7 @@
             call_log.log_abandoned(call, visit.outcome)
             raise
         finally:
-            self._note_end(call, visit.outcome, assignment.born, begun_s)
+            self._note_end(call, visit.outcome, assignment, begun_s)
             self._leave(name, assignment, visit.outcome, now_s() - begun_s)
 
     def _leave(
@@ -192,7 +192,11 @@
         self.meters.sends.labels(outcome.value).inc()
 
     def _note_end(
-        self, call: Call, outcome: CallOutcome, born: int, begun_s: float
+        self,
+        call: Call,
+        outcome: CallOutcome,
+        assignment: Assignment,
+        begun_s: float,
     ) -> None:
         """Note that the target may have ended under a request.
 
@@ -201,7 +205,13 @@
         is_silent = outcome in _UNANSWERED
         if is_silent or outcome is CallOutcome.BROKEN:
             self.meters.ends.labels('silent' if is_silent else 'cut').inc()
-            end = TargetEnd(call.mark, call.target, born, is_silent=is_silent)
+            end = TargetEnd(
+                call.mark,
+                assignment.target,
+                assignment.born,
+                assignment.ended,
+                is_silent=is_silent,
+            )
             self.chooser.note_end(call, end, begun_s)
 
     async def _prepare_resend(self, call: Call, exc: AttemptError) -> None:
--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -134,7 +134,12 @@
             return reply_of(admitted, asked_s)
         if admitted:
             await self._await_tokens(ask, admitted)
-        return reply_of(await self._place(ask, request), asked_s)
+        decided = await self._place(ask, request)
+        if isinstance(decided, Assignment):
+            births = self.dispatcher.crashes.births
+            ended = births.count(decided.target, decided.born)
+            decided = attrs.evolve(decided, ended=ended)
+        return reply_of(decided, asked_s)
 
     async def on_beat(self, beat: Beat) -> BeatReply:
         """Take over what happened at a node; return this process's view."""
--- a/mimosaworks/wire/dispatch.capnp
+++ b/mimosaworks/wire/dispatch.capnp
@@ -43,6 +43,7 @@
   waitedS @7 :Float64;
   born @8 :UInt64;
   isTrial @9 :Bool;
+  ended @10 :UInt32;
 }
 
 struct CallStart {
--- a/mimosaworks/wire/dispatch_messages.py
+++ b/mimosaworks/wire/dispatch_messages.py
@@ -62,7 +62,7 @@
     The decision was made waited_s after the ask had arrived. is_counted: the
     request has a place within the target's rate limit. is_trial: its
     content is refused but for this send. born is the target's birth, 0 if it
-    is not known.
+    is not known, ended how often it is known to have ended since.
     """
 
     target: str = ''
@@ -74,6 +74,7 @@
     is_counted: bool = False
     is_trial: bool = False
     born: int = 0
+    ended: int = 0
     waited_s: float = 0
 
 
--- a/standins/agency/world.py
+++ b/standins/agency/world.py
@@ -169,7 +169,8 @@
     """The store, the targets and the nodes of one test.
 
     crashed_s are the times at which requests crashed targets, which start
-    again crash_down_s later; crashed_by are these requests' ids.
+    again crash_down_s later; crashed_by are these requests' ids. The store
+    has their new entries entry_late_s after that.
     """
 
     stack: contextlib.AsyncExitStack
@@ -186,6 +187,7 @@
     crashed_s: list[float] = attrs.field(factory=list)
     crashed_by: list[str] = attrs.field(factory=list)
     crash_down_s: float = CRASH_DOWN_S
+    entry_late_s: float = 0
     _crashes: set['asyncio.Task[None]'] = attrs.field(factory=set)
 
     async def open(self) -> None:
@@ -250,6 +252,7 @@
         self.replicas[name].restart()
         await asyncio.sleep(down_s)
         await proxy.open()
+        await asyncio.sleep(self.entry_late_s)
         self.replicas[name].register(self.store)
 
     async def serve(self, app: web.Application) -> str:
--- a/tests/test_node_births.py
+++ b/tests/test_node_births.py
@@ -13,6 +13,8 @@
 
 NODES = 5
 DOWN_S = 0.02
+LATE_S = 8.0
+PAUSE_S = 1.0  # the holder leaves a target out that it can't reach
 APART_ENDS = 2  # from here on it runs one at a time, once in an attempt
 
 
@@ -60,3 +62,15 @@
         await until(functools.partial(is_reborn, world, born))
         await asyncio.sleep(DOWN_S)
     assert len(world.crashed_s) <= APART_ENDS + 1
+
+
+# Guards against a target that is back before the store has its new birth: each
+# node that saw one of its ends took it for the same one.
+async def test_ends_count_while_the_store_has_a_birth_late(
+    world: AgencyWorld,
+) -> None:
+    world.entry_late_s = LATE_S
+    for number in range(NODES):
+        await ask(world, number)
+        await asyncio.sleep(PAUSE_S)
+    assert len(world.crashed_s) <= APART_ENDS + 1
--- a/tests/test_node_crash_view.py
+++ b/tests/test_node_crash_view.py
@@ -67,6 +67,20 @@
     assert view.count(POISON) == 2
 
 
+# Guards against two ends that count as one: the store tells of the target's new
+# birth late, and another node had seen the first of them.
+def test_an_end_after_one_that_another_node_saw_is_another_end() -> None:
+    book, first, second = CrashBook(), CrashView(), CrashView()
+    see(first, 't1', 0, 1)
+    book.note_end(end_of(first.seen()[0]), None, 1)
+    ended = book.births.count('t1', 1)
+    second.see(TargetEnd(POISON, 't1', 1, ended), 5, 6)
+    book.note_end(end_of(second.seen()[0]), None, 6)
+    assert len(book.suspects[POISON].ends) == 2
+    assert book.births.count('t1', 1) == 2
+    assert book.births.count('t1', 2) == 0
+
+
 def test_what_was_seen_counts_at_once_and_before_a_holder_tells_it() -> None:
     view = CrashView()
     see(view, 't1', 0, 1)
