--- a/mimosaworks/dispatch/crash_book.py
+++ b/mimosaworks/dispatch/crash_book.py
@@ -98,7 +98,7 @@
         suspect = self.suspects.get(mark)
         return judge_ends(0 if suspect is None else len(suspect.ends))
 
-    def is_held(self, mark: str, now: float) -> bool:
+    def is_held(self, mark: str) -> bool:
         """Tell whether several targets may have ended under a content.
 
         Their entries show in a moment whether they have. No run of it has
@@ -106,7 +106,7 @@
         """
         suspect = self.suspects.get(mark)
         ends = 0 if suspect is None else len(suspect.ends)
-        silent = self._silent.count_recent(mark, now)
+        silent = self._silent.count_recent(mark)
         return silent > 0 and ends + silent >= REFUSED_ENDS
 
     def note_end(
--- a/mimosaworks/dispatch/silent_ends.py
+++ b/mimosaworks/dispatch/silent_ends.py
@@ -12,15 +12,21 @@
 )
 
 MAX_CONTENTS = 2000
-HOLD_S = 6.0  # in which the entry of a target that ended lapses and is read
+# In which the entry of a target that ended lapses and is read, from a store
+# whose answers may be some seconds behind.
+HOLD_S = 10.0
 
 
-@attrs.frozen
+@attrs.define
 class _SilentEnd:
-    """An end that no connection showed, and when it was noted."""
+    """An end that no connection showed, and when it was noted.
+
+    is_recent: entries need not show it yet.
+    """
 
     end: TargetEnd
     noted_s: float
+    is_recent: bool = True
 
 
 @attrs.define(eq=False)
@@ -40,13 +46,10 @@
         """Forget the ends of a content that a target answered."""
         self._pending.pop(mark, None)
 
-    def count_recent(self, mark: str, now: float) -> int:
+    def count_recent(self, mark: str) -> int:
         """Return the targets that may have ended and need not show it yet."""
         pending = self._pending.get(mark, {}).values()
-        recent = {
-            one.end.target for one in pending if now - one.noted_s < HOLD_S
-        }
-        return len(recent)
+        return len({one.end.target for one in pending if one.is_recent})
 
     def take_shown(self, view: EntriesView) -> Iterator[TargetEnd]:
         """Yield ends that entries show; forget them and those that live on."""
@@ -56,6 +59,7 @@
                 if view.shows(one.end, one.noted_s):
                     yield one.end
                 elif not view.would_show(one.noted_s):
+                    one.is_recent = view.covered_s(one.noted_s) < HOLD_S
                     left[name] = one
             self._keep(mark, left)
 
--- a/mimosaworks/dispatch/suspect_rules.py
+++ b/mimosaworks/dispatch/suspect_rules.py
@@ -30,7 +30,7 @@
             return None
         trials.plan(ask.mark, now)
         return crash_suspect()
-    if trials.book.is_held(ask.mark, now):
+    if trials.book.is_held(ask.mark):
         return Refusal(
             ErrorKind.NO_TARGET,
             HELD_RETRY_S,
--- a/mimosaworks/dispatch/target_ends.py
+++ b/mimosaworks/dispatch/target_ends.py
@@ -54,7 +54,11 @@
 
     def would_show(self, noted_s: float) -> bool:
         """Tell whether an end before noted_s had to show by now."""
-        return self.read_s - max(noted_s, self.since_s) > self.lapse_s
+        return self.covered_s(noted_s) > self.lapse_s
+
+    def covered_s(self, noted_s: float) -> float:
+        """Return for how long after noted_s the entries were read."""
+        return self.read_s - max(noted_s, self.since_s)
 
 
 @attrs.define(eq=False)
