A trial leaves another target of its service in service

Change: a refused content is tried only while another target is in service, neither leaving nor left out; one that succeeded before may be tried all the same.

Evidence: the new test fails before. The test of trials that are spent has two targets left now, its assertions are as before.

--- a/mimosaworks/dispatch/dispatcher.py
+++ b/mimosaworks/dispatch/dispatcher.py
@@ -279,7 +279,7 @@
 ) -> Assignment | Refusal:
     """Run a refused content for its trial, if that is due."""
     job = Job(ask, now, is_trial=True)
-    targets = find_for_trial(dispatcher.trials, pool, job)
+    targets = find_for_trial(dispatcher.trials, pool, job, now)
     decided: Assignment | Refusal | None = None
     if targets:
         others = pool.targets.keys() - targets
--- a/mimosaworks/dispatch/suspect_rules.py
+++ b/mimosaworks/dispatch/suspect_rules.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from mimosaworks.deployment import TargetState
 from mimosaworks.dispatch.crash_book import CrashBook, Verdict
 from mimosaworks.dispatch.crash_trials import CrashTrials
 from mimosaworks.dispatch.engine_pool import EnginePool
@@ -73,19 +74,26 @@
 
 
 def find_for_trial(
-    trials: CrashTrials, pool: EnginePool | PlainPool, job: Job
+    trials: CrashTrials, pool: EnginePool | PlainPool, job: Job, now: float
 ) -> frozenset[str]:
     """Return the targets for a trial that may be made, none without one.
 
-    A content that succeeded before need not wait for one that is idle.
+    They run nothing, and others are in service if a trial ends them. A
+    content that succeeded before need not wait for that.
     """
     mark = job.ask.mark
     if not trials.may_try(mark):
         return frozenset()
     idle = find_idle(pool, job)
-    if idle or not trials.book.suspects[mark].is_proven:
-        return idle
-    return _find_ready(pool, job)
+    if trials.book.suspects[mark].is_proven:
+        return idle or _find_ready(pool, job)
+    in_service = [
+        target
+        for target in pool.targets.values()
+        if target.entry.state is TargetState.READY
+        and not target.health.is_down(now)
+    ]
+    return idle if len(in_service) > 1 else frozenset()
 
 
 def waiting_refused(
--- a/tests/test_dispatch_suspect_rules.py
+++ b/tests/test_dispatch_suspect_rules.py
@@ -3,6 +3,7 @@
 import attrs
 import pytest
 
+from mimosaworks.deployment import TargetState
 from mimosaworks.dispatch import (
     Assignment,
     CallOutcome,
@@ -38,13 +39,15 @@
     dispatcher.note_ends(ends, 0)
 
 
-def run(dispatcher: Dispatcher, mark: str) -> Assignment | Refusal | None:
+def run(
+    dispatcher: Dispatcher, mark: str, now: float = 0
+) -> Assignment | Refusal | None:
     """Ask for a target for a request; None while it waits."""
-    ask = make_ask(mark=mark, service='ledger')
-    admitted = dispatcher.admit(ask, 0)
+    ask = make_ask(mark=mark, service='ledger', give_up_s=now + 10)
+    admitted = dispatcher.admit(ask, now)
     if isinstance(admitted, Refusal):
         return admitted
-    return dispatcher.submit(ask, 0)
+    return dispatcher.submit(ask, now)
 
 
 def test_a_content_that_crashed_three_targets_is_refused_at_once(
@@ -96,6 +99,26 @@
     assert isinstance(run(dispatcher, POISON), Refusal)
 
 
+# Guards against a trial that ends the last target of its service.
+@pytest.mark.parametrize(
+    ('is_proven', 'kind'), [(False, Refusal), (True, Assignment)]
+)
+def test_a_trial_leaves_a_target_in_service(
+    dispatcher: Dispatcher, kind: type, *, is_proven: bool
+) -> None:
+    ends = [
+        TargetEnd(POISON, f'gone-{number}', 1, is_proven=is_proven)
+        for number in range(3)
+    ]
+    dispatcher.note_ends(ends, 0)
+    targets = dispatcher.pools['ledger'].targets
+    leaving = targets['t0'].entry
+    targets['t0'].entry = attrs.evolve(leaving, state=TargetState.DRAINING)
+    targets['t1'].health.note_unreachable(TRIAL_S)
+    plan(dispatcher, TRIAL_S)
+    assert isinstance(run(dispatcher, POISON, TRIAL_S), kind)
+
+
 def test_a_proven_content_is_tried_at_busy_targets_too(
     dispatcher: Dispatcher,
 ) -> None:
@@ -141,7 +164,7 @@
     call = next(iter(dispatcher.jobs))
     dispatcher.ended(call, outcome, 0.1, TRIAL_S)
     dispatcher.pools['ledger'] = PlainPool()
-    again = [entry('t9', service='ledger', slots=1)]
+    again = [entry(name, service='ledger', slots=1) for name in ('t8', 't9')]
     dispatcher.follow_entries({one.name: one for one in again}, TRIAL_S)
     assert isinstance(run(dispatcher, POISON), Refusal) is is_spent
 
