--- a/mimosaworks/dispatch/crash_book.py
+++ b/mimosaworks/dispatch/crash_book.py
@@ -1,4 +1,4 @@
-"""Counts, for each request's content, the targets that ended under it."""
+"""Counts, for each request's content, the targets that it may have crashed."""
 
 import enum
 import functools
@@ -99,7 +99,7 @@
         return judge_ends(0 if suspect is None else len(suspect.ends))
 
     def is_held(self, mark: str) -> bool:
-        """Tell whether several targets may have ended under a content.
+        """Tell whether a content may have crashed several targets.
 
         Their entries show in a moment whether they have. No run of it has
         ended whole meanwhile.
--- a/mimosaworks/dispatch/crash_trials.py
+++ b/mimosaworks/dispatch/crash_trials.py
@@ -1,4 +1,4 @@
-"""Trials of contents that are refused as several targets ended under them."""
+"""Trials of contents that are refused as they crashed several targets."""
 
 import attrs
 
--- a/mimosaworks/dispatch/silent_ends.py
+++ b/mimosaworks/dispatch/silent_ends.py
@@ -1,4 +1,4 @@
-"""Requests that ended without an answer, under which targets may have ended."""
+"""Requests without an answer, whose targets may have crashed."""
 
 from collections.abc import Iterator
 
--- a/mimosaworks/dispatch/suspect_rules.py
+++ b/mimosaworks/dispatch/suspect_rules.py
@@ -18,7 +18,7 @@
 
 def crash_suspect() -> Refusal:
     """Return the refusal of a content that crashes targets."""
-    return Refusal(ErrorKind.CRASH_SUSPECT, 0, 'targets ended while it ran')
+    return Refusal(ErrorKind.CRASH_SUSPECT, 0, 'crashed several targets')
 
 
 def admit_suspect(
@@ -35,7 +35,7 @@
         return Refusal(
             ErrorKind.NO_TARGET,
             HELD_RETRY_S,
-            'several targets may have ended under it',
+            'may have crashed several targets',
         )
     if verdict is Verdict.SERVED:
         return None
--- a/mimosaworks/node/beat_news.py
+++ b/mimosaworks/node/beat_news.py
@@ -50,7 +50,7 @@
         self.has_news.set()
 
     def note_crash(self, note: CrashNote) -> None:
-        """Tell the holder of a target that may have ended under a request."""
+        """Tell the holder of a target that a request may have crashed."""
         self._crashes.append(note)
         self.has_news.set()
 
--- a/mimosaworks/node/chooser.py
+++ b/mimosaworks/node/chooser.py
@@ -89,7 +89,7 @@
         return judge_ends(ends) is Verdict.SERVED
 
     def note_end(self, call: Call, end: TargetEnd, begun_s: float) -> None:
-        """Note that a target may have ended under a request.
+        """Note that a target may have crashed while it ran a request.
 
         It was sent at begun_s.
         """
@@ -226,7 +226,7 @@
         kind = ErrorKind.NO_TARGET
         if verdict is Verdict.REFUSED:
             kind = ErrorKind.CRASH_SUSPECT
-        return Refusal(kind, HOLDER_WAIT_S, f'{ends} targets ended under it')
+        return Refusal(kind, HOLDER_WAIT_S, f'crashed {ends} targets')
 
     def _view_age_s(self) -> float:
         """Return the age of the view of the targets."""
@@ -283,7 +283,7 @@
 
 def _suspect_reason(ends: int) -> str:
     if judge_ends(ends) is Verdict.REFUSED:
-        return f'{ends} targets have ended under it'
+        return f'crashed {ends} targets since'
     return ''
 
 
--- a/mimosaworks/node/front.py
+++ b/mimosaworks/node/front.py
@@ -198,7 +198,7 @@
         assignment: Assignment,
         begun_s: float,
     ) -> None:
-        """Note that the target may have ended under a request.
+        """Note that the target may have crashed while it ran a request.
 
         One that fell silent shows it by no answer, or by half of one.
         """
--- a/mimosaworks/node/meters.py
+++ b/mimosaworks/node/meters.py
@@ -95,7 +95,7 @@
         )
         self.ends = self._counter(
             'mimosa_target_ends',
-            'Requests under which a target may have ended.',
+            'Requests that may have crashed a target.',
             'kind',
         )
 
--- a/mimosaworks/send_guard.py
+++ b/mimosaworks/send_guard.py
@@ -29,7 +29,7 @@
         """Raise ServerDisconnectedError if the request was sent before.
 
         aiohttp repeats requests without a body where a kept connection is
-        closed. The target may have run, or ended under, the first of them.
+        closed. The target may have run the first of them, or crashed.
         """
         if self.is_sending:
             raise aiohttp.ServerDisconnectedError(
--- a/mimosaworks/wire/dispatch_messages.py
+++ b/mimosaworks/wire/dispatch_messages.py
@@ -136,7 +136,7 @@
     running is filled in the first beat to a holder, spent with the tokens
     that the node admitted without one. wants_levels asks for the tokens that
     workspaces have left. leaving are targets that announced that to the
-    node, crashes those that ended under its requests, rate limits that
+    node, crashes those that crashed under its requests, rate limits that
     answers gave, in the first beat to a holder all of them.
     """
 
