Stand-in agency: nodes are stopped as the platform does, streams may last

A node gets SIGTERM and, once its grace is over, SIGKILL; the caller of stop is told whether it ended before that. Targets have a number of events for their streams, and a world its own bounds for the nodes' settings.

--- a/standins/agency/replica.py
+++ b/standins/agency/replica.py
@@ -47,8 +47,8 @@
 class Replica:
     """State of one target; runs lists the ids of requests that it ran.
 
-    models maps each loaded model to its adapters. breaks_after cuts streams
-    after that many events; on_crash is called with its name and the id of a
+    models maps each loaded model to its adapters. Streams have so many events,
+    event_s apart; breaks_after cuts them after that many; on_crash is called with its name and the id of a
     request with the body POISON that begins to run. overloads counts orders
     beyond the memory. All answers of one that is_leaving announce it; while
     pause_s is set, requests are rejected with this time to back off. arrivals
@@ -78,6 +78,7 @@
     headers: list[dict[str, str]] = attrs.field(factory=list)
     cancelled: list[str] = attrs.field(factory=list)
     breaks_after: int = 0
+    events: int = EVENTS
     event_s: float = EVENT_S
     overloads: int = 0
     is_leaving: bool = False
@@ -268,7 +269,7 @@
     out.content_type = 'text/event-stream'
     await out.prepare(req)
     number = int(req.headers.get('Last-Event-Id') or 0)
-    while number < EVENTS:
+    while number < replica.events:
         number += 1
         if replica.breaks_after and number > replica.breaks_after:
             _break(req)
--- a/standins/agency/world.py
+++ b/standins/agency/world.py
@@ -151,6 +151,18 @@
         host = self.boot['ip']
         return f'{host}:{last}'
 
+    @property
+    def grace_s(self) -> float:
+        """How long the platform waits between SIGTERM and SIGKILL."""
+        return float(self.boot['bounds']['grace-s'])
+
+    async def stop(self) -> bool:
+        """Stop the node as the platform does, with SIGKILL after its grace.
+
+        Returns whether it ended before that.
+        """
+        return await self.process.stop(self.grace_s)
+
     def events(self, name: str) -> list[dict[str, Any]]:
         """Return the node's log lines of one event."""
         return [line for line in self.lines() if line['event'] == name]
@@ -170,7 +182,8 @@
 
     crashed_s are the times at which requests crashed targets, which start
     again crash_down_s later; crashed_by are these requests' ids. The store
-    has their new entries entry_late_s after that.
+    has their new entries entry_late_s after that. bounds are in the settings of
+    the nodes that are added from then on.
     """
 
     stack: contextlib.AsyncExitStack
@@ -188,6 +201,7 @@
     crashed_by: list[str] = attrs.field(factory=list)
     crash_down_s: float = CRASH_DOWN_S
     entry_late_s: float = 0
+    bounds: dict[str, Any] = attrs.field(factory=lambda: dict(BOUNDS))
     _crashes: set['asyncio.Task[None]'] = attrs.field(factory=set)
 
     async def open(self) -> None:
@@ -320,7 +334,7 @@
             'internal-ports': ports[3:],
             'limits': {'memory-mb': 300, 'max-fds': 4100},
             'heartbeat-ms': 1200,
-            'bounds': dict(BOUNDS),
+            'bounds': dict(self.bounds),
             'platform': {
                 'address': self.store_address,
                 'writes-per-s': 400,
--- a/standins/process.py
+++ b/standins/process.py
@@ -47,14 +47,19 @@
         """Return the exit code once the child has ended."""
         return await self.child.wait()
 
-    async def stop(self) -> None:
-        """End the child: SIGTERM, then SIGKILL after STOP_TIMEOUT_S."""
+    async def stop(self, grace_s: float = STOP_TIMEOUT_S) -> bool:
+        """End the child: SIGTERM, then SIGKILL after grace_s.
+
+        Returns whether it ended before that.
+        """
         self.resume()
         self.terminate()
         try:
-            await asyncio.wait_for(self.child.wait(), STOP_TIMEOUT_S)
+            await asyncio.wait_for(self.child.wait(), grace_s)
         except TimeoutError:
             await self.kill()
+            return False
+        return True
 
     def read_log(self) -> str:
         """Return all that the child has written so far."""
