--- a/standins/agency/world.py
+++ b/standins/agency/world.py
@@ -7,7 +7,7 @@
 import socket
 import time
 import types
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -343,7 +343,7 @@
         }
 
 
-BOUNDS = types.MappingProxyType({
+BOUNDS: Mapping[str, Any] = types.MappingProxyType({
     'drain-ms': 2000,
     'config-apply-ms': 2000,
     'grace-s': 2,
