--- a/standins/agency/replica.py
+++ b/standins/agency/replica.py
@@ -48,14 +48,14 @@
     """State of one target; runs lists the ids of requests that it ran.
 
     models maps each loaded model to its adapters. Streams have so many events,
-    event_s apart; breaks_after cuts them after that many; on_crash is called with its name and the id of a
-    request with the body POISON that begins to run. overloads counts orders
-    beyond the memory. All answers of one that is_leaving announce it; while
-    pause_s is set, requests are rejected with this time to back off. arrivals
-    and told_leaving give a time for each request, rejected the pause as well,
-    births the birth that it met. limit is named in all answers as it
-    is spelled; hits are all calls, named the answers to requests from its first
-    use on.
+    event_s apart; breaks_after cuts them after that many. on_crash is called
+    with its name and the id of a request with the body POISON that begins to
+    run. overloads counts orders beyond the memory. All answers of one that
+    is_leaving announce it; while pause_s is set, requests are rejected with
+    this time to back off. arrivals and told_leaving give a time for each
+    request, rejected the pause as well, births the birth that it met. limit is
+    named in all answers as it is spelled; hits are all calls, named the answers
+    to requests from its first use on.
     """
 
     name: str
