A node tells how requests ended when it was told to stop

Callers lost answers around a planned stop, and the node's log could not tell why: node_stopped came before the servers were closed, also from processes that were killed later; nothing named what was cut, and a request that the node ends itself was logged like one that its caller left.

All requests are counted from their heads on (Stays). node_stopped is the last line and counts how they ended; node_overdue is written shortly before the grace is over; call_abandoned has the outcome node_stopped. The holder is told caller_left for it, as one of an earlier release can't read a new word. The stop has a module of its own; when it does what is unchanged.

--- a/mimosaworks/dispatch/outcome.py
+++ b/mimosaworks/dispatch/outcome.py
@@ -16,6 +16,7 @@
     REFUSED = 'refused'
     TIMED_OUT = 'timed_out'
     CALLER_LEFT = 'caller_left'
+    NODE_STOPPED = 'node_stopped'  # the node ended before the answer did
     NOT_SENT = 'not_sent'  # the node had been told to leave the target out
 
 
--- a/mimosaworks/node/call.py
+++ b/mimosaworks/node/call.py
@@ -53,7 +53,8 @@
     asks counts the times a target was asked for, resends the sends after
     the first; target is where it runs now. may_have_run: a send failed that
     may have run. passed is what the caller has of an
-    answer, sent_s when the request went to its target.
+    answer, sent_s when the request went to its target. is_cut: the node stops
+    before its end.
     """
 
     req: web.BaseRequest
@@ -77,6 +78,7 @@
     is_started: bool = False
     may_have_run: bool = False
     passed: PassedStream | None = None
+    is_cut: bool = False
 
     def may_resend(self) -> bool:
         """Tell whether it may be sent again though it may have run."""
--- a/mimosaworks/node/front.py
+++ b/mimosaworks/node/front.py
@@ -24,6 +24,7 @@
 from mimosaworks.node.chooser import Chooser
 from mimosaworks.node.exchange import Exchange
 from mimosaworks.node.meters import Meters
+from mimosaworks.node.stays import Stay, Stays
 from mimosaworks.platform.headers import REQUEST_ID
 from mimosaworks.serving import RUN_HEADER
 from mimosaworks.wire import RunningCall
@@ -59,19 +60,17 @@
     exchange: Exchange
     meters: Meters
     stop_left_s: Callable[[], float | None]
+    stays: Stays = attrs.field(factory=Stays)
     calls: dict[str, Call] = attrs.field(factory=dict)
     waits: dict[Call, asyncio.Timeout] = attrs.field(factory=dict)
 
     async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
         """Answer one request; used as the server's handler."""
-        with self.meters.running.track_inprogress():
-            try:
-                answer = await self._handle(req)
-            except RequestError as exc:
-                answer = self._refuse(req, exc)
-            except CallerLeftError as exc:
-                # There is nobody to answer; the server ends the handler.
-                raise asyncio.CancelledError from exc
+        with (
+            self.meters.running.track_inprogress(),
+            self.stays.count(req) as stay,
+        ):
+            answer = await self._answer(stay)
         if self.stop_left_s() is not None and not answer.prepared:
             answer.force_close()
         return answer
@@ -91,15 +90,28 @@
             longest_s = _longest_wait_s(call, self.stop_left_s())
             wait.reschedule(None if longest_s is None else now + longest_s)
 
-    async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
-        call = await admit(req, self.chooser.beliefs.deployment)
+    async def _answer(self, stay: Stay) -> web.StreamResponse:
+        try:
+            answer = await self._handle(stay)
+        except RequestError as exc:
+            stay.is_refused = True
+            return self._refuse(stay.req, exc)
+        except CallerLeftError as exc:
+            # There is nobody to answer; the server ends the handler.
+            raise asyncio.CancelledError from exc
+        stay.is_answered = True
+        return answer
+
+    async def _handle(self, stay: Stay) -> web.StreamResponse:
+        call = await admit(stay.req, self.chooser.beliefs.deployment)
+        stay.call = call
         call_log.log_admitted(call, self._version())
         try:
             async with asyncio.timeout(call.left_s()):
                 return await self._serve(call)
         except asyncio.CancelledError:
             if not call.target:
-                call_log.log_abandoned(call, CallOutcome.CALLER_LEFT)
+                call_log.log_abandoned(call, _left_outcome(call))
             raise
         except TimeoutError as exc:
             raise _out_of_time(call) from exc
@@ -170,9 +182,7 @@
             visit.outcome = exc.outcome
             raise
         except (asyncio.CancelledError, CallerLeftError):
-            visit.outcome = CallOutcome.CALLER_LEFT
-            if call.left_s() <= 0:
-                visit.outcome = CallOutcome.TIMED_OUT
+            visit.outcome = _left_outcome(call)
             call_log.log_abandoned(call, visit.outcome)
             raise
         finally:
@@ -188,7 +198,11 @@
     ) -> None:
         self.calls.pop(name, None)
         self.chooser.local.note(assignment.target, -1)
-        self.chooser.link.news.note_end(name, outcome.value, duration_s)
+        told = outcome
+        if outcome is CallOutcome.NODE_STOPPED:
+            # The holder may be of an earlier release, which can't read it.
+            told = CallOutcome.CALLER_LEFT
+        self.chooser.link.news.note_end(name, told.value, duration_s)
         self.meters.sends.labels(outcome.value).inc()
 
     def _note_end(
@@ -277,6 +291,15 @@
     return max(stop_left_s - expected_s, 0)
 
 
+def _left_outcome(call: Call) -> CallOutcome:
+    """Return how a request ended that was cancelled."""
+    if call.is_cut:
+        return CallOutcome.NODE_STOPPED
+    if call.target and call.left_s() <= 0:
+        return CallOutcome.TIMED_OUT
+    return CallOutcome.CALLER_LEFT
+
+
 def _stopping() -> RequestError:
     return RequestError(
         ErrorKind.STOPPING,
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -64,6 +64,7 @@
     front: Front = attrs.field(init=False)
     started_s: float = attrs.field(factory=time.time)
     holder: Holder | None = None
+    stop_begun_s: float = 0
     stop_end_s: float | None = None
 
     @property
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -9,7 +9,6 @@
 import attrs
 
 from mimosaworks.bounded_answers import AnswerBounds, HeldBytes
-from mimosaworks.clock import now_s
 from mimosaworks.events import Event, JsonStream, json_logging, log_event
 from mimosaworks.node.beliefs import Beliefs
 from mimosaworks.node.chooser import Chooser
@@ -21,6 +20,7 @@
 from mimosaworks.node.meters import Meters
 from mimosaworks.node.node import Node, limit_view, resend_terms
 from mimosaworks.node.pages import serve_pages
+from mimosaworks.node.planned_stop import log_stopped, stop_node
 from mimosaworks.node.sessions import open_session
 from mimosaworks.node.target_notices import TargetNotices, read_head
 from mimosaworks.node.views import Views
@@ -40,13 +40,6 @@
 LAPSE_SLACK_S = 24.0
 STORE_BYTES = 4000000  # a page of rows, which the store bounds to 1 MB
 PEER_BYTES = 16000000  # all members, targets and levels of the largest size
-# Of the grace, after which a holder that stops gives the lease back: nodes that
-# were restarted before it are there again, and take it for longer.
-HAND_OVER_SHARE = 0.55
-ACCEPT_SHARE = 0.75  # of the grace, in which callers still know the address
-END_SHARE = 0.92  # of the grace, after which nothing can be ended
-END_POLL_S = 0.05
-GIVE_BACK_PAUSE_S = 0.3
 WEAK_HANDICAP_S = 0.5  # some times the spread of the VMs' starts
 
 
@@ -57,25 +50,14 @@
 
     boot_path is the settings file, which SIGHUP has read again.
     """
-    async with contextlib.AsyncExitStack() as stack:
-        log = stack.enter_context(json_logging())
+    with json_logging() as log:
         stopping = stop_event()
-        node = await _wire(cfg, bounds, stack)
-        loop = asyncio.get_running_loop()
-        reload = functools.partial(node.reload, boot_path)
-        loop.add_signal_handler(signal.SIGHUP, reload)
-        await _start(node, log, stack)
-        log_event(
-            Event.NODE_STARTED,
-            node=cfg.name,
-            nonce=node.nonce,
-            front=cfg.front_address,
-            peer=cfg.peer_address,
-            data_centre=cfg.data_centre,
-        )
-        await stopping.wait()
-        await _stop(node)
-        log_event(Event.NODE_STOPPED, node=cfg.name, dropped=log.dropped)
+        async with contextlib.AsyncExitStack() as stack:
+            node = await _wire(cfg, bounds, stack)
+            await _start(node, boot_path, log, stack)
+            await stopping.wait()
+            await stop_node(node)
+        log_stopped(node, log.dropped)
 
 
 async def _wire(
@@ -173,8 +155,14 @@
 
 
 async def _start(
-    node: Node, log: JsonStream, stack: contextlib.AsyncExitStack
+    node: Node,
+    boot_path: str,
+    log: JsonStream,
+    stack: contextlib.AsyncExitStack,
 ) -> None:
+    loop = asyncio.get_running_loop()
+    reload = functools.partial(node.reload, boot_path)
+    loop.add_signal_handler(signal.SIGHUP, reload)
     await serve_pages(node, stack)
     meters = node.run_meters(lambda: log.dropped)
     for work in (
@@ -185,24 +173,12 @@
         meters,
     ):
         start_task(work, stack)
-
-
-async def _stop(node: Node) -> None:
-    end_s = now_s() + node.cfg.bounds.grace_s * END_SHARE
-    node.stop_end_s = end_s
-    node.front.bound_waits()
+    cfg = node.cfg
     log_event(
-        Event.NODE_STOPPING,
-        node=node.cfg.name,
-        running=len(node.front.calls),
+        Event.NODE_STARTED,
+        node=cfg.name,
+        nonce=node.nonce,
+        front=cfg.front_address,
+        peer=cfg.peer_address,
+        data_centre=cfg.data_centre,
     )
-    await node.link.beat_now()
-    accept_end_s = now_s() + node.cfg.bounds.grace_s * ACCEPT_SHARE
-    if node.holder is not None:
-        node.election.may_hold = False
-        await asyncio.sleep(node.cfg.bounds.grace_s * HAND_OVER_SHARE)
-    while not await node.election.give_back() and now_s() < accept_end_s:
-        await asyncio.sleep(GIVE_BACK_PAUSE_S)
-    await asyncio.sleep(max(accept_end_s - now_s(), 0))
-    while (node.front.calls or node.front.waits) and now_s() < end_s:
-        await asyncio.sleep(END_POLL_S)
