Stand-in targets send extra bytes behind their answers

A target can send a second copy of each answer, with the request's id or without, a rejection without an id, or bytes that are no answer, at once or later. Its own rejections carry the request's id, as all its answers do; is_curt leaves it out.

--- /dev/null
+++ b/standins/agency/extra.py
@@ -0,0 +1,69 @@
+"""Bytes that a target sends behind its answers, unasked."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import attrs
+from aiohttp import web
+
+REQUEST_ID = 'X-Request-Id'
+GARBAGE = b'\x00more bytes\r\n'
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+@attrs.frozen
+class Extra:
+    """What a target sends after_s behind each answer to a request.
+
+    kind is a copy with the id of the request (named) or without one (bare),
+    a rejection without one (rejection), or no answer at all (garbage).
+    """
+
+    kind: str
+    after_s: float = 0
+
+    def encode(self, request_id: str) -> bytes:
+        """Return the bytes behind the answer to a request."""
+        if self.kind == 'garbage':
+            return GARBAGE
+        body = f'copy for {request_id}'
+        lines = ['HTTP/1.1 200 OK', 'X-Server-Seal: seal-copy']
+        if self.kind == 'rejection':
+            lines = ['HTTP/1.1 503 Full', 'X-Not-Executed: 1']
+        elif self.kind == 'named':
+            lines.append(f'{REQUEST_ID}: {request_id}')
+        lines.append(f'Content-Length: {len(body)}')
+        return '\r\n'.join((*lines, '', body)).encode()
+
+
+class Sender(Protocol):
+    """A target that may send more than its answers."""
+
+    extra: Extra | None
+
+
+def send_extras(target: Sender, serve: Handler) -> Handler:
+    """Return a handler that sends the target's extra bytes too."""
+
+    async def answer(req: web.Request) -> web.StreamResponse:
+        resp = await serve(req)
+        if target.extra is not None:
+            await resp.prepare(req)
+            await resp.write_eof()
+            _send(target.extra, req)
+        return resp
+
+    return answer
+
+
+def _send(extra: Extra, req: web.Request) -> None:
+    transport = req.transport
+    if transport is None:
+        return
+    sent = extra.encode(req.headers[REQUEST_ID])
+    if extra.after_s:
+        loop = asyncio.get_running_loop()
+        loop.call_later(extra.after_s, transport.write, sent)
+    else:
+        transport.write(sent)
--- a/standins/agency/replica.py
+++ b/standins/agency/replica.py
@@ -9,6 +9,7 @@
 import attrs
 from aiohttp import web
 
+from standins.agency.extra import REQUEST_ID, Extra, send_extras
 from standins.platform import Store, json_row
 
 FIRST_S = 0.01
@@ -55,7 +56,8 @@
     this time to back off. arrivals and told_leaving give a time for each
     request, rejected the pause as well, births the birth that it met. limit is
     named in all answers as it is spelled; hits are all calls, named the answers
-    to requests from its first use on.
+    to requests from its first use on. extra follows each answer to a request;
+    rejections lack its id where is_curt.
     """
 
     name: str
@@ -91,6 +93,8 @@
     hits: list[Hit] = attrs.field(factory=list)
     named: list[NamedLimit] = attrs.field(factory=list)
     on_crash: Callable[[str, str], None] = _survive
+    extra: Extra | None = None
+    is_curt: bool = False
 
     def note_hit(self, request_id: str = '', sender: str = '') -> None:
         """Note a call that has arrived."""
@@ -188,7 +192,7 @@
 
 def _say_more(replica: Replica, req: web.Request, resp: Any) -> None:
     """Add to an answer what the target says of further requests."""
-    request_id = req.headers.get('X-Request-Id', '')
+    request_id = req.headers.get(REQUEST_ID, '')
     if replica.is_leaving:
         resp.headers['Server-Leaving'] = '1'
         replica.told_leaving[request_id] = time.monotonic()
@@ -213,20 +217,20 @@
     async def serve(req: web.Request) -> web.StreamResponse:
         expected = req.headers.get('X-Expect-Instance', replica.name)
         model, _, adapter = req.headers.get('X-Model', '').partition('/')
-        request_id = req.headers['X-Request-Id']
+        request_id = req.headers[REQUEST_ID]
         replica.note_hit(request_id)
         replica.births[request_id] = replica.born
         if expected != replica.name or not _holds(replica, model, adapter):
-            return web.Response(status=HTTPStatus.MISDIRECTED_REQUEST)
+            return _reject(replica, req, HTTPStatus.MISDIRECTED_REQUEST)
         body = await req.read()
         now = time.monotonic()
         replica.arrivals[request_id] = now
         if replica.pause_s:
             replica.rejected[request_id] = (now, replica.pause_s)
-            head = {'X-Not-Executed': '1', 'Retry-After': f'{replica.pause_s}'}
-            return web.Response(
-                status=HTTPStatus.SERVICE_UNAVAILABLE, headers=head
-            )
+            resp = _reject(replica, req, HTTPStatus.SERVICE_UNAVAILABLE)
+            resp.headers['X-Not-Executed'] = '1'
+            resp.headers['Retry-After'] = f'{replica.pause_s}'
+            return resp
         replica.runs.append(request_id)
         replica.headers.append(dict(req.headers))
         try:
@@ -242,10 +246,19 @@
     app.on_response_prepare.append(say_more)
     app.router.add_post('/v1/order', order)
     app.router.add_get('/v1/report', report)
-    app.router.add_route('*', '/{tail:.*}', serve)
+    app.router.add_route('*', '/{tail:.*}', send_extras(replica, serve))
     return app
 
 
+def _reject(
+    replica: Replica, req: web.Request, status: HTTPStatus
+) -> web.Response:
+    resp = web.Response(status=status)
+    if not replica.is_curt:
+        resp.headers[REQUEST_ID] = req.headers[REQUEST_ID]
+    return resp
+
+
 def _holds(replica: Replica, model: str, adapter: str) -> bool:
     if not model:
         return True
@@ -257,9 +270,9 @@
     replica: Replica, req: web.Request, body: bytes, model: str
 ) -> web.StreamResponse:
     if body == POISON or req.path.endswith(POISON_PATH):
-        replica.on_crash(replica.name, req.headers['X-Request-Id'])
+        replica.on_crash(replica.name, req.headers[REQUEST_ID])
     head = {
-        'X-Request-Id': req.headers['X-Request-Id'],
+        REQUEST_ID: req.headers[REQUEST_ID],
         'X-Server-Seal': f'seal-{replica.name}',
     }
     await asyncio.sleep(FIRST_S)
