Events for bytes and answers that nothing was asked for

A late rejection of another request looked like one of the request's own in the logs. bytes_dropped and answer_dropped tell of bytes on an idle connection and of answers without the request's id. Nothing is dropped yet: this only tells the hypotheses of the incident apart.

--- a/mimosaworks/bounded_answers.py
+++ b/mimosaworks/bounded_answers.py
@@ -9,9 +9,10 @@
 
 import aiohttp
 import attrs
-from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
 
 from mimosaworks.events import Event, log_event
+from mimosaworks.kept_connections import KeptHandler
 
 KB = 1000
 MB = 1000000
@@ -64,16 +65,16 @@
     return b''.join(chunks)
 
 
-class _BoundedHandler(ResponseHandler):
+class _BoundedHandler(KeptHandler):
     """Counts what arrives for one answer, before it is parsed and after.
 
     Interim answers, long heads and framing count as well as the body.
     """
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, answer_bytes: int
+        self, loop: asyncio.AbstractEventLoop, answer_bytes: int, id_field: str
     ) -> None:
-        super().__init__(loop)
+        super().__init__(loop, id_field)
         self._answer_bytes = answer_bytes
         self._most = HEAD_BYTES
         self._size = 0
@@ -112,15 +113,34 @@
 
 
 class BoundedConnector(aiohttp.TCPConnector):
-    """Connects like its base; answers have at most answer_bytes bytes."""
+    """Connects like its base; answers have at most answer_bytes bytes.
 
-    def __init__(self, answer_bytes: int, **options: Any) -> None:
+    id_field is the header field with a request's id, which its answer
+    repeats; empty where answers have none.
+    """
+
+    def __init__(
+        self, answer_bytes: int, id_field: str = '', **options: Any
+    ) -> None:
         super().__init__(**options)
+        self._id_field = id_field
         # The base has no parameter for the protocol of its connections.
         self._factory = functools.partial(  # type: ignore[assignment]
-            _BoundedHandler, self._loop, answer_bytes
+            _BoundedHandler, self._loop, answer_bytes, id_field
         )
 
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Any],
+        timeout: aiohttp.ClientTimeout,
+    ) -> Connection:
+        """Return a connection that expects the answer to a request."""
+        conn = await super().connect(req, traces, timeout)
+        if isinstance(conn.protocol, KeptHandler):
+            conn.protocol.expect(req.headers.get(self._id_field, ''))
+        return conn
+
 
 @attrs.define(eq=False)
 class HeldBytes:
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -21,7 +21,7 @@
 from mimosaworks.node.node import Node, limit_view, resend_terms
 from mimosaworks.node.pages import serve_pages
 from mimosaworks.node.planned_stop import log_stopped, stop_node
-from mimosaworks.node.sessions import open_session
+from mimosaworks.node.sessions import open_session, open_target_session
 from mimosaworks.node.target_notices import TargetNotices, read_head
 from mimosaworks.node.views import Views
 from mimosaworks.platform import (
@@ -66,7 +66,7 @@
     stack: contextlib.AsyncExitStack,
 ) -> Node:
     store_session = await open_session(stack, IDLE_PEER_CONN_S, STORE_BYTES)
-    target_session = await open_session(
+    target_session = await open_target_session(
         stack, IDLE_TARGET_CONN_S, bounds.answer_bytes
     )
     peer_session = await open_session(stack, IDLE_PEER_CONN_S, PEER_BYTES)
--- a/mimosaworks/node/sessions.py
+++ b/mimosaworks/node/sessions.py
@@ -8,6 +8,7 @@
 
 from mimosaworks.bounded_answers import BoundedConnector
 from mimosaworks.node.exchange import CONNECT_TIMEOUT_S
+from mimosaworks.platform.headers import REQUEST_ID
 from mimosaworks.send_guard import guard_trace
 
 FIELD_BYTES = 65536  # callers list all parts of a prompt in one field
@@ -21,14 +22,19 @@
 
 
 async def open_session(
-    stack: contextlib.AsyncExitStack, idle_s: float, answer_bytes: int
+    stack: contextlib.AsyncExitStack,
+    idle_s: float,
+    answer_bytes: int,
+    id_field: str = '',
 ) -> aiohttp.ClientSession:
     """Return a session that keeps idle connections for idle_s seconds.
 
     It closes those on which an answer has more than answer_bytes bytes.
+    id_field is the header field by which answers are told apart.
     """
     connector = BoundedConnector(
         answer_bytes,
+        id_field,
         limit=0,
         keepalive_timeout=idle_s,
         socket_factory=_make_socket,
@@ -48,6 +54,13 @@
     return await stack.enter_async_context(session)
 
 
+async def open_target_session(
+    stack: contextlib.AsyncExitStack, idle_s: float, answer_bytes: int
+) -> aiohttp.ClientSession:
+    """Return a session for targets, which repeat the ids of requests."""
+    return await open_session(stack, idle_s, answer_bytes, REQUEST_ID)
+
+
 def _make_socket(info: AddrInfo) -> socket.socket:
     family, kind, proto = info[:3]
     sock = socket.socket(family, kind, proto)
