A malformed peer message no longer ends the process that decodes it

What others saw: one message to a peer port that is cut short, or whose head names other segments than it has, ended the node's process (terminate called after kj::ExceptionImpl, Premature EOF). In a reply to a beat it would have ended the node that asked.

Cause: the library reads the segments after the first lazily and skips the rest when the reader is dropped; an error there is thrown from a destructor. A text or struct that was not sent raised KeyError, which no caller of the codec expects.

Change: the frame of a message of several segments is checked before it is decoded, and the missing field is a ValueError like all malformed bytes.

--- a/mimosaworks/wire/codec.py
+++ b/mimosaworks/wire/codec.py
@@ -14,6 +14,8 @@
     override,
 )
 
+from mimosaworks.wire.framing import check_frame
+
 Message = TypeVar('Message')
 
 _SCHEMA_DIR = pathlib.Path(__file__).parent
@@ -48,10 +50,12 @@
     """
     struct = _struct(message_type.__name__)
     try:
+        check_frame(packed)
         fields = struct.from_bytes_packed(packed).to_dict()
-    except (capnp.KjException, ValueError) as exc:
-        raise ValueError(f'not a {message_type.__name__}: {exc}') from exc
-    return _converter().structure(fields, message_type)
+        # A text or struct that was not sent has no key.
+        return _converter().structure(fields, message_type)
+    except (capnp.KjException, ValueError, KeyError) as exc:
+        raise ValueError(f'not a {message_type.__name__}: {exc!r}') from exc
 
 
 @functools.cache
--- a/tests/test_wire_codec.py
+++ b/tests/test_wire_codec.py
@@ -1,13 +1,18 @@
 """Tests of the message codec."""
 
+import contextlib
 import importlib
+import random
+from collections.abc import Iterator
 from typing import Any, get_origin
 
 import attrs
 import pytest
 
 from mimosaworks.wire import (
+    Ack,
     Demand,
+    LeaseNotice,
     ModelDemand,
     PeerClient,
     ReplicaEntry,
@@ -16,6 +21,10 @@
     encode,
 )
 
+SEED = 31
+MUTATIONS = 2000
+HEAD_BYTES = 24
+MODELS = 600  # so that a message has several segments
 MESSAGES = (
     ReplicaMap(3, 4, 'h', (ReplicaEntry('m', 't', 'ready', ('x',)),)),
     Demand('r', (ModelDemand('m', waiting_tokens=5),)),
@@ -58,3 +67,35 @@
 def test_broken_bytes_are_a_value_error() -> None:
     with pytest.raises(ValueError, match='not a Demand'):
         decode(Demand, b'\xff\xff\xff')
+
+
+def mutations(rng: random.Random, sound: bytes) -> Iterator[bytes]:
+    """Return a message cut short, and with bytes changed, most in its head."""
+    for _ in range(MUTATIONS):
+        yield sound[: rng.randrange(len(sound))]
+        changed = bytearray(sound)
+        most = rng.choice((HEAD_BYTES, len(sound)))
+        for _ in range(rng.randrange(1, 5)):
+            changed[rng.randrange(most)] = rng.randrange(256)
+        yield bytes(changed)
+
+
+# Guards against a message of several segments that is cut short, or names
+# others than it has: dropping it ended the process.
+@pytest.mark.parametrize('kind', [Demand, ReplicaMap])
+def test_a_large_message_that_is_malformed_is_a_value_error(kind: type) -> None:
+    rng = random.Random(SEED)  # noqa: S311 -- no secrets
+    models = tuple(
+        ModelDemand(f'm-{one}', waiting_tokens=one) for one in range(MODELS)
+    )
+    sound = encode(Demand('r', models))
+    assert decode(Demand, sound) == Demand('r', models)
+    for packed in mutations(rng, sound):
+        with contextlib.suppress(ValueError):
+            decode(kind, packed)
+
+
+# Guards against a text that was not sent and a KeyError that nobody expects.
+def test_a_message_of_another_kind_is_a_value_error() -> None:
+    with pytest.raises(ValueError, match='not a LeaseNotice'):
+        decode(LeaseNotice, encode(Ack(accepted=True)))
