Adapters on their way count, and old reports don't show the end of an order

Either way the next load finds a place that is taken. Change: a target with adapters on their way is asked again, as one that carries out an order is; a report shows an order's end only if it counts it.

--- a/mimosaworks/node/order_runner.py
+++ b/mimosaworks/node/order_runner.py
@@ -155,17 +155,25 @@
         if answer is OrderAnswer.ACCEPTED:
             target.orders += 1
             await asyncio.sleep(step.duration_s)
-            return _is_sure(step) or await self._await_effect(target, step)
+            return _is_sure(step) or await self._await_effect(
+                target, step, target.orders
+            )
         if answer is OrderAnswer.HOLDS:
             if step.adapter and not step.is_load:
                 target.orders += 1
             return True
         return answer is OrderAnswer.UNANSWERED and await self._await_effect(
-            target, step
+            target, step, target.orders + 1
         )
 
-    async def _await_effect(self, target: EngineTarget, step: Step) -> bool:
-        """Read reports until they show that an order was carried out."""
+    async def _await_effect(
+        self, target: EngineTarget, step: Step, orders: int
+    ) -> bool:
+        """Read reports until they show that an order was carried out.
+
+        orders is the target's count with it; what a report with a lower one
+        shows was so before.
+        """
         tries = EFFECT_TRIES
         if step.is_from_store:
             longest_s = step.duration_s * STORE_LOAD_PATIENCE
@@ -175,7 +183,7 @@
             report = await self._report(target)
             if report is None:
                 return False
-            if _shows(report, step):
+            if report.orders >= orders and _shows(report, step):
                 target.orders = max(target.orders, report.orders)
                 return True
             if _is_current(target, report):
@@ -207,7 +215,7 @@
 
 def _is_current(target: EngineTarget, report: TargetReport) -> bool:
     # A report is some hundred milliseconds old, orders may be younger.
-    if report.is_busy:
+    if report.is_busy or report.coming:
         return False
     is_reborn = report.born != target.entry.born
     return is_reborn or report.orders >= target.orders
--- a/mimosaworks/platform/engine_calls.py
+++ b/mimosaworks/platform/engine_calls.py
@@ -13,7 +13,7 @@
 from mimosaworks.bounded_answers import read_bounded
 from mimosaworks.deployment import Residence
 from mimosaworks.platform.entries import decode_residences
-from mimosaworks.platform.fields import flag, whole
+from mimosaworks.platform.fields import flag, texts, whole
 from mimosaworks.platform.headers import EXPECTED_TARGET
 
 # Orders are answered within some steps; a second send of one that was
@@ -52,12 +52,16 @@
 
 @attrs.frozen
 class TargetReport:
-    """A target's own account, some hundred milliseconds old."""
+    """A target's own account, some hundred milliseconds old.
+
+    coming names the adapters on their way, which take places already.
+    """
 
     orders: int
     is_busy: bool
     born: int
     residences: tuple[Residence, ...]
+    coming: tuple[str, ...] = ()
 
 
 _ANSWERS = {  # noqa: WPS407 -- read only
@@ -142,4 +146,5 @@
         is_busy=flag(fields, 'busy', default=False),
         born=whole(fields, 'born', 0),
         residences=decode_residences(fields),
+        coming=texts(fields, 'coming'),
     )
--- a/tests/test_node_order_runner.py
+++ b/tests/test_node_order_runner.py
@@ -110,6 +110,38 @@
     assert set(target.models['m0'].adapters) == {'a9'}
 
 
+# Guards against a target that is loaded beyond its places: a report from before
+# an adapter came was taken for its end.
+async def test_a_report_older_than_an_unload_does_not_show_its_end() -> None:
+    runner, _, target, _ = make(
+        [OrderAnswer.ACCEPTED], [report(4), report(6, 'a1')]
+    )
+    target.orders = 5
+    assert not await runner.run(target, UNLOAD)
+
+
+# Guards against the same after an order whose answer was lost.
+async def test_an_unload_without_answer_is_not_shown_by_its_own_count() -> None:
+    runner, _, target, _ = make(
+        [OrderAnswer.UNANSWERED], [report(6, 'a1'), report(5), report(5, 'a1')]
+    )
+    target.orders = 5
+    assert not await runner.run(target, UNLOAD)
+
+
+# Guards against a target that is loaded beyond its places: adapters on their
+# way, which take places, were not counted by a holder that asked it.
+async def test_adapters_on_their_way_are_waited_for() -> None:
+    coming = attrs.evolve(report(5, 'a1'), coming=('m0/a2@1',))
+    runner, _, target, _ = make(
+        [OrderAnswer.ACCEPTED], [coming, report(5, 'a1', 'a2')]
+    )
+    target.is_synced = False
+    await runner.sync(target)
+    assert target.is_synced
+    assert set(target.models['m0'].adapters) == {'a1', 'a2'}
+
+
 async def test_a_rejected_order_is_not_done() -> None:
     runner, script, target, _ = make([OrderAnswer.REJECTED], [report(0)])
     assert not await runner.run(target, LOAD)
