A router's stop has one count and one end, and nothing is cut without an answer

What callers saw: a router that got SIGTERM lived on while new requests with an Idempotency-Key came (alive after 15 s with a directory age of 0.5 s and a drain of 2 s), 23.0 s with a caller that doesn't read its stream, 11.4 s with a body that doesn't arrive. What was cut in the end got no answer.

Cause: the stop waited for what it happened to count. Claimed requests were gathered as long as any came; an answer on its way out and the rest of a refused body were left to aiohttp, which gives each connection its timeout twice; new requests were taken until the server was closed.

Change: a request counts from its head to the last byte of its answer. Once the directory's age is over new requests are refused, not run. In the last tenth of the drain what still runs ends with the error `stopping` and its run state, as an answer or an error event; what can't be answered is closed. The new line E104 tells how many were cut, and streams that end with an error are logged (E301).

--- a/mimosaworks/relay/__init__.py
+++ b/mimosaworks/relay/__init__.py
@@ -2,6 +2,7 @@
 
 from mimosaworks.relay.claim_book import ClaimBook
 from mimosaworks.relay.claimed_run import ClaimedRuns
+from mimosaworks.relay.cutoff import Cutoff
 from mimosaworks.relay.exchange import Exchange
 from mimosaworks.relay.frontend import Frontend
 from mimosaworks.relay.upstream import Upstream
@@ -11,6 +12,7 @@
 __all__ = [
     'ClaimBook',
     'ClaimedRuns',
+    'Cutoff',
     'Exchange',
     'Frontend',
     'Upstream',
--- a/mimosaworks/relay/claimed_run.py
+++ b/mimosaworks/relay/claimed_run.py
@@ -1,6 +1,7 @@
 """Runs a request under a claim, also when its caller hangs up."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -50,10 +51,20 @@
         self._keep(task)
         return await asyncio.shield(task)
 
-    async def wait_idle(self) -> None:
-        """Return when all claimed requests have ended and are settled."""
-        while self._tasks:
-            await asyncio.gather(*self._tasks, return_exceptions=True)
+    @property
+    def running(self) -> int:
+        """The claimed requests that haven't ended or aren't settled."""
+        return len(self._tasks)
+
+    async def wait_idle(self, until_s: float) -> None:
+        """Return when all claimed requests have ended and are settled.
+
+        Or at a time of the event loop.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(until_s):
+                while self._tasks:
+                    await asyncio.wait(self._tasks)
 
     async def _claim(self, wanted: Claim) -> Claim:
         try:
--- a/mimosaworks/relay/exchange.py
+++ b/mimosaworks/relay/exchange.py
@@ -1,7 +1,8 @@
 """Has one request answered, over as many attempts as are allowed."""
 
 import asyncio
-from collections.abc import Callable
+import contextlib
+from collections.abc import Callable, Generator
 
 import attrs
 from aiohttp import ClientError, ClientResponse, web
@@ -17,6 +18,7 @@
     AttemptRefusedError,
 )
 from mimosaworks.relay.caller_stream import CallerStream
+from mimosaworks.relay.cutoff import Cutoff
 from mimosaworks.relay.headers import copy_answer_headers
 from mimosaworks.relay.not_run import says_not_run
 from mimosaworks.relay.outgoing import Outgoing
@@ -58,22 +60,33 @@
     was_in_doubt: bool = False
     resumed_at: int = 0
 
-    async def run(self) -> web.StreamResponse:
-        """Return the whole answer to the caller.
+    async def run(self, cutoff: Cutoff) -> web.StreamResponse:
+        """Return the whole answer to the caller, unless it is cut off.
 
         Raises RequestError, with run state by what the attempts left behind,
         unless the answer has begun; then the stream ends with the error.
         """
         self.budget.note_request()
         try:
-            return await self._run_attempts()
+            async with cutoff.limit():
+                return await self._run_attempts()
         except RequestError as exc:
             if self.was_in_doubt:
                 exc.run_state = RunState.MAY_HAVE_RUN
             if self.stream.resp is None:
                 raise
+            self._log_broken(exc)
             return await self.stream.finish_with_error(exc)
 
+    def _log_broken(self, exc: RequestError) -> None:
+        log_event(
+            Event.REQUEST_REFUSED,
+            request_id=self.ticket.request_id,
+            kind=exc.kind.value,
+            run=exc.run_state.value,
+            reason=exc.message,
+        )
+
     async def _run_attempts(self) -> web.StreamResponse:
         while True:
             self._refuse_suspect()
@@ -103,7 +116,8 @@
     async def _attempt(self, slot: Slot) -> web.StreamResponse:
         guard = SendGuard(self.check)
         try:
-            return await self._send(slot, guard)
+            with _noted_doubt(self, guard):
+                return await self._send(slot, guard)
         except _TRANSPORT_ERRORS as exc:
             if guard.is_sending:
                 raise AttemptInDoubtError(repr(exc)) from exc
@@ -246,3 +260,12 @@
             'no answer in time',
             run_state=RunState.NOT_RUN,
         )
+
+
+@contextlib.contextmanager
+def _noted_doubt(exchange: Exchange, guard: SendGuard) -> Generator[None]:
+    try:
+        yield
+    except asyncio.CancelledError:
+        exchange.was_in_doubt = exchange.was_in_doubt or guard.is_sending
+        raise
--- a/mimosaworks/relay/frontend.py
+++ b/mimosaworks/relay/frontend.py
@@ -27,6 +27,7 @@
 from mimosaworks.relay.caller_stream import CallerStream
 from mimosaworks.relay.claim import claim_key
 from mimosaworks.relay.claimed_run import ClaimedRuns
+from mimosaworks.relay.cutoff import Cutoff
 from mimosaworks.relay.exchange import Exchange
 from mimosaworks.relay.outgoing import make_outgoing
 from mimosaworks.relay.upstream import Upstream
@@ -63,6 +64,7 @@
     max_body_bytes: int
     body_timeout_s: float
     keys: KeyIndex = attrs.field(factory=KeyIndex)
+    cutoff: Cutoff = attrs.field(factory=Cutoff)
 
     async def handle(self, req: web.Request) -> web.StreamResponse:
         """Answer one request; every refusal is logged with its kind."""
@@ -83,6 +85,11 @@
         self.metrics.timing(Metric.REQUEST_DURATION, now_s() - arrived_at_s)
         return resp
 
+    def refuse_at_stop(self) -> web.StreamResponse:
+        """Return the answer for a request that came too late to be taken."""
+        exc = RequestError(ErrorKind.STOPPING, 'the router stops')
+        return self._refuse(exc, uuid.uuid4().hex)
+
     def _answer_fault(
         self, req: web.Request, request_id: str, exc: Exception
     ) -> web.Response:
@@ -109,7 +116,10 @@
         route = self._find_route(req)
         workspace = self._admit(req, route)
         deadline = read_deadline(req.headers, route, now_s())
-        body = await read_body(req, self.max_body_bytes, self.body_timeout_s)
+        async with self.cutoff.limit():
+            body = await read_body(
+                req, self.max_body_bytes, self.body_timeout_s
+            )
         ticket = Ticket(request_id, route, workspace, deadline, now_s())
         if route.kind == 'model':
             _describe_model(ticket, read_model_call(self.view.catalogue, body))
@@ -136,12 +146,12 @@
         )
         claim_text = req.headers.get(IDEMPOTENCY_HEADER)
         if claim_text is None or route.kind == 'model':
-            return await exchange.run()
+            return await exchange.run(self.cutoff)
         return await self.claimed.run(
             claim_key(ticket.workspace_name, claim_text),
             fingerprint(req.method, req.path, body),
             request_id,
-            exchange.run,
+            functools.partial(exchange.run, self.cutoff),
         )
 
     def _find_route(self, req: web.Request) -> Route:
--- a/mimosaworks/router/program.py
+++ b/mimosaworks/router/program.py
@@ -1,6 +1,5 @@
 """Composition root of mimosa-router."""
 
-import asyncio
 import contextlib
 import random
 
@@ -9,14 +8,12 @@
 
 from mimosaworks.configs import ConfigStore
 from mimosaworks.directory import add_entries_route
-from mimosaworks.errors import PlatformError
 from mimosaworks.events import Event, log_event, start_logging
 from mimosaworks.limits import TokenService
 from mimosaworks.members import (
     Member,
     MemberRole,
     MemberService,
-    MemberState,
     fail_when_removed,
 )
 from mimosaworks.metrics import MetricsClient, open_metrics
@@ -36,6 +33,7 @@
 from mimosaworks.router.gauges import send_gauges
 from mimosaworks.router.holder_sync import HolderSync
 from mimosaworks.router.settings import RouterSettings
+from mimosaworks.router.stop import Stop
 from mimosaworks.routing import (
     CrashWatch,
     DemandSender,
@@ -58,6 +56,8 @@
 )
 
 PROGRAM = 'router'
+# When the server is closed, no request runs that still has time.
+SHUTDOWN_TIMEOUT_S = 0.1
 MAX_HEADER_BYTES = 32768
 
 
@@ -100,10 +100,21 @@
     metrics = stack.enter_context(open_metrics(cfg.statsd_address, PROGRAM))
     router = _new_router(cfg, session, peer_app, metrics)
     requests = Drain(await _new_frontend(cfg, router, stack))
-    await serve_app(peer_app, cfg.peer_address, stack)
+    await serve_app(
+        peer_app,
+        cfg.peer_address,
+        stack,
+        shutdown_timeout_s=SHUTDOWN_TIMEOUT_S,
+    )
     await router.start(stack)
     app = _new_app(cfg, router.members, requests)
-    await serve_app(app, cfg.http_address, stack, cancels_on_hang_up=True)
+    await serve_app(
+        app,
+        cfg.http_address,
+        stack,
+        cancels_on_hang_up=True,
+        shutdown_timeout_s=SHUTDOWN_TIMEOUT_S,
+    )
     log_event(
         Event.PROCESS_STARTED,
         program=PROGRAM,
@@ -111,18 +122,15 @@
         peer_address=cfg.peer_address,
     )
     await stop_event().wait()
-    await _drain(cfg, router, requests)
-
-
-async def _drain(cfg: RouterSettings, router: Router, requests: Drain) -> None:
-    log_event(Event.PROCESS_DRAINING, program=PROGRAM)
-    requests.is_draining = True
-    with contextlib.suppress(PlatformError):
-        await router.members.set_state(MemberState.DRAINING)
-    # Callers may use the old list of entries until its age is over.
-    await asyncio.sleep(cfg.directory_max_age_s)
-    await requests.wait_idle(cfg.drain_s)
-    await router.claimed.wait_idle()
+    stop = Stop(
+        PROGRAM,
+        router.members,
+        requests,
+        router.claimed,
+        cfg.directory_max_age_s,
+        cfg.drain_s,
+    )
+    await stop.run()
 
 
 def _new_router(
--- a/mimosaworks/serving/serving.py
+++ b/mimosaworks/serving/serving.py
@@ -17,15 +17,17 @@
     stack: contextlib.AsyncExitStack,
     *,
     cancels_on_hang_up: bool = False,
+    shutdown_timeout_s: float = SHUTDOWN_TIMEOUT_S,
 ) -> web.AppRunner:
     """Serve an application at host:port until the stack is closed.
 
-    cancels_on_hang_up cancels a handler when its caller disconnects.
+    cancels_on_hang_up cancels a handler when its caller disconnects. Handlers
+    that run in the end get shutdown_timeout_s seconds.
     """
     runner = web.AppRunner(
         app,
         access_log=None,
-        shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        shutdown_timeout=shutdown_timeout_s,
         handler_cancellation=cancels_on_hang_up,
     )
     await runner.setup()
