A malformed entry of a target no longer ends the nodes that read it

What others saw: an entry whose JSON is nested too deep, or that has a number of some hundred digits, ended the node that reads the entries, and then each next holder. One with negative slots, or half a character in a name, was taken for a target; the holder could not encode it and answered no beat any more, so that all other nodes decided alone.

Cause: RecursionError and OverflowError are no ValueError, and the decoders checked types only, not what the messages between nodes can carry.

Change: all JSON of the platform is read by one function that raises ValueError; whole numbers have 63 bits at most, slots, births and ports their range, and texts can be encoded. Such an entry names no target, the others hold.

After it both nodes serve, hear the holder and know no such target.

--- a/mimosaworks/node/stored_suspects.py
+++ b/mimosaworks/node/stored_suspects.py
@@ -12,10 +12,12 @@
 from mimosaworks.dispatch import CrashBook, Suspect, TargetEnd
 from mimosaworks.events import Event, log_event
 from mimosaworks.platform import RowChange, RowName, StoredRow
+from mimosaworks.platform.fields import parse_table
 
 SUSPECTS_ROW = RowName('mimosaworks', 'suspects')
 # Of the bytes that a row may have: entries are counted without separators.
 FILL_SHARE = 0.5
+_UNREADABLE = (ValueError, TypeError, LookupError, OverflowError)
 
 
 def boot_epoch_s() -> float:
@@ -81,12 +83,12 @@
 def decode_suspects(content: bytes, epoch_s: float) -> dict[str, Suspect]:
     """Return the suspects of a row; none for one that can't be read."""
     try:
-        parsed = dict(json.loads(content))
+        parsed = parse_table(content)
         return {
             mark: _suspect(mark, fields, epoch_s)
             for mark, fields in parsed.items()
         }
-    except (ValueError, TypeError, LookupError) as exc:
+    except _UNREADABLE as exc:
         log_event(Event.SUSPECTS_IGNORED, reason=repr(exc))
         return {}
 
--- a/mimosaworks/platform/desired.py
+++ b/mimosaworks/platform/desired.py
@@ -1,7 +1,5 @@
 """Decodes the desired state that operators write to the store."""
 
-import json
-
 from mimosaworks.deployment import (
     Deployment,
     EngineModel,
@@ -18,6 +16,7 @@
     Fields,
     flag,
     number,
+    parse_table,
     table,
     tables,
     text,
@@ -40,9 +39,7 @@
 
     Raises ValueError for bytes that are none.
     """
-    parsed = json.loads(written)
-    if not isinstance(parsed, dict):
-        raise ValueError('the desired state must be a table')
+    parsed = parse_table(written)
     services = map(_service, tables(parsed, 'services'))
     workspaces = map(_workspace, tables(parsed, 'tenants'))
     return Deployment(
--- a/mimosaworks/platform/engine_calls.py
+++ b/mimosaworks/platform/engine_calls.py
@@ -1,7 +1,6 @@
 """Orders to targets and their reports."""
 
 import enum
-import json
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
@@ -13,7 +12,13 @@
 from mimosaworks.bounded_answers import read_bounded
 from mimosaworks.deployment import Residence
 from mimosaworks.platform.entries import decode_residences
-from mimosaworks.platform.fields import flag, texts, whole
+from mimosaworks.platform.fields import (
+    Fields,
+    flag,
+    parse_table,
+    texts,
+    whole,
+)
 from mimosaworks.platform.headers import EXPECTED_TARGET
 
 # Orders are answered within some steps; a second send of one that was
@@ -121,7 +126,7 @@
         ) as resp:
             self.on_head(target, resp.headers)
             return _decode_report(
-                json.loads(await read_bounded(resp, REPORT_BYTES))
+                parse_table(await read_bounded(resp, REPORT_BYTES))
             )
 
 
@@ -138,9 +143,7 @@
     return body
 
 
-def _decode_report(fields: Any) -> TargetReport:
-    if not isinstance(fields, dict):
-        raise TypeError('a report must be a table')
+def _decode_report(fields: Fields) -> TargetReport:
     return TargetReport(
         orders=whole(fields, 'sequence', 0),
         is_busy=flag(fields, 'busy', default=False),
--- a/mimosaworks/platform/entries.py
+++ b/mimosaworks/platform/entries.py
@@ -1,11 +1,12 @@
 """Decodes what targets write about themselves."""
 
-import json
-
 from mimosaworks.deployment import Residence, TargetEntry, TargetState
 from mimosaworks.platform.boot import MS_PER_S
 from mimosaworks.platform.fields import (
+    WHOLE_BITS,
     Fields,
+    count,
+    parse_table,
     table,
     tables,
     text,
@@ -14,6 +15,7 @@
 )
 
 TARGETS_TABLE = 'servers'
+MAX_PORT = 65535
 
 
 def decode_entry(name: str, written: bytes) -> TargetEntry:
@@ -22,18 +24,16 @@
     Raises ValueError for an entry that can't be used: no JSON, a field that
     is absent or malformed, or an unknown state.
     """
-    fields = json.loads(written)
-    if not isinstance(fields, dict):
-        raise ValueError('an entry must be a table')
+    fields = parse_table(written)
     at_hand = table(fields, 'at-hand') if 'at-hand' in fields else {}
     return TargetEntry(
         name=name,
         service=text(fields, 'service'),
         address=_address(text(fields, 'address')),
         data_centre=text(fields, 'zone'),
-        slots=whole(fields, 'slots'),
+        slots=count(fields, 'slots'),
         state=TargetState(text(fields, 'state')),
-        born=whole(fields, 'born', 0),
+        born=count(fields, 'born', 0, WHOLE_BITS),
         residences=decode_residences(fields),
         in_memory=texts(at_hand, 'in-memory'),
         on_disk=texts(at_hand, 'on-disk'),
@@ -54,6 +54,7 @@
 
 def _address(address: str) -> str:
     host, _, port = address.rpartition(':')
-    if not host or not port.isdigit():
+    is_number = port.isascii() and port.isdigit()
+    if not host or not is_number or int(port) > MAX_PORT:
         raise ValueError('address must be host:port')
     return address
--- a/mimosaworks/platform/fields.py
+++ b/mimosaworks/platform/fields.py
@@ -1,9 +1,22 @@
 """Checked access to the fields of decoded JSON."""
 
+import json
 from collections.abc import Mapping
 from typing import Any
 
 Fields = Mapping[str, Any]
+WHOLE_BITS = 63  # of a whole number, beside its sign
+
+
+def parse_table(written: bytes) -> Fields:
+    """Return a JSON object; raises ValueError for all other bytes."""
+    try:
+        parsed = json.loads(written)
+    except RecursionError as exc:
+        raise ValueError('the JSON is nested too deep') from exc
+    if not isinstance(parsed, dict):
+        raise ValueError('the JSON must be a table')
+    return parsed
 
 
 def text(fields: Fields, name: str) -> str:
@@ -11,7 +24,7 @@
     found = fields.get(name)
     if not isinstance(found, str):
         raise ValueError(f'{name} must be a text')
-    return found
+    return _checked(name, found)
 
 
 def number(fields: Fields, name: str) -> float:
@@ -30,6 +43,21 @@
     found = fields.get(name, default)
     if isinstance(found, bool) or not isinstance(found, int):
         raise ValueError(f'{name} must be a whole number')
+    if found.bit_length() > WHOLE_BITS:
+        raise ValueError(f'{name} must have {WHOLE_BITS} bits at most')
+    return found
+
+
+def count(
+    fields: Fields, name: str, default: int | None = None, bits: int = 32
+) -> int:
+    """Return a field that must be a whole number from 0, or the default.
+
+    Raises ValueError naming the field, also for one of more bits.
+    """
+    found = whole(fields, name, default)
+    if found < 0 or found.bit_length() > bits:
+        raise ValueError(f'{name} must be from 0 and have {bits} bits at most')
     return found
 
 
@@ -65,7 +93,17 @@
 
     Raises ValueError naming the field.
     """
-    return tuple(_entries(fields, name, str, 'texts'))
+    found = _entries(fields, name, str, 'texts')
+    return tuple(_checked(name, entry) for entry in found)
+
+
+def _checked(name: str, found: str) -> str:
+    """Return a text that can be sent on; JSON may hold half a character."""
+    try:
+        found.encode()
+    except UnicodeEncodeError as exc:
+        raise ValueError(f'{name} must be a text: {exc}') from exc
+    return found
 
 
 def _entries(
--- a/tests/test_node_malformed.py
+++ b/tests/test_node_malformed.py
@@ -1,8 +1,13 @@
 """Malformed messages, rows, answers and requests at a real node."""
 
+import asyncio
+import base64
+import json
 import random
+import types
 from collections.abc import AsyncIterator
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -23,12 +28,54 @@
 MESSAGE_KINDS = (Beat, CallAsk, LeaseNotice)
 
 
+DEEP = 2000  # more than a decoder that calls itself can follow
+LAPSE_S = 1.2  # some beats, and reads of the store
+SOUND_ENTRY = types.MappingProxyType({
+    'service': 'ledger',
+    'address': '127.0.0.1:9',
+    'zone': 'north',
+    'slots': 1,
+    'state': 'draining',
+    'born': 1,
+})
+READY_ENGINE = types.MappingProxyType({
+    'service': 'engines',
+    'state': 'ready',
+})
+ODD_ENTRIES: tuple[dict[str, Any], ...] = (
+    {'slots': -1},
+    {'slots': 10**12},
+    {'born': -1},
+    {'born': 10**30},
+    {'cold-left-ms': 10**400},
+    {'address': '127.0.0.1:99999', **READY_ENGINE},
+    {'address': '127.0.0.1:\u00b2', **READY_ENGINE},
+    {'zone': '\ud800'},
+    {'service': '\ud800'},
+    {'models': [{'name': '\ud800', 'adapters': []}]},
+    {'models': [{'name': 'alpha', 'adapters': ['\ud800']}]},
+    {'models': {}},
+    {'at-hand': {'on-disk': [1]}},
+    {'state': []},
+)
+ODD_CONTENTS = (
+    b'[' * DEEP,
+    b'{"models":' * DEEP,
+    b'',
+    b'\0',
+    b'\xff\xfe\xff',
+    b'null',
+    b'9' * 5000,
+)
+
+
 @pytest.fixture
 async def world(tmp_path: Path) -> AsyncIterator[AgencyWorld]:
-    """A node with a plain target."""
+    """Two nodes with a plain target."""
     async with open_agency(tmp_path) as opened:
         await opened.add_replica('ledger-1', service='ledger')
-        await until_served(opened, await opened.add_node('node-1'))
+        for name in ('node-1', 'node-2'):
+            await until_served(opened, await opened.add_node(name))
         yield opened
 
 
@@ -60,19 +107,43 @@
         return int(resp.status)
 
 
-async def check_serves(world: AgencyWorld, node: NodeHandle) -> None:
-    await until_served(world, node)
-    assert node.process.is_running()
-    assert 'Traceback' not in node.process.read_log()
+async def check_serves(world: AgencyWorld) -> None:
+    """Check that all nodes serve and still hear the holder."""
+    await asyncio.sleep(LAPSE_S)
+    for node in world.nodes:
+        await until_served(world, node)
+        assert node.process.is_running()
+        assert not node.events('node_stopping')
+        assert 'never retrieved' not in node.process.read_log()
+        assert not node.events('dependency_lost')
 
 
 # Guards against a malformed message of a peer that ends the node's process.
 async def test_malformed_messages_of_peers_are_refused(
     world: AgencyWorld,
 ) -> None:
-    node = world.nodes[0]
     rng = random.Random(SEED)  # noqa: S311 -- no secrets
     for raw in broken_messages(rng):
+        node = rng.choice(world.nodes)
         status = await tell_peer(world, node, rng.choice(MESSAGE_KINDS), raw)
         assert status in (200, 400, 409)
-    await check_serves(world, node)
+    await check_serves(world)
+
+
+# Guards against an entry of another writer that ends the nodes that read it, or
+# that no node can pass on to the others.
+async def test_malformed_entries_name_no_target(world: AgencyWorld) -> None:
+    contents = [
+        json.dumps({**SOUND_ENTRY, **odd}).encode() for odd in ODD_ENTRIES
+    ]
+    for number, content in enumerate([*contents, *ODD_CONTENTS]):
+        packed = base64.b64encode(content).decode()
+        row = {'table': 'servers', 'key': f'odd-{number}', 'value': packed}
+        world.store.commit({'put': [row]})
+    await check_serves(world)
+    appeared = {
+        line['target']
+        for node in world.nodes
+        for line in node.events('target_appeared')
+    }
+    assert appeared == {'ledger-1'}
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -2,6 +2,8 @@
 
 import json
 import types
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -20,6 +22,7 @@
 )
 from standins.agency.world import BOUNDS, DISK_MB, HOST, desired
 
+DEEP = 2000  # levels
 BOOT = types.MappingProxyType({
     'node-name': 'front-1',
     'ip': '127.0.0.1',
@@ -128,6 +131,13 @@
         {'state': 'dancing'},
         {'address': 'nowhere'},
         {'slots': 'many'},
+        {'slots': -1},
+        {'slots': 2**32},
+        {'born': 2**63},
+        {'cold-left-ms': 10**400},
+        {'address': '10.0.0.1:99999'},
+        {'zone': '\ud800'},
+        {'models': [{'name': '\ud800', 'adapters': []}]},
         {'models': [7]},
         {'service': None},
     ],
@@ -145,6 +155,15 @@
         decode_entry('t', json.dumps({**entry, **changes}).encode())
 
 
+# Guards against an entry or deployment that the decoder can't follow.
+@pytest.mark.parametrize('decode', [decode_desired, partial(decode_entry, 't')])
+def test_json_that_is_nested_too_deep_is_a_value_error(
+    decode: Callable[[bytes], object],
+) -> None:
+    with pytest.raises(ValueError, match='nested'):
+        decode(b'[' * DEEP)
+
+
 def test_fields_that_only_the_system_sets_are_stripped() -> None:
     sent = CIMultiDict({
         'Authorization': 'Bearer key',
