--- a/standins/agency/replica.py
+++ b/standins/agency/replica.py
@@ -48,16 +48,16 @@
 class Replica:
     """State of one target; runs lists the ids of requests that it ran.
 
-    models maps each loaded model to its adapters. Streams have so many events,
-    event_s apart; breaks_after cuts them after that many. on_crash is called
-    with its name and the id of a request with the body POISON that begins to
-    run. overloads counts orders beyond the memory. All answers of one that
-    is_leaving announce it; while pause_s is set, requests are rejected with
-    this time to back off. arrivals and told_leaving give a time for each
-    request, rejected the pause as well, births the birth that it met. limit is
-    named in all answers as it is spelled; hits are all calls, named the answers
-    to requests from its first use on. extra follows each answer to a request;
-    rejections lack its id where is_curt.
+    models maps each loaded model to its adapters. Answers begin after first_s;
+    streams have so many events, event_s apart, and breaks_after cuts them after
+    that many. on_crash is called with its name and the id of a request with the
+    body POISON that begins to run. overloads counts orders beyond the memory.
+    All answers of one that is_leaving announce it; while pause_s is set,
+    requests are rejected with this time to back off. arrivals and told_leaving
+    give a time for each request, rejected the pause as well, births the birth
+    that it met. limit is named in all answers as it is spelled; hits are all
+    calls, named the answers to requests from its first use on. extra follows
+    each answer to a request; rejections lack its id where is_curt.
     """
 
     name: str
@@ -82,6 +82,7 @@
     breaks_after: int = 0
     events: int = EVENTS
     event_s: float = EVENT_S
+    first_s: float = FIRST_S
     overloads: int = 0
     is_leaving: bool = False
     pause_s: float = 0
@@ -275,7 +276,7 @@
         REQUEST_ID: req.headers[REQUEST_ID],
         'X-Server-Seal': f'seal-{replica.name}',
     }
-    await asyncio.sleep(FIRST_S)
+    await asyncio.sleep(replica.first_s)
     if not model:
         return web.Response(body=b'plain answer', headers=head)
     out = web.StreamResponse(headers=head)
--- a/standins/agency/world.py
+++ b/standins/agency/world.py
@@ -151,6 +151,11 @@
         host = self.boot['ip']
         return f'{host}:{last}'
 
+    @property
+    def peer(self) -> str:
+        """Where other nodes send their messages."""
+        return f'{self.boot["ip"]}:{self.boot["internal-ports"][0]}'
+
     @property
     def grace_s(self) -> float:
         """How long the platform waits between SIGTERM and SIGKILL."""
