Stand-in agency: a request may say its stream's length and what answers repeat

A caller can then tell its own answer from every other one, and a soak can have streams of many lengths at once.

--- a/standins/agency/replica.py
+++ b/standins/agency/replica.py
@@ -15,7 +15,10 @@
 FIRST_S = 0.01
 EVENT_S = 0.005
 EVENTS = 5
+PLAIN = b'plain answer'
 POISON = b'poison'  # the body of requests that crash what runs them
+ECHO = b'echo '  # the start of bodies whose first line answers repeat
+EVENTS_HEADER = 'X-Events'  # how many events the stream of a request has
 POISON_PATH = '/poison'  # or the end of their path, for those without a body
 
 
@@ -278,21 +281,34 @@
     }
     await asyncio.sleep(replica.first_s)
     if not model:
-        return web.Response(body=b'plain answer', headers=head)
+        return web.Response(body=_said(body) or PLAIN, headers=head)
     out = web.StreamResponse(headers=head)
     out.content_type = 'text/event-stream'
     await out.prepare(req)
     number = int(req.headers.get('Last-Event-Id') or 0)
-    while number < replica.events:
+    events = int(req.headers.get(EVENTS_HEADER, replica.events))
+    while number < events:
         number += 1
         if replica.breaks_after and number > replica.breaks_after:
             _break(req)
-        await out.write(f'id: {number}\ndata: piece {number}\n\n'.encode())
+        await out.write(event_text(number, _said(body)))
         await asyncio.sleep(replica.event_s)
     await out.write_eof()
     return out
 
 
+def event_text(number: int, said: bytes = b'') -> bytes:
+    """Return an event of a stream, with what its request's body says."""
+    words = [b'piece', b'%d' % number, said]
+    return b'id: %d\ndata: %s\n\n' % (number, b' '.join(filter(None, words)))
+
+
+def _said(body: bytes) -> bytes:
+    """Return what a body asks answers to repeat."""
+    first, _, _ = body.partition(b'\n')
+    return first if first.startswith(ECHO) else b''
+
+
 def _break(req: web.Request) -> None:
     if req.transport is not None:
         req.transport.abort()
