--- a/standins/agency/world.py
+++ b/standins/agency/world.py
@@ -154,7 +154,9 @@
     @property
     def peer(self) -> str:
         """Where other nodes send their messages."""
-        return f'{self.boot["ip"]}:{self.boot["internal-ports"][0]}'
+        first = self.boot['internal-ports'][0]
+        host = self.boot['ip']
+        return f'{host}:{first}'
 
     @property
     def grace_s(self) -> float:
