A connection on which bytes came unasked is not used again

Bytes that are no answer, in one piece with a whole one, also cost that answer (502 for 300 of 300 requests).

A connection is closed when anything comes on it while nothing is asked: when it is read, when it is still unread as the next request would be written, right behind an answer, or as half of a head. An answer's head is parsed apart from what follows it.

--- a/mimosaworks/kept_connections.py
+++ b/mimosaworks/kept_connections.py
@@ -1,104 +1,158 @@
 """Connections that are kept for many requests, and what arrives on them."""
 
+import array
 import asyncio
-import collections
+import fcntl
+import select
+import termios
 from http import HTTPStatus
 from typing import Any
 
 from aiohttp.client_proto import ResponseHandler
-from aiohttp.http import RawResponseMessage
+from aiohttp.http import HttpProcessingError, RawResponseMessage
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
+from mimosaworks.asked_ids import AskedIds
 from mimosaworks.events import Event, log_event
 
-MAX_EARLIER = 8  # requests whose late answers are known by their id
+_HEAD_END = b'\r\n\r\n'
 
 
 class KeptHandler(ResponseHandler):
-    """Tells which answer belongs to the request at hand.
+    """Passes an answer on, and nothing that comes behind it.
 
     id_field is the header field with the id of a request, which answers
-    repeat; empty where there is none.
+    repeat; empty where there is none. A connection on which anything else
+    arrived is closed.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, id_field: str) -> None:
         super().__init__(loop)
         self._id_field = id_field
-        self._asked = ''
-        self._earlier: collections.deque[str] = collections.deque(
-            maxlen=MAX_EARLIER
-        )
-        self._uses = 0
+        self._asked = AskedIds()
         # The body of the answer at hand; None while that is awaited.
         self._body: StreamReader | None = EMPTY_PAYLOAD
+        self._extra_body: StreamReader = EMPTY_PAYLOAD
 
     def expect(self, request_id: str) -> None:
         """Wait for the answer to a request, which may have an id."""
-        if self._asked:
-            self._earlier.append(self._asked)
-        self._asked = request_id
-        self._uses += 1
+        self._asked.begin(request_id)
         self._body = None
 
+    def is_connected(self) -> bool:
+        """Tell whether the connection can be used for a request."""
+        if not super().is_connected():
+            return False
+        return not (self._is_idle() and self._has_unread())
+
     def feed_data(self, data: Any, size: int = 0) -> None:
-        """Pass an answer on to who reads it."""
+        """Pass an answer on, if it is the one that is awaited."""
         message, body = data
-        if _is_final(message.code):
-            reason = self._foreign_reason(message)
-            if reason:
-                self._log_answer(message, reason)
-            self._body = body
-        super().feed_data(data, size)
+        if _is_interim(message.code):
+            super().feed_data(data, size)
+        elif self._body is None:
+            self._judge(message, body)
+        else:
+            self._drop(message, body, 'the answer had come already')
+            self._end()
 
     def data_received(self, data: bytes) -> None:
-        """Note bytes that nothing was asked for."""
+        """Read an answer; close the connection on bytes behind it."""
+        if self._body is None:
+            # Bytes behind an answer that are none must not take it along.
+            head, mark, rest = data.partition(_HEAD_END)
+            self._read(head + mark)
+            if rest and self.exception() is None:
+                self._read(rest)
+        else:
+            self._read(data)
+
+    def _read(self, data: bytes) -> None:
         if data and self._is_idle():
-            self._log_bytes(len(data))
-        super().data_received(data)
+            self._refuse(len(data))
+            return
+        ResponseHandler.data_received(self, data)
+        if self._extra_body.exception() is None:
+            self._extra_body.read_nowait()
+        if self._is_idle() and self._has_part():
+            self._refuse(0)
+
+    def _judge(self, message: RawResponseMessage, body: StreamReader) -> None:
+        sent = message.headers.get(self._id_field, '')
+        if not self._asked.is_own(sent):
+            self._log_answer(message, 'it may belong to another request')
+        self._body = body
+        ResponseHandler.feed_data(self, (message, body))
 
     def _is_idle(self) -> bool:
         """Tell whether no request waits for bytes."""
         return self._body is not None and self._body.is_eof()
 
-    def _foreign_reason(self, message: RawResponseMessage) -> str:
-        """Return why an answer may not be the one that is awaited."""
-        sent = message.headers.get(self._id_field, '')
-        if self._body is not None:
-            return 'the answer had come already'
-        if self._asked and not sent and self._uses > 1:
-            return 'it has no id and may be left over'
-        if sent in self._earlier or (
-            sent and self._asked and sent != self._asked
-        ):
-            return 'it belongs to another request'
-        return ''
-
-    def _log_bytes(self, size: int) -> None:
-        log_event(
-            Event.BYTES_DROPPED,
-            address=self._address(),
-            request_id=self._asked,
-            bytes=size,
-        )
+    def _has_part(self) -> bool:
+        """Tell whether half of a head came behind the answer."""
+        try:
+            return self._parser is not None and bool(self._parser.feed_eof())
+        except HttpProcessingError:
+            return True
+
+    def _has_unread(self) -> bool:
+        """Tell whether bytes or an end have come and were not read yet."""
+        size = _unread_bytes(self.transport)
+        if size:
+            self._refuse(size)
+        return size is not None
+
+    def _drop(
+        self, message: RawResponseMessage, body: StreamReader, reason: str
+    ) -> None:
+        self.force_close()
+        self._extra_body = body
+        self._log_answer(message, reason)
 
     def _log_answer(self, message: RawResponseMessage, reason: str) -> None:
         log_event(
             Event.ANSWER_DROPPED,
-            address=self._address(),
-            request_id=self._asked,
+            address=_address(self.transport),
+            request_id=self._asked.now,
             sent=message.headers.get(self._id_field, ''),
             status=message.code,
             reason=reason,
         )
 
-    def _address(self) -> str:
-        transport = self.transport
-        peer = (
-            None if transport is None else transport.get_extra_info('peername')
+    def _refuse(self, size: int) -> None:
+        log_event(
+            Event.BYTES_DROPPED,
+            address=_address(self.transport),
+            request_id=self._asked.now,
+            bytes=size,
         )
-        return '' if peer is None else f'{peer[0]}:{peer[1]}'
+        self._end()
+
+    def _end(self) -> None:
+        self.force_close()
+        if self.transport is not None:
+            self.transport.abort()
+
+
+def _is_interim(status: int) -> bool:
+    """Tell whether the answer to the same request follows."""
+    return status < HTTPStatus.OK and status != HTTPStatus.SWITCHING_PROTOCOLS
+
+
+def _unread_bytes(transport: asyncio.BaseTransport | None) -> int | None:
+    """Return the bytes that have come, 0 at an end, None when nothing has."""
+    sock = None if transport is None else transport.get_extra_info('socket')
+    if sock is None:
+        return None
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    if not poll.poll(0):
+        return None
+    size = array.array('i', (0,))
+    fcntl.ioctl(sock.fileno(), termios.FIONREAD, size)
+    return size[0]
 
 
-def _is_final(status: int) -> bool:
-    """Tell whether no other answer follows for the same request."""
-    return status >= HTTPStatus.OK or status == HTTPStatus.SWITCHING_PROTOCOLS
+def _address(transport: asyncio.BaseTransport | None) -> str:
+    peer = None if transport is None else transport.get_extra_info('peername')
+    return '' if peer is None else f'{peer[0]}:{peer[1]}'
