An answer on a kept connection is believed by the request's own id

A late answer without an id went to the caller; one with another id cost the answer that followed.

On a connection that was used before, an answer is believed when it carries the id of the request. One with another id is skipped, as the right one follows on the same connection; one without an id is no evidence: the answer counts as lost. Nothing can be left over on a new connection: there an answer needs no id. A request is never sent twice on one connection: a late copy of its first rejection would have its id. Requests without an id (orders, reports) skip answers with the ids of earlier requests.

--- a/mimosaworks/asked_ids.py
+++ b/mimosaworks/asked_ids.py
@@ -5,6 +5,7 @@
 import attrs
 
 MAX_EARLIER = 8  # requests whose late answers are known by their id
+MAX_SKIPPED = 8  # answers before the one that is awaited
 
 
 @attrs.define(eq=False)
@@ -19,6 +20,7 @@
         factory=lambda: collections.deque(maxlen=MAX_EARLIER)
     )
     _uses: int = 0
+    _skipped: int = 0
 
     def begin(self, request_id: str) -> None:
         """Note that a request begins, which may have an id."""
@@ -26,6 +28,11 @@
             self._earlier.append(self.now)
         self.now = request_id
         self._uses += 1
+        self._skipped = 0
+
+    def has(self, request_id: str) -> bool:
+        """Tell whether a request with this id was sent."""
+        return request_id == self.now or request_id in self._earlier
 
     def is_own(self, sent: str) -> bool:
         """Tell whether an answer with this id is the one that is awaited.
@@ -35,3 +42,9 @@
         if not self.now:
             return sent not in self._earlier
         return sent == self.now or (self._uses == 1 and not sent)
+
+    def skip(self, sent: str) -> bool:
+        """Tell whether the right answer may follow a foreign one."""
+        self._skipped += 1
+        is_late = bool(sent) and self._uses > 1
+        return is_late and self._skipped <= MAX_SKIPPED
--- a/mimosaworks/bounded_answers.py
+++ b/mimosaworks/bounded_answers.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 import attrs
+from aiohttp.client_reqrep import ConnectionKey
 from aiohttp.connector import Connection
 
 from mimosaworks.events import Event, log_event
@@ -136,11 +137,20 @@
         timeout: aiohttp.ClientTimeout,
     ) -> Connection:
         """Return a connection that expects the answer to a request."""
+        request_id = req.headers.get(self._id_field, '')
+        if request_id:
+            self._leave_out(req.connection_key, request_id)
         conn = await super().connect(req, traces, timeout)
         if isinstance(conn.protocol, KeptHandler):
-            conn.protocol.expect(req.headers.get(self._id_field, ''))
+            conn.protocol.expect(request_id)
         return conn
 
+    def _leave_out(self, key: ConnectionKey, request_id: str) -> None:
+        """Close connections whose late answers would have the same id."""
+        for handler, _ in self._conns.get(key, ()):
+            if isinstance(handler, KeptHandler):
+                handler.close_if_asked(request_id)
+
 
 @attrs.define(eq=False)
 class HeldBytes:
--- a/mimosaworks/kept_connections.py
+++ b/mimosaworks/kept_connections.py
@@ -8,6 +8,7 @@
 from http import HTTPStatus
 from typing import Any
 
+import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import HttpProcessingError, RawResponseMessage
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
@@ -18,8 +19,12 @@
 _HEAD_END = b'\r\n\r\n'
 
 
+class ForeignAnswerError(aiohttp.ClientError):
+    """An answer does not show that it belongs to the request."""
+
+
 class KeptHandler(ResponseHandler):
-    """Passes an answer on, and nothing that comes behind it.
+    """Passes on the answers that belong to the request at hand.
 
     id_field is the header field with the id of a request, which answers
     repeat; empty where there is none. A connection on which anything else
@@ -39,6 +44,11 @@
         self._asked.begin(request_id)
         self._body = None
 
+    def close_if_asked(self, request_id: str) -> None:
+        """Close an idle connection that a request was sent on before."""
+        if self._asked.has(request_id):
+            self.close()
+
     def is_connected(self) -> bool:
         """Tell whether the connection can be used for a request."""
         if not super().is_connected():
@@ -79,10 +89,14 @@
 
     def _judge(self, message: RawResponseMessage, body: StreamReader) -> None:
         sent = message.headers.get(self._id_field, '')
-        if not self._asked.is_own(sent):
-            self._log_answer(message, 'it may belong to another request')
-        self._body = body
-        ResponseHandler.feed_data(self, (message, body))
+        if self._asked.is_own(sent):
+            self._body = body
+            ResponseHandler.feed_data(self, (message, body))
+        elif self._asked.skip(sent):
+            self._drop(message, body, 'it belongs to another request')
+        else:
+            self._drop(message, body, 'it may belong to another request')
+            self._give_up()
 
     def _is_idle(self) -> bool:
         """Tell whether no request waits for bytes."""
@@ -107,9 +121,6 @@
     ) -> None:
         self.force_close()
         self._extra_body = body
-        self._log_answer(message, reason)
-
-    def _log_answer(self, message: RawResponseMessage, reason: str) -> None:
         log_event(
             Event.ANSWER_DROPPED,
             address=_address(self.transport),
@@ -119,6 +130,13 @@
             reason=reason,
         )
 
+    def _give_up(self) -> None:
+        self._body = EMPTY_PAYLOAD
+        self.set_exception(
+            ForeignAnswerError('the answer may belong to another request')
+        )
+        self._end()
+
     def _refuse(self, size: int) -> None:
         log_event(
             Event.BYTES_DROPPED,
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -12,9 +12,11 @@
 import pytest
 
 from mimosaworks.bounded_answers import BoundedConnector
+from mimosaworks.kept_connections import ForeignAnswerError
 
 ID = 'X-Request-Id'
 MOST = 4000000
+LARGE = 1000000
 LATER_S = 0.05
 ACCEPT_S = 2.0
 
@@ -153,6 +155,80 @@
     assert script.conns == 2
 
 
+# Guards against a late answer to an earlier request that costs the next one
+# its own, which follows.
+@pytest.mark.parametrize('size', [4, LARGE])
+async def test_a_late_answer_with_another_id_is_skipped(size: int) -> None:
+    late = answer('a', b'c' * size)
+    sends = {
+        'a': answer('a', b'one'),
+        'b': late + late + answer('b', b'two'),
+        'c': answer('c', b'three'),
+    }
+    script = Script(sends)
+    async with opened(script) as session:
+        assert await ask(session, script, 'a') == (200, b'one')
+        assert await ask(session, script, 'b') == (200, b'two')
+        assert script.conns == 1
+        assert await ask(session, script, 'c') == (200, b'three')
+    assert script.conns == 2
+
+
+# Guards against a late rejection or answer without an id that is believed.
+@pytest.mark.parametrize('status', ['200 OK', '503 Full', '421 Other'])
+async def test_an_answer_without_an_id_is_believed_on_a_new_connection_only(
+    status: str,
+) -> None:
+    bare = answer('', b'bare', status)
+    script = Script({'a': bare, 'b': bare})
+    async with opened(script) as session:
+        code = int(status.partition(' ')[0])
+        assert await ask(session, script, 'a') == (code, b'bare')
+        with pytest.raises(ForeignAnswerError):
+            await ask(session, script, 'b')
+    assert script.conns == 1
+
+
+async def test_a_first_answer_with_another_id_is_not_believed() -> None:
+    script = Script({'a': answer('b', b'two')})
+    async with opened(script) as session:
+        with pytest.raises(ForeignAnswerError):
+            await ask(session, script, 'a')
+
+
+# Guards against a late copy of an earlier rejection of the same request.
+async def test_a_request_is_not_sent_twice_on_one_connection() -> None:
+    script = Script({'a': answer('a', b'', '503 Full'), 'b': answer('b')})
+    async with opened(script) as session:
+        await ask(session, script, 'a')
+        await ask(session, script, 'b')
+        assert script.conns == 1
+        await ask(session, script, 'a')
+    assert script.conns == 2
+
+
+async def test_late_answers_without_end_are_given_up() -> None:
+    sends = {'a': answer('a'), 'b': answer('a') * 100 + answer('b')}
+    script = Script(sends)
+    async with opened(script) as session:
+        await ask(session, script, 'a')
+        with pytest.raises(ForeignAnswerError):
+            await ask(session, script, 'b')
+
+
+# Guards against an order or a report that is told by a late answer.
+async def test_a_request_without_an_id_skips_late_answers() -> None:
+    sends = {
+        'a': answer('a', b'one'),
+        '': answer('a', b'copy') + answer('', b'two'),
+    }
+    script = Script(sends)
+    async with opened(script) as session:
+        assert await ask(session, script, 'a') == (200, b'one')
+        assert await ask(session, script, '') == (200, b'two')
+    assert script.conns == 1
+
+
 async def test_interim_answers_need_no_id() -> None:
     interim = b'HTTP/1.1 102 Processing\r\n\r\n'
     sends = {name: interim + answer(name, b'body') for name in 'ab'}
