An answer that belongs to no request is no end of its target

The target had answered; a crash cuts an answer off and sends none of another request.

Such an answer is a failed send now, not a broken one: it may be repeated as before, where the route allows it, and a request that must run once is answered with 502.

--- a/mimosaworks/node/exchange.py
+++ b/mimosaworks/node/exchange.py
@@ -9,6 +9,7 @@
     ClientError,
     ClientPayloadError,
     ClientResponse,
+    ClientResponseError,
     ClientSession,
     ConnectionTimeoutError,
     web,
@@ -25,13 +26,13 @@
 from mimosaworks.deployment import Repeat
 from mimosaworks.dispatch import Assignment, CallOutcome
 from mimosaworks.events import Event, log_event
+from mimosaworks.kept_connections import ForeignAnswerError
 from mimosaworks.node.attempt_error import AttemptError
 from mimosaworks.node.call import Call, PassedStream
 from mimosaworks.node.limit_view import LimitView
 from mimosaworks.node.target_notices import TargetNotices
 from mimosaworks.platform.headers import (
     LAST_EVENT,
-    REQUEST_ID,
     RETRY_AFTER,
     answer_headers,
     read_pause_s,
@@ -118,7 +119,7 @@
         except (ClientError, OSError) as exc:
             raise _failed(exc, assignment.target) from exc
         self._note_head(call, assignment.target, resp)
-        _check_head(call, resp)
+        _check_head(resp)
         return resp
 
     def _note_head(self, call: Call, target: str, resp: ClientResponse) -> None:
@@ -244,15 +245,13 @@
     if isinstance(exc, OversizedError):
         log_cut(target, exc)
         return AttemptError(CallOutcome.OVERSIZED, str(exc))
+    if isinstance(exc, (ForeignAnswerError, ClientResponseError)):
+        # What came is no answer of the target's: it says nothing of its end.
+        return AttemptError(CallOutcome.FAILED, str(exc))
     return AttemptError(CallOutcome.BROKEN, repr(exc))
 
 
-def _check_head(call: Call, resp: ClientResponse) -> None:
-    if resp.headers.get(REQUEST_ID, call.request_id) != call.request_id:
-        resp.close()
-        raise AttemptError(
-            CallOutcome.BROKEN, 'the answer belongs to another request'
-        )
+def _check_head(resp: ClientResponse) -> None:
     if says_not_run(resp.status, resp.headers):
         resp.release()
         raise AttemptError(
