A stopping node ends all requests before its grace is over

Callers of a node that was told to stop lost answers when the platform killed its process at the end of the grace, and some waited on a connection that was neither answered nor closed until they gave up (34.7 s with a grace of 4 s).

Cause: the callers' server was closed with a limit of 0 s, which aiohttp takes for no limit, after links, election and feeds had gone; what was being read, slept before a resend or came after the last look was counted nowhere, so it was never ended. The other servers could take 10 s each.

Now one count (Stays) has all requests from their heads to the last bytes of their answers, and one end is kept by the clock: listening stops, what has arrived is answered, waits end with an error answer (not run, or may have run where it was at a target), idle connections are closed, the rest is cut and named. The handler writes the answers itself, and reads the rest of a body that was answered early, as closing would reset it. What the node cuts is no sign that a target has ended. serve_app has a parameter for the time that closing a server may take.

tests/test_node_stop.py failed before: all seven cases of test_a_node_is_gone_within_its_grace but the one without a target, and those of a just started node, of a body that is read, of what is cut and of a request at a target: "killed when the grace was over", or no answer at all.

--- a/mimosaworks/node/call.py
+++ b/mimosaworks/node/call.py
@@ -53,8 +53,8 @@
     asks counts the times a target was asked for, resends the sends after
     the first; target is where it runs now. may_have_run: a send failed that
     may have run. passed is what the caller has of an
-    answer, sent_s when the request went to its target. is_cut: the node stops
-    before its end.
+    answer, sent_s when the request went to its target. is_cut: the node
+    ends it.
     """
 
     req: web.BaseRequest
--- /dev/null
+++ b/mimosaworks/node/caller_server.py
@@ -0,0 +1,65 @@
+"""The server that callers connect to."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable, Collection
+
+import attrs
+from aiohttp import web
+
+from mimosaworks.node.sessions import FIELD_BYTES
+from mimosaworks.serving import PROMPT_SHUTDOWN_S
+
+CALLER_IDLE_S = 20.0  # longer than callers may stay idle
+POLL_S = 0.01
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+@attrs.frozen(eq=False)
+class CallerServer:
+    """Listens for callers and holds their connections."""
+
+    server: web.Server
+    site: web.TCPSite
+
+    async def stop_listening(self) -> None:
+        """Refuse new connections from now on."""
+        await self.site.stop()
+
+    async def close_others(
+        self, busy: Callable[[], Collection[web.RequestHandler]]
+    ) -> None:
+        """Close connections that are not busy; return when none is left."""
+        while self.server.connections:
+            at_work = busy()
+            for conn in self.server.connections:
+                if conn not in at_work:
+                    conn.force_close()
+            await asyncio.sleep(POLL_S)
+
+
+async def serve_callers(
+    handler: Handler, address: str, stack: contextlib.AsyncExitStack
+) -> CallerServer:
+    """Serve callers at host:port until the stack is closed.
+
+    The handler sees a request to its last byte and is cancelled when the
+    caller disconnects.
+    """
+    server = web.Server(
+        handler,
+        handler_cancellation=True,
+        access_log=None,
+        keepalive_timeout=CALLER_IDLE_S,
+        lingering_time=0,
+        max_field_size=FIELD_BYTES,
+        max_line_size=FIELD_BYTES,
+        auto_decompress=False,
+    )
+    runner = web.ServerRunner(server, shutdown_timeout=PROMPT_SHUTDOWN_S)
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    host, _, port = address.rpartition(':')
+    site = web.TCPSite(runner, host, int(port))
+    await site.start()
+    return CallerServer(server, site)
--- a/mimosaworks/node/front.py
+++ b/mimosaworks/node/front.py
@@ -51,9 +51,8 @@
     """Serves callers at one node.
 
     stop_left_s gives the seconds until a node that stops ends what is left;
-    None for one that does not stop. Connections are closed meanwhile. calls
-    are the requests at targets by the name of their ask, waits bounds those
-    that have none yet.
+    None for one that does not stop. Connections are closed meanwhile. stays
+    are all requests, calls those at targets by the name of their ask.
     """
 
     chooser: Chooser
@@ -62,7 +61,6 @@
     stop_left_s: Callable[[], float | None]
     stays: Stays = attrs.field(factory=Stays)
     calls: dict[str, Call] = attrs.field(factory=dict)
-    waits: dict[Call, asyncio.Timeout] = attrs.field(factory=dict)
 
     async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
         """Answer one request; used as the server's handler."""
@@ -71,8 +69,9 @@
             self.stays.count(req) as stay,
         ):
             answer = await self._answer(stay)
-        if self.stop_left_s() is not None and not answer.prepared:
-            answer.force_close()
+            if self.stop_left_s() is not None:
+                answer.force_close()
+            await stay.write(answer)
         return answer
 
     def running(self) -> tuple[RunningCall, ...]:
@@ -83,19 +82,23 @@
             if call.ask is not None
         )
 
-    def bound_waits(self) -> None:
-        """Bound the waits for targets by what a node that stops has left."""
-        now = asyncio.get_running_loop().time()
-        for call, wait in self.waits.items():
-            longest_s = _longest_wait_s(call, self.stop_left_s())
-            wait.reschedule(None if longest_s is None else now + longest_s)
+    def begin_stop(self) -> None:
+        """Refuse what waits for a target and may not end in time."""
+        for stay in self.stays.taken:
+            call = stay.call
+            if call is None:
+                continue
+            if not call.target and not _may_begin(call, self.stop_left_s()):
+                stay.expire()
 
     async def _answer(self, stay: Stay) -> web.StreamResponse:
         try:
-            answer = await self._handle(stay)
+            async with stay.bound():
+                answer = await self._handle(stay)
+        except TimeoutError:
+            return self._refuse(stay, _ended(stay.call))
         except RequestError as exc:
-            stay.is_refused = True
-            return self._refuse(stay.req, exc)
+            return self._refuse(stay, exc)
         except CallerLeftError as exc:
             # There is nobody to answer; the server ends the handler.
             raise asyncio.CancelledError from exc
@@ -130,19 +133,20 @@
 
     async def _choose(self, call: Call) -> Assignment:
         """Find a target while there is time left to end the answer."""
-        longest_s = _longest_wait_s(call, self.stop_left_s())
-        if longest_s == 0:
+        if not _may_begin(call, self.stop_left_s()):
             raise _after_sends(call, _stopping())
         try:
-            async with asyncio.timeout(longest_s) as wait:
-                self.waits[call] = wait
-                return await self.chooser.choose(call)
-        except TimeoutError as exc:
-            raise _after_sends(call, _stopping()) from exc
+            return await self.chooser.choose(call)
         except RequestError as exc:
             raise _after_sends(call, exc) from exc
-        finally:
-            self.waits.pop(call, None)
+
+    def _check(self, call: Call, assignment: Assignment) -> None:
+        """Raise AttemptError when a request must not be sent after all."""
+        if not _may_begin(call, self.stop_left_s()):
+            raise AttemptError(
+                CallOutcome.NOT_SENT, 'the node stops', is_not_run=True
+            )
+        self.chooser.check_grant(call.mark, assignment)
 
     async def _send(
         self, call: Call, assignment: Assignment
@@ -153,7 +157,7 @@
             answer = await self.exchange.send(
                 call,
                 assignment,
-                functools.partial(self.chooser.check_grant, call.mark),
+                functools.partial(self._check, call),
                 functools.partial(self._started, call),
             )
             visit.outcome = outcome_of(answer.status)
@@ -259,10 +263,9 @@
         self.meters.first.labels(call.service).observe(call.age_s())
         call_log.log_started(call, first_s)
 
-    def _refuse(
-        self, req: web.BaseRequest, exc: RequestError
-    ) -> web.StreamResponse:
-        request_id = req.headers.get(REQUEST_ID, '')
+    def _refuse(self, stay: Stay, exc: RequestError) -> web.StreamResponse:
+        stay.is_refused = True
+        request_id = stay.req.headers.get(REQUEST_ID, '')
         silent_s = self.chooser.link.silent_s()
         call_log.log_refused(request_id, exc, self._version(), silent_s)
         self.meters.refusals.labels(exc.kind.value).inc()
@@ -280,15 +283,16 @@
         return 0 if deployment is None else deployment.version
 
 
-def _longest_wait_s(call: Call, stop_left_s: float | None) -> float | None:
-    """Return how long a request may wait for a target; None is unbounded.
+def _may_begin(call: Call, stop_left_s: float | None) -> bool:
+    """Tell whether a request may be sent to a target.
 
-    A node that stops needs the rest of its time to pass the answer on.
+    A node that stops needs the rest of its time to pass the answer on. One of
+    which the caller has a part can be completed nowhere else.
     """
-    if stop_left_s is None:
-        return None
+    if stop_left_s is None or call.passed is not None:
+        return True
     expected_s = call.facts.expected_out * STREAM_TOKEN_S + MIN_CALL_S
-    return max(stop_left_s - expected_s, 0)
+    return expected_s < stop_left_s
 
 
 def _left_outcome(call: Call) -> CallOutcome:
@@ -308,6 +312,15 @@
     )
 
 
+def _ended(call: Call | None) -> RequestError:
+    """Return the answer to a request that the node ends."""
+    if call is None or not (call.target or call.may_have_run):
+        return _stopping()
+    return RequestError(
+        ErrorKind.TARGET_ANSWER_LOST, 'the node stops before the answer came'
+    )
+
+
 def _after_sends(call: Call, refusal: RequestError) -> RequestError:
     """Return a refusal that holds for what was sent before it too."""
     if not call.may_have_run:
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -18,6 +18,7 @@
 from mimosaworks.errors import PeerError, SettingError
 from mimosaworks.events import Event, log_event
 from mimosaworks.node.beliefs import Beliefs
+from mimosaworks.node.caller_server import CallerServer
 from mimosaworks.node.election import Election, Lease
 from mimosaworks.node.electorate import Electorate, strength
 from mimosaworks.node.front import Front
@@ -62,6 +63,7 @@
     electorate: Electorate = attrs.field(init=False)
     link: HolderLink = attrs.field(init=False)
     front: Front = attrs.field(init=False)
+    callers: CallerServer = attrs.field(init=False)
     started_s: float = attrs.field(factory=time.time)
     holder: Holder | None = None
     stop_begun_s: float = 0
--- a/mimosaworks/node/pages.py
+++ b/mimosaworks/node/pages.py
@@ -4,10 +4,10 @@
 
 from aiohttp import web
 
+from mimosaworks.node.caller_server import serve_callers
 from mimosaworks.node.node import Node
-from mimosaworks.node.sessions import FIELD_BYTES
 from mimosaworks.platform import directory_app, ready_app
-from mimosaworks.serving import serve_app
+from mimosaworks.serving import PROMPT_SHUTDOWN_S, serve_app
 from mimosaworks.wire import (
     Beat,
     CallAsk,
@@ -17,7 +17,6 @@
 )
 
 DIRECTORY_TTL_S = 2.0  # in which callers learn of a VM that stops
-CALLER_IDLE_S = 20.0  # longer than callers may stay idle
 
 
 async def serve_pages(node: Node, stack: contextlib.AsyncExitStack) -> None:
@@ -27,26 +26,23 @@
     add_peer_handler(peer_app, CallAsk, node.on_ask)
     add_peer_handler(peer_app, Beat, node.on_beat)
     add_peer_handler(peer_app, LeaseNotice, node.electorate.on_notice)
-    await serve_app(peer_app, cfg.peer_address, stack, cancels_on_hang_up=True)
-    await serve_app(node.meters.app(), cfg.metrics_address, stack)
+    await serve_app(
+        peer_app,
+        cfg.peer_address,
+        stack,
+        cancels_on_hang_up=True,
+        shutdown_s=PROMPT_SHUTDOWN_S,
+    )
+    await _serve_page(node.meters.app(), cfg.metrics_address, stack)
     directory = directory_app(node.addresses, DIRECTORY_TTL_S)
-    await serve_app(directory, cfg.directory_address, stack)
-    await serve_app(ready_app(node.is_ready), cfg.ready_address, stack)
-    await _serve_callers(node, stack)
-
-
-async def _serve_callers(node: Node, stack: contextlib.AsyncExitStack) -> None:
-    server = web.Server(
-        node.front.handle,
-        handler_cancellation=True,
-        access_log=None,
-        keepalive_timeout=CALLER_IDLE_S,
-        max_field_size=FIELD_BYTES,
-        max_line_size=FIELD_BYTES,
-        auto_decompress=False,
+    await _serve_page(directory, cfg.directory_address, stack)
+    await _serve_page(ready_app(node.is_ready), cfg.ready_address, stack)
+    node.callers = await serve_callers(
+        node.front.handle, cfg.front_address, stack
     )
-    runner = web.ServerRunner(server, shutdown_timeout=0)
-    await runner.setup()
-    stack.push_async_callback(runner.cleanup)
-    host, _, port = node.cfg.front_address.rpartition(':')
-    await web.TCPSite(runner, host, int(port)).start()
+
+
+async def _serve_page(
+    app: web.Application, address: str, stack: contextlib.AsyncExitStack
+) -> None:
+    await serve_app(app, address, stack, shutdown_s=PROMPT_SHUTDOWN_S)
--- a/mimosaworks/router/program.py
+++ b/mimosaworks/router/program.py
@@ -104,7 +104,7 @@
         peer_app,
         cfg.peer_address,
         stack,
-        shutdown_timeout_s=SHUTDOWN_TIMEOUT_S,
+        shutdown_s=SHUTDOWN_TIMEOUT_S,
     )
     await router.start(stack)
     app = _new_app(cfg, router.members, requests)
@@ -113,7 +113,7 @@
         cfg.http_address,
         stack,
         cancels_on_hang_up=True,
-        shutdown_timeout_s=SHUTDOWN_TIMEOUT_S,
+        shutdown_s=SHUTDOWN_TIMEOUT_S,
     )
     log_event(
         Event.PROCESS_STARTED,
--- a/mimosaworks/serving/__init__.py
+++ b/mimosaworks/serving/__init__.py
@@ -6,9 +6,15 @@
     error_fields,
     error_headers,
 )
-from mimosaworks.serving.serving import serve_app, start_task, stop_event
+from mimosaworks.serving.serving import (
+    PROMPT_SHUTDOWN_S,
+    serve_app,
+    start_task,
+    stop_event,
+)
 
 __all__ = [
+    'PROMPT_SHUTDOWN_S',
     'REQUEST_ID_HEADER',
     'RUN_HEADER',
     'error_fields',
--- a/mimosaworks/serving/serving.py
+++ b/mimosaworks/serving/serving.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 SHUTDOWN_TIMEOUT_S = 10.0
+PROMPT_SHUTDOWN_S = 0.05  # of a server whose requests were seen to their end
 
 
 async def serve_app(
@@ -17,17 +18,18 @@
     stack: contextlib.AsyncExitStack,
     *,
     cancels_on_hang_up: bool = False,
-    shutdown_timeout_s: float = SHUTDOWN_TIMEOUT_S,
+    shutdown_s: float = SHUTDOWN_TIMEOUT_S,
 ) -> web.AppRunner:
     """Serve an application at host:port until the stack is closed.
 
-    cancels_on_hang_up cancels a handler when its caller disconnects. Handlers
-    that run in the end get shutdown_timeout_s seconds.
+    cancels_on_hang_up cancels a handler when its caller disconnects.
+    shutdown_s (above 0) bounds the wait for handlers, and once more for those
+    that were cancelled.
     """
     runner = web.AppRunner(
         app,
         access_log=None,
-        shutdown_timeout=shutdown_timeout_s,
+        shutdown_timeout=shutdown_s,
         handler_cancellation=cancels_on_hang_up,
     )
     await runner.setup()
--- a/standins/agency/world.py
+++ b/standins/agency/world.py
@@ -154,9 +154,9 @@
     @property
     def peer(self) -> str:
         """Where other nodes send their messages."""
-        first = self.boot['internal-ports'][0]
         host = self.boot['ip']
-        return f'{host}:{first}'
+        port, _ = self.boot['internal-ports']
+        return f'{host}:{port}'
 
     @property
     def grace_s(self) -> float:
--- /dev/null
+++ b/tests/test_node_stop.py
@@ -0,0 +1,313 @@
+"""Planned stops of real nodes, with callers that stay until the end."""
+
+import asyncio
+import contextlib
+import signal
+from collections.abc import AsyncIterator, Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from standins.agency.world import (
+    HOST,
+    KEY,
+    AgencyWorld,
+    NodeHandle,
+    desired,
+    open_agency,
+)
+from tests.stop_crowd import Crowd
+from tests.test_node_processes import until, until_served
+
+GRACE_S = 5
+LONG_S = 2 * GRACE_S
+STREAM_S = 1.2
+EVENT_S = 0.02
+SHORT_MS = 1800
+LONG_MS = 20000
+BUSY = 3  # processes, fewer than the cores of any VM that runs this
+Trouble = Callable[[AgencyWorld, NodeHandle], Awaitable[None]]
+
+
+def open_state(version: int) -> dict[str, Any]:
+    """Return a desired state whose routes leave time to their callers."""
+    state = desired(version)
+    for route in state['routes']:
+        route['timeout-ms'] = LONG_MS
+    return state
+
+
+@pytest.fixture
+async def world(tmp_path: Path) -> AsyncIterator[AgencyWorld]:
+    """Targets whose streams are far longer than their stated tokens."""
+    async with open_agency(tmp_path) as opened:
+        opened.bounds['grace-s'] = GRACE_S
+        opened.configure(open_state(2))
+        await opened.add_replica('ledger-1', service='ledger', slots=50)
+        await opened.add_replica(
+            'engine-1',
+            models={'alpha': set()},
+            slots=300,
+            events=round(STREAM_S / EVENT_S),
+            event_s=EVENT_S,
+        )
+        yield opened
+
+
+async def open_nodes(world: AgencyWorld, number: int) -> list[NodeHandle]:
+    nodes = [await world.add_node(f'node-{one}') for one in range(number)]
+    for node in nodes:
+        await until_served(world, node)
+    return nodes
+
+
+def gather_crowd(world: AgencyWorld, node: NodeHandle) -> 'asyncio.Task[Crowd]':
+    """Have callers stay with a node until its process is gone."""
+
+    async def work() -> Crowd:
+        crowd = Crowd(world, node, (SHORT_MS, LONG_MS))
+        await asyncio.gather(
+            crowd.come('/chat/a', 'alpha'),
+            crowd.come('/look/a'),
+            crowd.stay('/chat/a', 'alpha'),
+            crowd.stay('/look/a'),
+        )
+        return crowd
+
+    return asyncio.create_task(work())
+
+
+def head(
+    request_id: str, size: int, deadline_ms: int, extra: str = ''
+) -> bytes:
+    """Return the head of a request; a body of size bytes follows."""
+    path = '/chat/a' if extra else '/look/a'
+    return (
+        f'POST {path} HTTP/1.1\r\nHost: {HOST}\r\n'
+        f'X-Request-Id: {request_id}\r\nX-Deadline: {deadline_ms}\r\n'
+        f'Authorization: Bearer {KEY}\r\nContent-Length: {size}\r\n'
+        f'{extra}\r\n'
+    ).encode()
+
+
+def whole(request_id: str, deadline_ms: int, extra: str = '') -> bytes:
+    """Return a request with its body."""
+    return b''.join((head(request_id, 2, deadline_ms, extra), b'{}'))
+
+
+STREAM = 'X-Model: alpha\r\nX-Token-Counts: 12,20\r\n'
+
+
+async def connect(
+    node: NodeHandle,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    host, _, port = node.front.rpartition(':')
+    return await asyncio.open_connection(host, int(port))
+
+
+async def read_all(reader: asyncio.StreamReader) -> bytes:
+    """Return what comes until the connection is closed or reset."""
+    came = b''
+    with contextlib.suppress(ConnectionError):
+        while chunk := await reader.read(4096):
+            came += chunk
+    return came
+
+
+async def hold_a_stream(world: AgencyWorld, node: NodeHandle) -> None:
+    """Have a stream that is longer than the grace, and don't read it."""
+    world.replicas['engine-1'].events = round(LONG_S / EVENT_S)
+    reader, writer = await connect(node)
+    writer.write(whole('held', LONG_MS, STREAM))
+    await reader.read(1)
+    writer.transport.pause_reading()  # type: ignore[attr-defined]
+    await node.process.wait()
+    writer.transport.abort()
+
+
+async def read_a_stream(world: AgencyWorld, node: NodeHandle) -> None:
+    """Read a stream that is longer than the grace."""
+    world.replicas['engine-1'].events = round(LONG_S / EVENT_S)
+    reader, writer = await connect(node)
+    writer.write(whole('read', LONG_MS, STREAM))
+    await read_all(reader)
+    writer.transport.abort()
+
+
+async def wait_for_an_answer(world: AgencyWorld, node: NodeHandle) -> None:
+    """Wait for a stream whose target does not begin."""
+    world.replicas['engine-1'].models = {}
+    reader, writer = await connect(node)
+    writer.write(whole('waits', LONG_MS, STREAM))
+    await read_all(reader)
+    writer.transport.abort()
+
+
+async def send_slowly(world: AgencyWorld, node: NodeHandle) -> None:
+    """Send a body in pieces that go on for longer than the grace."""
+    _, writer = await connect(node)
+    writer.write(head('slow', 60000, LONG_MS))
+    while node.process.is_running():
+        writer.write(b'x')
+        await asyncio.sleep(0.05)
+    writer.transport.abort()
+
+
+async def keep_asking(world: AgencyWorld, node: NodeHandle) -> None:
+    """Ask all the time, on new and on kept connections."""
+    await gather_crowd(world, node)
+
+
+async def signal_again(world: AgencyWorld, node: NodeHandle) -> None:
+    """Send SIGHUP and SIGTERM, and change the configuration, meanwhile."""
+    stream = asyncio.create_task(read_a_stream(world, node))
+    await until(lambda: bool(node.events('node_stopping')))
+    node.process.child.send_signal(signal.SIGHUP)
+    world.configure(open_state(3))
+    await asyncio.sleep(GRACE_S / 3)
+    node.process.terminate()
+    await stream
+
+
+async def hold_a_peer_conn(world: AgencyWorld, node: NodeHandle) -> None:
+    """Begin a request to each other address of the node, and stay."""
+    addresses = (node.directory, node.ready, node.metrics, node.peer)
+    conns = []
+    for address in addresses:
+        host, _, port = address.rpartition(':')
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b'POST /peer/Beat HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n1'
+        )
+        conns.append(writer)
+    await node.process.wait()
+    for writer in conns:
+        writer.transport.abort()
+
+
+# Guards against a node that waits for its callers without a limit when its
+# grace is over, until it is killed with all that it has.
+@pytest.mark.parametrize(
+    'trouble',
+    [
+        hold_a_stream,
+        read_a_stream,
+        wait_for_an_answer,
+        send_slowly,
+        keep_asking,
+        signal_again,
+        hold_a_peer_conn,
+    ],
+)
+async def test_a_node_is_gone_within_its_grace(
+    world: AgencyWorld, trouble: Trouble
+) -> None:
+    node, _ = await open_nodes(world, 2)
+    task = asyncio.create_task(trouble(world, node))
+    await asyncio.sleep(0.3)
+    assert await node.stop(), 'killed when the grace was over'
+    assert node.events('node_stopped')
+    assert not node.events('node_overdue')
+    assert await node.process.wait() == 0
+    await task
+
+
+async def test_a_node_that_has_just_started_is_gone_within_its_grace(
+    world: AgencyWorld,
+) -> None:
+    node = await world.add_node('node-1')
+    task = asyncio.create_task(keep_asking(world, node))
+    assert await node.stop()
+    assert await node.process.wait() == 0
+    await task
+
+
+# Guards against requests that nobody counts while their body is read: they
+# were neither answered nor closed at a node that stopped.
+async def test_a_request_whose_body_is_read_at_a_stop_is_answered(
+    world: AgencyWorld,
+) -> None:
+    node, _ = await open_nodes(world, 2)
+    reader, writer = await connect(node)
+    writer.write(head('half', 2, LONG_MS))
+    writer.write(b'{')
+    await asyncio.sleep(0.2)
+    stop = asyncio.create_task(node.stop())
+    await until(lambda: bool(node.events('node_stopping')))
+    answer = await read_all(reader)
+    assert answer.startswith(b'HTTP/1.1 503')
+    assert b'Connection: close' in answer
+    assert b'not-run' in answer
+    assert await stop
+    writer.close()
+
+
+# Guards against a node that cuts at its end what it could still answer, and
+# logs it like a caller that left.
+async def test_what_a_node_cuts_at_its_end_is_named_and_is_no_crash(
+    world: AgencyWorld,
+) -> None:
+    node, _ = await open_nodes(world, 2)
+    engine = world.replicas['engine-1']
+    engine.events = round(LONG_S / EVENT_S)
+    reader, writer = await connect(node)
+    writer.write(whole('cut', LONG_MS, STREAM))
+    await until(lambda: 'cut' in engine.runs)
+    assert await node.stop()
+    answer = await read_all(reader)
+    assert not answer.endswith(b'0\r\n\r\n')
+    assert node.events('node_stopped')[0]['cut'] == 1
+    abandoned = node.events('call_abandoned')
+    assert [line['outcome'] for line in abandoned] == ['node_stopped']
+    assert not node.events('target_end_seen')
+    writer.close()
+
+
+# Guards against a request at a target that gets no answer at all when its
+# node ends, though it can be told that it may have run.
+async def test_a_request_at_a_target_is_answered_when_its_node_ends(
+    world: AgencyWorld,
+) -> None:
+    node, _ = await open_nodes(world, 2)
+    ledger = world.replicas['ledger-1']
+    ledger.first_s = LONG_S
+    reader, writer = await connect(node)
+    writer.write(whole('late', LONG_MS))
+    await until(lambda: 'late' in ledger.runs)
+    assert await node.stop()
+    answer = await read_all(reader)
+    assert answer.startswith(b'HTTP/1.1 502')
+    assert b'may-have-run' in answer
+    writer.close()
+
+
+async def test_a_node_that_will_be_killed_says_so(world: AgencyWorld) -> None:
+    node, _ = await open_nodes(world, 2)
+    node.process.terminate()
+    await until(lambda: bool(node.events('node_stopping')))
+    node.process.pause()
+    await asyncio.sleep(GRACE_S)
+    node.process.resume()
+    await until(lambda: bool(node.events('node_overdue')))
+
+
+# Guards against an answer that is lost when a connection is closed while
+# bytes of its request are still unread.
+async def test_an_early_answer_arrives_though_its_caller_still_sends(
+    world: AgencyWorld,
+) -> None:
+    node, _ = await open_nodes(world, 2)
+    reader, writer = await connect(node)
+    gone = head('gone', 60000, LONG_MS).replace(b'/look/a', b'/none/a')
+    stop = asyncio.create_task(node.stop())
+    await until(lambda: bool(node.events('node_stopping')))
+    writer.write(gone)
+    for _ in range(60):
+        writer.write(b'x' * 1000)
+        await asyncio.sleep(0.01)
+    answer = await read_all(reader)
+    assert answer.startswith(b'HTTP/1.1 404')
+    assert answer.endswith(b'}}')
+    assert await stop
+    writer.close()
