A router that stops tells each stream's caller that the connection closes

What callers saw: a stream during a stop didn't carry Connection: close, but its connection was closed behind it; a request sent on it next was neither answered nor refused.

Cause: force_close was called when the handler had returned, after a stream's header fields had left.

Change: the field is set for every answer whose head is sent during the stop. A connection whose stream began before stays open for one more request, and the router waits 0.2 s for such requests before it closes its server.

--- a/mimosaworks/router/drain.py
+++ b/mimosaworks/router/drain.py
@@ -5,7 +5,7 @@
 from collections.abc import Generator
 
 import attrs
-from aiohttp import web
+from aiohttp import hdrs, web
 
 from mimosaworks.relay import Frontend
 
@@ -37,8 +37,6 @@
                 resp = self.frontend.refuse_at_stop()
             else:
                 resp = await self.frontend.handle(req)
-            if self.is_draining:
-                resp.force_close()
             with contextlib.suppress(ConnectionError):
                 await resp.prepare(req)
                 await resp.write_eof()
@@ -46,6 +44,17 @@
                 await _read_rest(req)
         return resp
 
+    async def on_prepare(
+        self, _req: web.Request, resp: web.StreamResponse
+    ) -> None:
+        """Tell the caller of each answer, streams too, to connect elsewhere.
+
+        A connection whose stream began before takes one more request.
+        """
+        if self.is_draining:
+            resp.headers[hdrs.CONNECTION] = 'close'
+            resp.force_close()
+
     async def wait_idle(self, until_s: float) -> None:
         """Return when no request runs, or at a time of the event loop."""
         with contextlib.suppress(TimeoutError):
--- a/mimosaworks/router/program.py
+++ b/mimosaworks/router/program.py
@@ -281,4 +281,5 @@
         cfg.directory_max_age_s,
     )
     app.router.add_route('*', '/{path:.*}', requests.handle)
+    app.on_response_prepare.append(requests.on_prepare)
     return app
--- a/mimosaworks/router/stop.py
+++ b/mimosaworks/router/stop.py
@@ -14,6 +14,7 @@
 # The last parts of drain_s, in which requests are cut and tasks end.
 CUT_SHARE = 0.9
 ABORT_SHARE = 0.95
+LAST_CALLS_S = 0.2
 
 
 @attrs.frozen
@@ -39,7 +40,11 @@
             await self.members.set_state(MemberState.DRAINING)
         await asyncio.sleep(self.max_age_s)
         self.requests.is_closed = True
-        await self._wait_idle(served_until_s + self.drain_s * CUT_SHARE)
+        cut_s = served_until_s + self.drain_s * CUT_SHARE
+        await self._wait_idle(cut_s)
+        # Callers whose connection was kept may just send their next request.
+        await asyncio.sleep(LAST_CALLS_S)
+        await self._wait_idle(cut_s)
         self._cut()
         await self._wait_idle(served_until_s + self.drain_s * ABORT_SHARE)
         self.requests.abort()
--- a/tests/test_router_stop_bound.py
+++ b/tests/test_router_stop_bound.py
@@ -60,17 +60,20 @@
     reader, writer = await asyncio.open_connection(
         *split_address(entry.router.address)
     )
-    size = length or len(body)
-    head = (
+    writer.write(_head(path, length or len(body)))
+    writer.write(body)
+    return reader, writer
+
+
+def _head(path: str, length: int) -> bytes:
+    lines = (
         f'POST {path} HTTP/1.1',
         'Host: x',
         f'Authorization: Bearer {CALLER_KEY}',
-        f'Content-Length: {size}',
+        f'Content-Length: {length}',
         '\r\n',
     )
-    writer.write('\r\n'.join(head).encode())
-    writer.write(body)
-    return reader, writer
+    return '\r\n'.join(lines).encode()
 
 
 @contextlib.asynccontextmanager
@@ -198,3 +201,42 @@
     assert last[0] == 'event: error'
     error = json.loads(last[1].removeprefix('data: '))['error']
     assert (error['code'], error['run']) == ('stopping', 'may-have-run')
+
+
+# Guards against requests lost on a kept connection: the answer of a stream
+# didn't tell that the router closes it.
+async def test_a_stream_begun_during_a_stop_tells_that_its_connection_closes(
+    stoppable: Entry,
+) -> None:
+    await stoppable.add_engine('e1')
+    await stoppable.open()
+    stoppable.router.process.terminate()
+    await asyncio.sleep(AGE_S / 2)
+    answer = await stoppable.call(CHAT, chat('x', stream=True))
+    assert answer.body.endswith(b'data: [DONE]\n\n')
+    assert answer.headers['Connection'] == 'close'
+
+
+# Guards against requests lost on a kept connection: it was closed after a
+# stream that hadn't told so.
+async def test_a_request_behind_a_stream_that_a_stop_found_is_answered(
+    stoppable: Entry,
+) -> None:
+    await stoppable.add_engine('e1', '--step-s=0.05')
+    await stoppable.add_service('s1')
+    await stoppable.open()
+    body = json.dumps(chat('x', stream=True, max_tokens=20)).encode()
+    reader, writer = await _send(stoppable, CHAT, body)
+    async with asyncio.timeout(STOP_S):
+        first = await reader.readuntil(b'\r\n\r\n')
+        stoppable.router.process.terminate()
+        await reader.readuntil(b'\r\n0\r\n\r\n')
+        await asyncio.sleep(PERIOD_S)
+        writer.write(_head(PLOTS, 0))
+        rest = await reader.read()
+    writer.close()
+    assert b'Connection: close' not in first
+    _, _, second = rest.partition(b'HTTP/1.1 ')
+    # It came in time, or was told that it came too late.
+    assert second[:3] in {b'200', b'503'}
+    assert b'Connection: close' in second
