A router's terminal that is closed stops it as planned, also during a stop

What callers saw: SIGHUP ended a router at once, with all that ran there; so did SIGTERM between its first served request and the line before the wait.

Cause: SIGHUP wasn't handled, and a router handled the other signals only once it served.

Change: SIGHUP is a planned stop for router, placer and admin, and the router handles signals from its start. mimosa-node goes on to read its settings again.

Evidence: two tests failed before with ServerDisconnectedError. That a second SIGTERM cuts nothing was so already; its test passed before.

--- a/mimosaworks/router/program.py
+++ b/mimosaworks/router/program.py
@@ -1,5 +1,6 @@
 """Composition root of mimosa-router."""
 
+import asyncio
 import contextlib
 import random
 
@@ -65,7 +66,7 @@
     """Serve until SIGTERM or SIGINT, then drain without cutting a request."""
     start_logging()
     async with contextlib.AsyncExitStack() as stack:
-        await _serve(cfg, stack)
+        await _serve(cfg, stack, stop_event())
     log_event(Event.PROCESS_STOPPED, program=PROGRAM)
 
 
@@ -94,7 +95,11 @@
         start_task(send_gauges(self.members, self.dispatcher), stack)
 
 
-async def _serve(cfg: RouterSettings, stack: contextlib.AsyncExitStack) -> None:
+async def _serve(
+    cfg: RouterSettings,
+    stack: contextlib.AsyncExitStack,
+    stopping: asyncio.Event,
+) -> None:
     session = await stack.enter_async_context(ClientSession())
     peer_app = new_peer_app()
     metrics = stack.enter_context(open_metrics(cfg.statsd_address, PROGRAM))
@@ -121,7 +126,7 @@
         http_address=cfg.http_address,
         peer_address=cfg.peer_address,
     )
-    await stop_event().wait()
+    await stopping.wait()
     stop = Stop(
         PROGRAM,
         router.members,
--- a/mimosaworks/serving/serving.py
+++ b/mimosaworks/serving/serving.py
@@ -40,10 +40,13 @@
 
 
 def stop_event() -> asyncio.Event:
-    """Return an event that SIGTERM and SIGINT set."""
+    """Return an event that SIGTERM, SIGINT and SIGHUP set.
+
+    A program that reads its settings again on SIGHUP handles that itself.
+    """
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         loop.add_signal_handler(number, stopping.set)
     return stopping
 
--- a/tests/test_router_stop_bound.py
+++ b/tests/test_router_stop_bound.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import json
+import signal
 from collections import Counter
 from collections.abc import AsyncGenerator, AsyncIterator
 from http import HTTPStatus
@@ -21,6 +22,7 @@
     CHAT,
     PLOTS,
     ROUTER_FLAGS,
+    Answer,
     Entry,
     chat,
 )
@@ -53,6 +55,19 @@
         assert await entry.router.process.wait() == 0
 
 
+async def _running_call(
+    entry: Entry, headers: dict[str, str]
+) -> 'asyncio.Task[Answer]':
+    """Return a call of the service that has begun to run."""
+    call = asyncio.create_task(entry.call(PLOTS, b'x', headers=headers))
+
+    async def is_running() -> bool:
+        return len(entry.runs()) == 1
+
+    await wait_until(is_running)
+    return call
+
+
 async def _send(
     entry: Entry, path: str, body: bytes = b'', length: int = 0
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -172,12 +187,7 @@
     await stoppable.add_service('s1')
     await stoppable.open()
     headers = {'X-Sleep-S': str(ENDLESS_S), 'Mimosa-Deadline-S': '100', **claim}
-    call = asyncio.create_task(stoppable.call(PLOTS, b'x', headers=headers))
-
-    async def is_running() -> bool:
-        return len(stoppable.runs()) == 1
-
-    await wait_until(is_running)
+    call = await _running_call(stoppable, headers)
     await _stop(stoppable)
     answer = await call
     assert answer.status == HTTPStatus.SERVICE_UNAVAILABLE
@@ -240,3 +250,30 @@
     # It came in time, or was told that it came too late.
     assert second[:3] in {b'200', b'503'}
     assert b'Connection: close' in second
+
+
+# Guards against requests cut by a second signal during a stop.
+@pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGHUP])
+async def test_a_second_signal_cuts_no_request_of_a_stop(
+    stoppable: Entry, number: signal.Signals
+) -> None:
+    await stoppable.add_service('s1')
+    await stoppable.open()
+    call = await _running_call(stoppable, {'X-Sleep-S': '1'})
+    stopping = asyncio.create_task(_stop(stoppable))
+    await asyncio.sleep(AGE_S / 2)
+    stoppable.router.process.child.send_signal(number)
+    answer = await call
+    assert answer.status == HTTPStatus.OK
+    await stopping
+
+
+# Guards against requests cut when a router's terminal is closed.
+async def test_a_hang_up_stops_a_router_as_planned(stoppable: Entry) -> None:
+    await stoppable.add_service('s1')
+    await stoppable.open()
+    call = await _running_call(stoppable, {'X-Sleep-S': '1'})
+    stoppable.router.process.child.send_signal(signal.SIGHUP)
+    answer = await call
+    assert answer.status == HTTPStatus.OK
+    assert await stoppable.router.process.wait() == 0
