A malformed head of a request is refused instead of failing in the node

What callers saw: 500 without a reason for a head with an estimate that is infinite, with counts that are negative or have too many digits, or with a model's name that is no UTF-8, as the node could not tell the holder of it.

Cause: such numbers and texts have no room in a message between nodes; the error of the encoder is no ValueError and was expected nowhere, neither by the ask nor by the beat, which names running requests.

Change: heads that are no UTF-8 and counts out of range are refused with 400, an estimate is bounded, an encoder that finds no room raises ValueError, and a reply that can't be decoded is an error of the peer.

Directory, readiness and metrics answered no head with 500 before either.

--- a/mimosaworks/node/admission.py
+++ b/mimosaworks/node/admission.py
@@ -41,6 +41,7 @@
             'this node knows no deployment yet',
             retry_after_s=NO_DEPLOYMENT_RETRY_S,
         )
+    _check_text(req)
     route = _find_route(req, deployment)
     grant = _find_grant(req, route, deployment)
     facts, left_s = _read_fields(req)
@@ -101,6 +102,17 @@
     return b''.join(chunks)
 
 
+def _check_text(req: web.BaseRequest) -> None:
+    """Raise RequestError for a head that can't be sent on as it came."""
+    for sent in (req.raw_path, *req.headers.values()):
+        try:
+            sent.encode()
+        except UnicodeEncodeError as exc:
+            raise RequestError(
+                ErrorKind.BAD_REQUEST, f'the head must be UTF-8: {exc}'
+            ) from exc
+
+
 def _find_route(req: web.BaseRequest, deployment: Deployment) -> ServiceRoute:
     host, _, _ = req.headers.get('Host', '').partition(':')
     path, _, _ = req.raw_path.partition('?')
--- a/mimosaworks/platform/fields.py
+++ b/mimosaworks/platform/fields.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 Fields = Mapping[str, Any]
+MAX_COUNT = 1000000000  # so that the sum of some has 32 bits
 WHOLE_BITS = 63  # of a whole number, beside its sign
 
 
@@ -61,6 +62,17 @@
     return found
 
 
+def read_count(name: str, sent: str) -> int:
+    """Return a number that is spelled out, of something in a request.
+
+    Raises ValueError naming the field.
+    """
+    found = int(sent)
+    if not 0 <= found <= MAX_COUNT:
+        raise ValueError(f'{name} must hold 0 to {MAX_COUNT}')
+    return found
+
+
 def flag(fields: Fields, name: str, *, default: bool | None = None) -> bool:
     """Return a field that must be true or false, or the default.
 
--- a/mimosaworks/platform/headers.py
+++ b/mimosaworks/platform/headers.py
@@ -7,6 +7,7 @@
 
 from mimosaworks.deployment import CallFacts, PromptPart
 from mimosaworks.platform.boot import MS_PER_S
+from mimosaworks.platform.fields import MAX_COUNT, read_count
 
 REQUEST_ID = 'X-Request-Id'
 MODEL = 'X-Model'
@@ -165,11 +166,14 @@
     tokens_in, separator, tokens_out = sent.partition(',')
     if not separator:
         raise ValueError(f'{TOKENS} must hold two numbers')
-    return (int(tokens_in), int(tokens_out))
+    return (read_count(TOKENS, tokens_in), read_count(TOKENS, tokens_out))
 
 
 def _read_hint(sent: str | None) -> int:
-    return 0 if sent is None else int(float(sent))
+    if sent is None:
+        return 0
+    # It is an estimate: one that is far off refuses no request.
+    return int(min(max(float(sent), 0), MAX_COUNT))
 
 
 def _read_parts(sent: str | None) -> tuple[PromptPart, ...]:
@@ -182,4 +186,4 @@
     part, separator, tokens = sent.strip().rpartition(':')
     if not separator:
         raise ValueError(f'{PREFIX} must hold pairs of id and tokens')
-    return PromptPart(part, int(tokens))
+    return PromptPart(part, read_count(PREFIX, tokens))
--- a/mimosaworks/wire/codec.py
+++ b/mimosaworks/wire/codec.py
@@ -36,10 +36,16 @@
 
 
 def encode(message: object) -> bytes:
-    """Return the bytes of the schema's struct named like message's class."""
-    struct = _struct(type(message).__name__)
+    """Return the bytes of the schema's struct named like message's class.
+
+    Raises ValueError when a field has no room for what it holds.
+    """
+    name = type(message).__name__
     fields = _converter().unstructure(message)
-    packed: bytes = struct.new_message(**fields).to_bytes_packed()
+    try:
+        packed: bytes = _struct(name).new_message(**fields).to_bytes_packed()
+    except (capnp.KjException, OverflowError) as exc:
+        raise ValueError(f'the {name} can not be sent: {exc}') from exc
     return packed
 
 
--- a/mimosaworks/wire/peer_client.py
+++ b/mimosaworks/wire/peer_client.py
@@ -43,7 +43,10 @@
             raise PeerTimeoutError(f'{address}: no answer') from exc
         except aiohttp.ClientError as exc:
             raise PeerError(f'{address}: {exc!r}') from exc
-        return decode(reply_type, packed)
+        try:
+            return decode(reply_type, packed)
+        except ValueError as exc:
+            raise PeerError(f'{address}: {exc}') from exc
 
 
 def _connection_error(
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -13,6 +13,7 @@
 from mimosaworks.deployment import Repeat
 from mimosaworks.errors import SettingError
 from mimosaworks.platform import decode_desired, decode_entry, read_boot
+from mimosaworks.platform.fields import MAX_COUNT
 from mimosaworks.platform.headers import (
     read_facts,
     read_key,
@@ -210,6 +211,10 @@
         {'X-Token-Counts': '7'},
         {'X-Token-Counts': 'a,b'},
         {'X-Prompt-Prefix': 'aa'},
+        {'X-Prompt-Prefix': 'aa:4294967296'},
+        {'X-Token-Counts': '-5,10'},
+        {'X-Token-Counts': '10,4294967296'},
+        {'X-Length-Hint': 'nan'},
     ],
 )
 def test_a_malformed_size_is_refused(headers: dict[str, str]) -> None:
@@ -217,6 +222,13 @@
         read_facts(headers)
 
 
+@pytest.mark.parametrize(('sent', 'hint'), [('-1', 0), ('inf', MAX_COUNT)])
+def test_an_estimate_that_is_far_off_refuses_nothing(
+    sent: str, hint: int
+) -> None:
+    assert read_facts({'X-Length-Hint': sent}).tokens_hint == hint
+
+
 def test_times_and_keys_are_read() -> None:
     assert read_time_left_s({'X-Deadline': '2000'}) == 2
     assert read_time_left_s({}) is None
--- a/tests/test_wire_codec.py
+++ b/tests/test_wire_codec.py
@@ -95,6 +95,14 @@
             decode(kind, packed)
 
 
+# Guards against a number that ends what sends the message.
+@pytest.mark.parametrize('tokens', [-1, 10**30])
+def test_a_number_without_room_is_a_value_error(tokens: int) -> None:
+    models = (ModelDemand('m', waiting_tokens=tokens),)
+    with pytest.raises(ValueError, match='Demand'):
+        encode(Demand('r', models))
+
+
 # Guards against a text that was not sent and a KeyError that nobody expects.
 def test_a_message_of_another_kind_is_a_value_error() -> None:
     with pytest.raises(ValueError, match='not a LeaseNotice'):
