A lease that can't be read no longer ends all nodes

What others would see: a row of the lease that is no JSON, lacks a field or has one more, as a later version of the program may write, ends the election of each node that reads it, and with it the process.

Cause: the row's fields were the arguments of a class, unchecked.

Change: the fields that are known are read by name; a row that can't be read is logged (lease_ignored) and counts as given back, so that it is taken with the version that it has. Fences go on to grow, as they are store versions.

--- a/mimosaworks/node/election.py
+++ b/mimosaworks/node/election.py
@@ -23,6 +23,7 @@
     StoreClient,
     StoredRow,
 )
+from mimosaworks.platform.fields import parse_table, text, whole
 
 LEASE_ROW = RowName('mimosaworks', 'dispatch-lease')
 LEASE_S = 1.5  # three renewals; fences guard the targets beyond it
@@ -330,6 +331,25 @@
 def _lease_in(rows: 'object') -> Lease | None:
     for row in rows:  # type: ignore[attr-defined]
         if isinstance(row, StoredRow) and row.content is not None:
-            fields = json.loads(row.content)
-            return Lease(**fields, version=row.version)
+            return _decode_lease(row.version, row.content)
     return None
+
+
+def _decode_lease(version: int, content: bytes) -> Lease:
+    """Return the lease of a row; a free one if it can't be read.
+
+    Fields that are not known are left to later versions of the program.
+    """
+    try:
+        fields = parse_table(content)
+        return Lease(
+            holder=text(fields, 'holder'),
+            address=text(fields, 'address'),
+            nonce=text(fields, 'nonce'),
+            fence=whole(fields, 'fence'),
+            members=whole(fields, 'members', 0),
+            version=version,
+        )
+    except ValueError as exc:
+        log_event(Event.LEASE_IGNORED, row=version, reason=str(exc))
+        return Lease('', '', '', fence=version, version=version)
--- a/tests/test_node_election.py
+++ b/tests/test_node_election.py
@@ -307,3 +307,16 @@
     turn(make(store, 'a'))
     turn(make(store, 'b', on_rows=seen.append))
     assert [row.name for row in seen[0]] == [LEASE_ROW]
+
+
+# Guards against a later version of the program that ends all earlier nodes.
+def test_a_lease_with_an_unknown_field_is_its_holders(clock: Clock) -> None:
+    store = MemoryStore()
+    first, second = make(store, 'a'), make(store, 'b')
+    turn(first)
+    assert store.content is not None
+    store.content = store.content.replace(b'{', b'{"more": [1], ', 1)
+    turn(second)
+    assert not second.is_holder
+    assert second.lease is not None
+    assert second.lease.holder == 'a'
