An answer that turns malformed midway ends at once

What callers saw: a stream whose target sent bytes that are no chunk stopped and was broken off at the route's time limit only (4 s in the test), though it may be resumed and another target had its model.

Cause: the client library closes the connection and gives the error to those who wait for the next head; the body that is being read gets neither an error nor an end.

Change: the handler of the connections gives the body the error, unless it is whole, and aborts the connection, also where the request's body isn't sent yet.

Evidence: before, the two cases with a malformed chunk failed (the caller's answer incomplete after 4 s), the too large event and the end of one direction passed. After it the stream goes on elsewhere in all four, and the first target has heard so by 0.4 s after the request arrived there.

--- a/mimosaworks/bounded_answers.py
+++ b/mimosaworks/bounded_answers.py
@@ -11,6 +11,7 @@
 import attrs
 from aiohttp.client_reqrep import ConnectionKey
 from aiohttp.connector import Connection
+from aiohttp.http_exceptions import HttpProcessingError
 
 from mimosaworks.events import Event, log_event
 from mimosaworks.kept_connections import KeptHandler
@@ -96,17 +97,20 @@
     def data_received(self, data: bytes) -> None:
         """Close the connection when too much has come."""
         self._size += len(data)
-        if self._size <= HEAD_BYTES:
-            super().data_received(data)
-            return
         body = self._payload
         super().data_received(data)
-        if self._size > self._most:
-            self._cut(body or self._payload)
-
-    def _cut(self, body: aiohttp.StreamReader | None) -> None:
-        exc = OversizedError(self._size, self._most)
-        self.set_exception(exc)
+        if self._size > HEAD_BYTES and self._size > self._most:
+            exc = OversizedError(self._size, self._most)
+            self.set_exception(exc)
+            self._cut(body or self._payload, exc)
+        elif isinstance(self.exception(), HttpProcessingError):
+            # The base tells those who wait for a head, not for the body.
+            rest = None if body is None or body.is_eof() else body
+            self._cut(rest, aiohttp.ClientPayloadError(f'{self.exception()!r}'))
+
+    def _cut(
+        self, body: aiohttp.StreamReader | None, exc: aiohttp.ClientError
+    ) -> None:
         if body is not None:
             body.set_exception(exc)
         if self.transport is not None:
