A cut answer says why, also to one who is not waiting for its bytes

What was seen: once beside load, test_an_answer_without_end_is_cut (chunks, /chat/x) found no answer_cut, the answer counted as broken off by its target.

Cause: the end of the connection that the cut brings gives the body another error, which replaces the first where the reader is busy with its caller.

Change: the handler leaves the body alone once it was cut.

Evidence: the new test reads after the cut; it got ClientPayloadError before, OversizedError after. The failure itself was seen once, not in 26 further runs of the case on the code before.

--- a/mimosaworks/bounded_answers.py
+++ b/mimosaworks/bounded_answers.py
@@ -113,6 +113,8 @@
     ) -> None:
         if body is not None:
             body.set_exception(exc)
+        # The end of the connection would replace the reason.
+        self._payload = None
         if self.transport is not None:
             self.transport.abort()
 
--- a/tests/test_bounded_answers.py
+++ b/tests/test_bounded_answers.py
@@ -23,6 +23,7 @@
 from standins.agency.endless import ANSWERS, EndlessTarget
 from standins.agency.replica import Replica
 from standins.agency.world import AgencyWorld, open_agency
+from tests.test_node_processes import until
 
 MOST = 2 * HEAD_BYTES
 LARGE = 20000000
@@ -76,6 +77,22 @@
                 await read_bounded(resp, 999)
 
 
+# Guards against an answer that is cut while nobody waits for its bytes and that
+# then looks like one that its target broke off.
+async def test_a_cut_answer_tells_so_to_a_slow_reader(
+    world: AgencyWorld,
+) -> None:
+    target = EndlessTarget('chunks')
+    await target.open(world.stack)
+    async with (
+        open_bounded(MOST) as session,
+        session.get(f'http://{target.address}/', read_bufsize=MOST) as resp,
+    ):
+        await until(lambda: target.closed > 0)
+        with pytest.raises(OversizedError):
+            await resp.read()
+
+
 @pytest.mark.parametrize('kind', sorted(ANSWERS))
 async def test_reports_and_orders_without_end_are_cut(
     world: AgencyWorld, kind: str
