The soak does planned work under callers that stay, and looks for lost requests

What the soak missed: nothing killed a node at its grace; streams lasted 25 ms; a request without a whole answer was no fault; callers opened a node at random each time; no target sent more than its answers; all plain answers were alike.

Broken is a process that still runs at the end of its grace, and a request that was read and got no whole answer around a SIGTERM, unless its node, the store or its target was disturbed, its time was over, or it was sent within 3 s of the SIGTERM and cut in the last sixth of the grace. More than three such at other times are broken too.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -4,8 +4,9 @@
 import contextlib
 import random
 import tempfile
-from collections.abc import Iterator
+from collections.abc import Callable, Coroutine, Iterator
 from pathlib import Path
+from typing import Protocol
 
 import attrs
 
@@ -13,6 +14,7 @@
 from bench.soak_faults import SoakFaults
 from bench.soak_limits import SoakLimits, broken_limits
 from bench.soak_load import OK, Seen, SoakLoad, broken_promises
+from bench.soak_lost import broken_stops
 from bench.soak_notices import SoakNotices, broken_notices
 from standins.agency.world import MODELS, AgencyWorld, open_agency
 
@@ -23,6 +25,15 @@
 PROBES = 20
 
 
+class Striker(Protocol):
+    """Injects one fault after the other."""
+
+    rng: random.Random
+
+    async def strike(self) -> None:
+        """Inject one and undo it."""
+
+
 @attrs.frozen
 class SoakResult:
     """What one seed showed; broken is empty when all promises held.
@@ -39,10 +50,13 @@
     broken: tuple[str, ...]
 
 
+SoakRun = Callable[[int, Path], Coroutine[None, None, SoakResult]]
+
+
 async def run_soak(seed: int, duration_s: float, folder: Path) -> SoakResult:
     """Run one seed for duration_s seconds of faults."""
     async with open_agency(folder) as world:
-        await _populate(world)
+        await populate(world, NODES)
         load = SoakLoad(world, random.Random(seed + 1))
         crashes = SoakCrashes(
             world, random.Random(seed + 3), is_bare=seed % 2 == 0
@@ -51,12 +65,10 @@
         crashing = asyncio.create_task(crashes.run())
         faults = await _strike_and_notify(world, seed, duration_s)
         await asyncio.sleep(SETTLE_S)
-        await _cancel(calling)
-        await _cancel(crashing)
+        await cancel(calling)
+        await cancel(crashing)
         await load.finish()
-        before = len(load.seen)
-        await asyncio.gather(*(load.call() for _ in range(PROBES)))
-        after = load.seen[before:]
+        after = await probe(load)
         return SoakResult(
             seed=seed,
             requests=len(load.seen),
@@ -65,32 +77,46 @@
             crashed=len(world.crashed_s),
             faults=tuple(faults.history),
             broken=(
-                *_find_broken(world, load, crashes, after),
+                *_find_broken(world, load, crashes),
                 *broken_counts(crashes, faults, after),
+                *broken_stops(world, load, faults.spans),
+                *broken_recovery(after),
             ),
         )
 
 
-def run_seeds(seeds: list[int], duration_s: float) -> Iterator[SoakResult]:
-    """Run seeds one after the other; folders of failed ones are kept."""
+def run_seeds(seeds: list[int], run: SoakRun) -> Iterator[SoakResult]:
+    """Run seeds one after the other; the folders with the logs are kept."""
     for seed in seeds:
         folder = Path(tempfile.mkdtemp(prefix=f'mimosa-soak-{seed}-'))
-        yield asyncio.run(run_soak(seed, duration_s, folder))
+        yield asyncio.run(run(seed, folder))
+
+
+async def probe(load: SoakLoad) -> list[Seen]:
+    """Return what the last requests got, after all faults."""
+    before = len(load.seen)
+    await asyncio.gather(*(load.call() for _ in range(PROBES)))
+    return load.seen[before:]
+
+
+def broken_recovery(after: list[Seen]) -> Iterator[str]:
+    """Return whether too few of the last requests are served."""
+    recovered = sum(one.status == OK for one in after)
+    if recovered < PROBES / 2:
+        yield f'{recovered} of {PROBES} are served after the faults'
 
 
 def _find_broken(
-    world: AgencyWorld, load: SoakLoad, crashes: SoakCrashes, after: list[Seen]
+    world: AgencyWorld, load: SoakLoad, crashes: SoakCrashes
 ) -> Iterator[str]:
-    """Yield the promises that were broken; after are the last requests."""
+    """Yield the promises that were broken."""
     yield from broken_promises(world, load.seen + crashes.seen)
     yield from broken_notices(world, load.sent)
     yield from broken_limits(world, load)
-    recovered = sum(one.status == OK for one in after)
-    if recovered < PROBES / 2:
-        yield f'{recovered} of {PROBES} are served after the faults'
 
 
-async def _cancel(task: 'asyncio.Task[None]') -> None:
+async def cancel(task: 'asyncio.Task[None]') -> None:
+    """Cancel a task and wait until it has ended."""
     task.cancel()
     with contextlib.suppress(asyncio.CancelledError):
         await task
@@ -107,12 +133,13 @@
         asyncio.create_task(notices.run()),
         asyncio.create_task(limits.run()),
     ]
-    await _strike(faults, duration_s)
-    await asyncio.gather(*map(_cancel, tasks))
+    await strike(faults, duration_s)
+    await asyncio.gather(*map(cancel, tasks))
     return faults
 
 
-async def _populate(world: AgencyWorld) -> None:
+async def populate(world: AgencyWorld, count: int) -> None:
+    """Start the targets and so many nodes."""
     engines = (
         world.add_replica(f'engine-{model}', models={model: set()})
         for model in MODELS
@@ -122,15 +149,20 @@
         for number in range(LEDGERS)
     )
     await asyncio.gather(*engines, *ledgers)
-    nodes = (world.add_node(f'node-{number}') for number in range(NODES))
+    nodes = (world.add_node(f'node-{number}') for number in range(count))
     await asyncio.gather(*nodes)
 
 
-async def _strike(faults: SoakFaults, duration_s: float) -> None:
+async def strike(
+    striker: Striker,
+    duration_s: float,
+    pause_s: tuple[float, float] = PAUSE_S,
+) -> None:
+    """Inject faults with pauses of random lengths, then wait for their ends."""
     loop = asyncio.get_running_loop()
     end_s = loop.time() + duration_s
     tasks = []
     while loop.time() < end_s:
-        tasks.append(asyncio.create_task(faults.strike()))
-        await asyncio.sleep(faults.rng.uniform(*PAUSE_S))
+        tasks.append(asyncio.create_task(striker.strike()))
+        await asyncio.sleep(striker.rng.uniform(*pause_s))
     await asyncio.gather(*tasks)
--- a/bench/soak_crashes.py
+++ b/bench/soak_crashes.py
@@ -89,7 +89,9 @@
             world.crashed_s, world.crashed_by, strict=True
         )
         if at_s > late_s
-        and faults.are_calm(crashes.nodes[request_id], at_s - CONTACT_S, at_s)
+        and faults.spans.are_calm(
+            crashes.nodes[request_id], at_s - CONTACT_S, at_s
+        )
     ]
     if len(late) > ALLOWED:
         yield f'targets crashed long after the third one: {late}'
--- a/bench/soak_load.py
+++ b/bench/soak_load.py
@@ -10,10 +10,11 @@
 import aiohttp
 import attrs
 
-from standins.agency.replica import EVENTS
-from standins.agency.world import MODELS, AgencyWorld
+from standins.agency.replica import EVENTS, PLAIN, event_text
+from standins.agency.world import MODELS, AgencyWorld, NodeHandle
 
 PAUSE_S = 0.02
+LIMIT_S = 4.0  # the deadline of a request
 ONCE = ('/post/', '/chat/')  # requests that must not be repeated
 STREAMS = ('/chat/', '/draft/')
 NOT_RUN = frozenset((408, 421, 429, 503))
@@ -22,20 +23,43 @@
 
 @attrs.frozen
 class Seen:
-    """One answer as a caller saw it; status 0 for a broken one."""
+    """One answer as a caller saw it; status 0 for a broken one.
+
+    The answer is to repeat what the request said, in as many events.
+    """
 
     request_id: str
     path: str
     status: int
     body: bytes = b''
+    said: bytes = b''
+    events: int = EVENTS
+    ended_s: float = attrs.field(factory=time.monotonic)
+
+    def is_whole(self) -> bool:
+        """Return whether the body is all of the request's own answer."""
+        if self.path not in STREAMS:
+            return self.body == (self.said or PLAIN)
+        numbers = range(1, self.events + 1)
+        texts = (event_text(number, self.said) for number in numbers)
+        return self.body == b''.join(texts)
 
 
 @attrs.frozen
 class Sent:
-    """When a request was sent, to which process of a node."""
+    """When a request was sent, to which process of a node.
+
+    limit_s is the time in which its answer has to end.
+    """
 
     node: tuple[str, int]
     at_s: float
+    limit_s: float = LIMIT_S
+
+
+def place_of(node: NodeHandle) -> tuple[str, int]:
+    """Return the name and the process id of a node."""
+    return (node.process.name, node.process.pid)
 
 
 @attrs.define(eq=False)
@@ -74,8 +98,7 @@
             extra['X_Model'] = f'{model}{adapter}'
             extra['X_Token_Counts'] = '500,20'
         node = self.rng.choice(self.world.nodes)
-        place = (node.process.name, node.process.child.pid)
-        self.sent[request_id] = Sent(place, time.monotonic())
+        self.sent[request_id] = Sent(place_of(node), time.monotonic())
         try:
             async with self.world.request(
                 node, path, request_id, **extra
@@ -114,12 +137,5 @@
         yield f'{one.request_id} {one.path} ran {runs} times'
     if one.status in NOT_RUN and runs and one.path in ONCE:
         yield f'{one.request_id} {one.path} was said not to have run'
-    if one.status == OK and not _is_whole(one):
+    if one.status == OK and not one.is_whole():
         yield f'{one.request_id} {one.path} has a wrong body: {one.body!r}'
-
-
-def _is_whole(one: Seen) -> bool:
-    if one.path not in STREAMS:
-        return one.body == b'plain answer'
-    ids = [line for line in one.body.split(b'\n') if line.startswith(b'id: ')]
-    return ids == [b'id: %d' % number for number in range(1, EVENTS + 1)]
