--- a/bench/soak_crashes.py
+++ b/bench/soak_crashes.py
@@ -95,6 +95,11 @@
     ]
     if len(late) > ALLOWED:
         yield f'targets crashed long after the third one: {late}'
+    yield from refused_bystanders(bystanders)
+
+
+def refused_bystanders(bystanders: list[Seen]) -> Iterator[str]:
+    """Return whether requests that crash nothing are refused as if they did."""
     refused = [one.request_id for one in bystanders if SUSPECT in one.body]
     if refused:
         yield f'other requests are refused as if they crash targets: {refused}'
--- a/bench/soak_planned.py
+++ b/bench/soak_planned.py
@@ -17,6 +17,7 @@
     strike,
 )
 from bench.soak_callers import EVENT_S, SoakCaller
+from bench.soak_crashes import refused_bystanders
 from bench.soak_extras import SoakExtras
 from bench.soak_faults import SoakFaults
 from bench.soak_load import OK, SoakLoad, broken_promises
@@ -73,6 +74,7 @@
                 *broken_promises(world, load.seen),
                 *broken_stops(world, load, faults.spans),
                 *broken_recovery(after),
+                *refused_bystanders(after),
             ),
         )
 
