Streams of a stopping node close their callers' connections

Callers came back to a node that was told to stop, on the connection of a stream, until its process was gone: 24 of 24 streams on kept connections did not say that the connection closes.

Cause: only answers without a head on the wire were marked. A stream that begins after SIGTERM has "Connection: close" now, and the connection of one that ran when it came is closed behind its last byte.

test_streams_of_a_stopping_node_close_their_connections failed before: both connections were open until the node closed them 2.2 s later.

--- a/mimosaworks/node/call.py
+++ b/mimosaworks/node/call.py
@@ -54,7 +54,7 @@
     the first; target is where it runs now. may_have_run: a send failed that
     may have run. passed is what the caller has of an
     answer, sent_s when the request went to its target. is_cut: the node
-    ends it.
+    ends it. ends_conn: the caller's connection ends with the answer.
     """
 
     req: web.BaseRequest
@@ -79,6 +79,7 @@
     may_have_run: bool = False
     passed: PassedStream | None = None
     is_cut: bool = False
+    ends_conn: bool = False
 
     def may_resend(self) -> bool:
         """Tell whether it may be sent again though it may have run."""
--- a/mimosaworks/node/exchange.py
+++ b/mimosaworks/node/exchange.py
@@ -148,7 +148,7 @@
     """
     check_reset = _watch_reset(resp)
     if call.route.repeat is Repeat.STREAM and resp.status == HTTPStatus.OK:
-        passed = call.passed or _begin_answer(resp)
+        passed = call.passed or _begin_answer(call, resp)
         await _pass_stream(call, passed, resp, told, hold)
     else:
         body, is_whole = await _hold_body(resp, hold)
@@ -217,7 +217,7 @@
     call: Call, resp: ClientResponse, body: bytes
 ) -> PassedStream:
     """Pass on a body that is too large to be held, in pieces."""
-    passed = _begin_answer(resp)
+    passed = _begin_answer(call, resp)
     passed.out.content_length = resp.content_length
     call.passed = passed
     await passed.write(call.req, body)
@@ -226,9 +226,12 @@
     return passed
 
 
-def _begin_answer(resp: ClientResponse) -> PassedStream:
+def _begin_answer(call: Call, resp: ClientResponse) -> PassedStream:
     headers = answer_headers(resp.headers)
-    return PassedStream(web.StreamResponse(status=resp.status, headers=headers))
+    out = web.StreamResponse(status=resp.status, headers=headers)
+    if call.ends_conn:
+        out.force_close()
+    return PassedStream(out)
 
 
 def _check_status(call: Call, resp: ClientResponse) -> None:
--- a/mimosaworks/node/front.py
+++ b/mimosaworks/node/front.py
@@ -86,6 +86,7 @@
             call = stay.call
             if call is None:
                 continue
+            call.ends_conn = True
             if not call.target and not _may_begin(call, self.stop_left_s()):
                 stay.expire()
 
@@ -106,6 +107,7 @@
     async def _handle(self, stay: Stay) -> web.StreamResponse:
         call = await admit(stay.req, self.chooser.beliefs.deployment)
         stay.call = call
+        call.ends_conn = self.stop_left_s() is not None
         call_log.log_admitted(call, self._version())
         try:
             async with asyncio.timeout(call.left_s()):
--- a/tests/test_node_stop.py
+++ b/tests/test_node_stop.py
@@ -292,6 +292,30 @@
     writer.close()
 
 
+# Guards against callers that come back on a connection whose stream did not
+# say that it closes.
+async def test_streams_of_a_stopping_node_close_their_connections(
+    world: AgencyWorld,
+) -> None:
+    node, _ = await open_nodes(world, 2)
+    world.replicas['engine-1'].events = 20
+    conns = [await connect(node), await connect(node)]
+    conns[0][1].write(whole('before', LONG_MS, STREAM))
+    await asyncio.sleep(0.2)
+    stop = asyncio.create_task(node.stop())
+    await until(lambda: bool(node.events('node_stopping')))
+    conns[1][1].write(whole('after', 1500, STREAM))
+    begun_s = time.monotonic()
+    before, after = [await read_all(reader) for reader, _ in conns]
+    assert time.monotonic() - begun_s < 1
+    assert before.endswith(b'0\r\n\r\n')
+    assert after.endswith(b'0\r\n\r\n')
+    assert b'Connection: close' in after
+    assert await stop
+    for _, writer in conns:
+        writer.close()
+
+
 # Guards against a node that cuts at its end what it could still answer, and
 # logs it like a caller that left.
 async def test_what_a_node_cuts_at_its_end_is_named_and_is_no_crash(
