A test at nodes for late copies of a request's own rejection

A request whose first send is rejected goes to the same target again, with its id; a late copy of the rejection carries it too.

--- a/standins/agency/extra.py
+++ b/standins/agency/extra.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from typing import Protocol
 
 import attrs
@@ -17,7 +18,8 @@
     """What a target sends after_s behind each answer to a request.
 
     kind is a copy with the id of the request (named) or without one (bare),
-    a rejection without one (rejection), or no answer at all (garbage).
+    a rejection without one (rejection) or with it (denial), or no answer at
+    all (garbage).
     """
 
     kind: str
@@ -29,9 +31,9 @@
             return GARBAGE
         body = f'copy for {request_id}'
         lines = ['HTTP/1.1 200 OK', 'X-Server-Seal: seal-copy']
-        if self.kind == 'rejection':
+        if self.kind in {'rejection', 'denial'}:
             lines = ['HTTP/1.1 503 Full', 'X-Not-Executed: 1']
-        elif self.kind == 'named':
+        if self.kind in {'named', 'denial'}:
             lines.append(f'{REQUEST_ID}: {request_id}')
         lines.append(f'Content-Length: {len(body)}')
         return '\r\n'.join((*lines, '', body)).encode()
@@ -41,6 +43,29 @@
     """A target that may send more than its answers."""
 
     extra: Extra | None
+    reject_twice_s: float
+
+
+def reject_first(target: Sender, serve: Handler) -> Handler:
+    """Return a handler that rejects the first send of each request twice.
+
+    The copy of the rejection comes reject_twice_s later; none when that is 0.
+    """
+    seen: set[str] = set()
+
+    async def answer(req: web.Request) -> web.StreamResponse:
+        request_id = req.headers[REQUEST_ID]
+        if not target.reject_twice_s or request_id in seen:
+            return await serve(req)
+        seen.add(request_id)
+        await req.read()
+        _send(Extra('denial', target.reject_twice_s), req)
+        headers = {'X-Not-Executed': '1', REQUEST_ID: request_id}
+        return web.Response(
+            status=HTTPStatus.SERVICE_UNAVAILABLE, headers=headers
+        )
+
+    return answer
 
 
 def send_extras(target: Sender, serve: Handler) -> Handler:
--- a/standins/agency/replica.py
+++ b/standins/agency/replica.py
@@ -9,7 +9,12 @@
 import attrs
 from aiohttp import web
 
-from standins.agency.extra import REQUEST_ID, Extra, send_extras
+from standins.agency.extra import (
+    REQUEST_ID,
+    Extra,
+    reject_first,
+    send_extras,
+)
 from standins.platform import Store, json_row
 
 FIRST_S = 0.01
@@ -60,7 +65,9 @@
     give a time for each request, rejected the pause as well, births the birth
     that it met. limit is named in all answers as it is spelled; hits are all
     calls, named the answers to requests from its first use on. extra follows
-    each answer to a request; rejections lack its id where is_curt.
+    each answer to a request; rejections lack its id where is_curt. The first
+    send of each request is rejected, and once more reject_twice_s later, unless
+    that is 0.
     """
 
     name: str
@@ -99,6 +106,7 @@
     on_crash: Callable[[str, str], None] = _survive
     extra: Extra | None = None
     is_curt: bool = False
+    reject_twice_s: float = 0
 
     def note_hit(self, request_id: str = '', sender: str = '') -> None:
         """Note a call that has arrived."""
@@ -246,11 +254,12 @@
     async def say_more(req: web.Request, resp: web.StreamResponse) -> None:
         _say_more(replica, req, resp)
 
+    handler = send_extras(replica, reject_first(replica, serve))
     app = web.Application()
     app.on_response_prepare.append(say_more)
     app.router.add_post('/v1/order', order)
     app.router.add_get('/v1/report', report)
-    app.router.add_route('*', '/{tail:.*}', send_extras(replica, serve))
+    app.router.add_route('*', '/{tail:.*}', handler)
     return app
 
 
--- a/tests/test_node_foreign_answers.py
+++ b/tests/test_node_foreign_answers.py
@@ -10,7 +10,9 @@
 import attrs
 import pytest
 
+from mimosaworks.node.front import REFUSED_PAUSE_S
 from standins.agency.extra import Extra
+from standins.agency.replica import FIRST_S
 from standins.agency.world import AgencyWorld, open_agency
 from tests.test_node_processes import until_served
 
@@ -49,6 +51,12 @@
         """Return the answers with a status."""
         return list(self.statuses.values()).count(status)
 
+    def promised(self) -> set[str]:
+        """Return the requests whose callers were told that they had not run."""
+        return {
+            name for name, status in self.statuses.items() if status in PROMISES
+        }
+
 
 async def ask_all(world: AgencyWorld, path: str, method: str) -> Seen:
     """Send requests with different contents, some at once."""
@@ -105,10 +113,7 @@
     runs = count_runs(world)
     assert not seen.foreign
     assert max(runs.values()) == 1
-    promised = {
-        name for name, status in seen.statuses.items() if status in PROMISES
-    }
-    assert not promised & runs.keys()
+    assert not seen.promised() & runs.keys()
     if kind == 'named' or not after_s:
         assert seen.count(HTTPStatus.OK) == REQUESTS
 
@@ -123,3 +128,17 @@
     await ask_all(world, REPEATABLE, 'POST')
     assert count_events(world, 'target_end_seen') == 0
     assert count_events(world, 'content_suspected') == 0
+
+
+# Guards against a late copy of the rejection of a request's first send that is
+# taken for the answer to its second send: the caller was told "not run".
+async def test_a_late_copy_of_its_own_rejection_is_not_believed(
+    world: AgencyWorld,
+) -> None:
+    for replica in world.replicas.values():
+        replica.reject_twice_s = REFUSED_PAUSE_S + FIRST_S / 2
+    seen = await ask_all(world, ONCE, 'POST')
+    runs = count_runs(world)
+    assert max(runs.values()) == 1
+    assert not seen.promised() & runs.keys()
+    assert count_events(world, 'target_end_seen') == 0
