A server is closed in the time that its handlers get, not in twice that

What callers saw: nothing; whoever stops a program waited up to 20 s for each server in place of 10 s when a caller didn't read or a handler waited.

Cause: aiohttp's RequestHandler.shutdown waits its timeout for the handler, cancels it and waits as long again; all servers of router, placer, admin and node but the callers' one of a node are closed so.

Change: what is still connected after the first wait is aborted, which ends the second, and E105 tells how many connections that were. A timeout of 0 would be no limit at all; no program passes it here.

Evidence: four cases of tests/test_serving_stop.py failed before with TimeoutError at 6 s, where 4 s are given. That an answer under way is still given passed before.

--- a/mimosaworks/serving/serving.py
+++ b/mimosaworks/serving/serving.py
@@ -8,6 +8,8 @@
 
 from aiohttp import web
 
+from mimosaworks.events import Event, log_event
+
 SHUTDOWN_TIMEOUT_S = 10.0
 PROMPT_SHUTDOWN_S = 0.05  # of a server whose requests were seen to their end
 
@@ -33,12 +35,30 @@
         handler_cancellation=cancels_on_hang_up,
     )
     await runner.setup()
-    stack.push_async_callback(runner.cleanup)
+    stack.push_async_callback(_close, runner, shutdown_timeout_s)
     host, _, port = address.rpartition(':')
     await web.TCPSite(runner, host, int(port)).start()
     return runner
 
 
+async def _close(runner: web.AppRunner, timeout_s: float) -> None:
+    # aiohttp gives handlers this time twice: as they are, and once more when
+    # they are cancelled. It doesn't wait for those without a connection.
+    loop = asyncio.get_running_loop()
+    timer = loop.call_later(timeout_s, _abort, runner)
+    with contextlib.ExitStack() as stack:
+        stack.callback(timer.cancel)
+        await runner.cleanup()
+
+
+def _abort(runner: web.AppRunner) -> None:
+    connections = runner.server.connections if runner.server else ()
+    log_event(Event.CONNECTIONS_ABORTED, count=len(connections))
+    for conn in connections:
+        if conn.transport is not None:
+            conn.transport.abort()
+
+
 def stop_event() -> asyncio.Event:
     """Return an event that SIGTERM, SIGINT and SIGHUP set.
 
