A router believes an answer on a kept connection by the request's own id

Calls that may run once only were never affected: each has a connection of its own.

Cause: bytes that came on an idle connection were the next request's answer, and an answer or rejection without an id was taken for the request's own.

Change: the router's connections are the shared ones (BoundedConnector), which aren't used again once something came unasked, drop answers with another id, and count those without one as lost. A connection is kept only for a target whose last answer carried the id; for others each request has a new one, on which nothing can be left over. Engines echo the id in refusals too; the stand-in does so now.

--- a/mimosaworks/relay/exchange.py
+++ b/mimosaworks/relay/exchange.py
@@ -150,6 +150,7 @@
             raise
 
     async def _verify(self, slot: Slot, resp: ClientResponse) -> None:
+        self.upstream.note_answer(slot.target, resp)
         answered = resp.headers.get(REQUEST_ID_HEADER, self.ticket.request_id)
         if answered != self.ticket.request_id:
             raise AttemptInDoubtError(f'answer belongs to {answered}')
@@ -217,6 +218,7 @@
             )
         else:
             slot.state.note_failure(now_s())
+            self.upstream.note_failure(slot.target)
         self.metrics.count(Metric.REQUESTS_RETRIED)
         self.ticket.tried.add(slot.target.name)
         log_event(
--- a/mimosaworks/relay/upstream.py
+++ b/mimosaworks/relay/upstream.py
@@ -10,6 +10,7 @@
 from mimosaworks.entities import Target
 from mimosaworks.relay.outgoing import Outgoing
 from mimosaworks.send_guard import SendGuard
+from mimosaworks.serving import REQUEST_ID_HEADER
 
 CONNECT_TIMEOUT_S = 1.0
 STREAM_IDLE_S = 15.0
@@ -23,11 +24,24 @@
 
     single opens a new connection for each request: for requests that may
     run once only, a kept connection that the target closes at that moment
-    would leave the outcome in doubt.
+    would leave the outcome in doubt; and for targets whose answers have no
+    id, as it couldn't be told which request an answer belongs to.
     """
 
     pooled: aiohttp.ClientSession
     single: aiohttp.ClientSession
+    _with_ids: set[str] = attrs.field(factory=set)
+
+    def note_answer(self, target: Target, resp: aiohttp.ClientResponse) -> None:
+        """Learn whether the answers of a target have ids."""
+        if REQUEST_ID_HEADER in resp.headers:
+            self._with_ids.add(target.name)
+        else:
+            self.note_failure(target)
+
+    def note_failure(self, target: Target) -> None:
+        """Forget whether the answers of a target have ids."""
+        self._with_ids.discard(target.name)
 
     def send(
         self,
@@ -39,7 +53,8 @@
         is_repeatable: bool = True,
     ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
         """Return the context of the target's answer."""
-        session = self.pooled if is_repeatable else self.single
+        is_kept = is_repeatable and target.name in self._with_ids
+        session = self.pooled if is_kept else self.single
         headers: CIMultiDict[str] = outgoing.headers.copy()
         if resume_from:
             headers[RESUME_HEADER] = str(resume_from)
--- a/mimosaworks/router/program.py
+++ b/mimosaworks/router/program.py
@@ -5,8 +5,9 @@
 import random
 
 import attrs
-from aiohttp import ClientSession, DummyCookieJar, TCPConnector, web
+from aiohttp import ClientSession, DummyCookieJar, web
 
+from mimosaworks.bounded_answers import BoundedConnector
 from mimosaworks.configs import ConfigStore
 from mimosaworks.directory import add_entries_route
 from mimosaworks.events import Event, log_event, start_logging
@@ -46,7 +47,12 @@
     SuspectTable,
     TargetPool,
 )
-from mimosaworks.serving import serve_app, start_task, stop_event
+from mimosaworks.serving import (
+    REQUEST_ID_HEADER,
+    serve_app,
+    start_task,
+    stop_event,
+)
 from mimosaworks.wire import (
     Ack,
     PeerClient,
@@ -60,6 +66,7 @@
 # When the server is closed, no request runs that still has time.
 SHUTDOWN_TIMEOUT_S = 0.1
 MAX_HEADER_BYTES = 32768
+MAX_ANSWER_BYTES = 1073741824  # 1 GiB
 
 
 async def run_router(cfg: RouterSettings) -> None:
@@ -259,7 +266,9 @@
 async def _enter_target_session(
     stack: contextlib.AsyncExitStack, *, closes: bool
 ) -> ClientSession:
-    connector = TCPConnector(limit=0, force_close=closes)
+    connector = BoundedConnector(
+        MAX_ANSWER_BYTES, REQUEST_ID_HEADER, limit=0, force_close=closes
+    )
     return await stack.enter_async_context(
         ClientSession(
             connector=connector,
--- a/standins/engine/request_handlers.py
+++ b/standins/engine/request_handlers.py
@@ -52,11 +52,19 @@
             raise web.HTTPNotFound
         return web.Response(status=HTTPStatus.NO_CONTENT)
 
+    app.on_response_prepare.append(_echo_id)
     app.router.add_post(CHAT_PATH, complete)
     app.router.add_post(COMPLETION_PATH, complete)
     app.router.add_delete('/requests/{request_id}', cancel)
 
 
+async def _echo_id(req: web.Request, resp: web.StreamResponse) -> None:
+    """Give each answer, refusals too, the id of its request."""
+    request_id = req.headers.get(REQUEST_ID)
+    if request_id:
+        resp.headers[REQUEST_ID] = request_id
+
+
 def _refusal(engine: Engine, name: str) -> web.Response | None:
     if engine.resolve(name) is None:
         return refuse(HTTPStatus.NOT_FOUND, 'model_not_loaded', name)
