Callers of the soak's planned runs have deadlines of many lengths

A stopping node that takes only requests that end before it does would take none whose callers wait for 12 s: some wait for 1, 2 or 4 s now.

--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -18,6 +18,8 @@
 EVENTS = (1, 5, 30, 60)
 EVENT_S = (0.005, 0.02, 0.045)  # paces of targets; streams last up to 2.7 s
 STATED = (0.25, 1, 3)  # times the tokens that are made
+DEADLINES_MS = (1000, 2000, 4000, STREAM_LIMIT_MS)
+PLAIN_LIMIT_MS = 2000  # the time-out of the plain routes
 PADDING = (0, 0, 2000, 40000)  # bytes
 MS_PER_S = 1000
 KEPT_S = 60.0  # longer than a soak
@@ -58,13 +60,19 @@
         events = self.rng.choice(EVENTS)
         said = b'%s%s' % (ECHO, request_id.encode())
         body = said + b'\n' * self.rng.choice(PADDING)
+        limit_ms = self._limit_ms(path)
         self.load.sent[request_id] = Sent(
-            place_of(node), time.monotonic(), STREAM_LIMIT_MS / MS_PER_S
+            place_of(node), time.monotonic(), limit_ms / MS_PER_S
         )
         status, text = 0, b''
         try:
             async with request(
-                node, path, request_id, body, **self._more(path, events)
+                node,
+                path,
+                request_id,
+                body,
+                X_Deadline=str(limit_ms),
+                **self._more(path, events),
             ) as resp:
                 self._follow(resp)
                 text = await resp.read()
@@ -77,9 +85,14 @@
             Seen(request_id, path, status, text, said, events)
         )
 
+    def _limit_ms(self, path: str) -> int:
+        """Return the time that the caller has, at most its route's."""
+        limit_ms = self.rng.choice(DEADLINES_MS)
+        return limit_ms if path in STREAMS else min(limit_ms, PLAIN_LIMIT_MS)
+
     def _more(self, path: str, events: int) -> dict[str, str]:
         """Return the headers that only some requests have."""
-        more = {'X_Deadline': str(STREAM_LIMIT_MS)}
+        more = {}
         if path in STREAMS:
             tokens = max(int(events * self.rng.choice(STATED)), 1)
             more['X_Model'] = self.rng.choice(MODELS)
