--- a/mimosaworks/node/front.py
+++ b/mimosaworks/node/front.py
@@ -10,7 +10,6 @@
 from aiohttp import web
 
 from mimosaworks.clock import now_s
-from mimosaworks.deployment import RequestLimits
 from mimosaworks.dispatch import (
     Assignment,
     CallOutcome,
@@ -73,21 +72,6 @@
             await stay.write(answer)
         return answer
 
-    def head_s(self) -> float:
-        """Return the seconds that a caller's head may take."""
-        deployment = self.chooser.beliefs.deployment
-        limits = RequestLimits() if deployment is None else deployment.limits
-        return limits.header_timeout_s
-
-    def note_late_head(self) -> None:
-        """Note that a connection is closed whose head did not come in time."""
-        exc = RequestError(
-            ErrorKind.BAD_REQUEST, 'the head did not come in time'
-        )
-        silent_s = self.chooser.link.silent_s()
-        call_log.log_refused('', exc, self._version(), silent_s)
-        self.meters.refusals.labels(exc.kind.value).inc()
-
     def running(self) -> tuple[RunningCall, ...]:
         """Return the requests that are at targets now."""
         return tuple(
--- a/mimosaworks/node/pages.py
+++ b/mimosaworks/node/pages.py
@@ -1,9 +1,13 @@
 """Serves what a node answers on its ports."""
 
 import contextlib
+import functools
 
 from aiohttp import web
 
+from mimosaworks.deployment import RequestLimits
+from mimosaworks.errors import ErrorKind, RequestError
+from mimosaworks.node import call_log
 from mimosaworks.node.caller_server import serve_callers
 from mimosaworks.node.node import Node
 from mimosaworks.platform import directory_app, ready_app
@@ -39,8 +43,8 @@
     await _serve_page(ready_app(node.is_ready), cfg.ready_address, stack)
     node.callers = await serve_callers(
         node.front.handle,
-        node.front.head_s,
-        node.front.note_late_head,
+        functools.partial(_head_s, node),
+        functools.partial(_note_late_head, node),
         cfg.front_address,
         stack,
     )
@@ -50,3 +54,19 @@
     app: web.Application, address: str, stack: contextlib.AsyncExitStack
 ) -> None:
     await serve_app(app, address, stack, shutdown_s=PROMPT_SHUTDOWN_S)
+
+
+def _head_s(node: Node) -> float:
+    """Return the seconds that a caller's head may take."""
+    deployment = node.beliefs.deployment
+    limits = RequestLimits() if deployment is None else deployment.limits
+    return limits.header_timeout_s
+
+
+def _note_late_head(node: Node) -> None:
+    """Note that a connection is closed whose head did not come in time."""
+    exc = RequestError(ErrorKind.BAD_REQUEST, 'the head did not come in time')
+    deployment = node.beliefs.deployment
+    version = 0 if deployment is None else deployment.version
+    call_log.log_refused('', exc, version, node.link.silent_s())
+    node.meters.refusals.labels(exc.kind.value).inc()
