A change under way is answered when its admin process stops: kept as a test

Looked for in the incident's class: an admin that gets SIGTERM while a change waits for a member that doesn't confirm.

--- a/tests/test_admin_processes.py
+++ b/tests/test_admin_processes.py
@@ -139,3 +139,22 @@
     admins[0].process.terminate()
     assert await put in {IN_FORCE, PENDING}
     assert await admins[0].process.wait() == 0
+
+
+async def test_a_change_under_way_is_answered_when_its_process_stops(
+    cluster: Cluster, admins: list[Node]
+) -> None:
+    # It waits for the confirmation of the other member.
+    admins[1].process.pause()
+    change = asyncio.create_task(put_workspace(cluster, admins[0], 'camp', '*'))
+    await asyncio.sleep(0.5)
+    admins[0].process.terminate()
+    assert await change in {IN_FORCE, PENDING}
+    assert await admins[0].process.wait() == 0
+    admins[1].process.resume()
+
+    async def is_stored() -> bool:
+        config = await read_config(cluster, admins[1])
+        return list(config['workspace']) == ['camp']
+
+    await wait_until(is_stored)
