--- a/tests/test_node_stop.py
+++ b/tests/test_node_stop.py
@@ -27,6 +27,7 @@
 STREAM_S = 1.2
 EVENT_S = 0.02
 SHORT_MS = 1800
+REJECTED_S = 0.05
 LONG_MS = 20000
 BUSY = 3  # processes, fewer than the cores of any VM that runs this
 Trouble = Callable[[AgencyWorld, NodeHandle], Awaitable[None]]
@@ -269,6 +270,28 @@
         await stop_under_load([node], world)
 
 
+async def reject_often(world: AgencyWorld) -> None:
+    """Have targets reject requests for some moments, again and again."""
+    while True:
+        for replica in world.replicas.values():
+            replica.pause_s = REJECTED_S - replica.pause_s
+        await asyncio.sleep(REJECTED_S)
+
+
+# Guards against requests that are lost while they sleep before a resend or
+# wait for a target.
+async def test_no_request_is_lost_that_waits_for_a_resend_at_a_stop(
+    world: AgencyWorld,
+) -> None:
+    world.replicas['engine-1'].events = 2
+    node, _ = await open_nodes(world, 2)
+    task = asyncio.create_task(reject_often(world))
+    async with contextlib.AsyncExitStack() as stack:
+        stack.callback(task.cancel)
+        await stop_under_load([node], world)
+    assert node.events('call_resent')
+
+
 # Guards against requests that nobody counts while their body is read: they
 # were neither answered nor closed at a node that stopped.
 @pytest.mark.parametrize('is_ended', [True, False])
