An answer that is malformed in the piece with its head ends at once

An answer whose head and a malformed chunk came in one piece never ended: its reader waited until the route's time limit.

The error, and that of an answer with too many bytes, goes to the body that is there once the piece was parsed: earlier ones are whole by then.

--- a/mimosaworks/bounded_answers.py
+++ b/mimosaworks/bounded_answers.py
@@ -97,12 +97,12 @@
     def data_received(self, data: bytes) -> None:
         """Close the connection when too much has come."""
         self._size += len(data)
-        body = self._payload
         super().data_received(data)
+        body = self._payload
         if self._size > HEAD_BYTES and self._size > self._most:
             exc = OversizedError(self._size, self._most)
             self.set_exception(exc)
-            self._cut(body or self._payload, exc)
+            self._cut(body, exc)
         elif isinstance(self.exception(), HttpProcessingError):
             # The base tells those who wait for a head, not for the body.
             rest = None if body is None or body.is_eof() else body
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -155,6 +155,27 @@
     assert script.conns == 2
 
 
+# Guards against an answer whose end is never told: it is malformed in the piece
+# in which its head came.
+@pytest.mark.parametrize('before', [b'', answer('a', b'copy')])
+async def test_an_answer_that_is_malformed_behind_its_head_ends_at_once(
+    before: bytes,
+) -> None:
+    lines = [
+        'HTTP/1.1 200 OK',
+        f'{ID}: b',
+        'Transfer-Encoding: chunked',
+        '',
+        '3\r\none\r\nno chunk\r\n',
+    ]
+    malformed = '\r\n'.join(lines).encode()
+    script = Script({'a': answer('a'), 'b': before + malformed})
+    async with opened(script) as session, asyncio.timeout(ACCEPT_S):
+        await ask(session, script, 'a')
+        with pytest.raises(aiohttp.ClientError):
+            await ask(session, script, 'b')
+
+
 # Guards against a late answer to an earlier request that costs the next one
 # its own, which follows.
 @pytest.mark.parametrize('size', [4, LARGE])
