--- a/standins/agency/extra.py
+++ b/standins/agency/extra.py
@@ -1,7 +1,9 @@
 """Bytes that a target sends behind its answers, unasked."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import contextlib
+import socket
+from collections.abc import Awaitable, Callable, Generator
 from http import HTTPStatus
 from typing import Protocol
 
@@ -17,6 +19,8 @@
 class Extra:
     """What a target sends after_s behind each answer to a request.
 
+    It comes in one piece with the answer when after_s is 0.
+
     kind is a copy with the id of the request (named) or without one (bare),
     a rejection without one (rejection) or with it (denial), or no answer at
     all (garbage).
@@ -74,14 +78,29 @@
     async def answer(req: web.Request) -> web.StreamResponse:
         resp = await serve(req)
         if target.extra is not None:
-            await resp.prepare(req)
-            await resp.write_eof()
-            _send(target.extra, req)
+            with _in_one_piece(req):
+                await resp.prepare(req)
+                await resp.write_eof()
+                _send(target.extra, req)
         return resp
 
     return answer
 
 
+@contextlib.contextmanager
+def _in_one_piece(req: web.Request) -> Generator[None, None, None]:
+    """Hold what is written back until all of it is."""
+    transport = req.transport
+    sock = None if transport is None else transport.get_extra_info('socket')
+    if sock is None:
+        yield
+        return
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_CORK, 1)
+    yield
+    if sock.fileno() >= 0:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_CORK, 0)
+
+
 def _send(extra: Extra, req: web.Request) -> None:
     transport = req.transport
     if transport is None:
