A placer believes no answer that is left over on a target's connection

What happened: a target that sent a second answer behind its own had an order that it had taken counted as refused for want of memory (507), and an old report taken for the newest one.

Cause: orders and reports went over kept connections of one plain client, whose parser keeps what comes while nothing was asked.

Change: each order has a connection of its own, and those for reports are the shared ones, which aren't used again once something came unasked.

Evidence: tests/test_placement_target_sessions.py failed with the plain client in the same place: 507 where 202 was answered, 'old' where 'new' was.

--- /dev/null
+++ b/mimosaworks/placement/target_sessions.py
@@ -0,0 +1,32 @@
+"""Connections from a placer to targets."""
+
+import contextlib
+from typing import Self
+
+import attrs
+from aiohttp import ClientSession, TCPConnector
+
+from mimosaworks.bounded_answers import AnswerBounds, BoundedConnector
+from mimosaworks.placement.report_reader import ReportReader
+
+
+@attrs.frozen
+class TargetSessions:
+    """Sessions on which no answer is left over from an earlier request.
+
+    Orders get a connection each. The connections for reports are kept until
+    something comes that wasn't asked for.
+    """
+
+    orders: ClientSession
+    reports: ReportReader
+
+    @classmethod
+    async def open(cls, stack: contextlib.AsyncExitStack) -> Self:
+        """Return sessions that are open until the stack is closed."""
+        orders = ClientSession(connector=TCPConnector(force_close=True))
+        await stack.enter_async_context(orders)
+        bounded = BoundedConnector(AnswerBounds().answer_bytes)
+        reports = ClientSession(connector=bounded)
+        await stack.enter_async_context(reports)
+        return cls(orders, ReportReader(reports))
--- a/mimosaworks/placement/wiring.py
+++ b/mimosaworks/placement/wiring.py
@@ -17,12 +17,12 @@
 from mimosaworks.placement.map_pusher import MapPusher
 from mimosaworks.placement.order_sender import OrderSender
 from mimosaworks.placement.placer_settings import PlacerSettings
-from mimosaworks.placement.report_reader import ReportReader
 from mimosaworks.placement.service import PlacerService
 from mimosaworks.placement.shard_placer import ShardPlacer
 from mimosaworks.placement.shard_state import ShardState
 from mimosaworks.placement.shard_writer import ShardWriter
 from mimosaworks.placement.target_poller import TargetPoller
+from mimosaworks.placement.target_sessions import TargetSessions
 from mimosaworks.placement.vm_watch import VmWatch
 from mimosaworks.platform import PlatformClients, platform_clients
 from mimosaworks.serving import serve_app, start_task, stop_event
@@ -43,7 +43,9 @@
         platform = platform_clients(session, cfg.platform_url)
         members = _make_members(cfg, session, app, platform)
         placer = _make_placer(cfg)
-        service = _make_service(session, placer, members, metrics, platform)
+        service = await _make_service(
+            session, placer, members, metrics, platform, stack
+        )
         add_peer_handler(app, Demand, service.on_demand)
         await serve_app(app, cfg.peer_address, stack)
         if cfg.http_address:
@@ -91,13 +93,15 @@
     return ShardPlacer(cfg.shard, lease, state, MapMaker(cfg.peer_address))
 
 
-def _make_service(
+async def _make_service(
     session: ClientSession,
     placer: ShardPlacer,
     members: MemberService,
     metrics: MetricsClient,
     platform: PlatformClients,
+    stack: contextlib.AsyncExitStack,
 ) -> PlacerService:
+    targets = await TargetSessions.open(stack)
     wake = asyncio.Event()
 
     def routers() -> list[str]:
@@ -106,8 +110,8 @@
     return PlacerService(
         placer=placer,
         writer=ShardWriter(platform.table, placer),
-        sender=OrderSender(session, placer.may_send),
-        poller=TargetPoller(ReportReader(session), placer, wake.set),
+        sender=OrderSender(targets.orders, placer.may_send),
+        poller=TargetPoller(targets.reports, placer, wake.set),
         pusher=MapPusher(PeerClient(session), placer, routers),
         vms=VmWatch(platform.vm_list, placer.state),
         wake=wake,
