--- a/tests/test_placement_processes.py
+++ b/tests/test_placement_processes.py
@@ -308,6 +308,32 @@
     assert (await site.loads())['m'] == 1
 
 
+async def test_an_order_under_way_at_a_planned_stop_is_carried_out_once(
+    site: Site,
+) -> None:
+    direct = await site.add_engine('t1')
+    proxy = await site.cluster.start_proxy(site.engines['t1'].address)
+    await site.configure(attrs.evolve(direct, url=proxy.url), model('m'))
+    first = await site.start_placer('--lease-s=600')
+    await site.wait_fence(1)
+    await site.start_placer('--lease-s=600')
+    await site.cluster.control(proxy, delay_s=0.3)
+    asking = asyncio.create_task(site.router.wait_ready('m'))
+
+    async def is_sent() -> bool:
+        return 'order_sent' in first.process.read_log()
+
+    await wait_until(is_sent)
+    # The order is on its way or its answer is.
+    await asyncio.sleep(0.2)
+    first.process.terminate()
+    await site.wait_fence(2)
+    await asking
+    assert 'order_resolved' not in first.process.read_log()
+    assert (await site.loads())['m'] == 1
+    await site.check_memory()
+
+
 async def test_replicas_move_off_a_leaving_vm_and_a_gone_one_is_forgotten(
     site: Site,
 ) -> None:
