A node that has stopped does not collect its objects before its process ends

A process that had stopped and written node_stopped was still there up to 1.2 s later, on a VM at a load of 20 to 25 on 8 cores, and got SIGKILL at its grace. Callers lost nothing.

Cause: the interpreter's last collections go over all objects: 0.14 to 0.18 s of processor time after the last exit handler in three stops of an idle node, 0.02 s in three stops with all objects frozen before.

--- a/mimosaworks/cmdline/node.py
+++ b/mimosaworks/cmdline/node.py
@@ -1,5 +1,7 @@
 """Command line of mimosa-node."""
 
+import gc
+
 import click
 import uvloop
 
@@ -70,6 +72,8 @@
         click.echo(bounds)
         return
     uvloop.run(run_node(cfg, boot, bounds))
+    # Spares the collections at exit, which take a busy VM too long.
+    gc.freeze()
 
 
 if __name__ == '__main__':
