What a silent node may run stays charged to its workspace

What could be seen: a workspace gets more than its limit. A node is paused for over two seconds while requests of its run; the holder forgets them and gives their tokens back, so that as many more run at once.

Cause: a request of a node that fell silent was taken off the books like one that its node withdraws before it is sent.

Change: what was granted to a silent node, or was never told to have ended, stays charged; what waits for a target is given back as before, and so is what a node withdraws.

Evidence: three streams of 500 tokens at a node that is paused for 2.4 s, burst 1,500 and 100 a second: before, three more got 200 from the holder, now 429. The node is back after the pause and its three answers had begun.

--- a/mimosaworks/dispatch/dispatcher.py
+++ b/mimosaworks/dispatch/dispatcher.py
@@ -137,12 +137,17 @@
             found.add_job(job, now)
         return job
 
-    def withdraw(self, call: str, now: float) -> list[Decided]:
-        """Forget a request whose node does not wait for a target any more."""
+    def withdraw(
+        self, call: str, now: float, *, may_run: bool = False
+    ) -> list[Decided]:
+        """Forget a request whose node does not wait for a target any more.
+
+        may_run: the node may have sent it; what was granted stays charged.
+        """
         job = self.jobs.get(call)
         if job is None:
             return []
-        self.give_up(job)
+        self.give_up(job, is_unused=not (may_run and job.is_granted))
         return self.tick(now)
 
     def started(self, call: str, first_s: float) -> None:
@@ -230,10 +235,11 @@
             return []
         return self._replace(pool.step_failed(target, step, now), now)
 
-    def give_up(self, job: Job) -> None:
+    def give_up(self, job: Job, *, is_unused: bool = True) -> None:
         """Forget a request that gets no target, or none any more."""
         self.jobs.pop(job.ask.call, None)
-        self.limiter.give_back(job.ask.workspace, job.ask.cost)
+        if is_unused:
+            self.limiter.give_back(job.ask.workspace, job.ask.cost)
         pool = self.pools.get(job.ask.service)
         if pool is not None:
             pool.drop(job)
--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -350,7 +350,7 @@
             is_untold = now > job.ask.give_up_s + FORGET_S
             if is_untold or job.ask.node in lost:
                 log_event(Event.CALL_FORGOTTEN, call=call, node=job.ask.node)
-                self._settle(self.dispatcher.withdraw(call, now))
+                self._settle(self.dispatcher.withdraw(call, now, may_run=True))
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
