A holder whose ticks failed steps down

What could be seen: requests that wait for a target are neither served nor refused, while the holder goes on to answer asks and beats.

Cause: an error in the holder's ticks ends their task alone; nobody looks at it. All other tasks of a node end the process when they fail.

Change: the error is written to the log with its trace, and the holder steps down, so that one is elected whose state is new.

Evidence: a unit test whose view fails: no step down before, one after; a holder that is stopped does not step down. No message or row was found that fails the ticks: this is suspected only, from the storms on malformed bytes.

--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -1,6 +1,7 @@
 """What the holder of the dispatch lease does for all nodes."""
 
 import asyncio
+import functools
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -69,12 +70,12 @@
 class Holder:
     """Decides under one election, until its tasks are cancelled.
 
-    on_fenced is called when a target has seen a later holder, is_sure tells
-    whether the lease was looked at lately, view gives the targets' entries
-    as they were read. replies holds the requests that wait, by the name of
-    their ask. on_limited is called with what became of a request for which
-    a target's limit has no place: waited, or refused. renew_soon is called
-    when the store should know of suspects.
+    on_fenced is called when a target has seen a later holder, or when the ticks
+    failed. is_sure tells whether the lease was looked at lately, view gives the
+    targets' entries as they were read. replies holds the requests that wait, by
+    the name of their ask. on_limited is called with what became of a request
+    for which a target's limit has no place: waited, or refused. renew_soon is
+    called when the store should know of suspects.
     """
 
     beliefs: Beliefs
@@ -105,7 +106,8 @@
     def start(self) -> None:
         """Begin to decide."""
         self._refresh()
-        self._spawn(self._run_ticks())
+        ticks = self._spawn(self._run_ticks())
+        ticks.add_done_callback(functools.partial(_end_on_failure, self))
 
     def stop(self) -> None:
         """Cancel all tasks; requests that wait are left to their nodes."""
@@ -352,10 +354,22 @@
                 log_event(Event.CALL_FORGOTTEN, call=call, node=job.ask.node)
                 self._settle(self.dispatcher.withdraw(call, now, may_run=True))
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> 'asyncio.Task[None]':
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
+
+
+def _end_on_failure(holder: Holder, task: 'asyncio.Task[None]') -> None:
+    """Have another holder elected when this one's ticks have failed."""
+    exc = None if task.cancelled() else task.exception()
+    if exc is not None:
+        task.get_loop().call_exception_handler({
+            'message': 'the ticks of the holder failed',
+            'exception': exc,
+        })
+        holder.on_fenced(f'the ticks failed: {exc!r}')
 
 
 async def _await_targets(
--- a/tests/test_node_holder.py
+++ b/tests/test_node_holder.py
@@ -60,3 +60,28 @@
     holder.begun_s -= module.FIRST_READ_S
     reply = await asyncio.wait_for(holder.on_ask(make_ask()), 0.5)
     assert reply.kind == 'no_target'
+
+
+# Guards against a holder that keeps its lease though its ticks have ended, so
+# that requests which wait are neither served nor refused.
+async def test_a_holder_whose_ticks_failed_steps_down() -> None:
+    reasons: list[str] = []
+    holder = make_holder()
+    holder.on_fenced = reasons.append
+    holder.view = dict  # type: ignore[assignment]
+    holder.start()
+    await asyncio.sleep(2 * module.TICK_S)
+    holder.stop()
+    assert len(reasons) == 1
+    assert 'the ticks failed' in reasons[0]
+
+
+async def test_a_holder_that_is_stopped_does_not_step_down() -> None:
+    reasons: list[str] = []
+    holder = make_holder()
+    holder.on_fenced = reasons.append
+    holder.start()
+    await asyncio.sleep(2 * module.TICK_S)
+    holder.stop()
+    await asyncio.sleep(module.TICK_S)
+    assert not reasons
