A request that waited through a pause of its node has less time left

What callers saw: a node that is paused and goes on counts X-Deadline from when it reads a request. All of 12 requests with 500 ms, sent to a node that was paused for 1.2 s, ran at the target after their time was over, at the holder and at another node.

Cause: a request's arrival was the time at which its handler began.

Change: the process notes each 50 ms that it could read. If it could not for over 250 ms, what it reads then, and for 100 ms, counts from the last time that it could; a request whose time is over is answered 503 and not run.

--- a/mimosaworks/node/admission.py
+++ b/mimosaworks/node/admission.py
@@ -29,12 +29,14 @@
 NO_DEPLOYMENT_RETRY_S = 1.0
 
 
-async def admit(req: web.BaseRequest, deployment: Deployment | None) -> Call:
+async def admit(
+    req: web.BaseRequest, deployment: Deployment | None, arrived_s: float
+) -> Call:
     """Return the request if the deployment allows it.
 
-    Raises RequestError, before anything was sent to a target.
+    Its time counts from arrived_s. Raises RequestError, before anything was
+    sent to a target.
     """
-    arrived_s = now_s()
     if deployment is None:
         raise RequestError(
             ErrorKind.CONFIG_STALE,
@@ -50,14 +52,12 @@
         timeout_s = min(timeout_s, left_s - ANSWER_MARGIN_S)
     deadline_s = arrived_s + timeout_s
     try:
-        async with asyncio.timeout(timeout_s):
+        async with asyncio.timeout(deadline_s - now_s()):
             body = await read_body(req, deployment.limits.body_bytes)
     except TimeoutError as exc:
-        raise RequestError(
-            ErrorKind.DEADLINE_EXCEEDED,
-            'the body did not come in time',
-            run_state=RunState.NOT_RUN,
-        ) from exc
+        raise _late('the body did not come in time') from exc
+    if deadline_s <= now_s():
+        raise _late('its time was over when it was read')
     workspace = None if grant is None else grant.workspace
     terms = deployment.workspaces.get(workspace or '')
     return Call(
@@ -76,6 +76,12 @@
     )
 
 
+def _late(reason: str) -> RequestError:
+    return RequestError(
+        ErrorKind.DEADLINE_EXCEEDED, reason, run_state=RunState.NOT_RUN
+    )
+
+
 def pick_service(route: ServiceRoute) -> str:
     """Return one of a route's services at random, by their weights."""
     if len(route.shares) == 1:
--- a/mimosaworks/node/front.py
+++ b/mimosaworks/node/front.py
@@ -24,6 +24,7 @@
 from mimosaworks.node.chooser import Chooser
 from mimosaworks.node.exchange import Exchange
 from mimosaworks.node.meters import Meters
+from mimosaworks.node.pulse import Pulse
 from mimosaworks.node.stays import Stay, Stays
 from mimosaworks.platform.headers import REQUEST_ID
 from mimosaworks.serving import RUN_HEADER
@@ -50,7 +51,8 @@
 
     stop_left_s gives the seconds until a node that stops ends what is left;
     None for one that does not stop. Connections are closed meanwhile. stays
-    are all requests, calls those at targets by the name of their ask.
+    are all requests, calls those at targets by the name of their ask. pulse
+    tells since when a request may have waited to be read.
     """
 
     chooser: Chooser
@@ -59,6 +61,7 @@
     stop_left_s: Callable[[], float | None]
     stays: Stays = attrs.field(factory=Stays)
     calls: dict[str, Call] = attrs.field(factory=dict)
+    pulse: Pulse = attrs.field(factory=Pulse)
 
     async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
         """Answer one request; used as the server's handler."""
@@ -105,7 +108,9 @@
         return answer
 
     async def _handle(self, stay: Stay) -> web.StreamResponse:
-        call = await admit(stay.req, self.chooser.beliefs.deployment)
+        call = await admit(
+            stay.req, self.chooser.beliefs.deployment, self.pulse.arrived_s()
+        )
         stay.call = call
         call.ends_conn = self.stop_left_s() is not None
         call_log.log_admitted(call, self._version())
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -170,6 +170,7 @@
         node.views.targets_feed.run(),
         node.election.run(),
         node.link.run(),
+        node.front.pulse.run(),
         meters,
     ):
         start_task(work, stack)
