The soak counts a lost request from its last byte, and names the caller's error

A request that was read but not passed on is lost if its connection ends later than loss-slack-ms after its last byte was sent; the soak counted from the begin of the call, which has the caller's own delays in it.

The test of the moment fails without the change: 0.1 s after the last byte was taken for lost.

--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -40,11 +40,16 @@
     is_over: bool = False
     node: NodeHandle | None = None
     _number: int = 0
+    _written_s: float = 0
 
     async def run(self) -> None:
         """Send one request after the other until it is over."""
         connector = aiohttp.TCPConnector(limit=1, keepalive_timeout=KEPT_S)
-        async with aiohttp.ClientSession(connector=connector) as session:
+        trace = aiohttp.TraceConfig()
+        trace.on_request_chunk_sent.append(self._note_written)
+        async with aiohttp.ClientSession(
+            connector=connector, trace_configs=[trace]
+        ) as session:
             world = attrs.evolve(self.load.world, session=session)
             while not self.is_over:
                 await asyncio.sleep(self.rng.uniform(*PAUSE_S))
@@ -79,12 +84,25 @@
                 status = resp.status
         except aiohttp.ClientConnectorError:
             self.node = None
-        except (aiohttp.ClientError, TimeoutError):
+        except (aiohttp.ClientError, TimeoutError) as exc:
+            status, text = 0, repr(exc).encode()
             self._leave()
         self.load.seen.append(
-            Seen(request_id, path, status, text, said, events)
+            Seen(
+                request_id,
+                path,
+                status,
+                text,
+                said,
+                events,
+                written_s=self._written_s,
+            )
         )
 
+    async def _note_written(self, *_: object) -> None:
+        """Note when the last bytes of a request left."""
+        self._written_s = time.monotonic()
+
     def _limit_ms(self, path: str) -> int:
         """Return the time that the caller has, at most its route's."""
         limit_ms = self.rng.choice(DEADLINES_MS)
