Checked access to JSON fields leaves the platform's folder; a stop has longer to flush

Change: the module moves as it is. A node begins to close 1 s before its grace is over, and two fifths of that are for answers on their way.

--- a/mimosaworks/node/election.py
+++ b/mimosaworks/node/election.py
@@ -15,6 +15,7 @@
     StoreUnavailableError,
 )
 from mimosaworks.events import Event, log_event
+from mimosaworks.json_fields import parse_table, text, whole
 from mimosaworks.node.hurried_pause import HurriedPause
 from mimosaworks.platform import (
     RowChange,
@@ -23,7 +24,6 @@
     StoreClient,
     StoredRow,
 )
-from mimosaworks.platform.fields import parse_table, text, whole
 
 LEASE_ROW = RowName('mimosaworks', 'dispatch-lease')
 LEASE_S = 1.5  # three renewals; fences guard the targets beyond it
--- a/mimosaworks/node/planned_stop.py
+++ b/mimosaworks/node/planned_stop.py
@@ -14,20 +14,20 @@
 ACCEPT_SHARE = 0.75  # of the grace, in which callers still know the address
 # At the end of the grace, to close what is left, the servers and the process on
 # a busy VM; a shorter share where the grace is short.
-CLOSE_S = 0.8
+CLOSE_S = 1.0
 CLOSE_SHARE = 1 / 6
 OVERDUE_SHARE = 0.97  # of the grace, after which the process should be gone
 END_POLL_S = 0.05
 GIVE_BACK_PAUSE_S = 0.3
 CROSSING_S = 0.05  # for requests that were sent before the node closed
-FLUSH_S = 0.1  # for answers on their way to callers
+FLUSH_SHARE = 0.4  # of the time to close, for answers on their way to callers
 
 
 async def stop_node(node: Node) -> None:
     """Return when requests have ended, or when nothing more can be ended."""
     begun_s = now_s()
     grace_s = node.cfg.bounds.grace_s
-    end_s = begun_s + grace_s - min(CLOSE_S, grace_s * CLOSE_SHARE)
+    end_s = begun_s + grace_s - _close_s(grace_s)
     accept_end_s = min(begun_s + grace_s * ACCEPT_SHARE, end_s)
     _begin(node, grace_s, begun_s, end_s)
     try:
@@ -61,6 +61,11 @@
     )
 
 
+def _close_s(grace_s: float) -> float:
+    """Return the part of a grace in which a node closes what is left."""
+    return min(CLOSE_S, grace_s * CLOSE_SHARE)
+
+
 def _begin(node: Node, grace_s: float, begun_s: float, end_s: float) -> None:
     node.stop_begun_s = begun_s
     node.stop_end_s = end_s
@@ -105,7 +110,8 @@
     stays.expire()
     # What is left after that is closed with its connection.
     with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(FLUSH_S):
+        flush_s = _close_s(node.cfg.bounds.grace_s) * FLUSH_SHARE
+        async with asyncio.timeout(flush_s):
             await node.callers.close_others(stays.conns)
     stays.abort()
 
--- a/mimosaworks/node/stored_suspects.py
+++ b/mimosaworks/node/stored_suspects.py
@@ -11,8 +11,8 @@
 from mimosaworks.clock import now_s
 from mimosaworks.dispatch import CrashBook, Suspect, TargetEnd
 from mimosaworks.events import Event, log_event
+from mimosaworks.json_fields import parse_table
 from mimosaworks.platform import RowChange, RowName, StoredRow
-from mimosaworks.platform.fields import parse_table
 
 SUSPECTS_ROW = RowName('mimosaworks', 'suspects')
 # Of the bytes that a row may have: entries are counted without separators.
--- a/mimosaworks/platform/boot.py
+++ b/mimosaworks/platform/boot.py
@@ -6,7 +6,7 @@
 import attrs
 
 from mimosaworks.errors import SettingError
-from mimosaworks.platform.fields import (
+from mimosaworks.json_fields import (
     Fields,
     flag,
     number,
--- a/mimosaworks/platform/desired.py
+++ b/mimosaworks/platform/desired.py
@@ -11,8 +11,7 @@
     ServiceTerms,
     WorkspaceTerms,
 )
-from mimosaworks.platform.boot import MS_PER_S
-from mimosaworks.platform.fields import (
+from mimosaworks.json_fields import (
     Fields,
     flag,
     number,
@@ -23,6 +22,7 @@
     texts,
     whole,
 )
+from mimosaworks.platform.boot import MS_PER_S
 
 DESIRED_TABLE = 'op'
 DESIRED_KEY = 'config'
--- a/mimosaworks/platform/engine_calls.py
+++ b/mimosaworks/platform/engine_calls.py
@@ -11,14 +11,14 @@
 
 from mimosaworks.bounded_answers import read_bounded
 from mimosaworks.deployment import Residence
-from mimosaworks.platform.entries import decode_residences
-from mimosaworks.platform.fields import (
+from mimosaworks.json_fields import (
     Fields,
     flag,
     parse_table,
     texts,
     whole,
 )
+from mimosaworks.platform.entries import decode_residences
 from mimosaworks.platform.headers import EXPECTED_TARGET
 
 # Orders are answered within some steps; a second send of one that was
--- a/mimosaworks/platform/entries.py
+++ b/mimosaworks/platform/entries.py
@@ -1,8 +1,7 @@
 """Decodes what targets write about themselves."""
 
 from mimosaworks.deployment import Residence, TargetEntry, TargetState
-from mimosaworks.platform.boot import MS_PER_S
-from mimosaworks.platform.fields import (
+from mimosaworks.json_fields import (
     WHOLE_BITS,
     Fields,
     count,
@@ -13,6 +12,7 @@
     texts,
     whole,
 )
+from mimosaworks.platform.boot import MS_PER_S
 
 TARGETS_TABLE = 'servers'
 MAX_PORT = 65535
--- a/mimosaworks/platform/headers.py
+++ b/mimosaworks/platform/headers.py
@@ -6,8 +6,8 @@
 from multidict import CIMultiDict, MultiMapping
 
 from mimosaworks.deployment import CallFacts, PromptPart
+from mimosaworks.json_fields import MAX_COUNT, read_count
 from mimosaworks.platform.boot import MS_PER_S
-from mimosaworks.platform.fields import MAX_COUNT, read_count
 
 REQUEST_ID = 'X-Request-Id'
 MODEL = 'X-Model'
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -12,8 +12,8 @@
 
 from mimosaworks.deployment import Repeat
 from mimosaworks.errors import SettingError
+from mimosaworks.json_fields import MAX_COUNT
 from mimosaworks.platform import decode_desired, decode_entry, read_boot
-from mimosaworks.platform.fields import MAX_COUNT
 from mimosaworks.platform.headers import (
     read_facts,
     read_key,
