--- a/standins/agency/world.py
+++ b/standins/agency/world.py
@@ -30,6 +30,7 @@
 DISK_MB = 500000.0
 PORTS_A_NODE = 5
 CRASH_DOWN_S = 1.0
+CLOSE_S = 0.1  # for handlers at the end of a test; 0 would be no limit
 
 
 def desired(version: int = 1, **changes: Any) -> dict[str, Any]:
@@ -279,7 +280,10 @@
     async def serve(self, app: web.Application) -> str:
         """Serve an application; return its address."""
         runner = web.AppRunner(
-            app, access_log=None, shutdown_timeout=0, handler_cancellation=True
+            app,
+            access_log=None,
+            shutdown_timeout=CLOSE_S,
+            handler_cancellation=True,
         )
         await runner.setup()
         self.stack.push_async_callback(runner.cleanup)
