A grace counts from a pause in which SIGTERM may have come

Cause: a process that is paused when SIGTERM comes sees it when it goes on, and counted its grace from there; the platform counts from the signal. Change: the stop begins at the last time before the pause at which the process ran, as the pulse knows it. Figures: the new test, half a grace of pause, failed before (TimeoutError: still there when the grace was over) and passes; make check passes.

--- a/mimosaworks/node/planned_stop.py
+++ b/mimosaworks/node/planned_stop.py
@@ -25,7 +25,8 @@
 
 async def stop_node(node: Node) -> None:
     """Return when requests have ended, or when nothing more can be ended."""
-    begun_s = now_s()
+    # A signal that came while the process was paused is seen afterwards.
+    begun_s = node.front.pulse.arrived_s()
     grace_s = node.cfg.bounds.grace_s
     end_s = begun_s + grace_s - _close_s(grace_s)
     accept_end_s = min(begun_s + grace_s * ACCEPT_SHARE, end_s)
--- a/tests/test_node_stop.py
+++ b/tests/test_node_stop.py
@@ -271,6 +271,26 @@
         await stop_under_load([node], world)
 
 
+# Guards against a node that was paused when SIGTERM came and counted its grace
+# from when it went on: it was killed with requests at work.
+async def test_a_grace_counts_from_a_pause_in_which_sigterm_came(
+    world: AgencyWorld,
+) -> None:
+    node, _ = await open_nodes(world, 2)
+    world.replicas['engine-1'].events = 1000
+    _, writer = await connect(node)
+    writer.write(whole('endless', LONG_MS, STREAM))
+    await until(lambda: 'endless' in world.replicas['engine-1'].runs)
+    node.process.pause()
+    node.process.terminate()
+    await asyncio.sleep(GRACE_S / 2)
+    node.process.resume()
+    async with asyncio.timeout(GRACE_S / 2):
+        await node.process.wait()
+    assert node.events('node_stopped')
+    writer.close()
+
+
 async def reject_often(world: AgencyWorld) -> None:
     """Have targets reject requests for some moments, again and again."""
     while True:
