Log the age of the view behind a decision, and of a decision when it is used

The logs could not tell a holder that decides from an old view from a decision that is used late: call_decided now has view_age_s, call_sent decided_ago_s.

--- a/mimosaworks/node/call_log.py
+++ b/mimosaworks/node/call_log.py
@@ -1,5 +1,6 @@
 """Log lines about callers' requests at a node."""
 
+from mimosaworks.clock import now_s
 from mimosaworks.dispatch import Assignment, CallOutcome
 from mimosaworks.errors import RequestError
 from mimosaworks.events import Event, log_event
@@ -58,6 +59,7 @@
         left_s=call.remaining_s(),
         resends=call.resends,
         fence=fence,
+        decided_ago_s=now_s() - assignment.granted_s,
     )
 
 
--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -145,7 +145,7 @@
         self._apply_cluster_state()
         token_wait_s = self.dispatcher.admit(assignment_req, now)
         if isinstance(token_wait_s, Refusal):
-            _log_decision(call_ask, token_wait_s, 0)
+            _log_decision(self, call_ask, token_wait_s, 0)
             return call_reply_from(token_wait_s, received_s)
         if token_wait_s:
             await self._wait_for_tokens(call_ask, token_wait_s)
@@ -226,7 +226,7 @@
         if isinstance(decision, Refusal) and decision.is_rate_limited:
             self.on_rate_limited_call('refused')
         if decision is not None:
-            _log_decision(call_ask, decision, 0)
+            _log_decision(self, call_ask, decision, 0)
             return decision
         job = self.dispatcher.jobs[call_ask.call]
         if job.permit_wait_s:
@@ -303,7 +303,7 @@
             raise
         finally:
             self.pending_decisions.pop(call_ask.call, None)
-        _log_decision(call_ask, decision, now_s() - wait_started_s)
+        _log_decision(self, call_ask, decision, now_s() - wait_started_s)
         return decision
 
     def _deliver_decisions(self, decisions: list[Decision]) -> None:
@@ -478,7 +478,10 @@
 
 
 def _log_decision(
-    call_ask: CallAsk, decision: Assignment | Refusal, decision_wait_s: float
+    holder: Holder,
+    call_ask: CallAsk,
+    decision: Assignment | Refusal,
+    decision_wait_s: float,
 ) -> None:
     log_event(
         Event.CALL_DECIDED,
@@ -491,4 +494,5 @@
         waited_s=decision_wait_s,
         left_s=call_ask.left_s - decision_wait_s,
         excluded=list(call_ask.excluded),
+        view_age_s=now_s() - holder.entries_view().last_read_s,
     )
