Count the age of the targets' entries from the question to the store

A node counted the age of its view from the store's answer, and a node without a holder from the last change, so that a view was taken for younger than it is while the store is slow, and for older while nothing changes. An answer tells of the moment at which the store gave it, which is at the earliest that of the question, or the end of a wait without a change. The age now counts from there.

The two tests fail on the code before: no such time was noted, and the first read after a loss waited like any other.

--- a/mimosaworks/node/cluster_follower.py
+++ b/mimosaworks/node/cluster_follower.py
@@ -60,6 +60,7 @@
             self.store,
             TARGETS_TABLE,
             self._apply_target_rows,
+            on_answer=self.cluster_state.record_targets_read,
             read_interval_s=TARGETS_READ_INTERVAL_S,
             max_retry_pause_s=TARGETS_READ_INTERVAL_S,
             is_needed=self._needs_target_rows,
@@ -100,7 +101,7 @@
         return EntriesView(
             self.cluster_state.targets,
             read_since_s=follower.outage_end_s,
-            last_read_s=follower.last_answer_s,
+            last_read_s=self.cluster_state.targets_read_s,
             expiry_s=self.entry_lapse_s(),
         )
 
--- a/mimosaworks/node/cluster_state.py
+++ b/mimosaworks/node/cluster_state.py
@@ -24,7 +24,7 @@
 
     targets_version grows with each change that other nodes need at once, and
     every MODEL_CHANGES_INTERVAL_S when models have changed. targets_read_s is
-    when the entries were read last.
+    the time as of which the entries are known.
     """
 
     deployment: Deployment | None = None
@@ -84,7 +84,14 @@
         self._log_target_changes(found_entries)
         self._update_targets_version(found_entries, now)
         self.targets = found_entries
-        self.targets_read_s = now
+
+    def record_targets_read(self, as_of_s: float) -> None:
+        """Record that the entries are known as of a time."""
+        self.targets_read_s = max(self.targets_read_s, as_of_s)
+
+    def targets_age_s(self) -> float:
+        """Return the age of the entries in seconds."""
+        return now_s() - self.targets_read_s
 
     def _update_targets_version(
         self, found_entries: dict[str, TargetEntry], now: float
--- a/mimosaworks/node/table_follower.py
+++ b/mimosaworks/node/table_follower.py
@@ -10,6 +10,7 @@
 from mimosaworks.clock import now_s
 from mimosaworks.errors import StoreHistoryError, StoreUnavailableError
 from mimosaworks.events import Event, log_event
+from mimosaworks.node.interruptible_sleep import InterruptibleSleep
 from mimosaworks.platform import RowsAnswer, StoreClient, StoredRow
 
 # Detects a dead connection before a change that was made right after an outage
@@ -26,6 +27,10 @@
 Rows = dict[str, StoredRow]
 
 
+def _ignore_answer(_as_of_s: float) -> None:
+    """Ignore as of when an answer is complete."""
+
+
 @attrs.define(eq=False)
 class TableFollower:
     """The rows of a store table; on_rows is called with all after each change.
@@ -33,7 +38,9 @@
     read_interval_s is the pause between two reads, in which changes are merged;
     follow_timeout_s returns how long the store may wait for a change.
     max_retry_pause_s bounds the pause between tries while the store fails.
-    is_needed, when given, suspends reading while it returns False.
+    version is the store's at the last answer.
+    is_needed, when given, suspends reading while it returns False. on_answer
+    is called after each answer with the time as of which it is complete.
     last_answer_s is the time of the last answer; outage_end_s that of the last
     answer after a failure.
     """
@@ -45,26 +52,36 @@
     follow_timeout_s: Callable[[], float] = lambda: FOLLOW_TIMEOUT_S
     max_retry_pause_s: float = MAX_RETRY_PAUSE_S
     is_needed: Callable[[], bool] | None = None
+    on_answer: Callable[[float], None] = _ignore_answer
     last_answer_s: float = 0
     outage_end_s: float = 0
     is_store_lost: bool = False
     _rows: Rows = attrs.field(factory=dict)
-    _version: int = 0
+    version: int = 0
+    _catches_up: bool = False
     _follow_started_s: float = 0
     _follow_timeout: asyncio.Timeout | None = None
     _retry_pause_s: float = FIRST_RETRY_PAUSE_S
+    _idle_pause: InterruptibleSleep = attrs.field(
+        factory=lambda: InterruptibleSleep(0)
+    )
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:  # noqa: WPS457 -- ends when the task is cancelled
-            is_needed = self.is_needed is None or self.is_needed()
-            pause_s = (
-                await self._read_once() if is_needed else FIRST_RETRY_PAUSE_S
-            )
-            await asyncio.sleep(pause_s)
+            if self.is_needed is None or self.is_needed():
+                pause_s = await self._read_once()
+                await asyncio.sleep(pause_s)
+            else:
+                self._catches_up = True
+                await self._idle_pause.sleep(FIRST_RETRY_PAUSE_S)
 
     def restart_follow(self) -> None:
-        """Read again instead of waiting on a connection that may be dead."""
+        """Read again instead of waiting on a connection that may be dead.
+
+        A follower that was not needed checks at once whether it is now.
+        """
+        self._idle_pause.wake()
         is_old = now_s() - self._follow_started_s > MIN_FOLLOW_AGE_S
         if self._follow_timeout is not None and is_old:
             self._follow_timeout.reschedule(asyncio.get_running_loop().time())
@@ -74,12 +91,13 @@
         try:
             await self._read_rows()
         except StoreHistoryError:
-            self._version = 0
+            self.version = 0
             return 0
         except TimeoutError:
             return 0
         except StoreUnavailableError as exc:
             self._record_store_loss(exc)
+            self._catches_up = True
             retry_pause_s = random.uniform(
                 self._retry_pause_s / 2, self._retry_pause_s
             )
@@ -91,20 +109,26 @@
         return self.read_interval_s
 
     async def _read_rows(self) -> None:
-        if self._version:
-            answer = await self._follow_changes()
+        started_s = now_s()
+        if self.version:
+            # The answer shows at once whether the store is back.
+            wait_s = 0 if self._catches_up else self.follow_timeout_s()
+            answer = await self._follow_changes(wait_s)
             is_changed = bool(answer.rows)
         else:
+            wait_s = 0
             answer = await self.store.read(self.table)
             self._rows = {}
             is_changed = True
-        self._version = max(self._version, answer.version)
+        self._catches_up = False
+        self.version = max(self.version, answer.version)
         for row in answer.rows:
             self._apply_row(row)
         if is_changed:
             self.on_rows(self._rows)
+        self.on_answer(_as_of_s(started_s, wait_s, is_changed=is_changed))
 
-    async def _follow_changes(self) -> RowsAnswer:
+    async def _follow_changes(self, wait_s: float) -> RowsAnswer:
         """Wait for changes; raises TimeoutError after restart_follow."""
         self._follow_started_s = now_s()
         async with contextlib.AsyncExitStack() as stack:
@@ -112,9 +136,7 @@
             self._follow_timeout = await stack.enter_async_context(
                 asyncio.timeout(None)
             )
-            return await self.store.follow(
-                self.table, self._version, self.follow_timeout_s()
-            )
+            return await self.store.follow(self.table, self.version, wait_s)
 
     def _clear_follow_timeout(self) -> None:
         self._follow_timeout = None
@@ -147,3 +169,13 @@
             )
         self._retry_pause_s = FIRST_RETRY_PAUSE_S
         self.last_answer_s = now
+
+
+def _as_of_s(started_s: float, wait_s: float, *, is_changed: bool) -> float:
+    """Return the time up to which an answer certainly has all changes.
+
+    The store answers without a change after wait_s, with one at any moment
+    since the call was sent.
+    """
+    has_waited = not is_changed and now_s() >= started_s + wait_s
+    return started_s + wait_s if has_waited else started_s
--- a/tests/test_node_table_feed.py
+++ b/tests/test_node_table_feed.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from mimosaworks.clock import now_s
 from mimosaworks.errors import StoreHistoryError, StoreUnavailableError
 from mimosaworks.node.table_follower import (
     MIN_FOLLOW_AGE_S,
@@ -119,3 +120,47 @@
     task.cancel()
     assert store.tries == 3
     assert not feed.is_store_lost
+
+
+@attrs.define(eq=False)
+class SlowStore(ScriptedStore):
+    """Answers with a change some time after it was asked."""
+
+    delay_s: float = 0
+    waits: list[float] = attrs.field(factory=list)
+
+    async def follow(self, table: str, after: int, wait_s: float) -> RowsAnswer:
+        """Return a row after a while."""
+        self._check()
+        self.waits.append(wait_s)
+        await asyncio.sleep(self.delay_s)
+        return RowsAnswer(self.rows, after + 1, after + 1)
+
+
+# Guards against a view that counts as younger than what the store answered:
+# with a slow store its age began with the answer.
+async def test_the_age_of_a_view_counts_from_the_question() -> None:
+    store = SlowStore((ROW,), delay_s=0.3)
+    feed = make(store, [])
+    known: list[tuple[float, float]] = []
+    feed.on_answer = lambda as_of_s: known.append((now_s(), as_of_s))
+    await run_for(feed, 0.5)
+    answered_s, as_of_s = known[1]
+    assert answered_s - as_of_s >= 0.3
+
+
+# Guards against a store that counts as lost for the length of a long poll
+# after it answers again.
+async def test_the_first_read_after_a_loss_waits_for_no_change() -> None:
+    store = SlowStore((ROW,))
+    feed = make(store, [])
+    await run_for(feed, 0.05)
+    assert store.waits[-1] > 0
+    store.is_down = True
+    await run_for(feed, 0.1)
+    store.is_down = False
+    before = len(store.waits)
+    await run_for(feed, 0.3)
+    assert not store.waits[before]
+    assert store.waits[-1] > 0
+    assert not feed.is_store_lost
