Move the lease when the store refuses its holder, not all nodes

Cause: a holder that can't reach the store keeps the lease and decides for all, since the store may be away for all; nobody could tell that from a store that refuses the holder alone. Nothing bounded the age of the view that it decides from. Evidence: call_decided of late requests has a view_age_s of 4.4 and 4.6 s, decided_ago_s 3 to 5 ms; no other node reads the lease meanwhile.

A holder whose view is overdue now reads the store together with other nodes. If only others are answered, one of them takes the lease by a conditional write; if none is, the holder decides on as before. Until one is known, no decision is made from a view older than 0.7 of the notice time, and nothing is sent from one older than 0.9. That holds whatever refuses the holder, and for what else it reads for all.

--- a/mimosaworks/dispatch/job.py
+++ b/mimosaworks/dispatch/job.py
@@ -45,6 +45,8 @@
     granted_s is the time of the decision on the clock of the process that
     reads it. An assignment may have a permit of the target's rate limit.
     is_trial: requests with this fingerprint are refused except for this send.
+    view_age_s is the age of the entries at the decision, 0 if none could be
+    fresher.
     """
 
     target: str
@@ -56,6 +58,7 @@
     is_trial: bool = False
     incarnation: int = 0
     crash_count: int = 0
+    view_age_s: float = 0
 
 
 @attrs.frozen
--- a/mimosaworks/node/candidates.py
+++ b/mimosaworks/node/candidates.py
@@ -1,19 +1,24 @@
 """The nodes that may hold the lease, as one of them knows them."""
 
 import functools
+import random
 import zlib
 
 import attrs
 
+from mimosaworks.errors import PeerError
+from mimosaworks.events import Event, log_event
 from mimosaworks.node.election import Election, Lease
+from mimosaworks.node.heartbeat_times import HEARTBEAT_TIMEOUT_S
 from mimosaworks.node.holder_link import HolderLink
 from mimosaworks.platform import BootSettings
-from mimosaworks.wire import Ack, LeaseNotice, NodeRow
+from mimosaworks.wire import Ack, LeaseAsk, LeaseNotice, LeaseOffer, NodeRow
 
 # The least share of the strongest node's power that counts as strong.
 STRONG_NODE_SHARE = 0.5
 # A holder's network traffic for the requests of one core.
 HOLDER_MBPS_PER_CORE = 20.0
+NO_LEASE = Lease('', '', '', fence=0)
 
 
 def _candidate_sort_key(
@@ -54,32 +59,69 @@
         if not rows:
             name_hash = zlib.crc32(self.cfg.name.encode())
             return name_hash % max(self.count_members(), 1)
-        min_strength = STRONG_NODE_SHARE * max(
-            row.strength for row in rows.values()
-        )
-        candidates = [row for row in rows.values() if not row.is_stopping]
-        ranked_candidates = sorted(
-            candidates, key=functools.partial(_candidate_sort_key, min_strength)
-        )
-        names = [row.name for row in ranked_candidates]
+        names = [row.name for row in self._ranked_candidates()]
         own_name = self.cfg.name
         return names.index(own_name) if own_name in names else 0
 
+    def list_others(self) -> list[NodeRow]:
+        """Return the other candidates, the best first."""
+        return [
+            row
+            for row in self._ranked_candidates()
+            if row.name != self.cfg.name
+        ]
+
     def notify_members(self, lease: Lease) -> None:
         """Send this node's election to the nodes that were known last."""
-        notice = LeaseNotice(
-            holder=lease.holder,
-            address=lease.address,
-            nonce=lease.nonce,
-            fence=lease.fence,
-            version=lease.version,
-        )
+        notice = _notice_of(lease)
         for row in self.link.replicated_view.members.values():
             if row.name != self.cfg.name:
                 self.link.send_notice(row.peer_address, notice)
 
     async def handle_lease_notice(self, notice: LeaseNotice) -> Ack:
         """Apply another node's election, and send a heartbeat to that node."""
+        self.apply_notice(notice)
+        return Ack(accepted=True)
+
+    async def handle_lease_ask(self, _ask: LeaseAsk) -> LeaseNotice:
+        """Return the lease as this node knows it."""
+        return _notice_of(self.election.lease or NO_LEASE)
+
+    async def ask_other_node(self) -> None:
+        """Ask a random node for the lease, and apply a newer one.
+
+        A node that the store refuses has no other way to find a holder whose
+        notice it missed.
+        """
+        others = self.list_others()
+        if not others:
+            return
+        address = random.choice(others).peer_address
+        try:
+            notice = await self.link.peers.call(
+                address, LeaseAsk(), LeaseNotice, HEARTBEAT_TIMEOUT_S
+            )
+        except PeerError as exc:
+            log_event(
+                Event.DEPENDENCY_LOST,
+                dependency=f'node:{address}',
+                reason=str(exc),
+                age_s=0,
+            )
+            return
+        if notice.holder:
+            self.apply_notice(notice)
+
+    async def handle_lease_offer(self, offer: LeaseOffer) -> LeaseNotice:
+        """Take the lease of a holder that does not reach the store.
+
+        Returns the lease as this node knows it then.
+        """
+        await self.election.accept_offer(offer.nonce)
+        return _notice_of(self.election.lease or NO_LEASE)
+
+    def apply_notice(self, notice: LeaseNotice) -> bool:
+        """Apply another node's election; return whether this node holds on."""
         lease = Lease(
             holder=notice.holder,
             address=notice.address,
@@ -89,4 +131,25 @@
         )
         self.election.apply_lease_notice(lease)
         self.link.schedule_heartbeat()
-        return Ack(accepted=True)
+        return self.election.is_holder
+
+    def _ranked_candidates(self) -> list[NodeRow]:
+        """Return the nodes that do not stop, the best candidates first."""
+        rows = self.link.replicated_view.members.values()
+        min_strength = STRONG_NODE_SHARE * max(
+            (row.strength for row in rows), default=0
+        )
+        return sorted(
+            (row for row in rows if not row.is_stopping),
+            key=functools.partial(_candidate_sort_key, min_strength),
+        )
+
+
+def _notice_of(lease: Lease) -> LeaseNotice:
+    return LeaseNotice(
+        holder=lease.holder,
+        address=lease.address,
+        nonce=lease.nonce,
+        fence=lease.fence,
+        version=lease.version,
+    )
--- a/mimosaworks/node/cluster_follower.py
+++ b/mimosaworks/node/cluster_follower.py
@@ -20,9 +20,14 @@
 
 # A third of the targets' heartbeat interval.
 TARGETS_READ_INTERVAL_S = 0.4
-# The share of the time in which a leaving target must be known: an older view
-# of the targets is not used.
+# Shares of the time in which a leaving target must be known. The holder waits
+# so long for a change, twice within the age at which its view is overdue;
+# nothing is decided from an older view than the next one, and nothing sent when
+# the view behind the decision is older than the last one.
+HOLDER_FOLLOW_SHARE = 0.125
+OVERDUE_VIEW_SHARE = 0.5
 MAX_VIEW_AGE_SHARE = 0.7
+MAX_SEND_AGE_SHARE = 0.9
 # Time for a version to arrive over the node's own connection to the store.
 DEPLOYMENT_LAG_GRACE_S = 0.1
 # The time without a holder after which a node reads entries itself.
@@ -60,6 +65,7 @@
             self.store,
             TARGETS_TABLE,
             self._apply_target_rows,
+            follow_timeout_s=self._targets_follow_timeout_s,
             on_answer=self.cluster_state.record_targets_read,
             read_interval_s=TARGETS_READ_INTERVAL_S,
             max_retry_pause_s=TARGETS_READ_INTERVAL_S,
@@ -84,17 +90,34 @@
         self.deployment_follower.restart_follow()
         self.targets_follower.restart_follow()
 
-    def is_view_usable(self, age_s: float) -> bool:
+    def is_view_fresh(self, age_s: float) -> bool:
         """Return whether a view of the targets is fresh enough for decisions.
 
         age_s is its age in seconds. A target that leaves must be known in
-        time. Without the store no fresher view is available.
+        time.
+        """
+        return age_s < self.drain_notice_s() * MAX_VIEW_AGE_SHARE
+
+    def is_view_usable(self, age_s: float) -> bool:
+        """Return whether a standalone node may decide from a view.
+
+        While neither the store nor a holder answers it, no fresher view is
+        available to it.
         """
+        return self.is_view_fresh(age_s) or self.targets_follower.is_store_lost
+
+    def is_view_overdue(self) -> bool:
+        """Return whether the targets should have been read again by now."""
+        max_age_s = self.drain_notice_s() * OVERDUE_VIEW_SHARE
         return (
-            age_s < self.drain_notice_s() * MAX_VIEW_AGE_SHARE
-            or self.targets_follower.is_store_lost
+            self.targets_follower.is_store_lost
+            or self.cluster_state.targets_age_s() > max_age_s
         )
 
+    def max_send_age_s(self) -> float:
+        """Return the greatest age of a view behind a request that is sent."""
+        return self.drain_notice_s() * MAX_SEND_AGE_SHARE
+
     def entries_view(self) -> EntriesView:
         """Return the targets' entries as they were read."""
         follower = self.targets_follower
@@ -123,6 +146,11 @@
         has_remote_holder = self.link.has_contact() and not self.is_holder()
         return LONG_FOLLOW_TIMEOUT_S if has_remote_holder else FOLLOW_TIMEOUT_S
 
+    def _targets_follow_timeout_s(self) -> float:
+        if self.is_holder():
+            return self.drain_notice_s() * HOLDER_FOLLOW_SHARE
+        return FOLLOW_TIMEOUT_S
+
     def _apply_deployment_rows(self, rows: Rows) -> None:
         self.cluster_state.apply_deployment_rows(rows)
 
--- a/mimosaworks/node/conversions.py
+++ b/mimosaworks/node/conversions.py
@@ -78,6 +78,7 @@
         born=decision.incarnation,
         ended=decision.crash_count,
         waited_s=max(decision.granted_s - requested_s, 0),
+        view_age_s=decision.view_age_s,
     )
 
 
--- a/mimosaworks/node/election.py
+++ b/mimosaworks/node/election.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import attrs
 
@@ -65,6 +65,10 @@
     return ()
 
 
+async def _ask_nobody() -> None:
+    """Ask no other node for the lease."""
+
+
 def _ignore_saved_rows(_write_started_s: float) -> None:
     """Ignore which rows were saved."""
 
@@ -84,6 +88,8 @@
     nodes, candidate_rank this node's place among the candidates, the strongest
     first; start_delay_s delays weak nodes at their start, when the others are
     not known. takeover_delay_s is the pause between two holders' orders.
+    ask_other_node asks another node for the lease, for when the store does
+    not answer.
     on_acquired is called with the lease and the last holder's name,
     on_store_recovered when a renewal is answered after one that was not.
 
@@ -108,6 +114,7 @@
     start_delay_s: float
     takeover_delay_s: float
     lease_s: float = LEASE_S
+    ask_other_node: Callable[[], Awaitable[None]] = _ask_nobody
     pending_rows: Callable[[], tuple[RowChange, ...]] = _no_pending_rows
     on_rows_saved: Callable[[float], None] = _ignore_saved_rows
     on_table_rows: Callable[[tuple[StoredRow, ...]], None] = _ignore_other_rows
@@ -153,13 +160,24 @@
         )
 
     def apply_lease_notice(self, lease: Lease) -> None:
-        """Apply the lease that a newly elected holder announced."""
+        """Apply the lease that a newly elected holder announced.
+
+        A holder that can't reach the store learns so that it has lost the
+        lease.
+        """
         known_lease = self.lease
-        if not self.is_holder and (
-            known_lease is None or known_lease.fence < lease.fence
-        ):
+        if known_lease is None or known_lease.fence < lease.fence:
+            self.step_down(f'{lease.holder} was elected')
             self._apply_lease_row(lease)
 
+    async def accept_offer(self, nonce: str) -> None:
+        """Acquire the lease from a holder that does not reach the store.
+
+        nonce is that of the holder, which must still have the lease.
+        """
+        if self.is_candidate and not self.is_holder:
+            await self._check_lease_row(offered_by=nonce)
+
     def record_renewal(self, version: int) -> None:
         """Record that the holder has renewed the lease row to this version."""
         if self.lease is not None and version > self.lease.version:
@@ -212,7 +230,9 @@
         Some strong nodes poll often and acquire the lease. The next holder
         notifies the others, which poll rarely in case no notice arrives.
         """
-        pause_s = 0 if self._is_preferred_candidate() else SLOW_LEASE_POLL_S
+        pause_s = (
+            0 if _is_preferred(self.candidate_rank()) else SLOW_LEASE_POLL_S
+        )
         while not self.is_holder:
             await asyncio.sleep(random.uniform(pause_s, 2 * pause_s))
             if self.has_holder_contact():
@@ -220,13 +240,10 @@
             await self._check_lease_row()
             pause_s = (
                 LEASE_POLL_S
-                if self._is_preferred_candidate()
+                if _is_preferred(self.candidate_rank())
                 else SLOW_LEASE_POLL_S
             )
 
-    def _is_preferred_candidate(self) -> bool:
-        return self.candidate_rank() < PREFERRED_CANDIDATES
-
     async def _renew_lease(self) -> None:
         if self.lease is None or not self.is_holder:
             return
@@ -266,21 +283,27 @@
         self.step_down('another holder was elected')
         self._apply_lease_row(found_lease)
 
-    async def _check_lease_row(self) -> None:
+    async def _check_lease_row(self, offered_by: str = '') -> None:
         try:
             answer = await self.store.read(LEASE_ROW.table)
         except PlatformError:
-            return  # The table followers log a store outage.
+            # The table followers log a store outage.
+            await self.ask_other_node()
+            return
         found_lease = _find_lease(
             row for row in answer.rows if row.name == LEASE_ROW
         )
         self._apply_lease_row(found_lease)
         self.on_table_rows(answer.rows)
-        if (
-            self.is_candidate
-            and not self.has_holder_contact()
-            and self._is_lease_expired()
-        ):
+        is_offered = (
+            found_lease is not None
+            and bool(offered_by)
+            and found_lease.nonce == offered_by
+        )
+        is_available = (
+            not self.has_holder_contact() and self._is_lease_expired()
+        )
+        if self.is_candidate and (is_offered or is_available):
             await self._acquire_lease()
 
     def _is_lease_expired(self) -> bool:
@@ -366,6 +389,10 @@
         return written_version
 
 
+def _is_preferred(candidate_rank: int) -> bool:
+    return candidate_rank < PREFERRED_CANDIDATES
+
+
 def _find_lease(rows: 'object') -> Lease | None:
     for row in rows:  # type: ignore[attr-defined]
         if isinstance(row, StoredRow) and row.content is not None:
--- a/mimosaworks/node/endpoints.py
+++ b/mimosaworks/node/endpoints.py
@@ -9,13 +9,17 @@
 from mimosaworks.errors import ErrorKind, RequestError
 from mimosaworks.node import call_log
 from mimosaworks.node.caller_server import serve_callers
+from mimosaworks.node.lease_handover import answer_probe
 from mimosaworks.node.node import Node
 from mimosaworks.platform import directory_app, ready_app
 from mimosaworks.serving import PROMPT_SHUTDOWN_S, serve_app
 from mimosaworks.wire import (
     Beat,
     CallAsk,
+    LeaseAsk,
     LeaseNotice,
+    LeaseOffer,
+    StoreProbe,
     add_peer_handler,
     new_peer_app,
 )
@@ -34,6 +38,13 @@
     add_peer_handler(peer_app, CallAsk, node.handle_call_ask)
     add_peer_handler(peer_app, Beat, node.handle_heartbeat)
     add_peer_handler(peer_app, LeaseNotice, node.candidates.handle_lease_notice)
+    add_peer_handler(peer_app, LeaseAsk, node.candidates.handle_lease_ask)
+    add_peer_handler(peer_app, LeaseOffer, node.candidates.handle_lease_offer)
+    add_peer_handler(
+        peer_app,
+        StoreProbe,
+        functools.partial(answer_probe, node.store_client),
+    )
     await serve_app(
         peer_app,
         cfg.peer_address,
--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -23,7 +23,7 @@
     preload_models,
     with_current_duration,
 )
-from mimosaworks.errors import PeerError
+from mimosaworks.errors import ErrorKind, PeerError
 from mimosaworks.events import Event, log_event
 from mimosaworks.node.change_log import ChangeLog
 from mimosaworks.node.cluster_state import ClusterState
@@ -33,6 +33,7 @@
     target_row_from,
 )
 from mimosaworks.node.crash_view import crash_of_note
+from mimosaworks.node.lease_handover import LeaseHandover
 from mimosaworks.node.limit_monitor import LimitMonitor
 from mimosaworks.node.members import Members
 from mimosaworks.node.order_runner import FencedError, OrderRunner
@@ -56,6 +57,13 @@
 # The wait for the targets' entries has time for some calls to a slow store.
 FIRST_ENTRIES_TIMEOUT_S = 1.0
 ENTRIES_POLL_S = 0.02
+# Has time for two probes of the store and an election.
+VIEW_TIMEOUT_S = 1.0
+OLD_VIEW_REFUSAL = Refusal(
+    ErrorKind.NO_TARGET,
+    VIEW_TIMEOUT_S,
+    'the view of the targets is too old',
+)
 # Added to the deadline of a request before its job is dropped.
 EXPIRED_JOB_GRACE_S = 3.0
 
@@ -79,7 +87,8 @@
     requests that wait, by call id. on_rate_limited_call is called with what
     became of a request for which a target's rate limit has no permit:
     'waited' or 'refused'. request_early_renewal is called when the store
-    should get suspects soon.
+    should get suspects soon. handover moves the lease to a node that reaches
+    the store when this one does not.
     """
 
     cluster_state: ClusterState
@@ -96,6 +105,7 @@
     suspect_monitor: SuspectMonitor = attrs.field(factory=SuspectMonitor)
     limit_monitor: LimitMonitor = attrs.field(factory=LimitMonitor)
     suspect_saver: SuspectSaver = attrs.field(factory=SuspectSaver)
+    handover: LeaseHandover | None = None
     lease_version: int = 0
     pending_decisions: dict[str, 'asyncio.Future[Assignment | Refusal]'] = (
         attrs.field(factory=dict)
@@ -110,10 +120,13 @@
     def start(self) -> None:
         """Apply the known cluster state and start the ticks."""
         self._apply_cluster_state()
-        tick_task = self._create_task(self._run_ticks())
-        tick_task.add_done_callback(
-            functools.partial(_step_down_on_failure, self)
-        )
+        loops = [self._run_ticks()]
+        if self.handover is not None:
+            loops.append(self.handover.run())
+        for loop in loops:
+            self._create_task(loop).add_done_callback(
+                functools.partial(_step_down_on_failure, self)
+            )
 
     def stop(self) -> None:
         """Cancel all tasks; nodes send waiting requests to the next holder."""
@@ -139,8 +152,14 @@
         await _wait_for_target_entries(
             self.cluster_state, self.elected_s, wait_until_s
         )
+        is_view_usable = await _wait_for_usable_view(
+            self.handover, assignment_req.first_event_deadline_s
+        )
         if self._is_stopped:
             raise PeerError('another node was elected as the holder')
+        if not is_view_usable:
+            _log_decision(self, call_ask, OLD_VIEW_REFUSAL, 0)
+            return call_reply_from(OLD_VIEW_REFUSAL, received_s)
         now = now_s()
         self._apply_cluster_state()
         token_wait_s = self.dispatcher.admit(assignment_req, now)
@@ -155,7 +174,11 @@
             crash_count = incarnations.count_crashes(
                 decision.target, decision.incarnation
             )
-            decision = attrs.evolve(decision, crash_count=crash_count)
+            decision = attrs.evolve(
+                decision,
+                crash_count=crash_count,
+                view_age_s=_binding_view_age_s(self.handover),
+            )
         return call_reply_from(decision, received_s)
 
     async def handle_heartbeat(self, heartbeat: Beat) -> BeatReply:
@@ -284,6 +307,7 @@
             limits_whole=limits.is_full_snapshot,
             limits_version=self.limit_monitor.row_log.version,
             interval_s=self.members.heartbeat_interval_s(),
+            view_age_s=self.cluster_state.targets_age_s(),
         )
 
     async def _wait_for_decision(
@@ -442,6 +466,26 @@
         await asyncio.sleep(ENTRIES_POLL_S)
 
 
+async def _wait_for_usable_view(
+    handover: LeaseHandover | None, first_event_deadline_s: float
+) -> bool:
+    """Wait while the holder's view is too old; return whether it is usable.
+
+    Meanwhile it is read again, or another node gets the lease, or it is found
+    that the store answers no node.
+    """
+    if handover is None:
+        return True
+    wait_until_s = min(now_s() + VIEW_TIMEOUT_S, first_event_deadline_s)
+    while not handover.is_view_usable() and now_s() < wait_until_s:
+        await asyncio.sleep(ENTRIES_POLL_S)
+    return handover.is_view_usable()
+
+
+def _binding_view_age_s(handover: LeaseHandover | None) -> float:
+    return 0 if handover is None else handover.binding_age_s()
+
+
 def _reconcile_crashes(holder: Holder, now: float) -> None:
     view = holder.entries_view()
     # Removals of entries before this holder's election were not observed.
@@ -494,5 +538,5 @@
         waited_s=decision_wait_s,
         left_s=call_ask.left_s - decision_wait_s,
         excluded=list(call_ask.excluded),
-        view_age_s=now_s() - holder.entries_view().last_read_s,
+        view_age_s=holder.cluster_state.targets_age_s(),
     )
--- /dev/null
+++ b/mimosaworks/node/lease_handover.py
@@ -0,0 +1,194 @@
+"""Moves the lease to a node that reaches the store when its holder does not."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Sequence
+
+import attrs
+
+from mimosaworks.errors import PeerError, PlatformError, StoreHistoryError
+from mimosaworks.events import Event, log_event
+from mimosaworks.platform import TARGETS_TABLE, StoreClient
+from mimosaworks.wire import (
+    LeaseNotice,
+    LeaseOffer,
+    NodeRow,
+    PeerClient,
+    StoreProbe,
+    StoreProbeReply,
+)
+
+CHECK_INTERVAL_S = 0.05
+# Some round trips to the store.
+PROBE_TIMEOUT_S = 0.4
+# A probe, or two calls to the store, and a round trip between nodes.
+PROBE_CALL_TIMEOUT_S = 0.6
+OFFER_TIMEOUT_S = 1.0
+# Nodes that are asked first, and at once when all have been asked.
+MIN_PROBED_NODES = 6
+FIRST_PROBE_PAUSE_S = 0.25
+# A third of the time after which a store that is back counts as stable.
+MAX_PROBE_PAUSE_S = 1.0
+
+
+@attrs.define(eq=False)
+class LeaseHandover:
+    """Finds out who reaches the store while the holder's view is overdue.
+
+    A store that refuses some nodes looks to each of them like one that is
+    away. The holder and some other nodes read it at the same time: if it
+    answers only others, one of them is offered the lease. If it answers none,
+    is_store_away is set: no node can have a fresher view.
+
+    is_view_overdue tells whether the view of the targets should have been read
+    again by now, is_view_fresh whether one of this age in seconds may be used
+    for decisions, view_age_s its age. store_version returns the store's
+    version of the view. list_nodes returns the other nodes, the best
+    candidates first. on_store_reached is called when the store answers this
+    node after all, on_lease_notice with the lease after an offer; it returns
+    whether this node still holds the lease.
+    """
+
+    store: StoreClient
+    peers: PeerClient
+    nonce: str
+    is_view_overdue: Callable[[], bool]
+    is_view_fresh: Callable[[float], bool]
+    view_age_s: Callable[[], float]
+    store_version: Callable[[], int]
+    list_nodes: Callable[[], Sequence[NodeRow]]
+    on_store_reached: Callable[[], None]
+    on_lease_notice: Callable[[LeaseNotice], bool]
+    is_store_away: bool = False
+    _probed_count: int = MIN_PROBED_NODES
+    _pause_s: float = FIRST_PROBE_PAUSE_S
+
+    def is_view_usable(self) -> bool:
+        """Return whether the holder may decide from its view."""
+        return self.is_view_fresh(self.binding_age_s())
+
+    def binding_age_s(self) -> float:
+        """Return the view's age, 0 while no node can have a fresher one."""
+        return 0 if self.is_store_away else self.view_age_s()
+
+    async def run(self) -> None:
+        """Look for a node that reaches the store until cancelled."""
+        while True:  # noqa: WPS457 -- ends when the task is cancelled
+            if self.is_view_overdue():
+                await self._probe_store()
+            else:
+                self.is_store_away = False
+                self._probed_count = MIN_PROBED_NODES
+                self._pause_s = FIRST_PROBE_PAUSE_S
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
+    async def _probe_store(self) -> None:
+        nodes = self._choose_nodes()
+        version = self.store_version()
+        is_reached, *replies = await asyncio.gather(
+            reaches_store(self.store, version),
+            *(self._probe_from(node, version) for node in nodes),
+        )
+        reached_nodes = [
+            node
+            for node, is_reached_there in zip(nodes, replies, strict=True)
+            if is_reached_there
+        ]
+        log_event(
+            Event.STORE_PROBED,
+            view_age_s=self.view_age_s(),
+            asked=len(nodes),
+            reached=[node.name for node in reached_nodes],
+            is_reached=is_reached,
+        )
+        self.is_store_away = not is_reached and not reached_nodes
+        if is_reached:
+            self.on_store_reached()
+        elif reached_nodes:
+            await self._offer_lease(reached_nodes)
+        await self._pause()
+
+    def _choose_nodes(self) -> Sequence[NodeRow]:
+        """Return the nodes to ask: ever more, then some of all.
+
+        The best candidates may all be among those that the store refuses.
+        """
+        nodes = self.list_nodes()
+        if self._probed_count < len(nodes):
+            chosen_nodes = nodes[: self._probed_count]
+            self._probed_count *= 2
+            return chosen_nodes
+        if self._probed_count > MIN_PROBED_NODES:
+            self._probed_count = MIN_PROBED_NODES
+            return nodes
+        return random.sample(nodes, min(MIN_PROBED_NODES, len(nodes)))
+
+    async def _probe_from(self, node: NodeRow, version: int) -> bool:
+        try:
+            reply = await self.peers.call(
+                node.peer_address,
+                StoreProbe(version),
+                StoreProbeReply,
+                PROBE_CALL_TIMEOUT_S,
+            )
+        except PeerError:
+            return False  # The next probes ask other nodes, too.
+        return reply.is_reached
+
+    async def _offer_lease(self, nodes: Sequence[NodeRow]) -> None:
+        for node in nodes:
+            try:
+                notice = await self.peers.call(  # noqa: WPS476 -- one after another
+                    node.peer_address,
+                    LeaseOffer(self.nonce),
+                    LeaseNotice,
+                    OFFER_TIMEOUT_S,
+                )
+            except PeerError as exc:
+                log_event(
+                    Event.LEASE_OFFERED,
+                    node=node.name,
+                    is_taken=False,
+                    reason=str(exc),
+                )
+                continue
+            is_taken = notice.nonce != self.nonce and bool(notice.holder)
+            log_event(
+                Event.LEASE_OFFERED,
+                node=node.name,
+                is_taken=is_taken,
+                reason='',
+            )
+            if not self.on_lease_notice(notice):
+                return
+
+    async def _pause(self) -> None:
+        await asyncio.sleep(self._pause_s)
+        self._pause_s = min(self._pause_s * 2, MAX_PROBE_PAUSE_S)
+
+
+async def reaches_store(store: StoreClient, version: int) -> bool:
+    """Return whether the store answers a read of the targets in time.
+
+    version is the store's of the last one.
+    """
+    read: Awaitable[object] = (
+        store.follow(TARGETS_TABLE, version, 0)
+        if version
+        else store.read(TARGETS_TABLE)
+    )
+    try:
+        async with asyncio.timeout(PROBE_TIMEOUT_S):
+            await read
+    except StoreHistoryError:
+        return True
+    except (PlatformError, TimeoutError):
+        return False  # The holder logs which nodes reach the store.
+    return True
+
+
+async def answer_probe(
+    store: StoreClient, probe: StoreProbe
+) -> StoreProbeReply:
+    """Answer a holder that asks whether the store can be reached here."""
+    return StoreProbeReply(await reaches_store(store, probe.after))
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -25,6 +25,7 @@
 from mimosaworks.node.frontend import Frontend
 from mimosaworks.node.holder import Holder
 from mimosaworks.node.holder_link import HolderLink
+from mimosaworks.node.lease_handover import LeaseHandover
 from mimosaworks.node.limit_view import LimitView
 from mimosaworks.node.meters import Meters
 from mimosaworks.node.order_rate_limit import (
@@ -156,6 +157,7 @@
             on_rate_limited_call=self.meters.count_rate_limited_request,
             request_early_renewal=self.election.renewal_pause.wake,
             lease_version=lease.version,
+            handover=make_lease_handover(self),
         )
         # The directory needs the known members; each is kept until its
         # heartbeats stop.
@@ -167,6 +169,7 @@
             tracker, now_s()
         )
         self.holder.start()
+        self.cluster_follower.restart_follows()
         self.candidates.notify_members(lease)
         token_balances = self.holder_link.replicated_view.token_balances
         self.holder.dispatcher.limiter.cap_balances(token_balances, now_s())
@@ -247,7 +250,7 @@
 
     def _update_gauges(self) -> None:
         meters = self.meters
-        targets_age_s = now_s() - self.cluster_state.targets_read_s
+        targets_age_s = self.cluster_state.targets_age_s()
         meters.view_ages.labels('holder').set(
             self.holder_link.last_reply_age_s()
         )
@@ -282,6 +285,23 @@
     )
 
 
+def make_lease_handover(node: Node) -> LeaseHandover:
+    """Return what moves the lease when only other nodes reach the store."""
+    follower = node.cluster_follower.targets_follower
+    return LeaseHandover(
+        store=node.store_client,
+        peers=node.holder_link.peers,
+        nonce=node.nonce,
+        is_view_overdue=node.cluster_follower.is_view_overdue,
+        is_view_fresh=node.cluster_follower.is_view_fresh,
+        view_age_s=node.cluster_state.targets_age_s,
+        store_version=lambda: follower.version,
+        list_nodes=node.candidates.list_others,
+        on_store_reached=follower.restart_follow,
+        on_lease_notice=node.candidates.apply_notice,
+    )
+
+
 def resend_config(node: Node) -> ResendBudgetConfig:
     """Return the resend budget that all nodes have together."""
     bounds = node.cfg.bounds
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -145,6 +145,7 @@
         start_delay_s=max(1 - compute_strength(cfg), 0)
         * WEAK_NODE_ELECTION_DELAY_S,
         candidate_rank=lambda: node.candidates.candidate_rank(),
+        ask_other_node=lambda: node.candidates.ask_other_node(),
         pending_rows=node.unsaved_rows,
         on_rows_saved=node.record_saved_rows,
         on_table_rows=node.holder_link.crash_view.stored_suspects.apply_rows,
@@ -159,6 +160,7 @@
         target_notices=target_notices,
         count_members=lambda: node.candidates.count_members(),
         is_view_usable=node.cluster_follower.is_view_usable,
+        max_send_age_s=node.cluster_follower.max_send_age_s,
         find_resend_config=functools.partial(resend_config, node),
     )
     node.frontend = Frontend(
--- a/mimosaworks/node/replicated_view.py
+++ b/mimosaworks/node/replicated_view.py
@@ -15,7 +15,8 @@
     """A node's copy of members and targets by name, and of token balances.
 
     The balances are by workspace; balances_received_s is when they came. The
-    versions are the holder's.
+    versions are the holder's; targets_as_of_s is when the holder's view of the
+    targets was read.
     """
 
     members: dict[str, NodeRow] = attrs.field(factory=dict)
@@ -23,6 +24,7 @@
     targets: dict[str, TargetEntry] = attrs.field(factory=dict)
     members_version: int = 0
     targets_version: int = 0
+    targets_as_of_s: float = 0
     balances_received_s: float = 0
 
     def needs_balances(self, now: float) -> bool:
@@ -43,6 +45,7 @@
             reply.members_gone,
         )
         self.targets_version = reply.targets_version
+        self.targets_as_of_s = now - reply.view_age_s
         self.targets = apply_changes(
             {} if reply.targets_whole else self.targets,
             {row.name: target_entry_from(row) for row in reply.targets},
--- a/mimosaworks/node/target_chooser.py
+++ b/mimosaworks/node/target_chooser.py
@@ -60,8 +60,9 @@
     target_notices are the targets to which nothing may be sent for now.
     count_members returns the number of nodes, 0 when it is unknown.
     is_view_usable returns whether a view of the targets of this age in
-    seconds may be used for a decision, find_resend_config the resend budget
-    of all nodes.
+    seconds may be used for a decision, max_send_age_s the greatest age of the
+    view behind a request that is sent, find_resend_config the resend budget of
+    all nodes.
     """
 
     node_name: str
@@ -73,6 +74,7 @@
     count_members: Callable[[], int]
     is_view_usable: Callable[[float], bool]
     find_resend_config: Callable[[], ResendBudgetConfig]
+    max_send_age_s: Callable[[], float] = lambda: math.inf
     standalone_chooser: StandaloneChooser = attrs.field(init=False)
     _call_numbers: Iterator[int] = attrs.field(
         factory=lambda: itertools.count(1)
@@ -143,6 +145,9 @@
         )
         if age_s > max_age_s:
             return f'{target} was chosen {age_s:.2f} s ago'
+        view_age_s = age_s + assignment.view_age_s
+        if view_age_s > self.max_send_age_s():
+            return f'{target} was chosen from a view {view_age_s:.2f} s old'
         if target in self.target_notices.blocked_targets(now):
             return f'{target} announced that it accepts no requests'
         limit_per_s = self.holder_link.limit_view.rate_limit_per_s(target)
@@ -244,6 +249,7 @@
             is_trial=reply.is_trial,
             incarnation=reply.born,
             crash_count=reply.ended,
+            view_age_s=reply.view_age_s,
         )
 
     def _decide_standalone(
@@ -307,14 +313,16 @@
 
     def _targets_age_s(self) -> float:
         """Return the age of the view of the targets in seconds."""
+        replicated_as_of_s = self.holder_link.replicated_view.targets_as_of_s
         last_confirmed_s = max(
-            self.cluster_state.targets_read_s, self.holder_link.last_reply_s
+            self.cluster_state.targets_read_s, replicated_as_of_s
         )
         return now_s() - last_confirmed_s
 
     def _latest_targets(self) -> Mapping[str, TargetEntry]:
         """Return the view of the targets that was confirmed last."""
-        if self.cluster_state.targets_read_s > self.holder_link.last_reply_s:
+        replicated_as_of_s = self.holder_link.replicated_view.targets_as_of_s
+        if self.cluster_state.targets_read_s > replicated_as_of_s:
             return self.cluster_state.targets
         return self.holder_link.replicated_view.targets
 
--- a/mimosaworks/wire/__init__.py
+++ b/mimosaworks/wire/__init__.py
@@ -14,7 +14,13 @@
     RunningCall,
     Spent,
 )
-from mimosaworks.wire.election_messages import LeaseNotice
+from mimosaworks.wire.election_messages import (
+    LeaseAsk,
+    LeaseNotice,
+    LeaseOffer,
+    StoreProbe,
+    StoreProbeReply,
+)
 from mimosaworks.wire.limits_messages import (
     TokenAsk,
     TokenBalance,
@@ -56,13 +62,17 @@
     'CallReply',
     'CallStart',
     'CrashNote',
+    'LeaseAsk',
     'LeaseNotice',
+    'LeaseOffer',
     'LimitNote',
     'LimitRow',
     'NodeRow',
     'PartNote',
     'RunningCall',
     'Spent',
+    'StoreProbe',
+    'StoreProbeReply',
     'SuspectRow',
     'TargetLeaving',
     'TargetModel',
--- a/mimosaworks/wire/dispatch.capnp
+++ b/mimosaworks/wire/dispatch.capnp
@@ -44,6 +44,7 @@
   born @8 :UInt64;
   isTrial @9 :Bool;
   ended @10 :UInt32;
+  viewAgeS @11 :Float64;
 }
 
 struct CallStart {
@@ -87,6 +88,24 @@
   version @4 :UInt64;
 }
 
+struct LeaseAsk {
+  # Answered with LeaseNotice.
+}
+
+struct StoreProbe {
+  # Answered with StoreProbeReply.
+  after @0 :UInt64;
+}
+
+struct StoreProbeReply {
+  isReached @0 :Bool;
+}
+
+struct LeaseOffer {
+  # Answered with LeaseNotice.
+  nonce @0 :Text;
+}
+
 struct TargetModel {
   model @0 :Text;
   adapters @1 :List(Text);
@@ -178,4 +197,5 @@
   limitsGone @20 :List(Text);
   limitsWhole @21 :Bool;
   limitsVersion @22 :UInt64;
+  viewAgeS @23 :Float64;
 }
--- a/mimosaworks/wire/dispatch_messages.py
+++ b/mimosaworks/wire/dispatch_messages.py
@@ -59,8 +59,9 @@
 class CallReply:
     """A target, or an error kind with the seconds to stay away.
 
-    The decision was made waited_s after the ask had arrived. is_counted: the
-    request has a place within the target's rate limit. is_trial: its
+    The decision was made waited_s after the ask had arrived, from entries of
+    targets that were view_age_s old, 0 if none could be fresher. is_counted:
+    the request has a place within the target's rate limit. is_trial: its
     content is refused but for this send. born is the target's birth, 0 if it
     is not known, ended how often it is known to have ended since.
     """
@@ -76,6 +77,7 @@
     born: int = 0
     ended: int = 0
     waited_s: float = 0
+    view_age_s: float = 0
 
 
 @attrs.frozen
@@ -165,7 +167,8 @@
     Those that are gone are named. Where they are whole, they are all there
     are. What the holder knew of suspects unsaved_s ago is in the store.
     lease_version is the lease row's version at the last
-    renewal, deployment_version the newest deployment that the holder knows.
+    renewal, deployment_version the newest deployment that the holder knows,
+    view_age_s the age of its entries of targets.
     """
 
     is_holder: bool
@@ -191,3 +194,4 @@
     limits_gone: tuple[str, ...] = ()
     limits_whole: bool = False
     limits_version: int = 0
+    view_age_s: float = 0
--- a/standins/platform/store_app.py
+++ b/standins/platform/store_app.py
@@ -36,7 +36,7 @@
 ) -> None:
     async def commit(req: web.Request) -> web.Response:
         ask = await req.json()
-        await _suffer(faults)
+        await _suffer(req, faults)
         try:
             version = store.commit(ask)
         except ConflictError as exc:
@@ -53,7 +53,7 @@
         return web.json_response({'ver': version, 'now-ms': 0})
 
     async def read(req: web.Request) -> web.Response:
-        await _suffer(faults)
+        await _suffer(req, faults)
         counts.reads += 1
         page, has_more = store.read_page(
             req.query['table'],
@@ -64,7 +64,7 @@
         return _answer(store, page, has_more=has_more)
 
     async def follow(req: web.Request) -> web.Response:
-        await _suffer(faults)
+        await _suffer(req, faults)
         table = req.query['table']
         after = int(req.query['after'])
         wait_s = int(req.query['wait-ms']) / MS_PER_S
@@ -72,8 +72,7 @@
             rows = await _wait_for_changes(store, table, after, wait_s)
         except HistoryGoneError:
             return web.Response(status=HTTPStatus.GONE)
-        if faults.outage:
-            return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
+        await _refuse(req, faults)
         return _answer(store, rows)
 
     app.router.add_post('/v1/rows-tx', commit)
@@ -85,7 +84,7 @@
     app: web.Application, store: Store, faults: StoreFaults, counts: Counts
 ) -> None:
     async def get_object(req: web.Request) -> web.Response:
-        await _suffer(faults)
+        await _suffer(req, faults)
         counts.object_reads += 1
         content = store.blobs.get(req.match_info['name'])
         if content is None:
@@ -94,7 +93,7 @@
 
     async def put_object(req: web.Request) -> web.Response:
         content = await req.read()
-        await _suffer(faults)
+        await _suffer(req, faults)
         counts.object_writes += 1
         store.blobs[req.match_info['name']] = content
         return web.json_response({})
@@ -119,12 +118,20 @@
     return rows
 
 
-async def _suffer(faults: StoreFaults) -> None:
+async def _suffer(req: web.Request, faults: StoreFaults) -> None:
+    await asyncio.sleep(faults.slow_s)
+    await _refuse(req, faults)
+
+
+async def _refuse(req: web.Request, faults: StoreFaults) -> None:
     if faults.is_silent:
         await asyncio.sleep(SILENCE_S)
-    await asyncio.sleep(faults.slow_s)
+    if faults.resets_calls:
+        _reset(req)
     if faults.outage:
         raise web.HTTPServiceUnavailable
+    if faults.is_busy:
+        raise web.HTTPTooManyRequests
 
 
 def _answer(
--- a/tests/test_node_election.py
+++ b/tests/test_node_election.py
@@ -330,3 +330,42 @@
     assert not second.is_holder
     assert second.lease is not None
     assert second.lease.holder == 'a'
+
+
+# Guards against nodes that the store refuses and that go on standalone since
+# they missed the notice of the next holder.
+def test_a_node_without_the_store_asks_another_for_the_lease(
+    clock: Clock,
+) -> None:
+    store = MemoryStore(failure=StoreUnavailableError('status 503'))
+    asked: list[float] = []
+
+    async def ask() -> None:
+        asked.append(clock.now)
+
+    turn(make(store, 'a', ask_other_node=ask))
+    assert asked
+
+
+# Guards against two holders after a handover whose answer was lost.
+def test_a_holder_steps_down_for_a_later_election(clock: Clock) -> None:
+    store = MemoryStore()
+    holder = make(store, 'a')
+    turn(holder)
+    holder.apply_lease_notice(Lease('b', 'b:1', 'nonce-b', fence=9, version=9))
+    assert not holder.is_holder
+    assert holder.lease is not None
+    assert holder.lease.holder == 'b'
+
+
+# Guards against a node that takes a lease which its holder no longer has.
+@pytest.mark.parametrize('nonce', ['nonce-a', 'nonce-old', ''])
+def test_an_offer_is_taken_only_from_the_holder(
+    clock: Clock, nonce: str
+) -> None:
+    store = MemoryStore()
+    holder = make(store, 'a')
+    turn(holder)
+    other = make(store, 'b')
+    asyncio.run(other.accept_offer(nonce))
+    assert other.is_holder is (nonce == 'nonce-a')
--- a/tests/test_node_table_feed.py
+++ b/tests/test_node_table_feed.py
@@ -146,7 +146,8 @@
     feed.on_answer = lambda as_of_s: known.append((now_s(), as_of_s))
     await run_for(feed, 0.5)
     answered_s, as_of_s = known[1]
-    assert answered_s - as_of_s >= 0.3
+    age_s = answered_s - as_of_s
+    assert age_s >= store.delay_s
 
 
 # Guards against a store that counts as lost for the length of a long poll
