Count crashes of targets for the parts of prompts too

Cause: crashes were counted by a hash of the whole request, so that each one was the first of its kind.

A crash now counts for each part but the last as well, through the same row, reports, trials and checks. One complete answer clears a part, a blamed part explains crashes of those beside it, and requests that have only one of two parts with the same crashes show which one it is.

--- a/mimosaworks/dispatch/__init__.py
+++ b/mimosaworks/dispatch/__init__.py
@@ -3,9 +3,6 @@
 from mimosaworks.dispatch.crash_tracker import (
     CrashLogEntry,
     CrashTracker,
-    Suspect,
-    Verdict,
-    verdict_for_crash_count,
 )
 from mimosaworks.dispatch.dispatcher import Decision, Dispatcher
 from mimosaworks.dispatch.engine_pool import EnginePool
@@ -23,6 +20,15 @@
 from mimosaworks.dispatch.preload import preload_models
 from mimosaworks.dispatch.reconcile import apply_reported_models
 from mimosaworks.dispatch.resend_budget import ResendBudgetConfig, ResendBudgets
+from mimosaworks.dispatch.suspect import Suspect
+from mimosaworks.dispatch.suspect_keys import (
+    Verdict,
+    find_request_verdicts,
+    is_part_key,
+    suspect_keys,
+    verdict_for_crash_count,
+    verdict_for_crashes,
+)
 from mimosaworks.dispatch.target_crashes import EntriesView, TargetCrash
 from mimosaworks.dispatch.target_rate_limits import TargetRateLimits
 from mimosaworks.dispatch.trial_planner import TrialPlanner
@@ -54,6 +60,10 @@
     'find_granted_s',
     'outcome_for_status',
     'preload_models',
+    'find_request_verdicts',
+    'is_part_key',
+    'suspect_keys',
     'verdict_for_crash_count',
+    'verdict_for_crashes',
     'with_current_duration',
 ]
--- a/mimosaworks/dispatch/crash_tracker.py
+++ b/mimosaworks/dispatch/crash_tracker.py
@@ -1,6 +1,5 @@
 """Counts the target crashes that requests with a fingerprint may cause."""
 
-import enum
 import functools
 import math
 from collections import deque
@@ -9,6 +8,17 @@
 import attrs
 
 from mimosaworks.deployment import TargetEntry, TargetState
+from mimosaworks.dispatch.suspect import (
+    ProvenParts,
+    Suspect,
+    find_explained,
+    is_explained,
+)
+from mimosaworks.dispatch.suspect_keys import (
+    MIN_CRASHES_REFUSED,
+    Verdict,
+    is_part_key,
+)
 from mimosaworks.dispatch.target_crashes import (
     MAX_CRASHES,
     EntriesView,
@@ -17,9 +27,6 @@
 )
 from mimosaworks.dispatch.unconfirmed_crashes import UnconfirmedCrashes
 
-# From this number of crashes on, requests run one at a time.
-MIN_CRASHES_SERIALIZED = 2
-MIN_CRASHES_REFUSED = 3
 # Successful answers that retract one crash.
 SUCCESSES_TO_RETRACT = 5
 SUSPECT_TTL_S = 600.0
@@ -30,14 +37,6 @@
 MAX_LOG_ENTRIES = 200
 
 
-class Verdict(enum.Enum):
-    """How requests with a fingerprint are served; 'apart': one at a time."""
-
-    SERVED = 'served'
-    SERIALIZED = 'apart'
-    REFUSED = 'refused'
-
-
 @attrs.frozen
 class CrashLogEntry:
     """A trial run or a retracted crash, and the reason, for the log.
@@ -50,45 +49,15 @@
     crash: TargetCrash | None = None
 
 
-@attrs.define
-class Suspect:
-    """The crashes counted for requests with one fingerprint, by crash key.
-
-    The suspect also counts the successful answers since its last retracted
-    crash, the trial runs that were planned while its requests were refused,
-    and how many of these succeeded. It has the time of its last crash or
-    trial run, and the tracker's version with the trial run that is planned
-    (0 without one). The last field is true once such a request succeeded at
-    some target, as a request that crashes every target never does.
-    """
-
-    crashes: dict[str, TargetCrash] = attrs.field(factory=dict)
-    success_count: int = 0
-    trial_count: int = 0
-    succeeded_trials: int = 0
-    last_seen_s: float = 0
-    planned_trial_version: int = 0
-    has_succeeded: bool = False
-
-
-def verdict_for_crash_count(crash_count: int) -> Verdict:
-    """Return how requests are served that crashed this many targets."""
-    if crash_count >= MIN_CRASHES_REFUSED:
-        return Verdict.REFUSED
-    return (
-        Verdict.SERIALIZED
-        if crash_count >= MIN_CRASHES_SERIALIZED
-        else Verdict.SERVED
-    )
-
-
 @attrs.define
 class CrashTracker:
     """The lease holder's record of requests that may crash targets.
 
-    A crash counts at once. It is retracted by successful answers to requests
-    with the same fingerprint, or once the target's entry has shown for long
-    enough that the target still runs. version grows with each change.
+    Crashes count under each of a request's suspect keys: the fingerprint and
+    the parts of its prompt. A crash counts at once. It is retracted by
+    successful answers to requests with the same key, or once the target's
+    entry has shown for long enough that the target still runs. version grows
+    with each change.
     """
 
     version: int = 0
@@ -99,17 +68,16 @@
     incarnation_crashes: IncarnationCrashes = attrs.field(
         factory=IncarnationCrashes
     )
+    _proven_parts: ProvenParts = attrs.field(factory=ProvenParts)
     _unverified: dict[tuple[str, str], float] = attrs.field(factory=dict)
     _unconfirmed: UnconfirmedCrashes = attrs.field(factory=UnconfirmedCrashes)
     _next_expiry_check_s: float = 0
     _last_compared_s: float = -math.inf
 
-    def get_verdict(self, fingerprint: str) -> Verdict:
-        """Return how requests with this fingerprint are served."""
-        suspect = self.suspects.get(fingerprint)
-        return verdict_for_crash_count(
-            0 if suspect is None else len(suspect.crashes)
-        )
+    def get_verdict(self, key: str) -> Verdict:
+        """Return how requests with this suspect key are served."""
+        suspect = self.suspects.get(key)
+        return Verdict.SERVED if suspect is None else suspect.verdict(key)
 
     def may_have_crashed_several(self, fingerprint: str) -> bool:
         """Return whether enough crashes to refuse are counted or unconfirmed.
@@ -146,11 +114,17 @@
             self._add_crash(crash, now)
 
     def record_success(self, fingerprint: str) -> None:
-        """Count a successful answer, which may retract a crash."""
+        """Count a successful answer, which may retract crashes."""
         self._unconfirmed.discard_answered(fingerprint)
         suspect = self.suspects.get(fingerprint)
+        if is_part_key(fingerprint):
+            self._proven_parts.record(fingerprint)
         if suspect is None:
             return
+        if is_part_key(fingerprint):
+            # A part that crashes targets does so at each of them.
+            self._retract_crashes(fingerprint, suspect.crashes, 'answers')
+            return
         suspect.success_count += 1
         suspect.has_succeeded = True
         # A request that crashes every target never succeeds in a trial run.
@@ -182,7 +156,10 @@
     ) -> None:
         """Merge a suspect that an earlier lease holder stored."""
         for crash in suspect.crashes.values():
-            self._add_crash(crash, now)
+            known_crash = attrs.evolve(
+                crash, has_succeeded=suspect.has_succeeded
+            )
+            self._add_crash(known_crash, now)
         existing = self.suspects.get(fingerprint)
         if existing is not None:
             existing.success_count = max(
@@ -194,7 +171,6 @@
             existing.succeeded_trials = max(
                 existing.succeeded_trials, suspect.succeeded_trials
             )
-            existing.has_succeeded |= suspect.has_succeeded
             existing.last_seen_s = min(suspect.last_seen_s, now)
 
     def iter_suspects(self, min_crashes: int) -> Iterator[tuple[str, Suspect]]:
@@ -206,7 +182,14 @@
     def _add_crash(self, crash: TargetCrash, now: float) -> None:
         suspect = self.suspects.pop(crash.fingerprint, None) or Suspect()
         self.suspects[crash.fingerprint] = suspect
-        suspect.has_succeeded |= crash.has_succeeded
+        suspect.has_succeeded |= (
+            crash.has_succeeded
+            or self._proven_parts.contains(crash.fingerprint)
+        )
+        if is_explained(crash, self.suspects):
+            if not suspect.crashes:
+                self.suspects.pop(crash.fingerprint)
+            return
         if crash.key in suspect.crashes:
             return
         self.version += 1
@@ -214,6 +197,8 @@
         if len(suspect.crashes) < MAX_CRASHES:
             suspect.crashes[crash.key] = crash
             self._unverified[crash.fingerprint, crash.key] = now
+        for key, explained in find_explained(crash, self.suspects):
+            self._retract_crashes(key, explained, 'blamed part')
         if len(self.suspects) > MAX_SUSPECTS:
             self._remove_suspect(self._find_suspect_with_fewest_crashes())
 
@@ -253,6 +238,12 @@
         if not suspect.crashes:
             self._remove_suspect(fingerprint)
 
+    def _retract_crashes(
+        self, fingerprint: str, crash_keys: Iterable[str], reason: str
+    ) -> None:
+        for crash_key in tuple(crash_keys):
+            self._retract_crash(fingerprint, crash_key, reason)
+
     def _find_expired(self, now: float) -> Iterable[str]:
         for fingerprint, suspect in self.suspects.items():
             if now > suspect.last_seen_s + SUSPECT_TTL_S:
--- a/mimosaworks/dispatch/dispatcher.py
+++ b/mimosaworks/dispatch/dispatcher.py
@@ -11,16 +11,18 @@
     TargetEntry,
     TargetState,
 )
-from mimosaworks.dispatch.crash_tracker import CrashTracker, Verdict
+from mimosaworks.dispatch.crash_tracker import CrashTracker
 from mimosaworks.dispatch.engine_pool import EnginePool
 from mimosaworks.dispatch.engine_target import EngineTarget, Step
 from mimosaworks.dispatch.job import Assignment, AssignmentRequest, Job, Refusal
 from mimosaworks.dispatch.outcome import COMPLETE_OUTCOMES, CallOutcome
 from mimosaworks.dispatch.plain_pool import PlainPool, PlainTarget
 from mimosaworks.dispatch.resend_budget import ResendBudgets
+from mimosaworks.dispatch.suspect_keys import Verdict
 from mimosaworks.dispatch.suspect_rules import (
     check_suspect_admission,
     exclude_targets_for_suspect,
+    find_keys,
     find_refused_jobs,
     find_trial_targets,
     refuse_crash_suspect,
@@ -131,9 +133,8 @@
             return Refusal(
                 ErrorKind.NO_TARGET, RETRY_AFTER_S, 'unknown service'
             )
-        if (
-            self.crash_tracker.get_verdict(assignment_req.fingerprint)
-            is Verdict.REFUSED
+        if find_keys(
+            self.crash_tracker, assignment_req.suspect_keys, Verdict.REFUSED
         ):
             return _submit_trial(self, pool, assignment_req, now)
         job = Job(
@@ -195,7 +196,12 @@
                 pool.record_complete_answer(job, duration_s)
             pool.remove_job(job)
         if job.is_trial and outcome in _UNSENT_OUTCOMES:
-            self.trial_planner.restore_trial(job.assignment_req.fingerprint)
+            for key in find_keys(
+                self.crash_tracker,
+                job.assignment_req.suspect_keys,
+                Verdict.REFUSED,
+            ):
+                self.trial_planner.restore_trial(key)
         if outcome in _REFUNDED_OUTCOMES:
             self.limiter.refund(
                 job.assignment_req.workspace, job.assignment_req.cost
@@ -206,13 +212,13 @@
         self, crashes: Iterable[TargetCrash], now: float
     ) -> list[Decision]:
         """Count crashes; refuse waiting requests that are now refused."""
-        fingerprints: set[str] = set()
+        keys: set[str] = set()
         for crash in crashes:
-            fingerprints.add(crash.fingerprint)
+            keys.add(crash.fingerprint)
             entry = _find_entry(self, crash.target)
             self.crash_tracker.record_crash(crash, entry, now)
         refused_jobs = find_refused_jobs(
-            self.crash_tracker, self.jobs.values(), fingerprints
+            self.crash_tracker, self.jobs.values(), keys
         )
         decisions: list[Decision] = []
         for job in refused_jobs:
@@ -347,9 +353,12 @@
         dispatcher.jobs[assignment_req.call_id] = job
         decision = pool.submit(job, now)
     if isinstance(decision, Assignment):
-        dispatcher.trial_planner.record_trial_start(
-            assignment_req.fingerprint, now
-        )
+        for key in find_keys(
+            dispatcher.crash_tracker,
+            assignment_req.suspect_keys,
+            Verdict.REFUSED,
+        ):
+            dispatcher.trial_planner.record_trial_start(key, now)
         return attrs.evolve(decision, is_trial=True)
     dispatcher.drop_job(job)
     return refuse_crash_suspect()
@@ -369,7 +378,8 @@
     # A target may also fail a request before it begins to run it, so that
     # only successful answers count.
     if outcome is CallOutcome.ANSWERED:
-        dispatcher.crash_tracker.record_success(job.assignment_req.fingerprint)
+        for key in job.assignment_req.suspect_keys:
+            dispatcher.crash_tracker.record_success(key)
     target = _find_target(dispatcher, job.assignment_req.service, job.target)
     if target is None:
         return
--- a/mimosaworks/dispatch/job.py
+++ b/mimosaworks/dispatch/job.py
@@ -6,6 +6,7 @@
 import attrs
 
 from mimosaworks.deployment import RequestProfile
+from mimosaworks.dispatch.suspect_keys import suspect_keys
 from mimosaworks.errors import ErrorKind
 
 
@@ -35,6 +36,11 @@
     excluded: frozenset[str] = frozenset()
     fingerprint: str = ''
 
+    @property
+    def suspect_keys(self) -> tuple[str, ...]:
+        """The keys under which crashes of its targets are counted."""
+        return suspect_keys(self.fingerprint, self.profile)
+
 
 @attrs.frozen
 class Assignment:
--- a/mimosaworks/dispatch/suspect_rules.py
+++ b/mimosaworks/dispatch/suspect_rules.py
@@ -5,10 +5,12 @@
 import attrs
 
 from mimosaworks.deployment import TargetState
-from mimosaworks.dispatch.crash_tracker import CrashTracker, Verdict
+from mimosaworks.dispatch.crash_tracker import CrashTracker
 from mimosaworks.dispatch.engine_pool import EnginePool
 from mimosaworks.dispatch.job import AssignmentRequest, Job, Refusal
 from mimosaworks.dispatch.plain_pool import PlainPool, PlainTarget
+from mimosaworks.dispatch.suspect import find_blamed_parts
+from mimosaworks.dispatch.suspect_keys import Verdict, find_request_verdicts
 from mimosaworks.dispatch.trial_planner import TrialPlanner
 from mimosaworks.errors import ErrorKind
 
@@ -18,6 +20,17 @@
 UNCONFIRMED_RETRY_AFTER_S = 3.0
 
 
+def find_keys(
+    tracker: CrashTracker, keys: Iterable[str], verdict: Verdict
+) -> tuple[str, ...]:
+    """Return those of a request's suspect keys that have this verdict."""
+    verdicts = find_request_verdicts(
+        {key: tracker.get_verdict(key) for key in keys},
+        lambda: find_blamed_parts(tracker.suspects),
+    )
+    return tuple(key for key in verdicts if verdicts[key] is verdict)
+
+
 def refuse_crash_suspect() -> Refusal:
     """Return the refusal of a request that crashes targets."""
     return Refusal(
@@ -33,26 +46,27 @@
 ) -> Refusal | None:
     """Return the refusal of a suspect; None if the request is admitted.
 
-    A suspect that is served one at a time is refused while it runs.
+    Requests with a key that is served one at a time are refused while one
+    runs.
     """
-    verdict = trial_planner.tracker.get_verdict(assignment_req.fingerprint)
-    if verdict is Verdict.REFUSED:
-        if trial_planner.has_stored_trial(assignment_req.fingerprint):
+    tracker = trial_planner.tracker
+    keys = assignment_req.suspect_keys
+    refused_keys = find_keys(tracker, keys, Verdict.REFUSED)
+    if refused_keys:
+        if trial_planner.has_stored_trials(refused_keys):
             return None
-        trial_planner.plan_trial_if_due(assignment_req.fingerprint, now)
+        for key in refused_keys:
+            trial_planner.plan_trial_if_due(key, now)
         return refuse_crash_suspect()
-    if trial_planner.tracker.may_have_crashed_several(
-        assignment_req.fingerprint
-    ):
+    if tracker.may_have_crashed_several(assignment_req.fingerprint):
         return Refusal(
             ErrorKind.NO_TARGET,
             UNCONFIRMED_RETRY_AFTER_S,
             'request may have crashed several targets',
         )
-    if verdict is Verdict.SERVED:
-        return None
-    if any(
-        job.assignment_req.fingerprint == assignment_req.fingerprint
+    serialized_keys = find_keys(tracker, keys, Verdict.SERIALIZED)
+    if serialized_keys and any(
+        _has_any_key(job.assignment_req, serialized_keys)
         for job in jobs.values()
     ):
         return Refusal(
@@ -75,10 +89,10 @@
     targets run nothing, all others are excluded, so that a crash fails no
     other request.
     """
-    if tracker.get_verdict(assignment_req.fingerprint) is Verdict.SERVED:
+    if not _is_suspect(tracker, assignment_req):
         return assignment_req
     other_suspects = (
-        job for job in jobs.values() if _is_suspect_job(tracker, job)
+        job for job in jobs.values() if _is_suspect(tracker, job.assignment_req)
     )
     excluded_targets = assignment_req.excluded | {
         job.target for job in other_suspects if job.target
@@ -106,13 +120,17 @@
     """Return the targets for a stored trial run; empty without one.
 
     They run nothing, and other targets are in service in case the trial run
-    crashes one. A fingerprint that succeeded before need not wait for that.
+    crashes one. Requests whose refused keys all succeeded before need not wait
+    for that.
     """
-    fingerprint = job.assignment_req.fingerprint
-    if not trial_planner.has_stored_trial(fingerprint):
+    tracker = trial_planner.tracker
+    refused_keys = find_keys(
+        tracker, job.assignment_req.suspect_keys, Verdict.REFUSED
+    )
+    if not trial_planner.has_stored_trials(refused_keys):
         return frozenset()
     idle_targets = find_idle_targets(pool, job)
-    if trial_planner.tracker.suspects[fingerprint].has_succeeded:
+    if all(tracker.suspects[key].has_succeeded for key in refused_keys):
         return idle_targets or _find_ready_targets(pool, job)
     in_service = [
         target
@@ -124,29 +142,36 @@
 
 
 def find_refused_jobs(
-    tracker: CrashTracker, jobs: Iterable[Job], fingerprints: set[str]
+    tracker: CrashTracker, jobs: Iterable[Job], keys: set[str]
 ) -> list[Job]:
-    """Return the waiting requests whose fingerprints are now refused."""
-    refused_fingerprints = {
-        fingerprint
-        for fingerprint in fingerprints
-        if tracker.get_verdict(fingerprint) is Verdict.REFUSED
-    }
+    """Return the waiting requests that have one of these keys, now refused."""
+    refused_keys = tuple(
+        key for key in keys if tracker.get_verdict(key) is Verdict.REFUSED
+    )
     return [
         job
         for job in jobs
-        if job.assignment_req.fingerprint in refused_fingerprints
-        and not job.is_granted
+        if not job.is_granted
+        and _has_any_key(job.assignment_req, refused_keys)
+        and find_keys(tracker, job.assignment_req.suspect_keys, Verdict.REFUSED)
     ]
 
 
-def _is_suspect_job(tracker: CrashTracker, job: Job) -> bool:
-    return (
-        tracker.get_verdict(job.assignment_req.fingerprint)
-        is not Verdict.SERVED
+def _is_suspect(
+    tracker: CrashTracker, assignment_req: AssignmentRequest
+) -> bool:
+    return any(
+        tracker.get_verdict(key) is not Verdict.SERVED
+        for key in assignment_req.suspect_keys
     )
 
 
+def _has_any_key(
+    assignment_req: AssignmentRequest, keys: tuple[str, ...]
+) -> bool:
+    return not frozenset(keys).isdisjoint(assignment_req.suspect_keys)
+
+
 def _find_ready_targets(
     pool: EnginePool | PlainPool, job: Job
 ) -> frozenset[str]:
--- a/mimosaworks/dispatch/trial_planner.py
+++ b/mimosaworks/dispatch/trial_planner.py
@@ -1,13 +1,15 @@
 """Trial runs of requests that are refused after they crashed targets."""
 
+from collections.abc import Iterable
+
 import attrs
 
 from mimosaworks.dispatch.crash_tracker import (
     CrashLogEntry,
     CrashTracker,
-    Suspect,
-    Verdict,
 )
+from mimosaworks.dispatch.suspect import Suspect
+from mimosaworks.dispatch.suspect_keys import Verdict
 
 # Delay of a trial run after the last crash or the last trial run.
 TRIAL_DELAY_S = 10.0
@@ -41,6 +43,13 @@
             self.tracker.version += 1
             suspect.planned_trial_version = self.tracker.version
 
+    def has_stored_trials(self, keys: Iterable[str]) -> bool:
+        """Return whether a trial run of a request with refused keys is stored.
+
+        It has to be planned for each of them.
+        """
+        return all(self.has_stored_trial(key) for key in keys)
+
     def has_stored_trial(self, fingerprint: str) -> bool:
         """Return whether a planned trial run is stored and may be made."""
         suspect = self.tracker.suspects.get(fingerprint)
--- a/mimosaworks/node/call.py
+++ b/mimosaworks/node/call.py
@@ -5,6 +5,7 @@
 
 from mimosaworks.clock import now_s
 from mimosaworks.deployment import RequestProfile, ServiceRoute
+from mimosaworks.dispatch import suspect_keys
 from mimosaworks.node.attempt_error import CallerDisconnectedError
 from mimosaworks.node.event_buffer import EventBuffer
 from mimosaworks.wire import CallAsk
@@ -94,6 +95,11 @@
     is_ended_by_node: bool = False
     closes_connection: bool = False
 
+    @property
+    def suspect_keys(self) -> tuple[str, ...]:
+        """The keys under which crashes of its targets are counted."""
+        return suspect_keys(self.fingerprint, self.profile)
+
     def may_resend(self) -> bool:
         """Return whether it may be sent again though it may have run."""
         may_repeat = (
--- a/mimosaworks/node/call_log.py
+++ b/mimosaworks/node/call_log.py
@@ -108,6 +108,7 @@
         born=crash_note.born,
         number=crash_note.number,
         is_silent=crash_note.is_silent,
+        parts=[part.part_id for part in call.profile.parts],
     )
 
 
--- a/mimosaworks/node/crash_view.py
+++ b/mimosaworks/node/crash_view.py
@@ -1,18 +1,28 @@
 """What a node knows of requests, by fingerprint, that crashed targets."""
 
+import functools
+from collections.abc import Iterable
+
 import attrs
 
 from mimosaworks.bounded import forget_oldest
-from mimosaworks.dispatch import TargetCrash
+from mimosaworks.dispatch import (
+    TargetCrash,
+    Verdict,
+    find_request_verdicts,
+    is_part_key,
+    verdict_for_crashes,
+)
 from mimosaworks.node.change_log import apply_changes
 from mimosaworks.node.stored_suspects import StoredSuspects
 from mimosaworks.wire import Beat, BeatReply, CrashNote, SuspectRow
 
-# More than the requests that run at a node.
-MAX_KEPT_CRASHES = 1000
+# More than the requests that run at a node, with some parts each.
+MAX_KEPT_CRASHES = 4000
 MAX_SUCCEEDED_FINGERPRINTS = 1000
 # After this time the entries of targets have shown whether one crashed.
 UNCONFIRMED_CRASH_TTL_S = 30.0
+_VERDICT_ORDER = (Verdict.SERVED, Verdict.SERIALIZED, Verdict.REFUSED)
 
 
 @attrs.define
@@ -74,6 +84,11 @@
         self._succeeded_fingerprints.pop(fingerprint, None)
         self._succeeded_fingerprints[fingerprint] = True
         forget_oldest(self._succeeded_fingerprints, MAX_SUCCEEDED_FINGERPRINTS)
+        if is_part_key(fingerprint):
+            # The answer clears the part.
+            for note_key, note in tuple(self._unsaved_notes.items()):
+                if note.mark == fingerprint:
+                    self._unsaved_notes.pop(note_key)
 
     def unsaved_notes(self) -> tuple[CrashNote, ...]:
         """Return the notes of crashes that the store may not have yet."""
@@ -115,17 +130,78 @@
 
         Stored crashes count while no holder reports their changes.
         """
-        row = self.suspect_rows.get(fingerprint)
+        return len(self._crash_keys(fingerprint, is_standalone=is_standalone))
+
+    def find_verdict(
+        self, keys: Iterable[str], *, is_standalone: bool = False
+    ) -> Verdict:
+        """Return how a request is served that has these suspect keys."""
+        verdicts = find_request_verdicts(
+            {
+                key: self._verdict(key, is_standalone=is_standalone)
+                for key in keys
+            },
+            functools.partial(self._blamed_parts, is_standalone=is_standalone),
+        )
+        return max(verdicts.values(), key=_VERDICT_ORDER.index)
+
+    def _crash_keys(self, key: str, *, is_standalone: bool) -> set[str]:
+        row = self.suspect_rows.get(key)
         crash_keys = set(() if row is None else row.ends)
-        stored_suspect = self.stored_suspects.suspects.get(fingerprint)
+        stored_suspect = self.stored_suspects.suspects.get(key)
         if is_standalone and stored_suspect is not None:
             crash_keys.update(stored_suspect.crashes)
         crash_keys.update(
             crash_of_note(note).key
             for note in self._unsaved_notes.values()
-            if note.mark == fingerprint and not note.is_silent
+            if note.mark == key
+            and not note.is_silent
+            and (is_standalone or not self._is_known_to_holder(note))
+        )
+        return crash_keys
+
+    def _is_known_to_holder(self, note: CrashNote) -> bool:
+        """Return whether the holder's rows tell what became of a crash.
+
+        It may have cleared a part meanwhile, by answers to other nodes.
+        """
+        return (
+            is_part_key(note.mark) and _note_key(note) in self._acknowledged_s
+        )
+
+    def _verdict(self, key: str, *, is_standalone: bool) -> Verdict:
+        return verdict_for_crashes(
+            key,
+            self.count_crashes(key, is_standalone=is_standalone),
+            has_succeeded=self._has_succeeded(key, is_standalone=is_standalone),
+        )
+
+    def _blamed_parts(self, *, is_standalone: bool) -> dict[str, set[str]]:
+        known_keys = set(self.suspect_rows)
+        known_keys.update(note.mark for note in self._unsaved_notes.values())
+        if is_standalone:
+            known_keys.update(self.stored_suspects.suspects)
+        return {
+            key: self._crash_keys(key, is_standalone=is_standalone)
+            for key in known_keys
+            if is_part_key(key)
+            and not self._has_succeeded(key, is_standalone=is_standalone)
+            and self._verdict(key, is_standalone=is_standalone)
+            is Verdict.REFUSED
+        }
+
+    def _has_succeeded(self, key: str, *, is_standalone: bool) -> bool:
+        row = self.suspect_rows.get(key)
+        stored_suspect = self.stored_suspects.suspects.get(key)
+        return (
+            key in self._succeeded_fingerprints
+            or (row is not None and row.is_proven)
+            or (
+                is_standalone
+                and stored_suspect is not None
+                and stored_suspect.has_succeeded
+            )
         )
-        return len(crash_keys)
 
     def _crash_number(
         self, incarnation_key: str, sent_s: float, now: float
--- a/mimosaworks/node/frontend.py
+++ b/mimosaworks/node/frontend.py
@@ -168,7 +168,7 @@
             raise AttemptError(
                 CallOutcome.NOT_SENT, 'the node stops', is_not_run=True
             )
-        self.target_chooser.check_assignment(call.fingerprint, assignment)
+        self.target_chooser.check_assignment(call.suspect_keys, assignment)
 
     async def _send_attempt(
         self, call: Call, assignment: Assignment
@@ -186,9 +186,9 @@
             )
             attempt.outcome = outcome_for_status(answer.status)
             if attempt.outcome is CallOutcome.ANSWERED:
-                self.target_chooser.holder_link.crash_view.record_success(
-                    call.fingerprint
-                )
+                crash_view = self.target_chooser.holder_link.crash_view
+                for key in call.suspect_keys:
+                    crash_view.record_success(key)
         self.meters.answers.labels(call.service, str(answer.status)).inc()
         self.meters.complete_answer_seconds.labels(call.service).observe(
             call.age_s()
@@ -281,7 +281,7 @@
         """
         may_resend = exc.is_not_run or (
             call.may_resend()
-            and self.target_chooser.allows_resend_after_crash(call.fingerprint)
+            and self.target_chooser.allows_resend_after_crash(call)
         )
         if (
             not may_resend
--- a/mimosaworks/node/suspect_monitor.py
+++ b/mimosaworks/node/suspect_monitor.py
@@ -5,9 +5,9 @@
 from mimosaworks.dispatch import (
     CrashLogEntry,
     CrashTracker,
-    verdict_for_crash_count,
+    Verdict,
 )
-from mimosaworks.dispatch.crash_tracker import (
+from mimosaworks.dispatch.suspect_keys import (
     MIN_CRASHES_REFUSED,
     MIN_CRASHES_SERIALIZED,
 )
@@ -36,12 +36,11 @@
         self._applied_version = tracker.version
         previous_rows_version = self.row_log.version
         rows = {
-            suspect_fingerprint: SuspectRow(
-                suspect_fingerprint, tuple(suspect.crashes)
-            )
-            for suspect_fingerprint, suspect in tracker.iter_suspects(
-                MIN_CRASHES_SERIALIZED
+            key: SuspectRow(
+                key, tuple(suspect.crashes), is_proven=suspect.has_succeeded
             )
+            for key, suspect in tracker.iter_suspects(MIN_CRASHES_SERIALIZED)
+            if tracker.get_verdict(key) is not Verdict.SERVED
         }
         for fingerprint in self.row_log.rows.keys() - rows.keys():
             log_event(Event.CONTENT_CLEARED, mark=fingerprint)
@@ -51,7 +50,7 @@
                     Event.CONTENT_SUSPECTED,
                     mark=fingerprint,
                     ends=list(row.ends),
-                    verdict=verdict_for_crash_count(len(row.ends)).value,
+                    verdict=tracker.get_verdict(fingerprint).value,
                 )
         self.row_log.replace_rows(rows)
         has_new_trials = any(
--- a/mimosaworks/node/target_chooser.py
+++ b/mimosaworks/node/target_chooser.py
@@ -16,7 +16,6 @@
     ResendBudgetConfig,
     TargetCrash,
     Verdict,
-    verdict_for_crash_count,
 )
 from mimosaworks.errors import ErrorKind, PeerError, RequestError
 from mimosaworks.events import Event, log_event
@@ -96,10 +95,10 @@
             )
         return decision
 
-    def allows_resend_after_crash(self, fingerprint: str) -> bool:
-        """Return whether requests with this fingerprint may be resent."""
-        crash_count = self.holder_link.crash_view.count_crashes(fingerprint)
-        return verdict_for_crash_count(crash_count) is Verdict.SERVED
+    def allows_resend_after_crash(self, call: Call) -> bool:
+        """Return whether a request may be resent that may crash targets."""
+        crash_view = self.holder_link.crash_view
+        return crash_view.find_verdict(call.suspect_keys) is Verdict.SERVED
 
     def record_crash(
         self, call: Call, crash: TargetCrash, sent_s: float
@@ -108,25 +107,31 @@
 
         sent_s is when the request was sent to the target.
         """
-        crash_note = self.holder_link.crash_view.record_crash(
-            crash, sent_s, now_s()
-        )
-        self.holder_link.pending_updates.record_crash(crash_note)
-        call_log.log_possible_crash(call, crash_note)
+        now = now_s()
+        crash_notes = [
+            self.holder_link.crash_view.record_crash(
+                attrs.evolve(crash, fingerprint=key), sent_s, now
+            )
+            for key in call.suspect_keys
+        ]
+        for crash_note in crash_notes:
+            self.holder_link.pending_updates.record_crash(crash_note)
+        call_log.log_possible_crash(call, crash_notes[0])
 
     def check_assignment(
-        self, fingerprint: str, assignment: Assignment
+        self, suspect_keys: tuple[str, ...], assignment: Assignment
     ) -> None:
         """Check an assignment right before the first byte is sent.
 
         Since the decision this process may have been paused, or may have
-        received notices of the target or crashes by requests with this
-        fingerprint. Raises AttemptError when the request must not be sent.
+        received notices of the target or crashes by requests with one of
+        these suspect keys. Raises AttemptError when the request must not be
+        sent.
         """
         reason = self._stale_assignment_reason(assignment, now_s())
         if not reason and not assignment.is_trial:
             reason = _crash_refusal_reason(
-                self.holder_link.crash_view.count_crashes(fingerprint)
+                self.holder_link.crash_view.find_verdict(suspect_keys)
             )
         if reason:
             # The holder may not know yet what this node knows.
@@ -262,7 +267,7 @@
                 MAX_HOLDER_WAIT_S,
                 'this node has not read a deployment yet',
             )
-        refusal = self._refuse_crash_suspect(call_ask.mark)
+        refusal = self._refuse_crash_suspect(call.suspect_keys)
         if refusal is not None:
             return refusal
         now = now_s()
@@ -290,16 +295,17 @@
             )
         return decision
 
-    def _refuse_crash_suspect(self, fingerprint: str) -> Refusal | None:
+    def _refuse_crash_suspect(
+        self, suspect_keys: tuple[str, ...]
+    ) -> Refusal | None:
         """Return a refusal for requests that crashed several targets.
 
         Such requests run one at a time, and without a holder it is unknown
-        whether one with this fingerprint runs at another node.
+        whether one with such a key runs at another node.
         """
-        crash_count = self.holder_link.crash_view.count_crashes(
-            fingerprint, is_standalone=True
+        verdict = self.holder_link.crash_view.find_verdict(
+            suspect_keys, is_standalone=True
         )
-        verdict = verdict_for_crash_count(crash_count)
         if verdict is Verdict.SERVED:
             return None
         kind = ErrorKind.NO_TARGET
@@ -308,7 +314,7 @@
         return Refusal(
             kind,
             MAX_HOLDER_WAIT_S,
-            f'requests like this crashed {crash_count} targets',
+            'requests like this crashed several targets',
         )
 
     def _targets_age_s(self) -> float:
@@ -368,9 +374,9 @@
         )
 
 
-def _crash_refusal_reason(crash_count: int) -> str:
-    if verdict_for_crash_count(crash_count) is Verdict.REFUSED:
-        return f'requests like this crashed {crash_count} targets since'
+def _crash_refusal_reason(verdict: Verdict) -> str:
+    if verdict is Verdict.REFUSED:
+        return 'requests like this crashed several targets since'
     return ''
 
 
--- a/mimosaworks/wire/dispatch.capnp
+++ b/mimosaworks/wire/dispatch.capnp
@@ -164,6 +164,7 @@
 struct SuspectRow {
   mark @0 :Text;
   ends @1 :List(Text);
+  isProven @2 :Bool;
 }
 
 struct TargetLeaving {
--- a/mimosaworks/wire/target_messages.py
+++ b/mimosaworks/wire/target_messages.py
@@ -47,10 +47,14 @@
 
 @attrs.frozen
 class SuspectRow:
-    """A content under which targets ended, and the names of these ends."""
+    """A suspect key under which targets crashed, and the names of the crashes.
+
+    is_proven: a request with the key succeeded before.
+    """
 
     mark: str
     ends: tuple[str, ...]
+    is_proven: bool = False
 
 
 @attrs.frozen
--- a/standins/agency/replica.py
+++ b/standins/agency/replica.py
@@ -15,6 +15,7 @@
     reject_first,
     send_extras,
 )
+from standins.agency.prompt_parts import PARTS_HEADER, shared_parts
 from standins.platform import Store, json_row
 
 FIRST_S = 0.01
@@ -67,7 +68,7 @@
     calls, named the answers to requests from its first use on. extra follows
     each answer to a request; rejections lack its id where is_curt. The first
     send of each request is rejected, and once more reject_twice_s later, unless
-    that is 0.
+    that is 0. Requests whose prompts have one of deadly_parts crash it.
     """
 
     name: str
@@ -107,6 +108,7 @@
     extra: Extra | None = None
     is_curt: bool = False
     reject_twice_s: float = 0
+    deadly_parts: frozenset[str] = frozenset()
 
     def note_hit(self, request_id: str = '', sender: str = '') -> None:
         """Note a call that has arrived."""
@@ -282,7 +284,9 @@
 async def _run(
     replica: Replica, req: web.Request, body: bytes, model: str
 ) -> web.StreamResponse:
-    if body == POISON or req.path.endswith(POISON_PATH):
+    is_poison = body == POISON or req.path.endswith(POISON_PATH)
+    parts = shared_parts(req.headers.get(PARTS_HEADER, ''))
+    if is_poison or parts & replica.deadly_parts:
         replica.on_crash(replica.name, req.headers[REQUEST_ID])
     head = {
         REQUEST_ID: req.headers[REQUEST_ID],
