Take no target from an entry whose address names none

Other operators saw one odd entry end the nodes that read it. Here entries with port 0, or a host with a space, a slash or a NUL byte, were taken for targets that are ready, since only the form host:port was checked. An address now has a port from 1 to 65535 and an IP address or a host name.

--- a/mimosaworks/platform/entries.py
+++ b/mimosaworks/platform/entries.py
@@ -1,5 +1,8 @@
 """Decodes what targets write about themselves."""
 
+import ipaddress
+import re
+
 from mimosaworks.deployment import ResidentModel, TargetEntry, TargetState
 from mimosaworks.json_fields import (
     WHOLE_BITS,
@@ -16,6 +19,10 @@
 
 TARGETS_TABLE = 'servers'
 MAX_PORT = 65535
+MAX_HOST_BYTES = 253
+IPV6 = 6
+_PORT = re.compile('[0-9]{1,5}')
+_HOST_LABEL = re.compile('[A-Za-z0-9]([A-Za-z0-9-]{0,61}[A-Za-z0-9])?')
 
 
 def decode_entry(name: str, written: bytes) -> TargetEntry:
@@ -54,7 +61,30 @@
 
 def _address(address: str) -> str:
     host, _, port = address.rpartition(':')
-    is_number = port.isascii() and port.isdigit()
-    if not host or not is_number or int(port) > MAX_PORT:
-        raise ValueError('address must be host:port')
+    if not _PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(
+            f'address {address!r} must have a port from 1 to 65535'
+        )
+    if not _is_ip_address(host) and not _is_host_name(host):
+        raise ValueError(f'address {address!r} must name a host')
     return address
+
+
+def _is_ip_address(host: str) -> bool:
+    """Return whether it is an IPv4 address, or an IPv6 one in brackets."""
+    is_bracketed = host.startswith('[') and host.endswith(']')
+    try:
+        version = ipaddress.ip_address(host[1:-1] if is_bracketed else host)
+    except ValueError:
+        return False
+    return is_bracketed == (version.version == IPV6)
+
+
+def _is_host_name(host: str) -> bool:
+    """Return whether it is a name, and no malformed IP address."""
+    labels = host.split('.')
+    return (
+        len(host) <= MAX_HOST_BYTES
+        and all(map(_HOST_LABEL.fullmatch, labels))
+        and not labels[-1].isdigit()
+    )
--- a/standins/agency/replica.py
+++ b/standins/agency/replica.py
@@ -22,6 +22,7 @@
 EVENT_S = 0.005
 EVENTS = 5
 PLAIN = b'plain answer'
+ERROR_TEXT = b'the target failed'
 POISON = b'poison'  # the body of requests that crash what runs them
 ECHO = b'echo '  # the start of bodies whose first line answers repeat
 EVENTS_HEADER = 'X-Events'  # how many events the stream of a request has
@@ -69,6 +70,8 @@
     each answer to a request; rejections lack its id where is_curt. The first
     send of each request is rejected, and once more reject_twice_s later, unless
     that is 0. Requests whose prompts have one of deadly_parts crash it.
+    While fails_with is set, requests are answered with this status and
+    ERROR_TEXT.
     """
 
     name: str
@@ -109,6 +112,7 @@
     is_curt: bool = False
     reject_twice_s: float = 0
     deadly_parts: frozenset[str] = frozenset()
+    fails_with: int = 0
 
     def note_hit(self, request_id: str = '', sender: str = '') -> None:
         """Note a call that has arrived."""
@@ -293,6 +297,10 @@
         'X-Server-Seal': f'seal-{replica.name}',
     }
     await asyncio.sleep(replica.first_s)
+    if replica.fails_with:
+        return web.Response(
+            body=ERROR_TEXT, status=replica.fails_with, headers=head
+        )
     if not model:
         return web.Response(body=_said(body) or PLAIN, headers=head)
     out = web.StreamResponse(headers=head)
--- a/tests/test_node_foreign_answers.py
+++ b/tests/test_node_foreign_answers.py
@@ -23,7 +23,7 @@
 LATE_S = 0.03
 OWN = b'plain answer'
 PROMISES = frozenset((408, 421, 429, 503))  # the request has not run
-KINDS = ('named', 'bare', 'rejection', 'garbage')
+KINDS = ('named', 'bare', 'rejection', 'denial', 'garbage')
 ONCE = '/post'
 REPEATABLE = '/look'
 
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -44,6 +44,8 @@
     },
 })
 
+LONG_ADDRESS = ':'.join(('a' * 300, '1'))
+
 
 def write_boot(folder: Path, **changes: Any) -> str:
     path = folder / 'node.json'
@@ -136,6 +138,12 @@
         {'slots': 2**32},
         {'born': 2**63},
         {'cold-left-ms': 10**400},
+        {'address': '10.0.0.1:0'},
+        {'address': 'a b/\0:1'},
+        {'address': 'a/b:1'},
+        {'address': '[::1:1'},
+        {'address': '..:1'},
+        {'address': LONG_ADDRESS},
         {'address': '10.0.0.1:99999'},
         {'zone': '\ud800'},
         {'models': [{'name': '\ud800', 'adapters': []}]},
