--- a/mimosaworks/node/lease_handover.py
+++ b/mimosaworks/node/lease_handover.py
@@ -73,6 +73,8 @@
 
     async def run(self) -> None:
         """Look for a node that reaches the store until cancelled."""
+        # A new holder reads the targets first.
+        await asyncio.sleep(PROBE_TIMEOUT_S)
         while True:  # noqa: WPS457 -- ends when the task is cancelled
             if self.is_view_overdue():
                 await self._probe_store()
