Bear a store that returns from an older copy of itself

The store may lose what it has acknowledged and give versions out again. A follower kept the highest version that it had seen and never saw what changed in between; entries decoded once stood for others of the same version; a lease row that went back could be ignored, and its fencing numbers be given out twice.

Versions in the program now have the store's era (Store-Era) in their upper part, so that those of a later era are greater everywhere that versions are compared. One of an earlier era is neither followed nor a condition of a write, and an answer of an earlier era is refused. The holder stores its suspects again, and an incarnation of a target that leaves stays one that leaves. The stand-in can return from a copy.

--- a/mimosaworks/errors/__init__.py
+++ b/mimosaworks/errors/__init__.py
@@ -14,6 +14,7 @@
     StoreConflictError,
     StoreHistoryError,
     StoreInDoubtError,
+    StoreReturnedError,
     StoreUnavailableError,
 )
 
@@ -32,5 +33,6 @@
     'StoreConflictError',
     'StoreHistoryError',
     'StoreInDoubtError',
+    'StoreReturnedError',
     'StoreUnavailableError',
 ]
--- a/mimosaworks/errors/tree.py
+++ b/mimosaworks/errors/tree.py
@@ -43,6 +43,10 @@
     """Changes since a version are no longer known; read all rows anew."""
 
 
+class StoreReturnedError(StoreHistoryError):
+    """The store returned from an older copy; its versions count anew."""
+
+
 class PeerError(MimosaError):
     """A message to another process of the system got no answer."""
 
--- a/mimosaworks/node/cluster_state.py
+++ b/mimosaworks/node/cluster_state.py
@@ -78,7 +78,7 @@
                 name, row.version, row.content or b''
             )
             if entry is not None:
-                found_entries[name] = entry
+                found_entries[name] = self._as_leaving(entry)
         if now - outage_end_s < ENTRY_RENEWAL_GRACE_S:
             found_entries = self.targets | found_entries
         self._log_target_changes(found_entries)
@@ -102,6 +102,20 @@
             self.targets_version += 1
             self._last_version_change_s = now
 
+    def _as_leaving(self, entry: TargetEntry) -> TargetEntry:
+        """Return an entry, as draining if its incarnation was known to drain.
+
+        A store that returned from an older copy may say that it is ready.
+        """
+        known_entry = self.targets.get(entry.name)
+        if (
+            known_entry is not None
+            and known_entry.state is TargetState.DRAINING
+            and known_entry.incarnation == entry.incarnation
+        ):
+            return attrs.evolve(entry, state=TargetState.DRAINING)
+        return entry
+
     def _decode_cached_entry(
         self, name: str, version: int, content: bytes
     ) -> TargetEntry | None:
--- a/mimosaworks/node/election.py
+++ b/mimosaworks/node/election.py
@@ -24,6 +24,7 @@
     StoreClient,
     StoredRow,
 )
+from mimosaworks.store_era import first_version
 
 LEASE_ROW = RowName('mimosaworks', 'dispatch-lease')
 # Has time for three renewals. Beyond it, fencing numbers protect the targets.
@@ -97,7 +98,8 @@
     renewal, on_rows_saved is called with the time at which a renewal began
     that wrote them all, on_table_rows with the rows of the lease's table
     whenever the lease is checked. renewal_pause is the sleep between
-    renewals, which urgent rows end early.
+    renewals, which urgent rows end early. has_predecessor tells of a holder
+    whether there was one before.
     """
 
     store: StoreClient
@@ -124,6 +126,7 @@
     is_candidate: bool = True
     lease: Lease | None = None
     is_holder: bool = False
+    has_predecessor: bool = False
     _last_renewal_seen_s: float = 0
     _last_renewed_s: float = 0
     _last_renewal_attempt_s: float = 0
@@ -304,7 +307,7 @@
             not self.has_holder_contact() and self._is_lease_expired()
         )
         if self.is_candidate and (is_offered or is_available):
-            await self._acquire_lease()
+            await self._acquire_lease(first_version(answer.version))
 
     def _is_lease_expired(self) -> bool:
         lease = self.lease
@@ -333,11 +336,19 @@
                 row=found_lease.version,
             )
 
-    async def _acquire_lease(self) -> None:
+    async def _acquire_lease(self, era_start: int) -> None:
+        """Acquire the lease; era_start is below all versions of this era.
+
+        A store that returned from an older copy may have lost the row, and
+        with it the fencing number of the last holder.
+        """
         known_lease = self.lease
         version = 0 if known_lease is None else known_lease.version
         new_lease = Lease(
-            self.name, self.address, self.nonce, fence=version + 1
+            self.name,
+            self.address,
+            self.nonce,
+            fence=max(version, era_start) + 1,
         )
         write_started_s = now_s()
         try:
@@ -356,6 +367,7 @@
         )
         previous_holder = '' if known_lease is None else known_lease.holder
         self.is_holder = True
+        self.has_predecessor = known_lease is not None
         log_event(
             Event.LEASE_TAKEN,
             fence=new_lease.fence,
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -133,7 +133,7 @@
 
     def start_holder(self, lease: Lease, previous_holder: str) -> None:
         """Begin to assign targets for all nodes after acquiring the lease."""
-        takeover_s = now_s() if lease.fence > 1 else None
+        takeover_s = now_s() if self.election.has_predecessor else None
         resend_budgets = ResendBudgets(resend_config(self), takeover_s)
         rate_limits = TargetRateLimits()
         for target, limit_per_s in self.limit_view.rate_limits_per_s().items():
@@ -302,6 +302,12 @@
     )
 
 
+def save_rows_again(node: Node, _era: int) -> None:
+    """Store the holder's rows again, as the store may have lost them."""
+    if node.holder is not None:
+        node.holder.suspect_saver.forget_saved()
+
+
 def resend_config(node: Node) -> ResendBudgetConfig:
     """Return the resend budget that all nodes have together."""
     bounds = node.cfg.bounds
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -19,7 +19,12 @@
 from mimosaworks.node.frontend import Frontend
 from mimosaworks.node.holder_link import HolderLink
 from mimosaworks.node.meters import Meters
-from mimosaworks.node.node import Node, make_limit_view, resend_config
+from mimosaworks.node.node import (
+    Node,
+    make_limit_view,
+    resend_config,
+    save_rows_again,
+)
 from mimosaworks.node.planned_stop import log_stopped, stop_node
 from mimosaworks.node.sessions import open_session, open_target_session
 from mimosaworks.node.target_chooser import TargetChooser
@@ -98,11 +103,14 @@
         nonce=secrets.token_hex(NONCE_BYTES),
         cluster_state=ClusterState(),
         store_client=StoreClient(
-            store_session, f'http://{store_address}', meters.count_store_call
+            store_session,
+            f'http://{store_address}',
+            meters.count_store_call,
         ),
         engine_calls=EngineCalls(target_session),
         meters=meters,
     )
+    node.store_client.era.on_new_era = functools.partial(save_rows_again, node)
     node.limit_view = make_limit_view(node)
     node.engine_calls.on_head = functools.partial(
         apply_response_headers, target_notices, node.limit_view
--- a/mimosaworks/node/stored_suspects.py
+++ b/mimosaworks/node/stored_suspects.py
@@ -55,8 +55,19 @@
         self._saving_fingerprints = frozenset(encoded_suspects)
         return (RowChange(SUSPECTS_ROW, json.dumps(encoded_suspects).encode()),)
 
+    def forget_saved(self) -> None:
+        """Save all suspects with the next renewal.
+
+        One that is under way was made for the rows that were saved before.
+        """
+        self.saved_version = -1
+        self._saving_version = -1
+        self.saved_s = -math.inf
+
     def record_saved(self, write_started_s: float) -> None:
         """Record that the store has the rows unsaved at write_started_s."""
+        if self._saving_version < 0:
+            return
         self.saved_version = self._saving_version
         self.saved_fingerprints = self._saving_fingerprints
         self.saved_s = write_started_s
--- a/mimosaworks/node/table_follower.py
+++ b/mimosaworks/node/table_follower.py
@@ -8,7 +8,11 @@
 import attrs
 
 from mimosaworks.clock import now_s
-from mimosaworks.errors import StoreHistoryError, StoreUnavailableError
+from mimosaworks.errors import (
+    StoreHistoryError,
+    StoreReturnedError,
+    StoreUnavailableError,
+)
 from mimosaworks.events import Event, log_event
 from mimosaworks.node.interruptible_sleep import InterruptibleSleep
 from mimosaworks.platform import RowsAnswer, StoreClient, StoredRow
@@ -90,8 +94,12 @@
         """Read once; return the seconds until the next read."""
         try:
             await self._read_rows()
-        except StoreHistoryError:
+        except StoreHistoryError as exc:
             self.version = 0
+            if isinstance(exc, StoreReturnedError):
+                # Rows may be missing that are written again, as after an
+                # outage.
+                self.outage_end_s = now_s()
             return 0
         except TimeoutError:
             return 0
--- a/mimosaworks/platform/store.py
+++ b/mimosaworks/platform/store.py
@@ -15,6 +15,7 @@
     StoreConflictError,
     StoreHistoryError,
     StoreInDoubtError,
+    StoreReturnedError,
     StoreUnavailableError,
 )
 from mimosaworks.platform.boot import MS_PER_S
@@ -26,9 +27,11 @@
     RowsAnswer,
     StoredRow,
 )
+from mimosaworks.store_era import StoreEra, era_of, stored_version, with_era
 
 CALL_TIMEOUT_S = 2.0
 _FEED_SLACK_S = 1.0
+_ERA = 'Store-Era'
 
 
 def _ignore_call(_call: str, _result: str) -> None:
@@ -40,13 +43,15 @@
     """Reads, changes and follows rows and objects; used by every program.
 
     base_url is the store's address with its scheme. on_call is called with
-    each call and what came of it.
+    each call and what came of it. Versions in calls and answers have the
+    store's era in their upper part.
     """
 
     session: aiohttp.ClientSession
     base_url: str
     on_call: Callable[[str, str], None] = _ignore_call
     timeout_s: float = CALL_TIMEOUT_S
+    era: StoreEra = attrs.field(factory=StoreEra)
 
     async def read(
         self,
@@ -62,12 +67,14 @@
         rows: list[StoredRow] = []
         versions: list[int] = []
         while True:  # noqa: WPS457 -- ends with the last page
-            reply = await self._read_json(
+            reply, era = await self._read_json(
                 '/v1/rows-get', _span_params(table, part, span)
             )
-            page = _rows(reply)
+            page = _rows(reply, era)
             rows.extend(page)
-            versions.append(reply['ver'])
+            versions.append(with_era(era, reply['ver']))
+            if era != era_of(versions[0]):
+                raise StoreUnavailableError('store: it returned meanwhile')
             if not reply.get('more-pages') or not page:
                 return RowsAnswer(tuple(rows), versions[0], versions[-1])
             span = span.after(page[-1].name.key)
@@ -76,18 +83,29 @@
         """Wait for rows of a table that changed after a version.
 
         Returns without rows when nothing changed in wait_s seconds. Raises
-        StoreHistoryError when the changes are no longer known, and
-        StoreUnavailableError.
+        StoreHistoryError when the changes are no longer known,
+        StoreReturnedError when the store returned from an older copy since,
+        and StoreUnavailableError.
         """
+        if not self.era.is_current(after):
+            raise StoreReturnedError('store: the version is of an earlier era')
         params = {
             'table': table,
-            'after': str(after),
+            'after': str(stored_version(after)),
             'wait-ms': str(int(wait_s * MS_PER_S)),
         }
-        reply = await self._read_json(
-            '/v1/rows-feed', params, wait_s + _FEED_SLACK_S
-        )
-        return RowsAnswer(_rows(reply), reply['ver'], reply['ver'])
+        try:
+            reply, era = await self._read_json(
+                '/v1/rows-feed', params, wait_s + _FEED_SLACK_S
+            )
+        except StoreHistoryError as exc:
+            if self.era.is_current(after):
+                raise
+            raise StoreReturnedError(str(exc)) from exc
+        if era != era_of(after):
+            raise StoreReturnedError('store: it returned from an older copy')
+        version = with_era(era, reply['ver'])
+        return RowsAnswer(_rows(reply, era), version, version)
 
     async def commit(
         self, needs: Sequence[RowNeed], changes: Sequence[RowChange]
@@ -98,16 +116,17 @@
         StoreUnavailableError when nothing was changed, StoreInDoubtError
         when that is unknown.
         """
+        await self._check_needs_are_current(needs)
         ask = json.dumps(_transaction(needs, changes)).encode()
         headers = {'Content-Type': 'application/json'}
         answer = await self._call(
             'POST', '/v1/rows-tx', 'commit', data=ask, headers=headers
         )
         if answer.status == HTTPStatus.PRECONDITION_FAILED:
-            rows = _rows(_parsed(answer))
+            rows = _rows(_parsed(answer), answer.era)
             raise StoreConflictError('store: a row has another version', rows)
         _check_done(answer)
-        return int(_parsed(answer)['ver'])
+        return with_era(answer.era, int(_parsed(answer)['ver']))
 
     async def get_object(self, name: str, timeout_s: float) -> bytes | None:
         """Return an object's bytes, or None; raises StoreUnavailableError."""
@@ -128,18 +147,36 @@
         )
         _check_done(answer)
 
+    async def _check_needs_are_current(self, needs: Sequence[RowNeed]) -> None:
+        """Raise StoreConflictError for versions of an earlier era.
+
+        The store may have given the same ones out again, for other content.
+        """
+        if all(
+            not need.version or self.era.is_current(need.version)
+            for need in needs
+        ):
+            return
+        name = needs[0].name
+        answer = await self.read(name.table, name.part)
+        needed_names = {need.name for need in needs}
+        raise StoreConflictError(
+            'store: a version is of an earlier era',
+            tuple(row for row in answer.rows if row.name in needed_names),
+        )
+
     async def _read_json(
         self,
         path: str,
         params: dict[str, str],
         timeout_s: float | None = None,
-    ) -> dict[str, Any]:
+    ) -> tuple[dict[str, Any], int]:
         answer = await self._read(path, params=params, timeout_s=timeout_s)
         if answer.status == HTTPStatus.GONE:
             raise StoreHistoryError('store: the history is not available')
         _check_done(answer)
         try:
-            return _parsed(answer)
+            return (_parsed(answer), answer.era)
         except StoreInDoubtError as exc:
             raise StoreUnavailableError(str(exc)) from exc
 
@@ -165,7 +202,9 @@
                 method, url, timeout=limit, **options
             ) as resp:
                 self.on_call(kind, str(resp.status))
-                return _Answer(resp.status, await resp.read())
+                content = await resp.read()
+                era = self.era.record_answer(resp.headers.get(_ERA, '0'))
+                return _Answer(resp.status, content, era)
         except aiohttp.ClientConnectorError as exc:
             raise StoreUnavailableError(f'store: {exc}') from exc
         except OversizedError as exc:
@@ -181,6 +220,7 @@
 class _Answer:
     status: int
     content: bytes
+    era: int
 
 
 def _span_params(table: str, part: str, span: KeyRange) -> dict[str, str]:
@@ -195,7 +235,8 @@
 ) -> dict[str, Any]:
     return {
         'expected': [
-            {**_name(need.name), 'ver': need.version} for need in needs
+            {**_name(need.name), 'ver': stored_version(need.version)}
+            for need in needs
         ],
         'put': [
             {**_name(change.name), 'value': _pack(change.content)}
@@ -223,16 +264,16 @@
     return reply
 
 
-def _rows(reply: dict[str, Any]) -> tuple[StoredRow, ...]:
-    return tuple(map(_row, reply.get('rows', ())))
+def _rows(reply: dict[str, Any], era: int) -> tuple[StoredRow, ...]:
+    return tuple(_row(fields, era) for fields in reply.get('rows', ()))
 
 
-def _row(fields: dict[str, Any]) -> StoredRow:
+def _row(fields: dict[str, Any], era: int) -> StoredRow:
     part = fields.get('part', '')
     name = RowName(fields['table'], fields['key'], part)
     # A row that a commit needs and that does not exist has no value.
-    version = fields.get('ver', 0)
-    if fields.get('removed') or not version:
+    version = with_era(era, fields.get('ver', 0))
+    if fields.get('removed') or not fields.get('ver'):
         return StoredRow(name, version, None)
     content = base64.b64decode(fields.get('value', ''))
     return StoredRow(name, version, content)
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -32,11 +32,20 @@
     """The changes after a version are no longer kept."""
 
 
+@attrs.frozen
+class StoreCopy:
+    """The rows of the store as of one version."""
+
+    version: int
+    rows: dict[RowKey, tuple[int, str]]
+
+
 @attrs.define(eq=False)
 class Store:
     """All rows and objects; a removed row stays in the history as a mark.
 
-    page_rows is the most rows in one answer.
+    page_rows is the most rows in one answer, era the number of returns from
+    an older copy.
     """
 
     version: int = 0
@@ -45,6 +54,7 @@
     page_rows: int = MAX_ROWS
     forgotten: int = 0
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    era: int = 0
     _history: list[dict[str, Any]] = attrs.field(factory=list)
 
     def commit(self, ask: dict[str, Any]) -> int:
@@ -78,7 +88,7 @@
 
     def changes(self, table: str, after: int) -> list[dict[str, Any]]:
         """Return a table's changes; raises HistoryGoneError."""
-        if after < self.forgotten:
+        if after < self.forgotten or after > self.version:
             raise HistoryGoneError
         newest = {
             _key(entry): entry
@@ -87,6 +97,20 @@
         }
         return sorted(newest.values(), key=lambda entry: entry['ver'])
 
+    def copy(self) -> 'StoreCopy':
+        """Return what the store holds now."""
+        return StoreCopy(self.version, dict(self.rows))
+
+    def return_from(self, older: 'StoreCopy') -> None:
+        """Go on from an older copy: what was written since is gone."""
+        self.version = older.version
+        self.rows = dict(older.rows)
+        self.era += 1
+        self._history.clear()
+        self.forgotten = older.version
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def forget(self) -> None:
         """Drop the whole history."""
         self.forgotten = self.version
--- a/standins/platform/store_app.py
+++ b/standins/platform/store_app.py
@@ -28,6 +28,11 @@
     counts = counts or Counts()
     _add_row_handlers(app, store, faults, counts)
     _add_object_handlers(app, store, faults, counts)
+
+    async def tell_era(_: web.Request, resp: web.StreamResponse) -> None:
+        resp.headers['Store-Era'] = str(store.era)
+
+    app.on_response_prepare.append(tell_era)
     return app
 
 
