Let requests go to the next holder once the lease has moved

A request that waited for a fresher view went on waiting at a holder that had handed the lease over, for up to a second.

--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -153,7 +153,9 @@
             self.cluster_state, self.elected_s, wait_until_s
         )
         is_view_usable = await _wait_for_usable_view(
-            self.handover, assignment_req.first_event_deadline_s
+            self.handover,
+            lambda: self._is_stopped,
+            assignment_req.first_event_deadline_s,
         )
         if self._is_stopped:
             raise PeerError('another node was elected as the holder')
@@ -467,7 +469,9 @@
 
 
 async def _wait_for_usable_view(
-    handover: LeaseHandover | None, first_event_deadline_s: float
+    handover: LeaseHandover | None,
+    is_stopped: Callable[[], bool],
+    first_event_deadline_s: float,
 ) -> bool:
     """Wait while the holder's view is too old; return whether it is usable.
 
@@ -478,6 +482,8 @@
         return True
     wait_until_s = min(now_s() + VIEW_TIMEOUT_S, first_event_deadline_s)
     while not handover.is_view_usable() and now_s() < wait_until_s:
+        if is_stopped():
+            break
         await asyncio.sleep(ENTRIES_POLL_S)
     return handover.is_view_usable()
 
