--- a/mimosaworks/store_era.py
+++ b/mimosaworks/store_era.py
@@ -37,7 +37,7 @@
         or no number: the call may have taken effect.
         """
         if not _ERA.fullmatch(sent):
-            raise StoreInDoubtError(f'store: its era is {sent!r:.30}')
+            raise StoreInDoubtError(f'store: its era is {sent!r}')
         era = int(sent)
         known_era = self.current
         if known_era is not None and era < known_era:
