--- a/tests/store_paths.py
+++ b/tests/store_paths.py
@@ -89,13 +89,15 @@
     for number in range(TARGETS):
         await world.add_replica(f'ledger-{number}', service='ledger', slots=6)
     opened = StorePaths(world, [], {})
+    starts = []
     for number in range(nodes):
         name = f'node-{number}'
         opened.paths[name] = StoreFaults()
         world.store_address = await world.serve(
             store_app(world.store, opened.paths[name])
         )
-        opened.nodes.append(await world.add_node(name))
+        starts.append(world.add_node(name, world._boot(name)))
+    opened.nodes.extend(await asyncio.gather(*starts))
     for node in opened.nodes:
         await until_served(world, node)
     await until(lambda: bool(opened.holder().events('lease_taken')))
--- a/tests/test_node_crashing_parts.py
+++ b/tests/test_node_crashing_parts.py
@@ -16,7 +16,7 @@
 from tests.test_node_processes import holder_of, until, until_served
 
 ENGINES = 4
-NODES = 3
+NODE_NAMES = ('node-0', 'node-1', 'node-2')
 CONTACT_S = 3.0  # the bound in the nodes' settings
 MAX_LATE = 3
 WATCHED_S = 8.0
@@ -84,8 +84,7 @@
                 deadly_parts=frozenset((DEADLY,)),
             )
         await world.add_replica('ledger', service='ledger')
-        for number in range(NODES):
-            await world.add_node(f'node-{number}')
+        await asyncio.gather(*map(world.add_node, NODE_NAMES))
         for node in world.nodes:
             await until_served(world, node)
         sent = Traffic(world, random.Random(37))  # noqa: S311
--- a/tests/test_node_limit_view.py
+++ b/tests/test_node_limit_view.py
@@ -234,10 +234,10 @@
     chooser = make_chooser()
     decided = grant(granted_s=clock.now, has_permit=has_permit)
     clock.now += longest_s - 0.01
-    chooser.check_assignment(MARK, decided)
+    chooser.check_assignment((MARK,), decided)
     clock.now += 0.02
     with pytest.raises(AttemptError) as caught:
-        chooser.check_assignment(MARK, decided)
+        chooser.check_assignment((MARK,), decided)
     assert caught.value.is_not_run
     assert caught.value.outcome is CallOutcome.NOT_SENT
 
@@ -273,9 +273,11 @@
     chooser.holder_link.limit_view.read_other_headers(
         't1', head('5'), clock.now
     )
-    chooser.check_assignment(MARK, grant(granted_s=clock.now, has_permit=True))
+    chooser.check_assignment(
+        (MARK,), grant(granted_s=clock.now, has_permit=True)
+    )
     with pytest.raises(AttemptError):
-        chooser.check_assignment(MARK, grant(granted_s=clock.now))
+        chooser.check_assignment((MARK,), grant(granted_s=clock.now))
 
 
 def test_a_target_that_asked_to_be_left_out_meanwhile_gets_nothing(
@@ -283,7 +285,7 @@
 ) -> None:
     clock = set_clock(monkeypatch, chooser_module)
     with pytest.raises(AttemptError):
-        make_chooser(t1=1).check_assignment(MARK, grant(granted_s=clock.now))
+        make_chooser(t1=1).check_assignment((MARK,), grant(granted_s=clock.now))
 
 
 # Guards against a request that was decided, or waited, before the third target
@@ -299,12 +301,12 @@
         chooser.holder_link.crash_view.record_crash(end, clock.now, clock.now)
     decided = grant(granted_s=clock.now)
     trial = attrs.evolve(decided, is_trial=True)
-    chooser.check_assignment(MARK, trial)
-    chooser.check_assignment('other', decided)
+    chooser.check_assignment((MARK,), trial)
+    chooser.check_assignment(('other',), decided)
     with contextlib.ExitStack() as stack:
         if not is_sent:
             stack.enter_context(pytest.raises(AttemptError))
-        chooser.check_assignment(MARK, decided)
+        chooser.check_assignment((MARK,), decided)
 
 
 @pytest.mark.parametrize('members', [1, 6, 30, 195, 300])
