Log software versions of targets, and which stream a caller resumes

target_appeared and target_changed name the version of the target's software, call_sent the version that it goes to and whether the caller has a part of the answer, call_admitted what a caller resumes. No decision reads the version yet. An entry whose version is absent or no text is used as before.

--- a/mimosaworks/deployment/target.py
+++ b/mimosaworks/deployment/target.py
@@ -26,7 +26,7 @@
 
     Its incarnation is the Unix time of its start in milliseconds. in_memory
     and on_disk name models whose weights it can load without the weight
-    store.
+    store. software_version is empty if it is not known.
     """
 
     name: str
@@ -40,3 +40,4 @@
     in_memory: tuple[str, ...] = ()
     on_disk: tuple[str, ...] = ()
     slow_start_s: float = 0
+    software_version: str = ''
--- a/mimosaworks/dispatch/job.py
+++ b/mimosaworks/dispatch/job.py
@@ -52,7 +52,7 @@
     reads it. An assignment may have a permit of the target's rate limit.
     is_trial: requests with this fingerprint are refused except for this send.
     view_age_s is the age of the entries at the decision, 0 if none could be
-    fresher.
+    fresher, software_version the target's at the decision.
     """
 
     target: str
@@ -65,6 +65,7 @@
     incarnation: int = 0
     crash_count: int = 0
     view_age_s: float = 0
+    software_version: str = ''
 
 
 @attrs.frozen
--- a/mimosaworks/dispatch/plain_pool.py
+++ b/mimosaworks/dispatch/plain_pool.py
@@ -275,6 +275,7 @@
             granted_s=now,
             has_permit=self.rate_limits.is_limited(name),
             incarnation=chosen_target.entry.incarnation,
+            software_version=chosen_target.entry.software_version,
         )
 
 
--- a/mimosaworks/node/call_log.py
+++ b/mimosaworks/node/call_log.py
@@ -5,6 +5,7 @@
 from mimosaworks.errors import RequestError
 from mimosaworks.events import Event, log_event
 from mimosaworks.node.call import Call
+from mimosaworks.platform.headers import LAST_EVENT, RESUMED_REQUEST
 from mimosaworks.wire import CrashNote
 
 
@@ -22,6 +23,8 @@
         left_s=call.remaining_s(),
         version=version,
         mark=call.fingerprint,
+        resumes=call.req.headers.get(RESUMED_REQUEST, ''),
+        after=call.req.headers.get(LAST_EVENT, ''),
     )
 
 
@@ -60,6 +63,8 @@
         resends=call.resends,
         fence=fence,
         decided_ago_s=now_s() - assignment.granted_s,
+        software_version=assignment.software_version,
+        is_begun=call.relayed_stream is not None,
     )
 
 
--- a/mimosaworks/node/cluster_state.py
+++ b/mimosaworks/node/cluster_state.py
@@ -162,6 +162,7 @@
                     address=entry.address,
                     state=entry.state.value,
                     born=entry.incarnation,
+                    software_version=entry.software_version,
                 )
             elif (known_entry.state, known_entry.incarnation) != (
                 entry.state,
@@ -172,6 +173,7 @@
                     target=name,
                     state=entry.state.value,
                     born=entry.incarnation,
+                    software_version=entry.software_version,
                 )
 
 
--- a/mimosaworks/node/conversions.py
+++ b/mimosaworks/node/conversions.py
@@ -79,6 +79,7 @@
         ended=decision.crash_count,
         waited_s=max(decision.granted_s - requested_s, 0),
         view_age_s=decision.view_age_s,
+        software_version=decision.software_version,
     )
 
 
@@ -96,6 +97,7 @@
             TargetModel(residence.model, residence.adapters)
             for residence in entry.resident_models
         ),
+        software_version=entry.software_version,
     )
 
 
@@ -113,4 +115,5 @@
             ResidentModel(target_model.model, target_model.adapters)
             for target_model in row.models
         ),
+        software_version=row.software_version,
     )
--- a/mimosaworks/node/standalone_chooser.py
+++ b/mimosaworks/node/standalone_chooser.py
@@ -153,6 +153,7 @@
             granted_s=now,
             has_permit=self.find_rate_limit(chosen_entry.name) < math.inf,
             incarnation=chosen_entry.incarnation,
+            software_version=chosen_entry.software_version,
         )
 
     def _admit_send(self, call_ask: CallAsk, now: float) -> bool:
--- a/mimosaworks/node/target_chooser.py
+++ b/mimosaworks/node/target_chooser.py
@@ -255,6 +255,7 @@
             incarnation=reply.born,
             crash_count=reply.ended,
             view_age_s=reply.view_age_s,
+            software_version=reply.software_version,
         )
 
     def _decide_standalone(
--- a/mimosaworks/wire/dispatch.capnp
+++ b/mimosaworks/wire/dispatch.capnp
@@ -45,6 +45,7 @@
   isTrial @9 :Bool;
   ended @10 :UInt32;
   viewAgeS @11 :Float64;
+  softwareVersion @12 :Text;
 }
 
 struct CallStart {
@@ -120,6 +121,7 @@
   state @5 :Text;
   born @6 :UInt64;
   models @7 :List(TargetModel);
+  softwareVersion @8 :Text;
 }
 
 struct Beat {
--- a/mimosaworks/wire/dispatch_messages.py
+++ b/mimosaworks/wire/dispatch_messages.py
@@ -64,6 +64,7 @@
     the request has a place within the target's rate limit. is_trial: its
     content is refused but for this send. born is the target's birth, 0 if it
     is not known, ended how often it is known to have ended since.
+    software_version is the target's, empty if it is not known.
     """
 
     target: str = ''
@@ -78,6 +79,7 @@
     ended: int = 0
     waited_s: float = 0
     view_age_s: float = 0
+    software_version: str = ''
 
 
 @attrs.frozen
--- a/mimosaworks/wire/target_messages.py
+++ b/mimosaworks/wire/target_messages.py
@@ -23,6 +23,7 @@
     state: str
     born: int
     models: tuple[TargetModel, ...] = ()
+    software_version: str = ''
 
 
 @attrs.frozen
