Resume a broken stream at the software version that began it

What callers saw: a stream whose target breaks off midway goes on within the same answer at any other target.

Cause: the version in a target's entry was not read, so that the choice of the next target knew only which ones had failed. The class: what one target began is taken for something that all can go on with.

The version is part of a target's entry, of a decision and of a request for one. A stream is bound to the version that its first event came from. A version that is not known, from an entry without one or a holder of an earlier release, is never taken for another: the stream ends as broken off.

--- a/mimosaworks/deployment/target.py
+++ b/mimosaworks/deployment/target.py
@@ -41,3 +41,7 @@
     on_disk: tuple[str, ...] = ()
     slow_start_s: float = 0
     software_version: str = ''
+
+    def runs_version(self, software_version: str) -> bool:
+        """Return whether it runs this version; empty stands for any."""
+        return software_version in {'', self.software_version}
--- a/mimosaworks/dispatch/job.py
+++ b/mimosaworks/dispatch/job.py
@@ -19,6 +19,7 @@
     its first event. cost is in the workspace's unit. A request that is sent
     again has a resend count and excludes the targets that failed it. The
     fingerprint is a hash of its content, by which crash suspects are found.
+    software_version is that of the targets which may serve it, empty for any.
     """
 
     call_id: str
@@ -35,6 +36,7 @@
     resends: int = 0
     excluded: frozenset[str] = frozenset()
     fingerprint: str = ''
+    software_version: str = ''
 
     @property
     def suspect_keys(self) -> tuple[str, ...]:
--- a/mimosaworks/dispatch/plain_pool.py
+++ b/mimosaworks/dispatch/plain_pool.py
@@ -283,4 +283,5 @@
     return (
         target.entry.state is TargetState.READY
         and target.entry.name not in job.assignment_req.excluded
+        and target.entry.runs_version(job.assignment_req.software_version)
     )
--- /dev/null
+++ b/mimosaworks/node/attempt_progress.py
@@ -0,0 +1,32 @@
+"""What is told of an attempt while its answer is relayed."""
+
+from collections.abc import Callable
+
+import attrs
+
+from mimosaworks.clock import now_s
+
+
+@attrs.frozen
+class ProgressHooks:
+    """What is called while an answer is relayed.
+
+    on_first_bytes is called with the seconds from the send to the first bytes
+    of the answer, on_stream_begun before the caller gets the first part of a
+    stream.
+    """
+
+    on_first_bytes: Callable[[float], None]
+    on_stream_begun: Callable[[], None]
+
+
+@attrs.frozen
+class AttemptProgress:
+    """The hooks of one attempt; sent_s is when it was sent."""
+
+    hooks: ProgressHooks
+    sent_s: float = attrs.field(factory=now_s)
+
+    def record_first_bytes(self) -> None:
+        """Report that the first bytes of the answer were received."""
+        self.hooks.on_first_bytes(now_s() - self.sent_s)
--- a/mimosaworks/node/attempt_sender.py
+++ b/mimosaworks/node/attempt_sender.py
@@ -28,6 +28,7 @@
 from mimosaworks.events import Event, log_event
 from mimosaworks.kept_connections import ForeignAnswerError
 from mimosaworks.node.attempt_error import AttemptError
+from mimosaworks.node.attempt_progress import AttemptProgress, ProgressHooks
 from mimosaworks.node.call import Call, RelayedStream
 from mimosaworks.node.limit_view import LimitView
 from mimosaworks.node.target_notices import TargetNotices
@@ -45,7 +46,6 @@
 # Enough for some round trips and a lost packet.
 CONNECT_TIMEOUT_S = 0.5
 _SKIPPED_HEADERS = ('User-Agent', 'Accept', 'Accept-Encoding', 'Content-Type')
-OnFirstBytes = Callable[[float], None]
 CheckAssignment = Callable[[Assignment], None]
 
 
@@ -67,29 +67,22 @@
         call: Call,
         assignment: Assignment,
         check_assignment: CheckAssignment,
-        on_first_bytes: OnFirstBytes,
+        hooks: ProgressHooks,
     ) -> web.StreamResponse:
         """Send a request and relay the complete answer to its caller.
 
         A stream of which the caller has a part is resumed after it.
-        check_assignment is called right before the first byte is sent;
-        on_first_bytes with the seconds until the first bytes of the answer.
-        Raises AttemptError when the answer is incomplete, and what
-        check_assignment raises.
+        check_assignment is called right before the first byte is sent. Raises
+        AttemptError when the answer is incomplete, and what check_assignment
+        raises.
         """
-        sent_s = now_s()
-
-        def report_first_bytes() -> None:
-            on_first_bytes(now_s() - sent_s)
-
+        progress = AttemptProgress(hooks)
         guard = SendGuard(lambda: check_assignment(assignment))
         resp = await self._send_request(call, assignment, guard)
         with self.held_answers.hold() as hold:
             async with resp:
                 try:
-                    return await _relay_answer(
-                        call, resp, report_first_bytes, hold
-                    )
+                    return await _relay_answer(call, resp, progress, hold)
                 except (ClientError, OSError) as exc:
                     raise _attempt_error_from(exc, assignment.target) from exc
 
@@ -150,15 +143,9 @@
 
 
 async def _relay_answer(
-    call: Call,
-    resp: ClientResponse,
-    on_first_bytes: Callable[[], None],
-    hold: Hold,
+    call: Call, resp: ClientResponse, progress: AttemptProgress, hold: Hold
 ) -> web.StreamResponse:
-    """Relay an answer; raises ClientError or OSError when it breaks off.
-
-    on_first_bytes is called when the first bytes were received.
-    """
+    """Relay an answer; raises ClientError or OSError when it breaks off."""
     raise_if_reset = _make_reset_check(resp)
     if (
         call.route.retry_policy is RetryPolicy.STREAM
@@ -167,20 +154,20 @@
         relayed_stream = call.relayed_stream or _start_relayed_stream(
             call, resp
         )
-        await _relay_stream(call, relayed_stream, resp, on_first_bytes, hold)
+        await _relay_stream(call, relayed_stream, resp, progress, hold)
     else:
         body, is_complete = await _buffer_body(resp, hold)
         _raise_for_retriable_failure(call, resp)
         if is_complete:
             raise_if_reset()
-            on_first_bytes()
+            progress.record_first_bytes()
             return web.Response(
                 status=resp.status,
                 headers=answer_headers(resp.headers),
                 body=body,
             )
         hold.let_go()
-        on_first_bytes()
+        progress.record_first_bytes()
         relayed_stream = await _relay_unbuffered_rest(call, resp, body)
     raise_if_reset()
     call.relayed_stream = relayed_stream
@@ -192,33 +179,39 @@
     call: Call,
     relayed_stream: RelayedStream,
     resp: ClientResponse,
-    on_first_bytes: Callable[[], None],
+    progress: AttemptProgress,
     hold: Hold,
 ) -> None:
     try:
         async for chunk in resp.content.iter_any():
             if not call.is_answer_started:
                 call.is_answer_started = True
-                on_first_bytes()
-            await _relay_chunk(call, relayed_stream, chunk, hold)
+                progress.record_first_bytes()
+            released = _release_chunk(call, relayed_stream, chunk, hold)
+            if released:
+                call.relayed_stream = relayed_stream
+                progress.hooks.on_stream_begun()
+                await relayed_stream.write_chunk(call.req, released)
     except (ClientError, OSError):
         relayed_stream.event_buffer.discard_unfinished()
         raise
 
 
-async def _relay_chunk(
+def _release_chunk(
     call: Call, relayed_stream: RelayedStream, chunk: bytes, hold: Hold
-) -> None:
-    if call.route.is_resumable:
-        # The caller gets complete events, so that another target can resume.
-        chunk = relayed_stream.event_buffer.feed(chunk)
-        if not hold.keep(relayed_stream.event_buffer.held_bytes):
-            raise OversizedError(
-                relayed_stream.event_buffer.held_bytes, hold.books.one_bytes
-            )
-    if chunk:
-        call.relayed_stream = relayed_stream
-        await relayed_stream.write_chunk(call.req, chunk)
+) -> bytes:
+    """Return the bytes that the caller gets now.
+
+    These are complete events where another target may resume the stream.
+    """
+    if not call.route.is_resumable:
+        return chunk
+    released = relayed_stream.event_buffer.feed(chunk)
+    if not hold.keep(relayed_stream.event_buffer.held_bytes):
+        raise OversizedError(
+            relayed_stream.event_buffer.held_bytes, hold.books.one_bytes
+        )
+    return released
 
 
 async def _buffer_body(resp: ClientResponse, hold: Hold) -> tuple[bytes, bool]:
--- a/mimosaworks/node/call.py
+++ b/mimosaworks/node/call.py
@@ -67,6 +67,8 @@
     ask is the latest message to the lease holder. may_have_run: an earlier
     attempt failed, but the target may have run the request.
     relayed_stream is the part of the answer that the caller has.
+    stream_version is the software version that a stream began at, None before
+    its first event and empty if it is not known.
     is_ended_by_node: the stopping node ended the request. closes_connection:
     the caller's connection is closed after the answer.
     """
@@ -92,6 +94,7 @@
     is_answer_started: bool = False
     may_have_run: bool = False
     relayed_stream: RelayedStream | None = None
+    stream_version: str | None = None
     is_ended_by_node: bool = False
     closes_connection: bool = False
 
@@ -102,10 +105,11 @@
 
     def may_resend(self) -> bool:
         """Return whether it may be sent again though it may have run."""
-        may_repeat = (
-            self.route.may_retry_after_run and self.relayed_stream is None
-        )
-        may_repeat = may_repeat or self.route.is_resumable
+        may_repeat = self.route.is_resumable
+        if self.relayed_stream is None:
+            may_repeat |= self.route.may_retry_after_run
+        else:
+            may_repeat &= bool(self.stream_version)
         return may_repeat and self.resends + 1 < self.route.max_attempts
 
     def remaining_s(self) -> float:
--- a/mimosaworks/node/conversions.py
+++ b/mimosaworks/node/conversions.py
@@ -47,6 +47,7 @@
         resends=call_ask.resends,
         excluded=frozenset(call_ask.excluded),
         fingerprint=call_ask.mark,
+        software_version=call_ask.software_version,
     )
 
 
--- a/mimosaworks/node/frontend.py
+++ b/mimosaworks/node/frontend.py
@@ -20,11 +20,13 @@
 from mimosaworks.node import call_log
 from mimosaworks.node.admission import admit_request
 from mimosaworks.node.attempt_error import AttemptError, CallerDisconnectedError
+from mimosaworks.node.attempt_progress import ProgressHooks
 from mimosaworks.node.attempt_sender import AttemptSender
 from mimosaworks.node.call import Call
 from mimosaworks.node.meters import Meters
 from mimosaworks.node.open_requests import OpenRequest, OpenRequests
 from mimosaworks.node.stall_detector import StallDetector
+from mimosaworks.node.stream_versions import check_version, record_begun_version
 from mimosaworks.node.target_chooser import TargetChooser
 from mimosaworks.platform.headers import REQUEST_ID
 from mimosaworks.serving import RUN_HEADER
@@ -169,6 +171,7 @@
                 CallOutcome.NOT_SENT, 'the node stops', is_not_run=True
             )
         self.target_chooser.check_assignment(call.suspect_keys, assignment)
+        check_version(call, assignment, self.target_chooser.latest_targets())
 
     async def _send_attempt(
         self, call: Call, assignment: Assignment
@@ -182,7 +185,15 @@
                 call,
                 assignment,
                 functools.partial(self._check_before_send, call),
-                functools.partial(self._record_first_bytes, call),
+                ProgressHooks(
+                    functools.partial(self._record_first_bytes, call),
+                    functools.partial(
+                        record_begun_version,
+                        call,
+                        assignment,
+                        self.target_chooser.latest_targets,
+                    ),
+                ),
             )
             attempt.outcome = outcome_for_status(answer.status)
             if attempt.outcome is CallOutcome.ANSWERED:
--- a/mimosaworks/node/standalone_chooser.py
+++ b/mimosaworks/node/standalone_chooser.py
@@ -171,6 +171,7 @@
             entry.service == call_ask.service
             and entry.state is TargetState.READY
             and entry.name not in call_ask.excluded
+            and entry.runs_version(call_ask.software_version)
         )
         return (
             is_usable
--- a/mimosaworks/node/target_chooser.py
+++ b/mimosaworks/node/target_chooser.py
@@ -138,6 +138,13 @@
             self.holder_link.pending_updates.has_urgent_updates.set()
             raise AttemptError(CallOutcome.NOT_SENT, reason, is_not_run=True)
 
+    def latest_targets(self) -> Mapping[str, TargetEntry]:
+        """Return the view of the targets that was confirmed last."""
+        replicated_as_of_s = self.holder_link.replicated_view.targets_as_of_s
+        if self.cluster_state.targets_read_s > replicated_as_of_s:
+            return self.cluster_state.targets
+        return self.holder_link.replicated_view.targets
+
     def _stale_assignment_reason(
         self, assignment: Assignment, now: float
     ) -> str:
@@ -279,7 +286,7 @@
                 'the view of the targets is too old',
             )
         member_count = self.count_members() or ASSUMED_MEMBER_COUNT
-        targets = self._latest_targets()
+        targets = self.latest_targets()
         self.standalone_chooser.apply_token_shares(
             deployment,
             self.holder_link.replicated_view.token_balances,
@@ -326,13 +333,6 @@
         )
         return now_s() - last_confirmed_s
 
-    def _latest_targets(self) -> Mapping[str, TargetEntry]:
-        """Return the view of the targets that was confirmed last."""
-        replicated_as_of_s = self.holder_link.replicated_view.targets_as_of_s
-        if self.cluster_state.targets_read_s > replicated_as_of_s:
-            return self.cluster_state.targets
-        return self.holder_link.replicated_view.targets
-
     def _log_standalone_decision(
         self, call: Call, decision: Assignment | Refusal, holder_failure: str
     ) -> None:
@@ -372,6 +372,7 @@
             excluded=tuple(sorted(call.excluded_targets | blocked_targets)),
             mark=call.fingerprint,
             request_id=call.request_id,
+            software_version=call.stream_version or '',
         )
 
 
--- a/mimosaworks/wire/dispatch.capnp
+++ b/mimosaworks/wire/dispatch.capnp
@@ -29,6 +29,7 @@
   mark @18 :Text;
   requestId @19 :Text;
   firstLeftS @20 :Float64;
+  softwareVersion @21 :Text;
 }
 
 struct CallReply {
--- a/mimosaworks/wire/dispatch_messages.py
+++ b/mimosaworks/wire/dispatch_messages.py
@@ -30,6 +30,7 @@
     in. left_s is the time for the whole answer, first_left_s that for its
     first event, both from the message's arrival; mark is the fingerprint of
     the request's content. excluded are targets that failed the request.
+    software_version is that of the targets which may serve it, empty for any.
     """
 
     call: str
@@ -53,6 +54,7 @@
     excluded: tuple[str, ...] = ()
     mark: str = ''
     request_id: str = ''
+    software_version: str = ''
 
 
 @attrs.frozen
--- a/standins/agency/replica.py
+++ b/standins/agency/replica.py
@@ -71,7 +71,7 @@
     send of each request is rejected, and once more reject_twice_s later, unless
     that is 0. Requests whose prompts have one of deadly_parts crash it.
     While fails_with is set, requests are answered with this status and
-    ERROR_TEXT.
+    ERROR_TEXT. version is that of its software, in its entry unless empty.
     """
 
     name: str
@@ -113,6 +113,7 @@
     reject_twice_s: float = 0
     deadly_parts: frozenset[str] = frozenset()
     fails_with: int = 0
+    version: Any = 'v1'
 
     def note_hit(self, request_id: str = '', sender: str = '') -> None:
         """Note a call that has arrived."""
@@ -139,7 +140,7 @@
             'service': self.service,
             'address': self.address,
             'zone': self.data_centre,
-            'version': 'v1',
+            **({'version': self.version} if self.version else {}),
             'slots': self.slots,
             'state': self.state,
             'cold-left-ms': 0,
