Resume streams that callers take up at the version that began them

What callers saw, on systems like ours: a stream broke off, most often with a loss of all nodes, its caller resumed it with a request of its own, and the rest of the text came from targets of another software version, with status 200.

Cause: nobody knew what had begun a stream. The header that names the caller's first request was passed on and not read.

Where a stream began is now told to the holder with the next heartbeat (25 ms), kept by the node for each new holder, and stored by the holder in rows of a table of its own: up to 80 streams a row, 20 ms apart, in a part of their own so that the lease's renewals don't wait for them; expired rows go with the next write. A request that resumes a stream is bound to the service and version that began it, which the node or the holder knows; what nobody knows is refused with 503, not run. Nothing waits for the store: a stream that was not stored in time is unknown after a loss of all nodes, never another one. After the store returned from an older copy all is stored again. Weighed: an order of versions by the request's id (models lie on few targets, versions come and go), rows only while two versions serve (the lack of a row would have to mean something), nodes that write by themselves (a call for each stream).

--- a/mimosaworks/json_fields.py
+++ b/mimosaworks/json_fields.py
@@ -20,9 +20,12 @@
     return parsed
 
 
-def text(fields: Fields, name: str) -> str:
-    """Return a field that must be a text; raises ValueError naming it."""
-    found = fields.get(name)
+def text(fields: Fields, name: str, default: str | None = None) -> str:
+    """Return a field that must be a text, or the default.
+
+    Raises ValueError naming the field.
+    """
+    found = fields.get(name, default)
     if not isinstance(found, str):
         raise ValueError(f'{name} must be a text')
     return _checked(name, found)
--- a/mimosaworks/node/admission.py
+++ b/mimosaworks/node/admission.py
@@ -17,7 +17,9 @@
 from mimosaworks.errors import ErrorKind, RequestError, RunState
 from mimosaworks.node.call import Call
 from mimosaworks.platform.headers import (
+    LAST_EVENT,
     REQUEST_ID,
+    RESUMED_REQUEST,
     read_key,
     read_profile,
     read_time_left_s,
@@ -79,6 +81,7 @@
         arrived_s=arrived_s,
         deadline_s=deadline_s,
         fingerprint=_request_fingerprint(req, grant, body),
+        resumes=_read_resumption(req, route),
     )
 
 
@@ -162,6 +165,16 @@
         raise RequestError(ErrorKind.BAD_REQUEST, str(exc)) from exc
 
 
+def _read_resumption(req: web.BaseRequest, route: ServiceRoute) -> str | None:
+    """Return the id of the request that began the stream that this resumes.
+
+    It is empty if the caller does not tell, None if no stream is resumed.
+    """
+    if not route.is_resumable or not req.headers.get(LAST_EVENT):
+        return None
+    return req.headers.get(RESUMED_REQUEST, '')
+
+
 def _token_cost(
     workspace_cfg: WorkspaceConfig | None, profile: RequestProfile
 ) -> float:
--- a/mimosaworks/node/call.py
+++ b/mimosaworks/node/call.py
@@ -68,7 +68,9 @@
     attempt failed, but the target may have run the request.
     relayed_stream is the part of the answer that the caller has.
     stream_version is the software version that a stream began at, None before
-    its first event and empty if it is not known.
+    its first event and empty if it is not known. resumes is the id of the
+    caller's request that began the stream which this one resumes, None if it
+    resumes none.
     is_ended_by_node: the stopping node ended the request. closes_connection:
     the caller's connection is closed after the answer.
     """
@@ -95,6 +97,7 @@
     may_have_run: bool = False
     relayed_stream: RelayedStream | None = None
     stream_version: str | None = None
+    resumes: str | None = None
     is_ended_by_node: bool = False
     closes_connection: bool = False
 
--- a/mimosaworks/node/call_log.py
+++ b/mimosaworks/node/call_log.py
@@ -6,7 +6,7 @@
 from mimosaworks.events import Event, log_event
 from mimosaworks.node.call import Call
 from mimosaworks.platform.headers import LAST_EVENT, RESUMED_REQUEST
-from mimosaworks.wire import CrashNote
+from mimosaworks.wire import CrashNote, StreamReply
 
 
 def log_admitted(call: Call, version: int) -> None:
@@ -28,6 +28,18 @@
     )
 
 
+def log_traced(call: Call, origin: StreamReply, known_by: str) -> None:
+    """Log where the stream began that a request resumes."""
+    log_event(
+        Event.STREAM_TRACED,
+        request_id=call.request_id,
+        resumes=call.resumes,
+        service=origin.service,
+        software_version=origin.software_version,
+        known_by=known_by,
+    )
+
+
 def log_refused(
     request_id: str, exc: RequestError, version: int, holder_age_s: float
 ) -> None:
--- a/mimosaworks/node/endpoints.py
+++ b/mimosaworks/node/endpoints.py
@@ -20,6 +20,8 @@
     LeaseNotice,
     LeaseOffer,
     StoreProbe,
+    StreamAsk,
+    StreamReply,
     add_peer_handler,
     new_peer_app,
 )
@@ -37,6 +39,9 @@
     peer_app = new_peer_app()
     add_peer_handler(peer_app, CallAsk, node.handle_call_ask)
     add_peer_handler(peer_app, Beat, node.handle_heartbeat)
+    add_peer_handler(
+        peer_app, StreamAsk, functools.partial(_answer_stream_ask, node)
+    )
     add_peer_handler(peer_app, LeaseNotice, node.candidates.handle_lease_notice)
     add_peer_handler(peer_app, LeaseAsk, node.candidates.handle_lease_ask)
     add_peer_handler(peer_app, LeaseOffer, node.candidates.handle_lease_offer)
@@ -69,6 +74,13 @@
     )
 
 
+async def _answer_stream_ask(node: Node, stream_ask: StreamAsk) -> StreamReply:
+    """Answer a node that asks where a stream began."""
+    if node.holder is None or node.holder.stream_saver is None:
+        raise web.HTTPConflict(text='not the holder')
+    return await node.holder.stream_saver.find_stream(stream_ask.request_id)
+
+
 async def _serve_http_app(
     app: web.Application, address: str, stack: contextlib.AsyncExitStack
 ) -> None:
--- a/mimosaworks/node/frontend.py
+++ b/mimosaworks/node/frontend.py
@@ -26,7 +26,11 @@
 from mimosaworks.node.meters import Meters
 from mimosaworks.node.open_requests import OpenRequest, OpenRequests
 from mimosaworks.node.stall_detector import StallDetector
-from mimosaworks.node.stream_versions import check_version, record_begun_version
+from mimosaworks.node.stream_versions import (
+    check_version,
+    record_begun_version,
+    trace_resumed_stream,
+)
 from mimosaworks.node.target_chooser import TargetChooser
 from mimosaworks.platform.headers import REQUEST_ID
 from mimosaworks.serving import RUN_HEADER
@@ -135,6 +139,9 @@
         call_log.log_admitted(call, self._deployment_version())
         try:
             async with asyncio.timeout(call.remaining_s()):
+                await trace_resumed_stream(
+                    call, self.target_chooser.holder_link
+                )
                 return await self._send_until_answered(call)
         except asyncio.CancelledError:
             if not call.target:
@@ -191,7 +198,7 @@
                         record_begun_version,
                         call,
                         assignment,
-                        self.target_chooser.latest_targets,
+                        self.target_chooser,
                     ),
                 ),
             )
--- a/mimosaworks/node/heartbeat_updates.py
+++ b/mimosaworks/node/heartbeat_updates.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from mimosaworks.bounded import forget_oldest
 from mimosaworks.wire import (
     Beat,
     CallEnd,
@@ -11,9 +12,13 @@
     CrashNote,
     LimitNote,
     Spent,
+    StreamNote,
     TargetLeaving,
 )
 
+# More than a node begins until a holder answers; the next one gets all.
+MAX_QUEUED_STREAMS = 5000
+
 
 @attrs.define(eq=False)
 class HeartbeatUpdates:
@@ -29,6 +34,7 @@
     _leaving_targets: list[TargetLeaving] = attrs.field(factory=list)
     _crashes: list[CrashNote] = attrs.field(factory=list)
     _rate_limits: list[LimitNote] = attrs.field(factory=list)
+    _streams: dict[str, StreamNote] = attrs.field(factory=dict)
 
     def record_first_event(self, call_id: str, first_event_s: float) -> None:
         """Record that the first event of a request's answer has arrived."""
@@ -63,6 +69,12 @@
         self._rate_limits.append(note)
         self.has_urgent_updates.set()
 
+    def record_stream(self, note: StreamNote) -> None:
+        """Record where a stream began."""
+        self._streams[note.request_id] = note
+        forget_oldest(self._streams, MAX_QUEUED_STREAMS)
+        self.has_urgent_updates.set()
+
     def move_into_heartbeat(self, heartbeat: Beat) -> Beat:
         """Return a heartbeat with all updates, which are queued no longer."""
         full_heartbeat = attrs.evolve(
@@ -75,7 +87,9 @@
             leaving=(*heartbeat.leaving, *self._leaving_targets),
             crashes=(*heartbeat.crashes, *self._crashes),
             limits=(*heartbeat.limits, *self._rate_limits),
+            streams=(*heartbeat.streams, *self._streams.values()),
         )
+        self._streams.clear()
         self._rate_limits.clear()
         self._crashes.clear()
         self._leaving_targets.clear()
@@ -96,5 +110,7 @@
         self._leaving_targets = [*heartbeat.leaving, *self._leaving_targets]
         self._crashes = [*heartbeat.crashes, *self._crashes]
         self._rate_limits = [*heartbeat.limits, *self._rate_limits]
+        for note in heartbeat.streams:
+            self._streams.setdefault(note.request_id, note)
         for charge in heartbeat.spent:
             self.record_charged_tokens(charge.workspace, charge.cost)
--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -37,6 +37,7 @@
 from mimosaworks.node.limit_monitor import LimitMonitor
 from mimosaworks.node.members import Members
 from mimosaworks.node.order_runner import FencedError, OrderRunner
+from mimosaworks.node.stored_streams import StreamSaver, make_stream_saver
 from mimosaworks.node.stored_suspects import SuspectSaver
 from mimosaworks.node.suspect_monitor import SuspectMonitor
 from mimosaworks.node.target_monitor import TargetMonitor
@@ -45,6 +46,7 @@
     log_store_load_end,
     log_store_load_start,
 )
+from mimosaworks.platform import StoreClient
 from mimosaworks.wire import (
     Beat,
     BeatReply,
@@ -88,7 +90,8 @@
     became of a request for which a target's rate limit has no permit:
     'waited' or 'refused'. request_early_renewal is called when the store
     should get suspects soon. handover moves the lease to a node that reaches
-    the store when this one does not.
+    the store when this one does not. stream_saver keeps the origins of streams
+    in the store, if there is one, in rows of row_bytes at most.
     """
 
     cluster_state: ClusterState
@@ -106,11 +109,25 @@
     limit_monitor: LimitMonitor = attrs.field(factory=LimitMonitor)
     suspect_saver: SuspectSaver = attrs.field(factory=SuspectSaver)
     handover: LeaseHandover | None = None
+    elected_s: float = attrs.field(factory=now_s)
+    store: StoreClient | None = None
+    row_bytes: int = 0
+    stream_saver: StreamSaver | None = attrs.field(
+        init=False,
+        default=attrs.Factory(
+            lambda made: make_stream_saver(
+                made.store,
+                made.order_runner.fence,
+                made.row_bytes,
+                made.elected_s,
+            ),
+            takes_self=True,
+        ),
+    )
     lease_version: int = 0
     pending_decisions: dict[str, 'asyncio.Future[Assignment | Refusal]'] = (
         attrs.field(factory=dict)
     )
-    elected_s: float = attrs.field(factory=now_s)
     _tasks: set['asyncio.Task[None]'] = attrs.field(factory=set)
     target_log: ChangeLog[TargetEntry] = attrs.field(factory=ChangeLog)
     _applied_deployment_version: int = 0
@@ -123,6 +140,8 @@
         loops = [self._run_ticks()]
         if self.handover is not None:
             loops.append(self.handover.run())
+        if self.stream_saver is not None:
+            loops.append(self.stream_saver.run())
         for loop in loops:
             self._create_task(loop).add_done_callback(
                 functools.partial(_step_down_on_failure, self)
@@ -212,6 +231,8 @@
                     call_end.call, outcome, call_end.duration_s, now
                 )
             )
+        if self.stream_saver is not None:
+            self.stream_saver.record_notes(heartbeat.streams)
         self.dispatcher.limiter.charge(
             (charge.workspace, charge.cost) for charge in heartbeat.spent
         )
--- a/mimosaworks/node/holder_link.py
+++ b/mimosaworks/node/holder_link.py
@@ -24,6 +24,8 @@
 from mimosaworks.node.interruptible_sleep import wait_for_event
 from mimosaworks.node.limit_view import LimitView
 from mimosaworks.node.replicated_view import ReplicatedView
+from mimosaworks.node.stored_streams import StreamSaver
+from mimosaworks.node.stream_origins import StreamOrigins
 from mimosaworks.wire import (
     Ack,
     Beat,
@@ -34,6 +36,8 @@
     NodeRow,
     PeerClient,
     RunningCall,
+    StreamAsk,
+    StreamReply,
     TargetLeaving,
 )
 
@@ -42,6 +46,8 @@
 # An assignment request that takes longer triggers a heartbeat, which shows
 # whether the holder is still there.
 SLOW_REPLY_S = 0.3
+# A new holder may have to read the streams from the store first.
+STREAM_REPLY_TIMEOUT_S = 1.5
 
 
 class LocalHolder(Protocol):
@@ -53,6 +59,10 @@
     async def handle_heartbeat(self, heartbeat: Beat) -> BeatReply:
         """Apply this node's updates; return the changes that it lacks."""
 
+    @property
+    def stream_saver(self) -> StreamSaver | None:
+        """What the holder knows of where streams began."""
+
 
 @attrs.define(eq=False)
 class HolderLink:
@@ -62,6 +72,7 @@
     holder when it is this process, make_node_row this node's row,
     list_running_calls its requests at targets, list_leaving_targets the
     incarnations of targets that announced to this node that they leave.
+    stream_origins are those of the streams that began at this node.
     last_reply_s is when the holder last confirmed what it had reported,
     contact_lost_s when it was last taken for lost. on_reply is called with
     each answer of the holder, on_lost when it stops answering.
@@ -82,6 +93,7 @@
     pending_updates: HeartbeatUpdates = attrs.field(factory=HeartbeatUpdates)
     crash_view: CrashView = attrs.field(factory=CrashView)
     limit_view: LimitView = attrs.field(factory=LimitView)
+    stream_origins: StreamOrigins = attrs.field(factory=StreamOrigins)
     fence: int = 0
     last_reply_s: float = 0
     contact_lost_s: float = attrs.field(factory=now_s)
@@ -143,6 +155,21 @@
                 return reply
         raise PeerError('the holder stopped answering')
 
+    async def request_stream_origin(self, request_id: str) -> StreamReply:
+        """Return where a stream began; raises PeerError without a holder."""
+        local_holder = self.find_local_holder()
+        if local_holder is not None and local_holder.stream_saver is not None:
+            return await local_holder.stream_saver.find_stream(request_id)
+        lease = self.find_lease()
+        if lease is None or not self.has_contact():
+            raise PeerError('no holder answers')
+        return await self.peers.call(
+            lease.address,
+            StreamAsk(request_id),
+            StreamReply,
+            STREAM_REPLY_TIMEOUT_S,
+        )
+
     def send_notice(self, address: str, notice: LeaseNotice) -> None:
         """Send a notice without waiting for its answer."""
         notice_call = asyncio.ensure_future(
@@ -244,6 +271,7 @@
                 leaving=tuple(starmap(TargetLeaving, leaving_targets.items())),
                 crashes=self.crash_view.unsaved_notes() if is_first else (),
                 limits=self.limit_view.make_limit_notes() if is_first else (),
+                streams=self.stream_origins.make_notes() if is_first else (),
                 targets_version=0 if is_first else replicated.targets_version,
                 members_version=0 if is_first else replicated.members_version,
                 suspects_version=0
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -158,6 +158,8 @@
             request_early_renewal=self.election.renewal_pause.wake,
             lease_version=lease.version,
             handover=make_lease_handover(self),
+            store=self.store_client,
+            row_bytes=self.cfg.row_bytes,
         )
         # The directory needs the known members; each is kept until its
         # heartbeats stop.
@@ -306,6 +308,8 @@
     """Store the holder's rows again, as the store may have lost them."""
     if node.holder is not None:
         node.holder.suspect_saver.forget_saved()
+        if node.holder.stream_saver is not None:
+            node.holder.stream_saver.save_again()
 
 
 def resend_config(node: Node) -> ResendBudgetConfig:
--- a/mimosaworks/platform/entries.py
+++ b/mimosaworks/platform/entries.py
@@ -45,7 +45,7 @@
         in_memory=texts(at_hand, 'in-memory'),
         on_disk=texts(at_hand, 'on-disk'),
         slow_start_s=whole(fields, 'cold-left-ms', 0) / MS_PER_S,
-        software_version=_software_version(fields),
+        software_version=text(fields, 'version', ''),
     )
 
 
@@ -60,17 +60,6 @@
     )
 
 
-def _software_version(fields: Fields) -> str:
-    """Return the version of a target's software, empty if it is unusable.
-
-    Such a target can serve requests, but no stream that another one began.
-    """
-    try:
-        return text(fields, 'version')
-    except ValueError:
-        return ''
-
-
 def _address(address: str) -> str:
     host, _, port = address.rpartition(':')
     if not _PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
--- a/mimosaworks/platform/headers.py
+++ b/mimosaworks/platform/headers.py
@@ -50,8 +50,6 @@
     'x-request-priority',
     'x-tenant',
 ))
-
-
 _PER_CONNECTION = frozenset((
     'connection',
     'content-length',
--- a/mimosaworks/wire/dispatch.capnp
+++ b/mimosaworks/wire/dispatch.capnp
@@ -141,6 +141,7 @@
   suspectsVersion @11 :UInt64;
   limits @12 :List(LimitNote);
   limitsVersion @13 :UInt64;
+  streams @14 :List(StreamNote);
 }
 
 struct LimitNote {
@@ -170,6 +171,23 @@
   isProven @2 :Bool;
 }
 
+struct StreamNote {
+  requestId @0 :Text;
+  service @1 :Text;
+  softwareVersion @2 :Text;
+  leftS @3 :Float64;
+}
+
+struct StreamAsk {
+  # Answered with StreamReply.
+  requestId @0 :Text;
+}
+
+struct StreamReply {
+  service @0 :Text;
+  softwareVersion @1 :Text;
+}
+
 struct TargetLeaving {
   target @0 :Text;
   born @1 :UInt64;
--- a/mimosaworks/wire/dispatch_messages.py
+++ b/mimosaworks/wire/dispatch_messages.py
@@ -8,6 +8,7 @@
     CrashNote,
     LimitNote,
     LimitRow,
+    StreamNote,
     SuspectRow,
     TargetLeaving,
     TargetRow,
@@ -143,7 +144,8 @@
     that the node admitted without one. wants_levels asks for the tokens that
     workspaces have left. leaving are targets that announced that to the
     node, crashes those that crashed under its requests, rate limits that
-    answers gave, in the first beat to a holder all of them.
+    answers gave, streams where such began, in the first beat to a holder all
+    of them.
     """
 
     row: NodeRow
@@ -160,6 +162,7 @@
     suspects_version: int = 0
     limits: tuple[LimitNote, ...] = ()
     limits_version: int = 0
+    streams: tuple[StreamNote, ...] = ()
 
 
 @attrs.frozen
--- a/mimosaworks/wire/target_messages.py
+++ b/mimosaworks/wire/target_messages.py
@@ -26,6 +26,34 @@
     software_version: str = ''
 
 
+@attrs.frozen
+class StreamNote:
+    """The service and software version at which a request's stream began.
+
+    Its caller may resume it for left_s seconds.
+    """
+
+    request_id: str
+    service: str
+    software_version: str
+    left_s: float
+
+
+@attrs.frozen
+class StreamAsk:
+    """Asks the holder where the stream of a request began."""
+
+    request_id: str
+
+
+@attrs.frozen
+class StreamReply:
+    """Where a stream began; empty texts if it is not known."""
+
+    service: str = ''
+    software_version: str = ''
+
+
 @attrs.frozen
 class TargetLeaving:
     """A target announced that it leaves; born is its birth, 0 if unknown."""
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -149,6 +149,8 @@
         {'models': [{'name': '\ud800', 'adapters': []}]},
         {'models': [7]},
         {'service': None},
+        {'version': 7},
+        {'version': '\ud800'},
     ],
 )
 def test_a_foreign_entry_is_refused(changes: dict[str, Any]) -> None:
