Build a holder without a store without its order runner

The tests of a holder that has neither failed since the streams' rows: the fencing number was read before it was known whether there is a store.

--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -117,7 +117,7 @@
         default=attrs.Factory(
             lambda made: make_stream_saver(
                 made.store,
-                made.order_runner.fence,
+                made.order_runner,
                 made.row_bytes,
                 made.elected_s,
             ),
--- a/mimosaworks/node/stored_streams.py
+++ b/mimosaworks/node/stored_streams.py
@@ -11,6 +11,7 @@
 from mimosaworks.errors import PlatformError
 from mimosaworks.events import Event, log_event
 from mimosaworks.node.interruptible_sleep import InterruptibleSleep
+from mimosaworks.node.order_runner import OrderRunner
 from mimosaworks.node.stream_origins import MAX_TEXT_CHARS, StreamOrigins
 from mimosaworks.platform import RowChange, RowName, StoreClient
 from mimosaworks.wire import StreamNote, StreamReply
@@ -171,12 +172,15 @@
 
 
 def make_stream_saver(
-    store: StoreClient | None, fence: int, row_bytes: int, elected_s: float
+    store: StoreClient | None,
+    order_runner: OrderRunner,
+    row_bytes: int,
+    elected_s: float,
 ) -> StreamSaver | None:
     """Return what stores the origins of streams, None without a store."""
     if store is None:
         return None
-    return StreamSaver(store, fence, row_bytes, elected_s)
+    return StreamSaver(store, order_runner.fence, row_bytes, elected_s)
 
 
 def _last_expiry_s(notes: Iterable[StreamNote]) -> float:
