Leave out a target for the node that can't reach it, not for all

What callers saw: while half of the nodes had no path to the targets, nodes that had one refused 6 of 123 requests with "none of N targets can load the model now", in 9 s; the holder suspected targets 69 times, all 11 of them.

Cause: the health of a target was kept for the target alone, whoever had failed to reach it. What one pair of node and target saw was taken for a fact about all.

A node that fails to connect to a target gets other targets for a while. The target is left out for all nodes when two failed within a second that had an answer of some target in the last second.

--- a/mimosaworks/dispatch/dispatcher.py
+++ b/mimosaworks/dispatch/dispatcher.py
@@ -1,5 +1,6 @@
 """Assigns all requests to targets; used by the lease holder."""
 
+import math
 from collections.abc import Iterable
 
 import attrs
@@ -40,6 +41,8 @@
 # The longest wait for tokens. It is the same for all requests, so that those
 # with late deadlines do not acquire the tokens of urgent ones in advance.
 MAX_TOKEN_WAIT_S = 0.3
+# A node that had an answer within this time reaches some targets.
+REACH_TTL_S = 1.0
 _UNSENT_OUTCOMES = frozenset((CallOutcome.NOT_SENT, CallOutcome.UNREACHABLE))
 _REFUNDED_OUTCOMES = _UNSENT_OUTCOMES | {CallOutcome.REFUSED}
 
@@ -50,7 +53,8 @@
 
     Methods return the decisions that they made for waiting requests, by call
     id. The dispatcher keeps the incarnations of targets that announced that
-    they leave before their entries show it, and the targets' rate limits.
+    they leave before their entries show it, the targets' rate limits, and when
+    each node last had a complete answer.
     """
 
     resend_budgets: ResendBudgets
@@ -66,6 +70,7 @@
         ),
     )
     leaving_targets: dict[str, int] = attrs.field(factory=dict)
+    last_answers_s: dict[str, float] = attrs.field(factory=dict)
 
     def apply_deployment(self, deployment: Deployment, now: float) -> None:
         """Apply a new version of the deployment."""
@@ -383,7 +388,15 @@
     target = _find_target(dispatcher, job.assignment_req.service, job.target)
     if target is None:
         return
-    target.health.record_outcome(outcome, now)
+    node = job.assignment_req.node
+    if outcome in COMPLETE_OUTCOMES:
+        dispatcher.last_answers_s[node] = now
+    if outcome is CallOutcome.UNREACHABLE:
+        last_answer_s = dispatcher.last_answers_s.get(node, -math.inf)
+        target.health.record_unreached(
+            node, now, reaches_others=now - last_answer_s < REACH_TTL_S
+        )
+    target.health.record_outcome(outcome, now, node)
     is_refused = outcome is CallOutcome.REFUSED
     if is_refused and isinstance(target, EngineTarget):
         target.is_synced = False
--- a/mimosaworks/dispatch/job.py
+++ b/mimosaworks/dispatch/job.py
@@ -20,6 +20,7 @@
     again has a resend count and excludes the targets that failed it. The
     fingerprint is a hash of its content, by which crash suspects are found.
     software_version is that of the targets which may serve it, empty for any.
+    is_relayed: another node sends it, as the node has no path to targets.
     """
 
     call_id: str
@@ -37,6 +38,12 @@
     excluded: frozenset[str] = frozenset()
     fingerprint: str = ''
     software_version: str = ''
+    is_relayed: bool = False
+
+    @property
+    def direct_node(self) -> str:
+        """The node if it sends the request itself, empty otherwise."""
+        return '' if self.is_relayed else self.node
 
     @property
     def suspect_keys(self) -> tuple[str, ...]:
--- a/mimosaworks/dispatch/plain_pool.py
+++ b/mimosaworks/dispatch/plain_pool.py
@@ -236,8 +236,11 @@
             for target in self.targets.values()
             if _accepts_job(target, job)
         ]
+        node = job.assignment_req.direct_node
         reachable_targets = [
-            target for target in ready_targets if not target.health.is_down(now)
+            target
+            for target in ready_targets
+            if not target.health.is_down(now, node)
         ]
         return reachable_targets or ready_targets
 
--- a/mimosaworks/dispatch/target_health.py
+++ b/mimosaworks/dispatch/target_health.py
@@ -15,18 +15,32 @@
 MIN_EXPECTED_DURATION_S = 0.001
 MIN_SLOWDOWN = 0.3
 MAX_SLOWDOWN = 12.0
+# Nodes that fail to reach a target this soon after each other.
+WITNESS_S = 1.0
+MIN_WITNESSES = 2
 _FAILED_OUTCOMES = frozenset((
     CallOutcome.FAILED,
     CallOutcome.BROKEN,
     CallOutcome.OVERSIZED,
     CallOutcome.TIMED_OUT,
 ))
-_DOWN_OUTCOMES = frozenset((CallOutcome.UNREACHABLE, CallOutcome.OVERSIZED))
+
+
+@attrs.define
+class _NodePause:
+    """Until when a node sends the target nothing, and the next such pause."""
+
+    until_s: float = 0
+    next_s: float = INITIAL_DOWN_S
 
 
 @attrs.define
 class TargetHealth:
-    """Failure rate, slowdown, and a pause after a lost connection.
+    """Failure rate, slowdown, and pauses after lost connections.
+
+    A node that can't reach the target says something about the pair: that node
+    sends it nothing for a while. Two nodes that reach other targets meanwhile
+    say that it is down.
 
     Slowdown is the average of measured divided by expected duration. The
     failure rate is the average share of failed requests, which halves each
@@ -38,10 +52,15 @@
     _last_outcome_s: float = 0
     _down_until_s: float = 0
     _next_pause_s: float = INITIAL_DOWN_S
+    _pauses_by_node: dict[str, _NodePause] = attrs.field(factory=dict)
+    _witnessed_s: dict[str, float] = attrs.field(factory=dict)
 
-    def is_down(self, now: float) -> bool:
-        """Return whether the target gets no requests for now."""
-        return now < self._down_until_s
+    def is_down(self, now: float, node: str = '') -> bool:
+        """Return whether the target gets no requests for now, or of a node."""
+        pause = self._pauses_by_node.get(node)
+        return now < self._down_until_s or (
+            pause is not None and now < pause.until_s
+        )
 
     def down_remaining_s(self, now: float) -> float:
         """Return the seconds for which the target still gets no requests."""
@@ -52,15 +71,40 @@
         age_s = max(now - self._last_outcome_s, 0)
         return float(self._failure_rate * 2 ** (-age_s / FAILURE_HALF_LIFE_S))
 
-    def record_outcome(self, outcome: CallOutcome, now: float) -> None:
+    def record_outcome(
+        self, outcome: CallOutcome, now: float, node: str = ''
+    ) -> None:
         """Update failure rate and downtime by the outcome of a request."""
         if outcome in COMPLETE_OUTCOMES:
+            self._pauses_by_node.pop(node, None)
             self.record_success(now)
-        if outcome in _DOWN_OUTCOMES:
+        if outcome is CallOutcome.OVERSIZED:
             self.record_unreachable(now)
         if outcome in _FAILED_OUTCOMES:
             self.record_failure(now)
 
+    def record_unreached(
+        self, node: str, now: float, *, reaches_others: bool
+    ) -> None:
+        """Record that a node could not reach the target.
+
+        reaches_others: it had an answer of another target shortly before.
+        """
+        if not self.is_down(now, node):
+            pause = self._pauses_by_node.setdefault(node, _NodePause())
+            pause.until_s = now + pause.next_s
+            pause.next_s = min(pause.next_s * 2, MAX_DOWN_S)
+        if not reaches_others:
+            return
+        self._witnessed_s[node] = now
+        witnesses = [
+            name
+            for name, witnessed_s in self._witnessed_s.items()
+            if now - witnessed_s < WITNESS_S
+        ]
+        if len(witnesses) >= MIN_WITNESSES:
+            self.record_unreachable(now)
+
     def record_unreachable(self, now: float) -> None:
         """Send no requests for a while, longer after each failure in a row."""
         if self.is_down(now):
--- a/mimosaworks/node/conversions.py
+++ b/mimosaworks/node/conversions.py
@@ -48,6 +48,7 @@
         excluded=frozenset(call_ask.excluded),
         fingerprint=call_ask.mark,
         software_version=call_ask.software_version,
+        is_relayed=call_ask.is_relayed,
     )
 
 
--- a/mimosaworks/wire/dispatch.capnp
+++ b/mimosaworks/wire/dispatch.capnp
@@ -30,6 +30,7 @@
   requestId @19 :Text;
   firstLeftS @20 :Float64;
   softwareVersion @21 :Text;
+  isRelayed @22 :Bool;
 }
 
 struct CallReply {
@@ -79,6 +80,7 @@
   isStopping @4 :Bool;
   strength @5 :Float64;
   startedS @6 :Float64;
+  relays @7 :Bool;
 }
 
 struct LeaseNotice {
--- a/mimosaworks/wire/dispatch_messages.py
+++ b/mimosaworks/wire/dispatch_messages.py
@@ -32,6 +32,7 @@
     first event, both from the message's arrival; mark is the fingerprint of
     the request's content. excluded are targets that failed the request.
     software_version is that of the targets which may serve it, empty for any.
+    is_relayed: another node sends it, as the asking one has no path to targets.
     """
 
     call: str
@@ -56,6 +57,7 @@
     mark: str = ''
     request_id: str = ''
     software_version: str = ''
+    is_relayed: bool = False
 
 
 @attrs.frozen
@@ -123,6 +125,8 @@
 class NodeRow:
     """One entry node; is_stopping ones take no new callers.
 
+    relays: it reaches targets, and sends requests there for other nodes.
+
     strength, in cores, and started_s, the Unix time of the process's start,
     order the nodes that may become holder.
     """
@@ -134,6 +138,7 @@
     is_stopping: bool = False
     strength: float = 0
     started_s: float = 0
+    relays: bool = False
 
 
 @attrs.frozen
