Send requests of a node without a path through another node

Cause: no request could pass from one node to another, and a node did not know that it was cut off, so that each request found out for itself, 0.5 s for each target. The holder, if cut off, kept the lease and could send no order.

A node that fails to reach a target, or that hears nothing of any while attempts are open, connects to three targets; if none accepts within 0.5 s it takes itself for cut off, until one does. One silent or crashed target is no reason. While it is cut off it sends each request to a node that reaches targets (NodeRow.relays, which nodes of earlier releases don't set), of its own data centre if there is one. That node checks the target once more, sends the request as it is, and passes the answer on as it arrives, with its own framing: an answer that breaks off ends with its connection. A relay never sends to another relay. What was not sent is said so (Mimosa-Relayed), and only that counts as not run. A caller's leaving closes one connection after the other. A stopping node ends what it relays. A holder that is cut off offers the lease to a node that is not, and such nodes go first in an election. Ends of targets that are seen over a relay, or while cut off, are unconfirmed.

Weighed: steering callers away (readiness, lookup, closed connections) is late, counts as failed, and leaves all the load to few nodes. A tunnel of bytes would need a client of its own. Orders are not relayed: they count by the VM that they come from.

--- a/mimosaworks/node/attempt_progress.py
+++ b/mimosaworks/node/attempt_progress.py
@@ -22,9 +22,13 @@
 
 @attrs.frozen
 class AttemptProgress:
-    """The hooks of one attempt; sent_s is when it was sent."""
+    """The hooks of one attempt; sent_s is when it was sent.
+
+    record_bytes is called whenever bytes of the answer arrive.
+    """
 
     hooks: ProgressHooks
+    record_bytes: Callable[[], None]
     sent_s: float = attrs.field(factory=now_s)
 
     def record_first_bytes(self) -> None:
--- a/mimosaworks/node/attempt_sender.py
+++ b/mimosaworks/node/attempt_sender.py
@@ -7,14 +7,12 @@
 from aiohttp import (
     ClientConnectorError,
     ClientError,
-    ClientPayloadError,
     ClientResponse,
     ClientResponseError,
     ClientSession,
     ConnectionTimeoutError,
     web,
 )
-from yarl import URL
 
 from mimosaworks.bounded_answers import (
     HeldBytes,
@@ -27,10 +25,19 @@
 from mimosaworks.dispatch import Assignment, CallOutcome
 from mimosaworks.events import Event, log_event
 from mimosaworks.kept_connections import ForeignAnswerError
+from mimosaworks.node import call_log
+from mimosaworks.node.answer_resets import make_reset_check
 from mimosaworks.node.attempt_error import AttemptError
 from mimosaworks.node.attempt_progress import AttemptProgress, ProgressHooks
 from mimosaworks.node.call import Call, RelayedStream
 from mimosaworks.node.limit_view import LimitView
+from mimosaworks.node.relay_peers import (
+    RELAY_TO,
+    RelayPeers,
+    check_relay,
+    make_request_url,
+    without_relay_field,
+)
 from mimosaworks.node.target_notices import TargetNotices
 from mimosaworks.platform.headers import (
     LAST_EVENT,
@@ -55,12 +62,14 @@
 
     target_notices and limit_view record what the heads of answers say about
     further requests. held_answers bounds the bytes of buffered answers.
+    relay_peers names the node that sends for this one while it is cut off.
     """
 
     session: ClientSession
     target_notices: TargetNotices
     limit_view: LimitView
     held_answers: HeldBytes
+    relay_peers: RelayPeers
 
     async def send_and_relay(
         self,
@@ -76,11 +85,13 @@
         AttemptError when the answer is incomplete, and what check_assignment
         raises.
         """
-        progress = AttemptProgress(hooks)
+        paths = self.relay_peers.paths
+        progress = AttemptProgress(hooks, paths.record_bytes)
         guard = SendGuard(lambda: check_assignment(assignment))
-        resp = await self._send_request(call, assignment, guard)
-        with self.held_answers.hold() as hold:
-            async with resp:
+        with paths.track_attempt(), self.held_answers.hold() as hold:
+            async with await self._send_request(
+                call, assignment, guard
+            ) as resp:
                 try:
                     return await _relay_answer(call, resp, progress, hold)
                 except (ClientError, OSError) as exc:
@@ -98,12 +109,15 @@
         )
         if call.relayed_stream is not None:
             headers[LAST_EVENT] = call.relayed_stream.event_buffer.last_event_id
-        path = call.req.raw_path
-        url = URL(f'http://{assignment.address}{path}', encoded=True)
+        relay = self.relay_peers.find_relay()
+        call.is_relayed = bool(relay)
+        if relay:
+            headers[RELAY_TO] = assignment.address
+            call_log.log_via_relay(call, assignment, relay)
         try:
             resp = await self.session.request(
                 call.req.method,
-                url,
+                make_request_url(call.req.raw_path, assignment.address, relay),
                 data=call.body or None,
                 headers=headers,
                 skip_auto_headers=_SKIPPED_HEADERS,
@@ -111,11 +125,19 @@
                 trace_request_ctx=guard,
             )
         except (ClientConnectorError, ConnectionTimeoutError) as exc:
+            if relay:
+                self.relay_peers.record_failure(relay)
+            else:
+                self.relay_peers.paths.record_unreachable()
             raise AttemptError(
                 CallOutcome.UNREACHABLE, repr(exc), is_not_run=True
             ) from exc
         except (ClientError, OSError) as exc:
             raise _attempt_error_from(exc, assignment.target) from exc
+        if relay:
+            check_relay(resp)
+        else:
+            self.relay_peers.paths.record_bytes()
         self._record_answer_head(call, assignment.target, resp)
         _check_answer_head(resp)
         return resp
@@ -146,7 +168,7 @@
     call: Call, resp: ClientResponse, progress: AttemptProgress, hold: Hold
 ) -> web.StreamResponse:
     """Relay an answer; raises ClientError or OSError when it breaks off."""
-    raise_if_reset = _make_reset_check(resp)
+    raise_if_reset = make_reset_check(resp)
     if (
         call.route.retry_policy is RetryPolicy.STREAM
         and resp.status == HTTPStatus.OK
@@ -163,7 +185,7 @@
             progress.record_first_bytes()
             return web.Response(
                 status=resp.status,
-                headers=answer_headers(resp.headers),
+                headers=answer_headers(without_relay_field(resp.headers)),
                 body=body,
             )
         hold.let_go()
@@ -184,6 +206,7 @@
 ) -> None:
     try:
         async for chunk in resp.content.iter_any():
+            progress.record_bytes()
             if not call.is_answer_started:
                 call.is_answer_started = True
                 progress.record_first_bytes()
@@ -246,7 +269,7 @@
 
 
 def _start_relayed_stream(call: Call, resp: ClientResponse) -> RelayedStream:
-    headers = answer_headers(resp.headers)
+    headers = answer_headers(without_relay_field(resp.headers))
     response = web.StreamResponse(status=resp.status, headers=headers)
     if call.closes_connection:
         response.force_close()
@@ -289,22 +312,3 @@
         raise AttemptError(
             CallOutcome.BROKEN, 'the answer has a Content-Encoding'
         )
-
-
-def _make_reset_check(resp: ClientResponse) -> Callable[[], None]:
-    """Return a check that raises when the connection was reset.
-
-    A body without a length ends when its connection is closed, and aiohttp
-    treats a reset like such an end.
-    """
-    conn = resp.connection
-    protocol = None if conn is None else conn.protocol
-
-    def raise_if_reset() -> None:
-        exc = None if protocol is None else protocol.exception()
-        if isinstance(exc, OSError):
-            raise ClientPayloadError(
-                f'the connection was reset: {exc!r}'
-            ) from exc
-
-    return raise_if_reset
--- a/mimosaworks/node/call.py
+++ b/mimosaworks/node/call.py
@@ -70,7 +70,7 @@
     stream_version is the software version that a stream began at, None before
     its first event and empty if it is not known. resumes is the id of the
     caller's request that began the stream which this one resumes, None if it
-    resumes none.
+    resumes none. is_relayed: the latest attempt went through another node.
     is_ended_by_node: the stopping node ended the request. closes_connection:
     the caller's connection is closed after the answer.
     """
@@ -98,6 +98,7 @@
     relayed_stream: RelayedStream | None = None
     stream_version: str | None = None
     resumes: str | None = None
+    is_relayed: bool = False
     is_ended_by_node: bool = False
     closes_connection: bool = False
 
--- a/mimosaworks/node/call_log.py
+++ b/mimosaworks/node/call_log.py
@@ -80,6 +80,16 @@
     )
 
 
+def log_via_relay(call: Call, assignment: Assignment, relay: str) -> None:
+    """Log the node that sends a request because this one is cut off."""
+    log_event(
+        Event.CALL_VIA_RELAY,
+        request_id=call.request_id,
+        target=assignment.target,
+        relay=relay,
+    )
+
+
 def log_answer_started(call: Call, first_bytes_s: float) -> None:
     """Log that the answer began first_bytes_s seconds after the send."""
     log_event(
--- a/mimosaworks/node/candidates.py
+++ b/mimosaworks/node/candidates.py
@@ -23,8 +23,10 @@
 
 def _candidate_sort_key(
     min_strength: float, row: NodeRow
-) -> tuple[bool, float, str]:
-    return (row.strength < min_strength, -row.started_s, row.name)
+) -> tuple[bool, bool, float, str]:
+    # A node that reaches no target can send no order.
+    is_weak = row.strength < min_strength
+    return (not row.relays, is_weak, -row.started_s, row.name)
 
 
 def compute_strength(cfg: BootSettings) -> float:
--- a/mimosaworks/node/endpoints.py
+++ b/mimosaworks/node/endpoints.py
@@ -11,6 +11,8 @@
 from mimosaworks.node.caller_server import serve_callers
 from mimosaworks.node.lease_handover import answer_probe
 from mimosaworks.node.node import Node
+from mimosaworks.node.relay_peers import RELAY_PREFIX
+from mimosaworks.node.sessions import MAX_HEADER_FIELD_BYTES
 from mimosaworks.platform import directory_app, ready_app
 from mimosaworks.serving import PROMPT_SHUTDOWN_S, serve_app
 from mimosaworks.wire import (
@@ -50,12 +52,19 @@
         StoreProbe,
         functools.partial(answer_probe, node.store_client),
     )
+    peer_app.router.add_route(
+        '*', f'{RELAY_PREFIX}/{{tail:.*}}', node.frontend.relay.handle_request
+    )
     await serve_app(
         peer_app,
         cfg.peer_address,
         stack,
         cancels_on_hang_up=True,
         shutdown_s=PROMPT_SHUTDOWN_S,
+        # Callers' requests are relayed as they are.
+        max_field_size=MAX_HEADER_FIELD_BYTES,
+        max_line_size=MAX_HEADER_FIELD_BYTES,
+        auto_decompress=False,
     )
     await _serve_http_app(
         node.meters.make_metrics_app(), cfg.metrics_address, stack
--- a/mimosaworks/node/frontend.py
+++ b/mimosaworks/node/frontend.py
@@ -25,6 +25,7 @@
 from mimosaworks.node.call import Call
 from mimosaworks.node.meters import Meters
 from mimosaworks.node.open_requests import OpenRequest, OpenRequests
+from mimosaworks.node.relay import Relay
 from mimosaworks.node.stall_detector import StallDetector
 from mimosaworks.node.stream_versions import (
     check_version,
@@ -65,13 +66,14 @@
     each connection is closed after its answer. open_requests are all
     requests of this node, running_calls those at targets by call id.
     stall_detector gives the time since which a request may have waited to
-    be read.
+    be read. relay serves other nodes that are cut off from the targets.
     """
 
     target_chooser: TargetChooser
     attempt_sender: AttemptSender
     meters: Meters
     stop_remaining_s: Callable[[], float | None]
+    relay: Relay
     open_requests: OpenRequests = attrs.field(factory=OpenRequests)
     running_calls: dict[str, Call] = attrs.field(factory=dict)
     stall_detector: StallDetector = attrs.field(factory=StallDetector)
@@ -278,7 +280,11 @@
         A missing or incomplete answer may be the only sign of a target that
         became unreachable.
         """
-        is_unconfirmed = outcome in _UNANSWERED_OUTCOMES
+        is_unconfirmed = (
+            outcome in _UNANSWERED_OUTCOMES
+            or call.is_relayed
+            or self.relay.paths.is_cut_off
+        )
         if is_unconfirmed or outcome is CallOutcome.BROKEN:
             self.meters.possible_crashes.labels(
                 'silent' if is_unconfirmed else 'cut'
--- /dev/null
+++ b/mimosaworks/node/frontend_setup.py
@@ -0,0 +1,49 @@
+"""Builds the parts of a node that send requests to targets."""
+
+from aiohttp import ClientSession
+
+from mimosaworks.bounded_answers import AnswerBounds, HeldBytes
+from mimosaworks.node.attempt_sender import AttemptSender
+from mimosaworks.node.frontend import Frontend
+from mimosaworks.node.node import Node
+from mimosaworks.node.relay import Relay
+from mimosaworks.node.relay_peers import RelayPeers
+from mimosaworks.node.target_chooser import TargetChooser
+from mimosaworks.node.target_paths import TargetPaths, list_ready_addresses
+
+
+def make_frontend(
+    node: Node,
+    target_chooser: TargetChooser,
+    target_session: ClientSession,
+    bounds: AnswerBounds,
+) -> Frontend:
+    """Return the frontend of a node, connected to its other parts."""
+    paths = TargetPaths(
+        lambda: list_ready_addresses(target_chooser.latest_targets())
+    )
+    relay_peers = RelayPeers(
+        node.cfg.name,
+        node.cfg.data_centre,
+        paths,
+        lambda: node.holder_link.replicated_view.members,
+    )
+    target_chooser.is_cut_off = lambda: paths.is_cut_off
+    return Frontend(
+        target_chooser=target_chooser,
+        attempt_sender=AttemptSender(
+            target_session,
+            target_chooser.target_notices,
+            node.limit_view,
+            HeldBytes(bounds.held_bytes, bounds.all_held_bytes),
+            relay_peers,
+        ),
+        meters=node.meters,
+        stop_remaining_s=node.stop_remaining_s,
+        relay=Relay(
+            paths,
+            target_session,
+            target_chooser.target_notices,
+            target_chooser.latest_targets,
+        ),
+    )
--- a/mimosaworks/node/lease_handover.py
+++ b/mimosaworks/node/lease_handover.py
@@ -31,6 +31,10 @@
 MAX_PROBE_PAUSE_S = 1.0
 
 
+def _is_never_cut_off() -> bool:
+    return False
+
+
 @attrs.define(eq=False)
 class LeaseHandover:
     """Finds out who reaches the store while the holder's view is overdue.
@@ -46,7 +50,8 @@
     version of the view. list_nodes returns the other nodes, the best
     candidates first. on_store_reached is called when the store answers this
     node after all, on_lease_notice with the lease after an offer; it returns
-    whether this node still holds the lease.
+    whether this node still holds the lease. is_cut_off tells whether this node
+    reaches no target; then a node that does is offered the lease as well.
     """
 
     store: StoreClient
@@ -59,6 +64,7 @@
     list_nodes: Callable[[], Sequence[NodeRow]]
     on_store_reached: Callable[[], None]
     on_lease_notice: Callable[[LeaseNotice], bool]
+    is_cut_off: Callable[[], bool] = _is_never_cut_off
     is_store_away: bool = False
     _probed_count: int = MIN_PROBED_NODES
     _pause_s: float = FIRST_PROBE_PAUSE_S
@@ -78,6 +84,8 @@
         while True:  # noqa: WPS457 -- ends when the task is cancelled
             if self.is_view_overdue():
                 await self._probe_store()
+            elif self.is_cut_off():
+                await self._offer_lease_to_relays()
             else:
                 self.is_store_away = False
                 self._probed_count = MIN_PROBED_NODES
@@ -110,6 +118,12 @@
             await self._offer_lease(reached_nodes)
         await self._pause()
 
+    async def _offer_lease_to_relays(self) -> None:
+        """Offer the lease to nodes that reach the targets, for the orders."""
+        nodes = [node for node in self.list_nodes() if node.relays]
+        await self._offer_lease(nodes)
+        await self._pause()
+
     def _choose_nodes(self) -> Sequence[NodeRow]:
         """Return the nodes to ask: ever more, then some of all.
 
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -102,6 +102,9 @@
             is_stopping=self.is_stopping,
             strength=compute_strength(self.cfg),
             started_s=self.started_s,
+            relays=not (
+                self.is_stopping or self.frontend.relay.paths.is_cut_off
+            ),
         )
 
     def caller_addresses(self) -> list[str]:
@@ -301,6 +304,7 @@
         list_nodes=node.candidates.list_others,
         on_store_reached=follower.restart_follow,
         on_lease_notice=node.candidates.apply_notice,
+        is_cut_off=lambda: node.frontend.relay.paths.is_cut_off,
     )
 
 
--- a/mimosaworks/node/planned_stop.py
+++ b/mimosaworks/node/planned_stop.py
@@ -51,7 +51,7 @@
             age_s=now_s() - stop_started_s,
         )
     await asyncio.sleep(accept_until_s - now_s())
-    while node.frontend.open_requests.requests and now_s() < stop_deadline_s:
+    while _has_open_requests(node) and now_s() < stop_deadline_s:
         await asyncio.sleep(OPEN_REQUESTS_POLL_INTERVAL_S)
     await _close_open_requests(node, stop_deadline_s)
 
@@ -75,6 +75,12 @@
     )
 
 
+def _has_open_requests(node: Node) -> bool:
+    return bool(
+        node.frontend.open_requests.requests or node.frontend.relay.running
+    )
+
+
 def _close_duration_s(grace_s: float) -> float:
     """Return the seconds of a grace that are reserved for closing."""
     return min(MAX_CLOSE_S, grace_s * MAX_CLOSE_SHARE)
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -8,15 +8,14 @@
 
 import attrs
 
-from mimosaworks.bounded_answers import AnswerBounds, HeldBytes
+from mimosaworks.bounded_answers import AnswerBounds
 from mimosaworks.events import Event, JsonStream, json_logging, log_event
-from mimosaworks.node.attempt_sender import AttemptSender
 from mimosaworks.node.candidates import Candidates, compute_strength
 from mimosaworks.node.cluster_follower import ClusterFollower
 from mimosaworks.node.cluster_state import ClusterState
 from mimosaworks.node.election import RENEWAL_TIMEOUT_S, Election
 from mimosaworks.node.endpoints import serve_endpoints
-from mimosaworks.node.frontend import Frontend
+from mimosaworks.node.frontend_setup import make_frontend
 from mimosaworks.node.holder_link import HolderLink
 from mimosaworks.node.meters import Meters
 from mimosaworks.node.node import (
@@ -171,17 +170,7 @@
         max_send_age_s=node.cluster_follower.max_send_age_s,
         find_resend_config=functools.partial(resend_config, node),
     )
-    node.frontend = Frontend(
-        target_chooser=target_chooser,
-        attempt_sender=AttemptSender(
-            target_session,
-            target_notices,
-            node.limit_view,
-            HeldBytes(bounds.held_bytes, bounds.all_held_bytes),
-        ),
-        meters=meters,
-        stop_remaining_s=node.stop_remaining_s,
-    )
+    node.frontend = make_frontend(node, target_chooser, target_session, bounds)
     return node
 
 
@@ -202,6 +191,7 @@
         node.election.run(),
         node.holder_link.send_heartbeats(),
         node.frontend.stall_detector.run_checks(),
+        node.frontend.relay.paths.run_checks(),
         gauge_updates,
     ):
         start_task(background_task, stack)
--- /dev/null
+++ b/mimosaworks/node/relay.py
@@ -0,0 +1,180 @@
+"""Sends requests to targets for nodes that have no path to them."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Generator, Mapping
+from http import HTTPStatus
+
+import attrs
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientResponse,
+    ClientSession,
+    ConnectionTimeoutError,
+    web,
+)
+from yarl import URL
+
+from mimosaworks.clock import now_s
+from mimosaworks.deployment import TargetEntry, TargetState
+from mimosaworks.dispatch import CallOutcome
+from mimosaworks.events import Event, log_event
+from mimosaworks.node.answer_resets import make_reset_check
+from mimosaworks.node.attempt_error import AttemptError
+from mimosaworks.node.relay_peers import (
+    ANSWERED,
+    REFUSED,
+    RELAY_PREFIX,
+    RELAY_TO,
+    RELAYED,
+    UNREACHED,
+)
+from mimosaworks.node.target_notices import TargetNotices
+from mimosaworks.node.target_paths import TargetPaths
+from mimosaworks.platform.headers import (
+    EXPECTED_TARGET,
+    NOT_RUN,
+    REQUEST_ID,
+    answer_headers,
+)
+from mimosaworks.send_guard import SendGuard
+
+_SKIPPED_HEADERS = ('User-Agent', 'Accept', 'Accept-Encoding', 'Content-Type')
+_OWN_HEADERS = frozenset((
+    'connection',
+    'content-length',
+    'host',
+    'transfer-encoding',
+    RELAY_TO.lower(),
+))
+
+
+@attrs.define(eq=False)
+class Relay:
+    """Sends a peer's request to the target that the peer names, and no further.
+
+    paths tells whether this node reaches targets, find_targets returns those
+    that are known. The sender has checked all that it
+    knows; the relay checks the target once more, right before the first byte.
+    A request that it has not sent is answered so, with REFUSED or UNREACHED;
+    an answer that is incomplete ends with its connection. running is the
+    number of requests that are relayed now.
+    """
+
+    paths: TargetPaths
+    session: ClientSession
+    target_notices: TargetNotices
+    find_targets: Callable[[], Mapping[str, TargetEntry]]
+    running: int = 0
+
+    async def handle_request(self, req: web.Request) -> web.StreamResponse:
+        """Relay one request of a peer."""
+        with self._count_running():
+            body = await req.read()
+            try:
+                return await self._forward(req, body)
+            except AttemptError as exc:
+                return _not_sent(req, REFUSED, exc.reason)
+            except (ClientConnectorError, ConnectionTimeoutError) as exc:
+                return _not_sent(req, UNREACHED, repr(exc))
+            except (ClientError, OSError) as exc:
+                # The target may have run it, so that there is no answer.
+                _log_relayed(req, 'broken', repr(exc))
+                if req.transport is not None:
+                    req.transport.abort()
+                raise asyncio.CancelledError from exc
+
+    async def _forward(
+        self, req: web.Request, body: bytes
+    ) -> web.StreamResponse:
+        address = req.headers.get(RELAY_TO, '')
+        target = req.headers.get(EXPECTED_TARGET, '')
+        path = req.raw_path.removeprefix(RELAY_PREFIX)
+        guard = SendGuard(lambda: self._check_target(target, address))
+        # Before a connection is made as well.
+        self._check_target(target, address)
+        async with self.session.request(
+            req.method,
+            URL(f'http://{address}{path}', encoded=True),
+            data=body or None,
+            headers=[
+                (name, sent)
+                for name, sent in req.headers.items()
+                if name.lower() not in _OWN_HEADERS
+            ]
+            + [('Host', req.headers.get('Host', ''))],
+            skip_auto_headers=_SKIPPED_HEADERS,
+            allow_redirects=False,
+            trace_request_ctx=guard,
+        ) as resp:
+            return await _pass_on(req, resp)
+
+    def _check_target(self, target: str, address: str) -> None:
+        """Raise AttemptError if this node would send the target nothing."""
+        entry = self.find_targets().get(target)
+        is_known = entry is not None and entry.address == address
+        reason = ''
+        if self.paths.is_cut_off:
+            reason = 'this node is cut off as well'
+        elif not is_known:
+            reason = f'no target {target!r} is known at {address!r}'
+        elif target in self._refusing_targets(entry):
+            reason = f'{target!r} accepts no requests'
+        if reason:
+            raise AttemptError(CallOutcome.NOT_SENT, reason, is_not_run=True)
+
+    def _refusing_targets(self, entry: TargetEntry | None) -> frozenset[str]:
+        """Return the targets that take no requests, this one if it leaves."""
+        blocked = self.target_notices.blocked_targets(now_s())
+        if entry is None or entry.state is TargetState.READY:
+            return blocked
+        return blocked | {entry.name}
+
+    @contextlib.contextmanager
+    def _count_running(self) -> Generator[None, None, None]:
+        self.running += 1
+        try:
+            yield
+        finally:
+            self.running -= 1
+
+
+async def _pass_on(
+    req: web.Request, resp: ClientResponse
+) -> web.StreamResponse:
+    """Pass an answer on as it arrives, under its own framing."""
+    raise_if_reset = make_reset_check(resp)
+    answer = web.StreamResponse(
+        status=resp.status, headers=answer_headers(resp.headers)
+    )
+    answer.headers[RELAYED] = ANSWERED
+    answer.content_length = resp.content_length
+    await answer.prepare(req)
+    async for chunk in resp.content.iter_any():
+        await answer.write(chunk)
+    raise_if_reset()
+    await answer.write_eof()
+    _log_relayed(req, ANSWERED, f'status {resp.status}')
+    return answer
+
+
+def _not_sent(req: web.Request, outcome: str, reason: str) -> web.Response:
+    _log_relayed(req, outcome, reason)
+    headers = {RELAYED: outcome, NOT_RUN: '1'}
+    request_id = req.headers.get(REQUEST_ID)
+    if request_id is not None:
+        headers[REQUEST_ID] = request_id
+    return web.Response(
+        status=HTTPStatus.SERVICE_UNAVAILABLE, text=reason, headers=headers
+    )
+
+
+def _log_relayed(req: web.Request, outcome: str, reason: str) -> None:
+    log_event(
+        Event.CALL_RELAYED,
+        request_id=req.headers.get(REQUEST_ID, ''),
+        target=req.headers.get(EXPECTED_TARGET, ''),
+        outcome=outcome,
+        reason=reason,
+    )
--- a/mimosaworks/node/target_chooser.py
+++ b/mimosaworks/node/target_chooser.py
@@ -51,6 +51,10 @@
 ))
 
 
+def _is_never_cut_off() -> bool:
+    return False
+
+
 @attrs.define(eq=False)
 class TargetChooser:
     """Requests targets from the holder; decides standalone without one.
@@ -61,7 +65,7 @@
     is_view_usable returns whether a view of the targets of this age in
     seconds may be used for a decision, max_send_age_s the greatest age of the
     view behind a request that is sent, find_resend_config the resend budget of
-    all nodes.
+    all nodes, is_cut_off whether this node has no path to targets.
     """
 
     node_name: str
@@ -74,6 +78,7 @@
     is_view_usable: Callable[[float], bool]
     find_resend_config: Callable[[], ResendBudgetConfig]
     max_send_age_s: Callable[[], float] = lambda: math.inf
+    is_cut_off: Callable[[], bool] = _is_never_cut_off
     standalone_chooser: StandaloneChooser = attrs.field(init=False)
     _call_numbers: Iterator[int] = attrs.field(
         factory=lambda: itertools.count(1)
@@ -373,6 +378,7 @@
             mark=call.fingerprint,
             request_id=call.request_id,
             software_version=call.stream_version or '',
+            is_relayed=self.is_cut_off(),
         )
 
 
--- a/mimosaworks/serving/serving.py
+++ b/mimosaworks/serving/serving.py
@@ -21,18 +21,20 @@
     *,
     cancels_on_hang_up: bool = False,
     shutdown_s: float = SHUTDOWN_TIMEOUT_S,
+    **server_options: Any,
 ) -> web.AppRunner:
     """Serve an application at host:port until the stack is closed.
 
     cancels_on_hang_up cancels a handler when its caller disconnects.
     shutdown_s (above 0) bounds the wait for handlers; connections that are left
-    then are aborted.
+    then are aborted. server_options are those of aiohttp's server.
     """
     runner = web.AppRunner(
         app,
         access_log=None,
         shutdown_timeout=shutdown_s,
         handler_cancellation=cancels_on_hang_up,
+        **server_options,
     )
     await runner.setup()
     stack.push_async_callback(_close, runner, shutdown_s)
--- /dev/null
+++ b/tests/test_node_relay.py
@@ -0,0 +1,336 @@
+"""Requests that go to targets through another node, as in a partition."""
+
+import asyncio
+import contextlib
+import json
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
+from typing import Any
+
+import attrs
+import pytest
+from aiohttp import ClientError, ClientSession, web
+
+from mimosaworks.bounded_answers import HeldBytes
+from mimosaworks.clock import now_s
+from mimosaworks.deployment import TargetState
+from mimosaworks.dispatch import Assignment, CallOutcome
+from mimosaworks.node.admission import admit_request
+from mimosaworks.node.attempt_error import AttemptError
+from mimosaworks.node.attempt_progress import ProgressHooks
+from mimosaworks.node.attempt_sender import AttemptSender
+from mimosaworks.node.limit_view import LimitView
+from mimosaworks.node.relay import Relay
+from mimosaworks.node.relay_peers import RELAY_PREFIX, RelayPeers
+from mimosaworks.node.sessions import open_target_session
+from mimosaworks.node.target_notices import TargetNotices
+from mimosaworks.node.target_paths import TargetPaths
+from mimosaworks.platform import decode_desired
+from mimosaworks.wire import NodeRow
+from standins.addresses import reserve_address
+from standins.agency.replica import EVENTS, PLAIN, Replica, replica_app
+from standins.agency.world import HOST, KEY, desired
+from tests.dispatch_world import make_entry
+from tests.test_node_processes import until
+
+DEPLOYMENT = decode_desired(json.dumps(desired()).encode())
+ANSWER_BYTES = 1000000
+PIECE = b'data: piece'
+
+
+def _no_incarnation(_name: str) -> int:
+    return 0
+
+
+def _ignore(*_: object) -> None:
+    """Do nothing."""
+
+
+def _is_standalone() -> bool:
+    return False
+
+
+def make_notices() -> TargetNotices:
+    return TargetNotices(_no_incarnation, _ignore, _ignore)
+
+
+def make_limits() -> LimitView:
+    return LimitView(
+        _no_incarnation, _ignore, _ignore, is_standalone=_is_standalone
+    )
+
+
+@attrs.define(eq=False)
+class RelayWorld:
+    """A target, a node that relays, and one that is cut off from the target.
+
+    failures are the attempts of the node that is cut off.
+    """
+
+    replica: Replica
+    relay: Relay
+    peers: RelayPeers
+    session: ClientSession
+    front: str = ''
+    failures: list[AttemptError] = attrs.field(factory=list)
+
+    def request(self, path: str, **headers: str) -> Any:
+        """Send a request as a caller of the node that is cut off."""
+        fields = {
+            'Host': HOST,
+            'X-Request-Id': 'asked',
+            'X-Deadline': '4000',
+            'Authorization': f'Bearer {KEY}',
+            **{name.replace('_', '-'): text for name, text in headers.items()},
+        }
+        return self.session.post(
+            f'http://{self.front}{path}', headers=fields, data=b'{}'
+        )
+
+
+async def serve(
+    app: web.Application,
+    stack: contextlib.AsyncExitStack,
+    address: str = '',
+) -> str:
+    address = address or reserve_address()
+    runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    host, _, port = address.rpartition(':')
+    await web.TCPSite(runner, host, int(port)).start()
+    return address
+
+
+def front_app(world: RelayWorld, sender: AttemptSender) -> web.Application:
+    async def handle(req: web.Request) -> web.StreamResponse:
+        call = await admit_request(req, DEPLOYMENT, now_s())
+        assignment = Assignment('engine-1', world.replica.address, 5)
+        try:
+            return await sender.send_and_relay(
+                call,
+                assignment,
+                _ignore,
+                ProgressHooks(_ignore, _ignore),
+            )
+        except AttemptError as exc:
+            world.failures.append(exc)
+            if req.transport is not None:
+                req.transport.abort()
+            raise
+
+    app = web.Application()
+    app.router.add_route('*', '/{tail:.*}', handle)
+    return app
+
+
+@contextlib.asynccontextmanager
+async def open_relay_world() -> AsyncGenerator[RelayWorld, None]:
+    async with contextlib.AsyncExitStack() as stack:
+        replica = Replica('engine-1', 'engines', 'north')
+        replica.models = {'alpha': set()}
+        replica.address = await serve(replica_app(replica), stack)
+        targets = {
+            'engine-1': attrs.evolve(
+                make_entry('engine-1'), address=replica.address
+            )
+        }
+        session = await open_target_session(stack, 5, ANSWER_BYTES)
+        relay = Relay(
+            TargetPaths(tuple), session, make_notices(), lambda: targets
+        )
+        app = web.Application()
+        app.router.add_route(
+            '*', f'{RELAY_PREFIX}/{{tail:.*}}', relay.handle_request
+        )
+        address = await serve(app, stack)
+        row = NodeRow('other', 'f', address, 'north', relays=True)
+        paths = TargetPaths(tuple, is_cut_off=True)
+        peers = RelayPeers('own', 'north', paths, lambda: {'other': row})
+        world = RelayWorld(
+            replica,
+            relay,
+            peers,
+            await stack.enter_async_context(ClientSession()),
+        )
+        sender = AttemptSender(
+            await open_target_session(stack, 5, ANSWER_BYTES),
+            make_notices(),
+            make_limits(),
+            HeldBytes(ANSWER_BYTES, ANSWER_BYTES),
+            peers,
+        )
+        world.front = await serve(front_app(world, sender), stack)
+        yield world
+
+
+@pytest.fixture
+async def world() -> AsyncIterator[RelayWorld]:
+    async with open_relay_world() as opened:
+        yield opened
+
+
+# Guards against callers of a node without a path that are not served, and
+# against answers and requests that are changed on the way round.
+async def test_requests_and_answers_pass_through_another_node(
+    world: RelayWorld,
+) -> None:
+    async with world.request('/post/x?y=%2F1') as resp:
+        assert (resp.status, await resp.read()) == (200, PLAIN)
+        assert resp.headers['X-Server-Seal'] == 'seal-engine-1'
+        assert 'Mimosa-Relayed' not in resp.headers
+    sent = {
+        name.lower(): text for name, text in world.replica.headers[-1].items()
+    }
+    assert sent['x-expect-instance'] == 'engine-1'
+    assert sent['host'] == HOST
+    assert int(sent['x-deadline']) <= 4000
+    assert 'authorization' not in sent
+    assert 'mimosa-relay-to' not in sent
+    assert world.replica.runs == ['asked']
+
+
+async def test_events_of_a_stream_pass_as_they_come(world: RelayWorld) -> None:
+    world.replica.event_s = 0.2
+    received = bytearray()
+    first_pieces = 0
+    async with world.request(
+        '/chat/x', X_Model='alpha', X_Token_Counts='10,20'
+    ) as resp:
+        async for chunk in resp.content.iter_any():
+            received.extend(chunk)
+            first_pieces = first_pieces or received.count(PIECE)
+    assert first_pieces == 1
+    assert received.count(PIECE) == EVENTS
+
+
+# Guards against an answer that looks complete though its target broke it off.
+async def test_an_answer_that_breaks_off_stays_incomplete(
+    world: RelayWorld,
+) -> None:
+    world.replica.breaks_after = 2
+    received = bytearray()
+    async with world.request(
+        '/chat/x', X_Model='alpha', X_Token_Counts='10,20'
+    ) as resp:
+        with pytest.raises(ClientError):
+            async for chunk in resp.content.iter_any():
+                received.extend(chunk)
+    assert received.count(PIECE) == 2
+    assert [exc.outcome for exc in world.failures] == [CallOutcome.BROKEN]
+    assert not world.failures[0].is_not_run
+
+
+# Guards against a target that goes on working for a caller who has left.
+async def test_a_caller_that_leaves_is_noticed_by_the_target(
+    world: RelayWorld,
+) -> None:
+    world.replica.first_s = 5
+    asked = asyncio.create_task(_read(world))
+    await until(lambda: bool(world.replica.runs))
+    assert world.relay.running == 1
+    asked.cancel()
+    await until(lambda: world.replica.cancelled == ['asked'])
+    await until(lambda: not world.relay.running)
+
+
+async def _read(world: RelayWorld) -> bytes:
+    async with world.request('/post/x') as resp:
+        return bytes(await resp.read())
+
+
+def _lose_target(world: RelayWorld) -> None:
+    entry = attrs.evolve(make_entry('engine-1'), address='127.0.0.1:9')
+    world.relay.find_targets = lambda: {'engine-1': entry}
+    world.replica.address = entry.address
+
+
+def _forget_target(world: RelayWorld) -> None:
+    world.relay.find_targets = dict
+
+
+def _drain_target(world: RelayWorld) -> None:
+    entry = attrs.evolve(
+        make_entry('engine-1'),
+        address=world.replica.address,
+        state=TargetState.DRAINING,
+    )
+    world.relay.find_targets = lambda: {'engine-1': entry}
+
+
+def _pause_target(world: RelayWorld) -> None:
+    world.relay.target_notices.record_pause('engine-1', 5, now_s())
+
+
+def _cut_relay(world: RelayWorld) -> None:
+    world.relay.paths.is_cut_off = True
+
+
+def _end_relay(world: RelayWorld) -> None:
+    row = NodeRow('other', 'f', '127.0.0.1:9', 'north', relays=True)
+    world.peers.list_members = lambda: {'other': row}
+
+
+# Guards against a request that counts as one which may have run though it was
+# not sent, and against targets that leave or pause and get it all the same.
+@pytest.mark.parametrize(
+    ('change', 'outcome'),
+    [
+        (_lose_target, CallOutcome.UNREACHABLE),
+        (_forget_target, CallOutcome.NOT_SENT),
+        (_drain_target, CallOutcome.NOT_SENT),
+        (_pause_target, CallOutcome.NOT_SENT),
+        (_cut_relay, CallOutcome.NOT_SENT),
+        (_end_relay, CallOutcome.UNREACHABLE),
+    ],
+)
+async def test_a_request_that_no_relay_sent_has_not_run(
+    world: RelayWorld,
+    change: Callable[[RelayWorld], None],
+    outcome: CallOutcome,
+) -> None:
+    change(world)
+    with pytest.raises(ClientError):
+        await _read(world)
+    failure = world.failures[-1]
+    assert (failure.outcome, failure.is_not_run) == (outcome, True)
+    assert not world.replica.runs
+
+
+# Guards against an answer of a node that is no relay, as after its address was
+# given to another program, that a caller takes for a target's.
+async def test_an_answer_that_no_relay_gave_is_not_passed_on(
+    world: RelayWorld,
+) -> None:
+    async with contextlib.AsyncExitStack() as stack:
+        stray = Replica('stray', 'engines', 'north')
+        address = await serve(replica_app(stray), stack)
+        row = NodeRow('other', 'f', address, 'north', relays=True)
+        world.peers.list_members = lambda: {'other': row}
+        with pytest.raises(ClientError):
+            await _read(world)
+    assert [exc.outcome for exc in world.failures] == [CallOutcome.BROKEN]
+
+
+def make_row(name: str, **fields: Any) -> NodeRow:
+    row = NodeRow(name, 'f', f'{name}:1', 'north', relays=True)
+    return attrs.evolve(row, **fields)
+
+
+# Guards against a way round over a node that is cut off as well, or that runs
+# an earlier release, and against one through another data centre without need.
+def test_relays_are_near_nodes_that_reach_targets() -> None:
+    rows = {
+        'own': make_row('own'),
+        'near': make_row('near'),
+        'far': make_row('far', data_centre='south'),
+        'cut': make_row('cut', relays=False),
+    }
+    paths = TargetPaths(tuple)
+    peers = RelayPeers('own', 'north', paths, lambda: rows)
+    assert not peers.find_relay()
+    paths.is_cut_off = True
+    assert {peers.find_relay() for _ in range(30)} == {'near:1'}
+    peers.record_failure('near:1')
+    assert peers.find_relay() == 'far:1'
+    peers.record_failure('far:1')
+    assert not peers.find_relay()
