Turn away few requests at brittle targets, over all nodes

New on the platform: targets may say in all answers that they crash when they turn away more than so many requests in a second for want of room (Server-Brittle). Nothing read the field: the holder lets requests wait at engines that run as many as they have slots, and after a rejection sends the next ones there at once.

A node that reads the field tells the holder, which lets no request wait at such a target. One that turns a request away gets nothing from this node for a second, and, with the next heartbeat, from no node; each new holder is told of the brittle targets. The pause is that of a target that asks for one. Not built: a bound for standalone nodes beyond their share of slots.

A relay that stops now refuses what may outlast it.

--- a/mimosaworks/dispatch/__init__.py
+++ b/mimosaworks/dispatch/__init__.py
@@ -1,5 +1,6 @@
 """Decides where requests run and which models are loaded; does no I/O."""
 
+from mimosaworks.dispatch.brittle import record_brittle_target
 from mimosaworks.dispatch.crash_tracker import (
     CrashLogEntry,
     CrashTracker,
@@ -60,6 +61,7 @@
     'find_granted_s',
     'outcome_for_status',
     'preload_models',
+    'record_brittle_target',
     'find_request_verdicts',
     'is_part_key',
     'suspect_keys',
--- a/mimosaworks/dispatch/target_health.py
+++ b/mimosaworks/dispatch/target_health.py
@@ -18,6 +18,8 @@
 # Nodes that fail to reach a target this soon after each other.
 WITNESS_S = 1.0
 MIN_WITNESSES = 2
+# Brittle targets count what they turn away by the second.
+FULL_PAUSE_S = 1.0
 _FAILED_OUTCOMES = frozenset((
     CallOutcome.FAILED,
     CallOutcome.BROKEN,
@@ -44,10 +46,12 @@
 
     Slowdown is the average of measured divided by expected duration. The
     failure rate is the average share of failed requests, which halves each
-    FAILURE_HALF_LIFE_S. Used for choosing a target.
+    FAILURE_HALF_LIFE_S. A brittle target crashes when it turns away too many
+    requests in a second. Used for choosing a target.
     """
 
     slowdown: float = 1.0
+    is_brittle: bool = False
     _failure_rate: float = 0
     _last_outcome_s: float = 0
     _down_until_s: float = 0
@@ -112,6 +116,17 @@
         self._down_until_s = now + self._next_pause_s
         self._next_pause_s = min(self._next_pause_s * 2, MAX_DOWN_S)
 
+    def record_brittle(
+        self, now: float, *, is_brittle: bool, is_full: bool
+    ) -> None:
+        """Record whether the target crashes when it turns away too many.
+
+        is_full: it turned a request away; all nodes wait for a second.
+        """
+        self.is_brittle = is_brittle
+        if is_full:
+            self._down_until_s = max(self._down_until_s, now + FULL_PAUSE_S)
+
     def record_failure(self, now: float) -> None:
         """Record a failed request."""
         rate = self.failure_rate(now)
--- a/mimosaworks/dispatch/target_selector.py
+++ b/mimosaworks/dispatch/target_selector.py
@@ -46,7 +46,7 @@
         return [
             target
             for target in self.targets.values()
-            if _is_usable(target, job, now)
+            if _is_usable(target, job, now) and _may_take_another(target)
         ]
 
     def cheapest_option(
@@ -209,6 +209,12 @@
     )
 
 
+def _may_take_another(target: EngineTarget) -> bool:
+    """Return whether a target has room; brittle ones get no queue."""
+    has_free_slot = len(target.jobs) < target.engine_cfg.slots
+    return has_free_slot or not target.health.is_brittle
+
+
 def _no_capacity_reason(usable_targets: list[EngineTarget], job: Job) -> str:
     model = job.assignment_req.profile.model
     copy_count = sum(target.has_local_copy(model) for target in usable_targets)
--- a/mimosaworks/events/event.py
+++ b/mimosaworks/events/event.py
@@ -112,6 +112,7 @@
     STREAM_TRACED = 869
     PATH_LOST = 870
     PATH_REGAINED = 871
+    TARGET_BRITTLE = 872
 
 
 FAILURE_EVENTS = frozenset((
--- a/mimosaworks/node/attempt_sender.py
+++ b/mimosaworks/node/attempt_sender.py
@@ -29,6 +29,7 @@
 from mimosaworks.node.answer_resets import make_reset_check
 from mimosaworks.node.attempt_error import AttemptError
 from mimosaworks.node.attempt_progress import AttemptProgress, ProgressHooks
+from mimosaworks.node.brittle_targets import BrittleTargets
 from mimosaworks.node.call import Call, RelayedStream
 from mimosaworks.node.limit_view import LimitView
 from mimosaworks.node.relay_peers import (
@@ -60,14 +61,16 @@
 class AttemptSender:
     """Sends attempts of the frontend over persistent connections.
 
-    target_notices and limit_view record what the heads of answers say about
-    further requests. held_answers bounds the bytes of buffered answers.
-    relay_peers names the node that sends for this one while it is cut off.
+    target_notices, limit_view and brittle_targets record what the heads of
+    answers say about further requests. held_answers bounds the bytes of
+    buffered answers. relay_peers names the node that sends for this one while
+    it is cut off.
     """
 
     session: ClientSession
     target_notices: TargetNotices
     limit_view: LimitView
+    brittle_targets: BrittleTargets
     held_answers: HeldBytes
     relay_peers: RelayPeers
 
@@ -149,6 +152,7 @@
         if says_leaving(resp.headers):
             self.target_notices.record_leaving(target)
         self.limit_view.read_response_head(call, resp, now_s())
+        self.brittle_targets.read_response_head(target, resp)
         try:
             pause_s = read_pause_s(resp.status, resp.headers)
         except ValueError as exc:
--- a/mimosaworks/node/frontend_setup.py
+++ b/mimosaworks/node/frontend_setup.py
@@ -4,6 +4,7 @@
 
 from mimosaworks.bounded_answers import AnswerBounds, HeldBytes
 from mimosaworks.node.attempt_sender import AttemptSender
+from mimosaworks.node.brittle_targets import BrittleTargets
 from mimosaworks.node.frontend import Frontend
 from mimosaworks.node.node import Node
 from mimosaworks.node.relay import Relay
@@ -35,6 +36,10 @@
             target_session,
             target_chooser.target_notices,
             node.limit_view,
+            BrittleTargets(
+                target_chooser.target_notices,
+                node.holder_link.pending_updates.record_brittle_target,
+            ),
             HeldBytes(bounds.held_bytes, bounds.all_held_bytes),
             relay_peers,
         ),
@@ -45,5 +50,6 @@
             target_session,
             target_chooser.target_notices,
             target_chooser.latest_targets,
+            node.stop_remaining_s,
         ),
     )
--- a/mimosaworks/node/heartbeat_updates.py
+++ b/mimosaworks/node/heartbeat_updates.py
@@ -7,6 +7,7 @@
 from mimosaworks.bounded import forget_oldest
 from mimosaworks.wire import (
     Beat,
+    BrittleNote,
     CallEnd,
     CallStart,
     CrashNote,
@@ -35,6 +36,7 @@
     _crashes: list[CrashNote] = attrs.field(factory=list)
     _rate_limits: list[LimitNote] = attrs.field(factory=list)
     _streams: dict[str, StreamNote] = attrs.field(factory=dict)
+    _brittle: list[BrittleNote] = attrs.field(factory=list)
 
     def record_first_event(self, call_id: str, first_event_s: float) -> None:
         """Record that the first event of a request's answer has arrived."""
@@ -75,6 +77,11 @@
         forget_oldest(self._streams, MAX_QUEUED_STREAMS)
         self.has_urgent_updates.set()
 
+    def record_brittle_target(self, note: BrittleNote) -> None:
+        """Record whether a target is brittle, and a request it turned away."""
+        self._brittle.append(note)
+        self.has_urgent_updates.set()
+
     def move_into_heartbeat(self, heartbeat: Beat) -> Beat:
         """Return a heartbeat with all updates, which are queued no longer."""
         full_heartbeat = attrs.evolve(
@@ -88,7 +95,9 @@
             crashes=(*heartbeat.crashes, *self._crashes),
             limits=(*heartbeat.limits, *self._rate_limits),
             streams=(*heartbeat.streams, *self._streams.values()),
+            brittle=(*heartbeat.brittle, *self._brittle),
         )
+        self._brittle.clear()
         self._streams.clear()
         self._rate_limits.clear()
         self._crashes.clear()
@@ -110,6 +119,7 @@
         self._leaving_targets = [*heartbeat.leaving, *self._leaving_targets]
         self._crashes = [*heartbeat.crashes, *self._crashes]
         self._rate_limits = [*heartbeat.limits, *self._rate_limits]
+        self._brittle = [*heartbeat.brittle, *self._brittle]
         for note in heartbeat.streams:
             self._streams.setdefault(note.request_id, note)
         for charge in heartbeat.spent:
--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -21,6 +21,7 @@
     Refusal,
     Step,
     preload_models,
+    record_brittle_target,
     with_current_duration,
 )
 from mimosaworks.errors import ErrorKind, PeerError
@@ -233,6 +234,14 @@
             )
         if self.stream_saver is not None:
             self.stream_saver.record_notes(heartbeat.streams)
+        for note in heartbeat.brittle:
+            record_brittle_target(
+                self.dispatcher.pools.values(),
+                note.target,
+                now,
+                is_brittle=note.is_brittle,
+                is_full=note.is_full,
+            )
         self.dispatcher.limiter.charge(
             (charge.workspace, charge.cost) for charge in heartbeat.spent
         )
--- a/mimosaworks/node/holder_link.py
+++ b/mimosaworks/node/holder_link.py
@@ -30,6 +30,7 @@
     Ack,
     Beat,
     BeatReply,
+    BrittleNote,
     CallAsk,
     CallReply,
     LeaseNotice,
@@ -71,7 +72,8 @@
     find_lease returns the lease as this node knows it, find_local_holder the
     holder when it is this process, make_node_row this node's row,
     list_running_calls its requests at targets, list_leaving_targets the
-    incarnations of targets that announced to this node that they leave.
+    incarnations of targets that announced to this node that they leave,
+    list_brittle_targets those that are brittle.
     stream_origins are those of the streams that began at this node.
     last_reply_s is when the holder last confirmed what it had reported,
     contact_lost_s when it was last taken for lost. on_reply is called with
@@ -89,6 +91,7 @@
     list_leaving_targets: Callable[[], Mapping[str, int]]
     on_reply: Callable[[BeatReply], None]
     on_lost: Callable[[], None]
+    list_brittle_targets: Callable[[], tuple[BrittleNote, ...]] = tuple
     replicated_view: ReplicatedView = attrs.field(factory=ReplicatedView)
     pending_updates: HeartbeatUpdates = attrs.field(factory=HeartbeatUpdates)
     crash_view: CrashView = attrs.field(factory=CrashView)
@@ -271,6 +274,7 @@
                 leaving=tuple(starmap(TargetLeaving, leaving_targets.items())),
                 crashes=self.crash_view.unsaved_notes() if is_first else (),
                 limits=self.limit_view.make_limit_notes() if is_first else (),
+                brittle=self.list_brittle_targets() if is_first else (),
                 streams=self.stream_origins.make_notes() if is_first else (),
                 targets_version=0 if is_first else replicated.targets_version,
                 members_version=0 if is_first else replicated.members_version,
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -121,6 +121,9 @@
         make_node_row=node.node_row,
         list_running_calls=lambda: node.frontend.list_running_calls(),
         list_leaving_targets=target_notices.leaving_targets,
+        list_brittle_targets=lambda: (
+            node.frontend.attempt_sender.brittle_targets.make_notes()
+        ),
         on_reply=node.apply_holder_reply,
         on_lost=lambda: node.cluster_follower.restart_follows(),
         limit_view=node.limit_view,
--- a/mimosaworks/node/relay.py
+++ b/mimosaworks/node/relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Callable, Generator, Mapping
 from http import HTTPStatus
 
@@ -37,6 +38,7 @@
     NOT_RUN,
     REQUEST_ID,
     answer_headers,
+    read_time_left_s,
 )
 from mimosaworks.send_guard import SendGuard
 
@@ -55,7 +57,8 @@
     """Sends a peer's request to the target that the peer names, and no further.
 
     paths tells whether this node reaches targets, find_targets returns those
-    that are known. The sender has checked all that it
+    that are known, stop_remaining_s the seconds until a node that stops ends
+    its requests. The sender has checked all that it
     knows; the relay checks the target once more, right before the first byte.
     A request that it has not sent is answered so, with REFUSED or UNREACHED;
     an answer that is incomplete ends with its connection. running is the
@@ -66,6 +69,7 @@
     session: ClientSession
     target_notices: TargetNotices
     find_targets: Callable[[], Mapping[str, TargetEntry]]
+    stop_remaining_s: Callable[[], float | None]
     running: int = 0
 
     async def handle_request(self, req: web.Request) -> web.StreamResponse:
@@ -91,6 +95,7 @@
         address = req.headers.get(RELAY_TO, '')
         target = req.headers.get(EXPECTED_TARGET, '')
         path = req.raw_path.removeprefix(RELAY_PREFIX)
+        self._check_stop(req)
         guard = SendGuard(lambda: self._check_target(target, address))
         # Before a connection is made as well.
         self._check_target(target, address)
@@ -110,6 +115,15 @@
         ) as resp:
             return await _pass_on(req, resp)
 
+    def _check_stop(self, req: web.Request) -> None:
+        """Raise AttemptError for a request that may outlast this node."""
+        stop_remaining_s = self.stop_remaining_s()
+        left_s = read_time_left_s(req.headers) or math.inf
+        if stop_remaining_s is not None and left_s > stop_remaining_s:
+            raise AttemptError(
+                CallOutcome.NOT_SENT, 'the relay stops', is_not_run=True
+            )
+
     def _check_target(self, target: str, address: str) -> None:
         """Raise AttemptError if this node would send the target nothing."""
         entry = self.find_targets().get(target)
--- a/mimosaworks/platform/headers.py
+++ b/mimosaworks/platform/headers.py
@@ -23,6 +23,7 @@
 NOT_RUN = 'X-Not-Executed'
 LEAVING = 'Server-Leaving'
 LIMIT = 'Server-Limit'
+BRITTLE = 'Server-Brittle'
 RETRY_AFTER = 'Retry-After'
 MAX_PAUSE_S = 60.0  # what is longer is no pause but a mistake
 _BEARER = 'bearer '
@@ -176,9 +177,7 @@
 
 
 def _read_parts(sent: str | None) -> tuple[PromptPart, ...]:
-    if not sent:
-        return ()
-    return tuple(map(_read_part, sent.split(',')))
+    return tuple(map(_read_part, sent.split(','))) if sent else ()
 
 
 def _read_part(sent: str) -> PromptPart:
--- a/mimosaworks/wire/__init__.py
+++ b/mimosaworks/wire/__init__.py
@@ -44,6 +44,7 @@
 )
 from mimosaworks.wire.routing_messages import SuspectNotice
 from mimosaworks.wire.target_messages import (
+    BrittleNote,
     CrashNote,
     LimitNote,
     LimitRow,
@@ -60,6 +61,7 @@
     'Ack',
     'Beat',
     'BeatReply',
+    'BrittleNote',
     'CallAsk',
     'CallEnd',
     'CallReply',
--- a/mimosaworks/wire/dispatch.capnp
+++ b/mimosaworks/wire/dispatch.capnp
@@ -144,6 +144,7 @@
   limits @12 :List(LimitNote);
   limitsVersion @13 :UInt64;
   streams @14 :List(StreamNote);
+  brittle @15 :List(BrittleNote);
 }
 
 struct LimitNote {
@@ -173,6 +174,12 @@
   isProven @2 :Bool;
 }
 
+struct BrittleNote {
+  target @0 :Text;
+  isBrittle @1 :Bool;
+  isFull @2 :Bool;
+}
+
 struct StreamNote {
   requestId @0 :Text;
   service @1 :Text;
--- a/mimosaworks/wire/dispatch_messages.py
+++ b/mimosaworks/wire/dispatch_messages.py
@@ -5,6 +5,7 @@
 import attrs
 
 from mimosaworks.wire.target_messages import (
+    BrittleNote,
     CrashNote,
     LimitNote,
     LimitRow,
@@ -168,6 +169,7 @@
     limits: tuple[LimitNote, ...] = ()
     limits_version: int = 0
     streams: tuple[StreamNote, ...] = ()
+    brittle: tuple[BrittleNote, ...] = ()
 
 
 @attrs.frozen
--- a/mimosaworks/wire/target_messages.py
+++ b/mimosaworks/wire/target_messages.py
@@ -26,6 +26,15 @@
     software_version: str = ''
 
 
+@attrs.frozen
+class BrittleNote:
+    """A target is brittle or no longer; is_full: it turned a request away."""
+
+    target: str
+    is_brittle: bool
+    is_full: bool = False
+
+
 @attrs.frozen
 class StreamNote:
     """The service and software version at which a request's stream began.
--- a/standins/agency/replica.py
+++ b/standins/agency/replica.py
@@ -1,8 +1,9 @@
 """A target of the agency's platform: orders, reports and requests."""
 
 import asyncio
+import contextlib
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Generator
 from http import HTTPStatus
 from typing import Any
 
@@ -72,6 +73,9 @@
     that is 0. Requests whose prompts have one of deadly_parts crash it.
     While fails_with is set, requests are answered with this status and
     ERROR_TEXT. version is that of its software, in its entry unless empty.
+    All answers say how many requests in a second it may turn away if that is
+    set (brittle); turned_away_s are the times of those, when it runs as many as
+    it has room for.
     """
 
     name: str
@@ -114,6 +118,10 @@
     deadly_parts: frozenset[str] = frozenset()
     fails_with: int = 0
     version: Any = 'v1'
+    brittle: int = 0
+    room: int = 0
+    turned_away_s: list[float] = attrs.field(factory=list)
+    running: int = 0
 
     def note_hit(self, request_id: str = '', sender: str = '') -> None:
         """Note a call that has arrived."""
@@ -125,6 +133,34 @@
             now = time.monotonic()
             self.named.append(NamedLimit(now, request_id, self.limit))
 
+    @property
+    def is_full(self) -> bool:
+        """Whether it has no room for another request."""
+        return 0 < self.room <= self.running
+
+    def turn_away(self, req: web.Request, now: float) -> web.Response:
+        """Return the rejection of a target that pauses or is full."""
+        resp = _reject(self, req, HTTPStatus.SERVICE_UNAVAILABLE)
+        resp.headers['X-Not-Executed'] = '1'
+        if self.pause_s:
+            self.rejected[req.headers[REQUEST_ID]] = (now, self.pause_s)
+            resp.headers['Retry-After'] = f'{self.pause_s}'
+        else:
+            self.turned_away_s.append(now)
+        return resp
+
+    @contextlib.contextmanager
+    def count_running(self, request_id: str) -> Generator[None, None, None]:
+        """Count a request that runs, and note one that is cancelled."""
+        self.running += 1
+        try:
+            yield
+        except asyncio.CancelledError:
+            self.cancelled.append(request_id)
+            raise
+        finally:
+            self.running -= 1
+
     def restart(self) -> None:
         """Start anew: what was held and counted is gone, the disk stays."""
         self.born += 1
@@ -217,6 +253,8 @@
         replica.told_leaving[request_id] = time.monotonic()
     if replica.limit:
         resp.headers['Server-Limit'] = replica.limit
+    if replica.brittle:
+        resp.headers['Server-Brittle'] = f'{replica.brittle}'
     if request_id:
         replica.name_limit(request_id)
 
@@ -244,19 +282,12 @@
         body = await req.read()
         now = time.monotonic()
         replica.arrivals[request_id] = now
-        if replica.pause_s:
-            replica.rejected[request_id] = (now, replica.pause_s)
-            resp = _reject(replica, req, HTTPStatus.SERVICE_UNAVAILABLE)
-            resp.headers['X-Not-Executed'] = '1'
-            resp.headers['Retry-After'] = f'{replica.pause_s}'
-            return resp
+        if replica.pause_s or replica.is_full:
+            return replica.turn_away(req, now)
         replica.runs.append(request_id)
         replica.headers.append(dict(req.headers))
-        try:
+        with replica.count_running(request_id):
             return await _run(replica, req, body, model)
-        except asyncio.CancelledError:
-            replica.cancelled.append(request_id)
-            raise
 
     async def say_more(req: web.Request, resp: web.StreamResponse) -> None:
         _say_more(replica, req, resp)
--- a/tests/test_node_relay.py
+++ b/tests/test_node_relay.py
@@ -18,6 +18,7 @@
 from mimosaworks.node.attempt_error import AttemptError
 from mimosaworks.node.attempt_progress import ProgressHooks
 from mimosaworks.node.attempt_sender import AttemptSender
+from mimosaworks.node.brittle_targets import BrittleTargets
 from mimosaworks.node.limit_view import LimitView
 from mimosaworks.node.relay import Relay
 from mimosaworks.node.relay_peers import RELAY_PREFIX, RelayPeers
@@ -49,6 +50,10 @@
     return False
 
 
+def _ignore_stop() -> None:
+    """Do not stop."""
+
+
 def make_notices() -> TargetNotices:
     return TargetNotices(_no_incarnation, _ignore, _ignore)
 
@@ -136,7 +141,11 @@
         }
         session = await open_target_session(stack, 5, ANSWER_BYTES)
         relay = Relay(
-            TargetPaths(tuple), session, make_notices(), lambda: targets
+            TargetPaths(tuple),
+            session,
+            make_notices(),
+            lambda: targets,
+            _ignore_stop,
         )
         app = web.Application()
         app.router.add_route(
@@ -156,6 +165,7 @@
             await open_target_session(stack, 5, ANSWER_BYTES),
             make_notices(),
             make_limits(),
+            BrittleTargets(make_notices(), _ignore),
             HeldBytes(ANSWER_BYTES, ANSWER_BYTES),
             peers,
         )
@@ -265,6 +275,10 @@
     world.relay.paths.is_cut_off = True
 
 
+def _stop_relay(world: RelayWorld) -> None:
+    world.relay.stop_remaining_s = lambda: 1.0
+
+
 def _end_relay(world: RelayWorld) -> None:
     row = NodeRow('other', 'f', '127.0.0.1:9', 'north', relays=True)
     world.peers.list_members = lambda: {'other': row}
@@ -280,6 +294,7 @@
         (_drain_target, CallOutcome.NOT_SENT),
         (_pause_target, CallOutcome.NOT_SENT),
         (_cut_relay, CallOutcome.NOT_SENT),
+        (_stop_relay, CallOutcome.NOT_SENT),
         (_end_relay, CallOutcome.UNREACHABLE),
     ],
 )
