--- a/tests/test_node_limit_view.py
+++ b/tests/test_node_limit_view.py
@@ -242,6 +242,22 @@
     assert caught.value.outcome is CallOutcome.NOT_SENT
 
 
+# Guards against a send whose decision and the view behind it are each young
+# enough, and too old together.
+def test_the_ages_of_a_decision_and_of_its_view_add_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    clock = set_clock(monkeypatch, chooser_module)
+    chooser = make_chooser()
+    chooser.max_send_age_s = lambda: 1.8
+    decided = grant(granted_s=clock.now, view_age_s=1.4)
+    clock.now += 0.39
+    chooser.check_assignment((MARK,), decided)
+    clock.now += 0.02
+    with pytest.raises(AttemptError, match='from a view 1.81 s old'):
+        chooser.check_assignment((MARK,), decided)
+
+
 def make_chooser(**blocked: float) -> TargetChooser:
     link = types.SimpleNamespace(
         limit_view=LimitView(),
