Send a brittle target few requests at once that may all be turned away

Nodes now tell how many a target may turn away, and the holder keeps the requests there whose answer has not begun below half of that, at least one.

--- a/mimosaworks/dispatch/brittle.py
+++ b/mimosaworks/dispatch/brittle.py
@@ -11,13 +11,16 @@
     name: str,
     now: float,
     *,
-    is_brittle: bool,
+    most_per_s: int | None,
     is_full: bool,
 ) -> None:
-    """Record whether a target is brittle; is_full: it turned one away."""
+    """Record how many requests a target may turn away in a second.
+
+    most_per_s is None if it is not brittle. is_full: it turned one away.
+    """
     for pool in pools:
         target = pool.targets.get(name)
         if target is not None:
             target.health.record_brittle(
-                now, is_brittle=is_brittle, is_full=is_full
+                now, most_per_s=most_per_s, is_full=is_full
             )
--- a/mimosaworks/dispatch/target_health.py
+++ b/mimosaworks/dispatch/target_health.py
@@ -46,12 +46,12 @@
 
     Slowdown is the average of measured divided by expected duration. The
     failure rate is the average share of failed requests, which halves each
-    FAILURE_HALF_LIFE_S. A brittle target crashes when it turns away too many
-    requests in a second. Used for choosing a target.
+    FAILURE_HALF_LIFE_S. A brittle target crashes when it turns away more
+    than most_rejections_per_s, None for others. Used for choosing a target.
     """
 
     slowdown: float = 1.0
-    is_brittle: bool = False
+    most_rejections_per_s: int | None = None
     _failure_rate: float = 0
     _last_outcome_s: float = 0
     _down_until_s: float = 0
@@ -117,13 +117,13 @@
         self._next_pause_s = min(self._next_pause_s * 2, MAX_DOWN_S)
 
     def record_brittle(
-        self, now: float, *, is_brittle: bool, is_full: bool
+        self, now: float, *, most_per_s: int | None, is_full: bool
     ) -> None:
-        """Record whether the target crashes when it turns away too many.
+        """Record how many requests the target may turn away in a second.
 
         is_full: it turned a request away; all nodes wait for a second.
         """
-        self.is_brittle = is_brittle
+        self.most_rejections_per_s = most_per_s
         if is_full:
             self._down_until_s = max(self._down_until_s, now + FULL_PAUSE_S)
 
--- a/mimosaworks/dispatch/target_selector.py
+++ b/mimosaworks/dispatch/target_selector.py
@@ -23,6 +23,8 @@
 # Share of the expected generation time that has to fit the deadline: many
 # answers are shorter than expected.
 SHORT_ANSWER_SHARE = 0.5
+# Share of the requests that a brittle target may turn away in a second.
+UNSTARTED_SHARE = 0.5
 
 
 @attrs.define(eq=False)
@@ -210,9 +212,18 @@
 
 
 def _may_take_another(target: EngineTarget) -> bool:
-    """Return whether a target has room; brittle ones get no queue."""
-    has_free_slot = len(target.jobs) < target.engine_cfg.slots
-    return has_free_slot or not target.health.is_brittle
+    """Return whether a target may be sent one more request.
+
+    A brittle one gets no queue, and so few at once that may be turned away
+    that it stands it if all are: those whose answer has not begun.
+    """
+    most_per_s = target.health.most_rejections_per_s
+    if most_per_s is None:
+        return True
+    unstarted = sum(not job.is_started for job in target.jobs.values())
+    return len(target.jobs) < target.engine_cfg.slots and unstarted < max(
+        most_per_s * UNSTARTED_SHARE, 1
+    )
 
 
 def _no_capacity_reason(usable_targets: list[EngineTarget], job: Job) -> str:
--- a/mimosaworks/node/brittle_targets.py
+++ b/mimosaworks/node/brittle_targets.py
@@ -15,6 +15,7 @@
 
 # More than the targets of a deployment.
 MAX_BRITTLE_TARGETS = 1000
+MAX_DIGITS = 6
 # Rejections count by the second.
 FULL_PAUSE_S = 1.0
 
@@ -29,33 +30,45 @@
 
     target_notices: TargetNotices
     on_note: Callable[[BrittleNote], None]
-    _names: dict[str, bool] = attrs.field(factory=dict)
+    _most_per_s: dict[str, int] = attrs.field(factory=dict)
 
     def make_notes(self) -> tuple[BrittleNote, ...]:
         """Return all brittle targets, as they are reported to a new holder."""
-        return tuple(BrittleNote(name, is_brittle=True) for name in self._names)
+        return tuple(
+            BrittleNote(name, is_brittle=True, most_per_s=most_per_s)
+            for name, most_per_s in self._most_per_s.items()
+        )
 
     def read_response_head(self, target: str, resp: ClientResponse) -> None:
         """Apply the head of an answer to a request."""
-        is_brittle = resp.headers.get(BRITTLE, '').strip().isdecimal()
+        most_per_s = _read_most_per_s(resp)
+        is_brittle = most_per_s is not None
         is_full = (
             is_brittle
             and resp.status == HTTPStatus.SERVICE_UNAVAILABLE
             and says_not_run(resp.status, resp.headers)
         )
-        is_changed = is_brittle != (target in self._names)
+        is_changed = most_per_s != self._most_per_s.get(target)
         if not is_changed and not is_full:
             return
         if is_changed:
-            self._record_change(target, is_brittle=is_brittle)
+            self._record_change(target, most_per_s)
         if is_full:
             self.target_notices.record_pause(target, FULL_PAUSE_S, now_s())
-        self.on_note(BrittleNote(target, is_brittle, is_full))
-
-    def _record_change(self, target: str, *, is_brittle: bool) -> None:
-        log_event(Event.TARGET_BRITTLE, target=target, is_brittle=is_brittle)
-        if is_brittle:
-            self._names[target] = True
-            forget_oldest(self._names, MAX_BRITTLE_TARGETS)
-        else:
-            self._names.pop(target)
+        self.on_note(BrittleNote(target, is_brittle, is_full, most_per_s or 0))
+
+    def _record_change(self, target: str, most_per_s: int | None) -> None:
+        log_event(Event.TARGET_BRITTLE, target=target, most_per_s=most_per_s)
+        if most_per_s is None:
+            self._most_per_s.pop(target, None)
+            return
+        self._most_per_s[target] = most_per_s
+        forget_oldest(self._most_per_s, MAX_BRITTLE_TARGETS)
+
+
+def _read_most_per_s(resp: ClientResponse) -> int | None:
+    sent = resp.headers.get(BRITTLE, '').strip()
+    # What is longer is no count of requests.
+    if not sent.isdecimal() or len(sent) > MAX_DIGITS:
+        return None
+    return int(sent)
--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -239,7 +239,7 @@
                 self.dispatcher.pools.values(),
                 note.target,
                 now,
-                is_brittle=note.is_brittle,
+                most_per_s=note.most_per_s if note.is_brittle else None,
                 is_full=note.is_full,
             )
         self.dispatcher.limiter.charge(
--- a/mimosaworks/wire/dispatch.capnp
+++ b/mimosaworks/wire/dispatch.capnp
@@ -178,6 +178,7 @@
   target @0 :Text;
   isBrittle @1 :Bool;
   isFull @2 :Bool;
+  mostPerS @3 :UInt32;
 }
 
 struct StreamNote {
--- a/mimosaworks/wire/target_messages.py
+++ b/mimosaworks/wire/target_messages.py
@@ -28,11 +28,15 @@
 
 @attrs.frozen
 class BrittleNote:
-    """A target is brittle or no longer; is_full: it turned a request away."""
+    """A target is brittle or no longer; is_full: it turned a request away.
+
+    A brittle one crashes when it turns away more than most_per_s in a second.
+    """
 
     target: str
     is_brittle: bool
     is_full: bool = False
+    most_per_s: int = 0
 
 
 @attrs.frozen
--- a/tests/test_node_brittle_targets.py
+++ b/tests/test_node_brittle_targets.py
@@ -71,22 +71,35 @@
     assert most_in_a_second(target.turned_away_s) <= MAX_TURNED_AWAY
 
 
-# Guards against a queue at a target that lets fewer wait than others.
-def test_no_request_waits_for_a_slot_of_a_brittle_target() -> None:
+# Guards against more requests at once than a brittle target may turn away, and
+# against a queue at it.
+def test_few_requests_at_a_brittle_target_have_not_begun() -> None:
+    pool = make_pool(make_entry('t1', 'm0'))
+    record_brittle_target([pool], 't1', 0, most_per_s=5, is_full=False)
+    jobs = [make_job('m0') for _ in range(MAX_TURNED_AWAY)]
+    granted = [
+        job for job in jobs if isinstance(pool.submit(job, 0), Assignment)
+    ]
+    assert 0 < len(granted) < MAX_TURNED_AWAY
+    for job in granted:
+        pool.record_first_event(job, 0.1)
+    assert isinstance(pool.submit(make_job('m0'), 0), Assignment)
+    record_brittle_target([pool], 't1', 0, most_per_s=None, is_full=False)
+    decided = [pool.submit(make_job('m0'), 0) for _ in range(BURST)]
+    assert any(isinstance(one, Assignment) for one in decided)
+
+
+def test_a_brittle_target_gets_no_queue() -> None:
     pool = make_pool(make_entry('t1', 'm0'))
     slots = pool.engine_cfg.slots
-    for is_brittle in (False, True):
-        record_brittle_target(
-            [pool], 't1', 0, is_brittle=is_brittle, is_full=False
-        )
-        decided = [pool.submit(make_job('m0'), 0) for _ in range(slots + 1)]
-        granted = [one for one in decided if isinstance(one, Assignment)]
-        assert bool(granted) is not is_brittle
-    assert isinstance(decided[0], Refusal)
+    record_brittle_target([pool], 't1', 0, most_per_s=1000, is_full=False)
+    decided = [pool.submit(make_job('m0'), 0) for _ in range(slots + 1)]
+    assert isinstance(decided[slots - 1], Assignment)
+    assert isinstance(decided[slots], Refusal)
 
 
 def test_all_nodes_leave_out_a_full_target_for_a_second() -> None:
     pool = make_pool(make_entry('t1', 'm0'))
-    record_brittle_target([pool], 't1', 5, is_brittle=True, is_full=True)
+    record_brittle_target([pool], 't1', 5, most_per_s=5, is_full=True)
     assert isinstance(pool.submit(make_job('m0', now=5.9), 5.9), Refusal)
     assert isinstance(pool.submit(make_job('m0', now=6), 6), Assignment)
