Test of a stream whose version left: read the refusal of its own request

Cause: the test took the last line of any request. Log lines are written by a thread of their own, so the line of the take-up may come after its answer; the requests by which the test waits for a node to start are refused with just that reason, and one such line was the last one yet.

The test now reads the lines of its own request, refusal and admission; both bounds stay.

--- a/tests/test_node_resumed_streams.py
+++ b/tests/test_node_resumed_streams.py
@@ -5,6 +5,7 @@
 import types
 from collections.abc import AsyncIterator
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -61,6 +62,15 @@
     return await read_pieces(world, node, request_id, **TAKEN_UP)
 
 
+def lines_of(
+    node: NodeHandle, event: str, request_id: str
+) -> list[dict[str, Any]]:
+    """Return the log lines of an event of one request."""
+    return [
+        line for line in node.events(event) if line['request_id'] == request_id
+    ]
+
+
 def stored_streams(world: AgencyWorld) -> list[str]:
     """Return the ids of the streams whose beginnings are stored."""
     return [
@@ -172,10 +182,10 @@
     status, pieces = await take_up(world, nodes[0])
     assert (status, pieces) == (503, 0)
     assert not ran(world, 'taken-up')
-    await until(lambda: bool(nodes[0].events('call_refused')))
-    refused = nodes[0].events('call_refused')[-1]
+    await until(lambda: bool(lines_of(nodes[0], 'call_refused', 'taken-up')))
+    refused = lines_of(nodes[0], 'call_refused', 'taken-up')[0]
     assert refused['reason'] == 'no target in service'
-    admitted = nodes[0].events('call_admitted')[-1]
+    admitted = lines_of(nodes[0], 'call_admitted', 'taken-up')[0]
     assert refused['t'] < admitted['t'] + PROMPT_S
 
 
