A new holder and all nodes know brittle targets from the start

Callers of a brittle target: the target crashed under a burst that it had to turn away, after each change of the holder at worst.

Cause: which targets are brittle was kept in the holder's record of each target. A new holder heard of it with the first heartbeats only, and dropped the note if it had not read the target's entry yet. So it granted a burst as if to a sound target.

Now it is kept by name like rate limits: sent to all nodes with the same rows, read by a new holder from its own node's copy, compared by the time of the grant, and enforced where permits are, so that requests beyond the bound wait there instead of being refused. The same class mended in passing, as it is one table now: plain services, loads that end, pauses that an earlier answer ended, targets without an answer yet, the end that only the first node could see.

--- a/mimosaworks/dispatch/__init__.py
+++ b/mimosaworks/dispatch/__init__.py
@@ -1,6 +1,5 @@
 """Decides where requests run and which models are loaded; does no I/O."""
 
-from mimosaworks.dispatch.brittle import record_brittle_target
 from mimosaworks.dispatch.crash_tracker import (
     CrashLogEntry,
     CrashTracker,
@@ -20,6 +19,7 @@
 from mimosaworks.dispatch.plain_pool import PlainPool, PlainTarget
 from mimosaworks.dispatch.preload import preload_models
 from mimosaworks.dispatch.reconcile import apply_reported_models
+from mimosaworks.dispatch.rejection_limits import RejectionLimits
 from mimosaworks.dispatch.resend_budget import ResendBudgetConfig, ResendBudgets
 from mimosaworks.dispatch.suspect import Suspect
 from mimosaworks.dispatch.suspect_keys import (
@@ -49,6 +49,7 @@
     'PlainPool',
     'PlainTarget',
     'Refusal',
+    'RejectionLimits',
     'ResendBudgetConfig',
     'ResendBudgets',
     'Step',
@@ -61,7 +62,6 @@
     'find_granted_s',
     'outcome_for_status',
     'preload_models',
-    'record_brittle_target',
     'find_request_verdicts',
     'is_part_key',
     'suspect_keys',
--- a/mimosaworks/dispatch/dispatcher.py
+++ b/mimosaworks/dispatch/dispatcher.py
@@ -18,6 +18,7 @@
 from mimosaworks.dispatch.job import Assignment, AssignmentRequest, Job, Refusal
 from mimosaworks.dispatch.outcome import COMPLETE_OUTCOMES, CallOutcome
 from mimosaworks.dispatch.plain_pool import PlainPool, PlainTarget
+from mimosaworks.dispatch.rejection_limits import RejectionLimits
 from mimosaworks.dispatch.resend_budget import ResendBudgets
 from mimosaworks.dispatch.suspect_keys import Verdict
 from mimosaworks.dispatch.suspect_rules import (
@@ -53,12 +54,14 @@
 
     Methods return the decisions that they made for waiting requests, by call
     id. The dispatcher keeps the incarnations of targets that announced that
-    they leave before their entries show it, the targets' rate limits, and when
-    each node last had a complete answer.
+    they leave before their entries show it, the targets' rate limits, how many
+    requests brittle ones may turn away, and when each node last had a complete
+    answer.
     """
 
     resend_budgets: ResendBudgets
     rate_limits: TargetRateLimits = attrs.field(factory=TargetRateLimits)
+    rejection_limits: RejectionLimits = attrs.field(factory=RejectionLimits)
     pools: dict[str, EnginePool | PlainPool] = attrs.field(factory=dict)
     jobs: dict[str, Job] = attrs.field(factory=dict)
     limiter: WorkspaceLimiter = attrs.field(factory=WorkspaceLimiter)
@@ -85,6 +88,7 @@
     ) -> list[Decision]:
         """Apply the targets' registry entries; return new decisions."""
         self.rate_limits.forget_removed_targets(entries, now)
+        self.rejection_limits.forget_removed_targets(entries, now)
         displaced_jobs: list[Job] = []
         for name, pool in self.pools.items():
             service_entries = (
@@ -92,7 +96,11 @@
                 for entry in entries.values()
                 if entry.service == name
             )
+            known_names = set(pool.targets)
             displaced_jobs += pool.apply_entries(service_entries, now)
+            self.rejection_limits.assume_limits(
+                pool.targets.keys() - known_names, pool.targets, now
+            )
         return [
             *self._reassign_jobs(displaced_jobs, now),
             *self.decide_due_jobs(now),
@@ -317,12 +325,14 @@
         pool = self.pools.get(service.name)
         if service.engine is None:
             if not isinstance(pool, PlainPool):
-                self.pools[service.name] = PlainPool(self.rate_limits)
+                self.pools[service.name] = PlainPool(
+                    self.rate_limits, self.rejection_limits
+                )
         elif isinstance(pool, EnginePool):
             pool.update_config(service.engine)
         else:
             self.pools[service.name] = EnginePool(
-                service.engine, self.rate_limits
+                service.engine, self.rate_limits, self.rejection_limits
             )
 
 
--- a/mimosaworks/dispatch/engine_pool.py
+++ b/mimosaworks/dispatch/engine_pool.py
@@ -17,6 +17,7 @@
 from mimosaworks.dispatch.prefix_cache import PrefixCache
 from mimosaworks.dispatch.rate_limit_queue import RateLimitQueue
 from mimosaworks.dispatch.reconcile import apply_entry
+from mimosaworks.dispatch.rejection_limits import RejectionLimits
 from mimosaworks.dispatch.requested_models import RequestedModels
 from mimosaworks.dispatch.store_load_scheduler import StoreLoadScheduler
 from mimosaworks.dispatch.swap import SwapPlanner, count_replicas
@@ -46,11 +47,12 @@
     store_loads schedules the loads from the weight store. _superseded_jobs
     are requests that wait for a model on one target while another target has
     finished loading it, rate_limit_queue those that wait for a permit within
-    their target's rate limit.
+    their target's rate limit, or for a brittle target to begin others.
     """
 
     engine_cfg: EngineConfig
     rate_limits: TargetRateLimits = attrs.field(factory=TargetRateLimits)
+    rejection_limits: RejectionLimits = attrs.field(factory=RejectionLimits)
     targets: dict[str, EngineTarget] = attrs.field(factory=dict)
     request_rates: EventRates = attrs.field(factory=EventRates)
     replica_counts: dict[str, int] = attrs.field(factory=dict)
@@ -68,7 +70,9 @@
             self.engine_cfg, self.targets, self.request_rates
         )
         self.refused_models = RequestedModels(self.request_rates)
-        self.rate_limit_queue = RateLimitQueue(self.rate_limits)
+        self.rate_limit_queue = RateLimitQueue(
+            self.rate_limits, self.rejection_limits, self.targets
+        )
         swap_planner = SwapPlanner(
             self.request_rates,
             self.replica_counts,
@@ -114,7 +118,8 @@
         job.expected_ready_s = now + max(
             option.ready_s, option.rate_limit_wait_s
         )
-        job.permit_wait_s = option.rate_limit_wait_s
+        if self.rate_limits.is_limited(target.entry.name):
+            job.permit_wait_s = option.rate_limit_wait_s
         job.prefill_tokens = option.prefill_tokens
         if target.is_ready_for(job) and self.rate_limit_queue.admit_or_queue(
             job, now
@@ -192,6 +197,7 @@
         """Record that a request's first event came so long after its send."""
         job.is_started = True
         job.first_event_s = first_event_s
+        self.rate_limit_queue.record_begin(first_event_s)
         target = self.targets.get(job.target)
         if target is not None and job.estimated_first_event_s:
             self.estimator.record_first_event_time(target, job, first_event_s)
--- a/mimosaworks/dispatch/latency_estimator.py
+++ b/mimosaworks/dispatch/latency_estimator.py
@@ -138,11 +138,18 @@
     def rate_limit_wait_s(
         self, target: EngineTarget, job: Job, order_count: int, now: float
     ) -> float:
-        """Return the wait for permits for the orders and the request."""
+        """Return the wait for permits for the orders and the request.
+
+        A brittle target begins to answer earlier requests first.
+        """
         name = target.entry.name
-        permits = self.rate_limit_queue.count_ahead(name, job) + order_count + 1
-        return time_to_use_s(
-            self.rate_limit_queue.limits.permit_wait_s(name, permits, now)
+        queue = self.rate_limit_queue
+        ahead = queue.count_ahead(name, job)
+        permit_wait_s = queue.limits.permit_wait_s(
+            name, ahead + order_count + 1, now
+        )
+        return max(
+            time_to_use_s(permit_wait_s), queue.begin_wait_s(name, ahead)
         )
 
     def prefill_backlog_s(
--- a/mimosaworks/dispatch/plain_pool.py
+++ b/mimosaworks/dispatch/plain_pool.py
@@ -8,6 +8,7 @@
 
 from mimosaworks.deployment import TargetEntry, TargetState
 from mimosaworks.dispatch.job import Assignment, Job, Refusal
+from mimosaworks.dispatch.rejection_limits import RejectionLimits
 from mimosaworks.dispatch.target_health import TargetHealth
 from mimosaworks.dispatch.target_rate_limits import (
     TargetRateLimits,
@@ -58,6 +59,7 @@
     """
 
     rate_limits: TargetRateLimits = attrs.field(factory=TargetRateLimits)
+    rejection_limits: RejectionLimits = attrs.field(factory=RejectionLimits)
     targets: dict[str, PlainTarget] = attrs.field(factory=dict)
     waiting_jobs: list[Job] = attrs.field(factory=list)
     mean_duration_s: float = INITIAL_DURATION_S
@@ -97,7 +99,10 @@
         names = [target.entry.name for target in usable_targets]
         limited_names = set(filter(self.rate_limits.is_limited, names))
         slots = sum(
-            target.entry.slots
+            min(
+                target.entry.slots,
+                self.rejection_limits.most_at_once(target.entry.name),
+            )
             for target in usable_targets
             if target.entry.name not in limited_names
             or len(limited_names) == len(names)
@@ -167,12 +172,18 @@
     def _free_targets(
         self, usable_targets: Iterable[PlainTarget], now: float
     ) -> list[PlainTarget]:
-        """Return the targets with a free slot and a rate-limit permit."""
+        """Return the targets with a free slot and a rate-limit permit.
+
+        Brittle ones must stand it if they turn away what may be too much.
+        """
         return [
             target
             for target in usable_targets
             if target.has_free_slot
             and not self.rate_limits.permit_wait_s(target.entry.name, 1, now)
+            and self.rejection_limits.allows_another(
+                target.entry.name, target.jobs.values(), now
+            )
         ]
 
     def _must_queue_behind_others(
--- a/mimosaworks/dispatch/target_health.py
+++ b/mimosaworks/dispatch/target_health.py
@@ -18,8 +18,6 @@
 # Nodes that fail to reach a target this soon after each other.
 WITNESS_S = 1.0
 MIN_WITNESSES = 2
-# Brittle targets count what they turn away by the second.
-FULL_PAUSE_S = 1.0
 _FAILED_OUTCOMES = frozenset((
     CallOutcome.FAILED,
     CallOutcome.BROKEN,
@@ -46,12 +44,10 @@
 
     Slowdown is the average of measured divided by expected duration. The
     failure rate is the average share of failed requests, which halves each
-    FAILURE_HALF_LIFE_S. A brittle target crashes when it turns away more
-    than most_rejections_per_s, None for others. Used for choosing a target.
+    FAILURE_HALF_LIFE_S. Used for choosing a target.
     """
 
     slowdown: float = 1.0
-    most_rejections_per_s: int | None = None
     _failure_rate: float = 0
     _last_outcome_s: float = 0
     _down_until_s: float = 0
@@ -116,17 +112,6 @@
         self._down_until_s = now + self._next_pause_s
         self._next_pause_s = min(self._next_pause_s * 2, MAX_DOWN_S)
 
-    def record_brittle(
-        self, now: float, *, most_per_s: int | None, is_full: bool
-    ) -> None:
-        """Record how many requests the target may turn away in a second.
-
-        is_full: it turned a request away; all nodes wait for a second.
-        """
-        self.most_rejections_per_s = most_per_s
-        if is_full:
-            self._down_until_s = max(self._down_until_s, now + FULL_PAUSE_S)
-
     def record_failure(self, now: float) -> None:
         """Record a failed request."""
         rate = self.failure_rate(now)
--- a/mimosaworks/dispatch/target_rate_limits.py
+++ b/mimosaworks/dispatch/target_rate_limits.py
@@ -1,7 +1,7 @@
 """Enforces the rate limits that targets announce."""
 
 import math
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 import attrs
 
@@ -81,6 +81,11 @@
             self.version += 1
         return True
 
+    def import_limits(self, limits: Mapping[str, float], now: float) -> None:
+        """Record what this process knew before its election."""
+        for target, per_s in limits.items():
+            self.record_limit(target, per_s, -math.inf, now)
+
     def limits_by_target(self) -> dict[str, float]:
         """Return the rate limits in requests per second, by target."""
         return {
--- a/mimosaworks/dispatch/target_selector.py
+++ b/mimosaworks/dispatch/target_selector.py
@@ -23,8 +23,6 @@
 # Share of the expected generation time that has to fit the deadline: many
 # answers are shorter than expected.
 SHORT_ANSWER_SHARE = 0.5
-# Share of the requests that a brittle target may turn away in a second.
-UNSTARTED_SHARE = 0.5
 
 
 @attrs.define(eq=False)
@@ -45,10 +43,12 @@
 
     def usable_targets(self, job: Job, now: float) -> list[EngineTarget]:
         """Return the targets that a request may be sent to."""
+        rejection_limits = self.estimator.rate_limit_queue.rejection_limits
         return [
             target
             for target in self.targets.values()
-            if _is_usable(target, job, now) and _may_take_another(target)
+            if _is_usable(target, job, now)
+            and not rejection_limits.is_full(target.entry.name, now)
         ]
 
     def cheapest_option(
@@ -171,14 +171,17 @@
             f'predicted {best.first_event_s:.2f} s to the first event, '
             f'{remaining_s:.2f} s left'
         )
-        if best.rate_limit_wait_s < best.first_event_s / 2:
+        limits = self.estimator.rate_limit_queue.limits
+        name = best.target.entry.name
+        if (
+            not limits.is_limited(name)
+            or best.rate_limit_wait_s < best.first_event_s / 2
+        ):
             return Refusal(
                 ErrorKind.DEADLINE_UNREACHABLE,
                 _clamp_retry_s(self._retry_after_s(best, job)),
                 reason,
             )
-        name = best.target.entry.name
-        limits = self.estimator.rate_limit_queue.limits
         retry_s = limits.schedule_retry(name, best.rate_limit_wait_s, now)
         return Refusal(
             ErrorKind.DEADLINE_UNREACHABLE,
@@ -211,21 +214,6 @@
     )
 
 
-def _may_take_another(target: EngineTarget) -> bool:
-    """Return whether a target may be sent one more request.
-
-    A brittle one gets no queue, and so few at once that may be turned away
-    that it stands it if all are: those whose answer has not begun.
-    """
-    most_per_s = target.health.most_rejections_per_s
-    if most_per_s is None:
-        return True
-    unstarted = sum(not job.is_started for job in target.jobs.values())
-    return len(target.jobs) < target.engine_cfg.slots and unstarted < max(
-        most_per_s * UNSTARTED_SHARE, 1
-    )
-
-
 def _no_capacity_reason(usable_targets: list[EngineTarget], job: Job) -> str:
     model = job.assignment_req.profile.model
     copy_count = sum(target.has_local_copy(model) for target in usable_targets)
--- a/mimosaworks/node/attempt_sender.py
+++ b/mimosaworks/node/attempt_sender.py
@@ -152,7 +152,7 @@
         if says_leaving(resp.headers):
             self.target_notices.record_leaving(target)
         self.limit_view.read_response_head(call, resp, now_s())
-        self.brittle_targets.read_response_head(target, resp)
+        self.brittle_targets.read_response_head(call, target, resp)
         try:
             pause_s = read_pause_s(resp.status, resp.headers)
         except ValueError as exc:
--- a/mimosaworks/node/brittle_targets.py
+++ b/mimosaworks/node/brittle_targets.py
@@ -1,17 +1,17 @@
 """Targets that crash when they turn away too many requests in a second."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 
 import attrs
 from aiohttp import ClientResponse
+from multidict import MultiMapping
 
 from mimosaworks.bounded import forget_oldest
-from mimosaworks.clock import now_s
 from mimosaworks.events import Event, log_event
-from mimosaworks.node.target_notices import TargetNotices
+from mimosaworks.node.call import Call
 from mimosaworks.platform.headers import BRITTLE, says_not_run
-from mimosaworks.wire import BrittleNote
+from mimosaworks.wire import Beat, BrittleNote, LimitRow
 
 # More than the targets of a deployment.
 MAX_BRITTLE_TARGETS = 1000
@@ -20,54 +20,126 @@
 FULL_PAUSE_S = 1.0
 
 
+def _ignore_note(_note: BrittleNote) -> None:
+    """Ignore what has to be reported."""
+
+
+def _ignore_pause(_target: str, _pause_s: float) -> None:
+    """Ignore a pause."""
+
+
 @attrs.define(eq=False)
 class BrittleTargets:
-    """The brittle targets that answered this node.
+    """The brittle targets, as a node knows them.
 
-    One that turns a request away gets nothing from this node for a second.
-    on_note is called with what has to be reported to the holder.
+    on_note is called with what has to be reported to the holder, on_full with
+    a target that turned a request away, and the seconds for which it gets
+    nothing from this node. list_rows returns the holder's limits by target.
+    _unconfirmed_per_s is what answers
+    said here, None for a target that is not brittle, until the holder has
+    received it.
     """
 
-    target_notices: TargetNotices
-    on_note: Callable[[BrittleNote], None]
-    _most_per_s: dict[str, int] = attrs.field(factory=dict)
+    on_note: Callable[[BrittleNote], None] = _ignore_note
+    on_full: Callable[[str, float], None] = _ignore_pause
+    list_rows: Callable[[], Mapping[str, LimitRow]] = dict
+    _unconfirmed_per_s: dict[str, int | None] = attrs.field(factory=dict)
+
+    def most_per_s(self, target: str) -> int | None:
+        """Return how many requests a target may turn away in a second.
+
+        None if it is not brittle.
+        """
+        row = self.list_rows().get(target)
+        replicated_per_s = None
+        if row is not None and row.is_brittle:
+            replicated_per_s = row.most_rejections_per_s
+        return self._unconfirmed_per_s.get(target, replicated_per_s)
+
+    def known_limits(self) -> dict[str, int]:
+        """Return how many requests each brittle target may turn away."""
+        limits = {
+            target: self.most_per_s(target)
+            for target in (*self.list_rows(), *self._unconfirmed_per_s)
+        }
+        return {
+            target: most_per_s
+            for target, most_per_s in limits.items()
+            if most_per_s is not None
+        }
 
     def make_notes(self) -> tuple[BrittleNote, ...]:
         """Return all brittle targets, as they are reported to a new holder."""
         return tuple(
             BrittleNote(name, is_brittle=True, most_per_s=most_per_s)
-            for name, most_per_s in self._most_per_s.items()
+            for name, most_per_s in self.known_limits().items()
         )
 
-    def read_response_head(self, target: str, resp: ClientResponse) -> None:
+    def read_response_head(
+        self, call: Call, target: str, resp: ClientResponse
+    ) -> None:
         """Apply the head of an answer to a request."""
-        most_per_s = _read_most_per_s(resp)
-        is_brittle = most_per_s is not None
+        most_per_s = _read_most_per_s(resp.headers)
+        if most_per_s is None and resp.status == HTTPStatus.MISDIRECTED_REQUEST:
+            # Another process may have the target's address.
+            return
         is_full = (
-            is_brittle
+            most_per_s is not None
             and resp.status == HTTPStatus.SERVICE_UNAVAILABLE
             and says_not_run(resp.status, resp.headers)
         )
-        is_changed = most_per_s != self._most_per_s.get(target)
-        if not is_changed and not is_full:
-            return
-        if is_changed:
-            self._record_change(target, most_per_s)
         if is_full:
-            self.target_notices.record_pause(target, FULL_PAUSE_S, now_s())
-        self.on_note(BrittleNote(target, is_brittle, is_full, most_per_s or 0))
+            self.on_full(target, FULL_PAUSE_S)
+        if is_full or most_per_s != self.most_per_s(target):
+            call_id = '' if call.call_ask is None else call.call_ask.call
+            self._record(target, most_per_s, call_id, is_full=is_full)
 
-    def _record_change(self, target: str, most_per_s: int | None) -> None:
-        log_event(Event.TARGET_BRITTLE, target=target, most_per_s=most_per_s)
-        if most_per_s is None:
-            self._most_per_s.pop(target, None)
-            return
-        self._most_per_s[target] = most_per_s
-        forget_oldest(self._most_per_s, MAX_BRITTLE_TARGETS)
+    def read_other_headers(
+        self, target: str, headers: MultiMapping[str]
+    ) -> None:
+        """Apply the answer to another kind of call, which may lack the header.
+
+        So it tells nothing about a target that is no longer brittle.
+        """
+        most_per_s = _read_most_per_s(headers)
+        if most_per_s is not None and most_per_s != self.most_per_s(target):
+            self._record(target, most_per_s, '', is_full=False)
+
+    def apply_reply(self, heartbeat: Beat) -> None:
+        """Forget what the holder has received; it compares all answers."""
+        for note in heartbeat.brittle:
+            most_per_s = note.most_per_s if note.is_brittle else None
+            if self._unconfirmed_per_s.get(note.target, -1) == most_per_s:
+                self._unconfirmed_per_s.pop(note.target)
+
+    def _record(
+        self,
+        target: str,
+        most_per_s: int | None,
+        call_id: str,
+        *,
+        is_full: bool,
+    ) -> None:
+        if most_per_s != self.most_per_s(target):
+            log_event(
+                Event.TARGET_BRITTLE, target=target, most_per_s=most_per_s
+            )
+        self._unconfirmed_per_s.pop(target, None)
+        self._unconfirmed_per_s[target] = most_per_s
+        forget_oldest(self._unconfirmed_per_s, MAX_BRITTLE_TARGETS)
+        self.on_note(
+            BrittleNote(
+                target,
+                most_per_s is not None,
+                is_full,
+                most_per_s or 0,
+                call_id,
+            )
+        )
 
 
-def _read_most_per_s(resp: ClientResponse) -> int | None:
-    sent = resp.headers.get(BRITTLE, '').strip()
+def _read_most_per_s(headers: MultiMapping[str]) -> int | None:
+    sent = headers.get(BRITTLE, '').strip()
     # What is longer is no count of requests.
     if not sent.isdecimal() or len(sent) > MAX_DIGITS:
         return None
--- a/mimosaworks/node/frontend_setup.py
+++ b/mimosaworks/node/frontend_setup.py
@@ -3,6 +3,7 @@
 from aiohttp import ClientSession
 
 from mimosaworks.bounded_answers import AnswerBounds, HeldBytes
+from mimosaworks.clock import now_s
 from mimosaworks.node.attempt_sender import AttemptSender
 from mimosaworks.node.brittle_targets import BrittleTargets
 from mimosaworks.node.frontend import Frontend
@@ -10,9 +11,25 @@
 from mimosaworks.node.relay import Relay
 from mimosaworks.node.relay_peers import RelayPeers
 from mimosaworks.node.target_chooser import TargetChooser
+from mimosaworks.node.target_notices import TargetNotices
 from mimosaworks.node.target_paths import TargetPaths, list_ready_addresses
 
 
+def make_brittle_targets(
+    node: Node, target_notices: TargetNotices
+) -> BrittleTargets:
+    """Return what a node knows of brittle targets, connected to its parts."""
+    return BrittleTargets(
+        on_note=lambda note: (
+            node.holder_link.pending_updates.record_brittle_target(note)
+        ),
+        on_full=lambda target, pause_s: target_notices.record_pause(
+            target, pause_s, now_s()
+        ),
+        list_rows=lambda: node.limit_view.limit_rows,
+    )
+
+
 def make_frontend(
     node: Node,
     target_chooser: TargetChooser,
@@ -36,10 +53,7 @@
             target_session,
             target_chooser.target_notices,
             node.limit_view,
-            BrittleTargets(
-                target_chooser.target_notices,
-                node.holder_link.pending_updates.record_brittle_target,
-            ),
+            node.holder_link.brittle_targets,
             HeldBytes(bounds.held_bytes, bounds.all_held_bytes),
             relay_peers,
         ),
--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -21,7 +21,6 @@
     Refusal,
     Step,
     preload_models,
-    record_brittle_target,
     with_current_duration,
 )
 from mimosaworks.errors import ErrorKind, PeerError
@@ -234,14 +233,6 @@
             )
         if self.stream_saver is not None:
             self.stream_saver.record_notes(heartbeat.streams)
-        for note in heartbeat.brittle:
-            record_brittle_target(
-                self.dispatcher.pools.values(),
-                note.target,
-                now,
-                most_per_s=note.most_per_s if note.is_brittle else None,
-                is_full=note.is_full,
-            )
         self.dispatcher.limiter.charge(
             (charge.workspace, charge.cost) for charge in heartbeat.spent
         )
@@ -309,7 +300,9 @@
         suspects = self.suspect_monitor.row_log.changes_since(
             heartbeat.suspects_version
         )
-        self.limit_monitor.update_rows(self.dispatcher.rate_limits)
+        self.limit_monitor.update_rows(
+            self.dispatcher.rate_limits, self.dispatcher.rejection_limits
+        )
         limits = self.limit_monitor.row_log.changes_since(
             heartbeat.limits_version
         )
--- a/mimosaworks/node/holder_link.py
+++ b/mimosaworks/node/holder_link.py
@@ -12,6 +12,7 @@
 from mimosaworks.clock import now_s
 from mimosaworks.errors import PeerError, PeerRefusedError
 from mimosaworks.events import Event, log_event
+from mimosaworks.node.brittle_targets import BrittleTargets
 from mimosaworks.node.crash_view import CrashView
 from mimosaworks.node.election import Lease
 from mimosaworks.node.heartbeat_times import (
@@ -30,7 +31,6 @@
     Ack,
     Beat,
     BeatReply,
-    BrittleNote,
     CallAsk,
     CallReply,
     LeaseNotice,
@@ -72,8 +72,7 @@
     find_lease returns the lease as this node knows it, find_local_holder the
     holder when it is this process, make_node_row this node's row,
     list_running_calls its requests at targets, list_leaving_targets the
-    incarnations of targets that announced to this node that they leave,
-    list_brittle_targets those that are brittle.
+    incarnations of targets that announced to this node that they leave.
     stream_origins are those of the streams that began at this node.
     last_reply_s is when the holder last confirmed what it had reported,
     contact_lost_s when it was last taken for lost. on_reply is called with
@@ -91,11 +90,11 @@
     list_leaving_targets: Callable[[], Mapping[str, int]]
     on_reply: Callable[[BeatReply], None]
     on_lost: Callable[[], None]
-    list_brittle_targets: Callable[[], tuple[BrittleNote, ...]] = tuple
     replicated_view: ReplicatedView = attrs.field(factory=ReplicatedView)
     pending_updates: HeartbeatUpdates = attrs.field(factory=HeartbeatUpdates)
     crash_view: CrashView = attrs.field(factory=CrashView)
     limit_view: LimitView = attrs.field(factory=LimitView)
+    brittle_targets: BrittleTargets = attrs.field(factory=BrittleTargets)
     stream_origins: StreamOrigins = attrs.field(factory=StreamOrigins)
     fence: int = 0
     last_reply_s: float = 0
@@ -274,7 +273,7 @@
                 leaving=tuple(starmap(TargetLeaving, leaving_targets.items())),
                 crashes=self.crash_view.unsaved_notes() if is_first else (),
                 limits=self.limit_view.make_limit_notes() if is_first else (),
-                brittle=self.list_brittle_targets() if is_first else (),
+                brittle=self.brittle_targets.make_notes() if is_first else (),
                 streams=self.stream_origins.make_notes() if is_first else (),
                 targets_version=0 if is_first else replicated.targets_version,
                 members_version=0 if is_first else replicated.members_version,
@@ -305,6 +304,7 @@
         self.replicated_view.apply_reply(reply, self.last_reply_s)
         self.crash_view.apply_reply(reply, heartbeat, self.last_reply_s)
         self.limit_view.apply_reply(reply, heartbeat, self.last_reply_s)
+        self.brittle_targets.apply_reply(heartbeat)
         self.on_reply(reply)
 
     def _drop_holder(self, reason: str) -> None:
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -1,7 +1,6 @@
 """An entry node: its parts and the calls between them."""
 
 import asyncio
-import math
 import time
 from collections.abc import Callable
 
@@ -10,10 +9,8 @@
 
 from mimosaworks.clock import now_s
 from mimosaworks.dispatch import (
-    Dispatcher,
     ResendBudgetConfig,
     ResendBudgets,
-    TargetRateLimits,
 )
 from mimosaworks.errors import PeerError, SettingError
 from mimosaworks.events import Event, log_event
@@ -21,6 +18,7 @@
 from mimosaworks.node.candidates import Candidates, compute_strength
 from mimosaworks.node.cluster_follower import ClusterFollower
 from mimosaworks.node.cluster_state import ClusterState
+from mimosaworks.node.dispatcher_setup import make_dispatcher
 from mimosaworks.node.election import Election, Lease
 from mimosaworks.node.frontend import Frontend
 from mimosaworks.node.holder import Holder
@@ -138,21 +136,24 @@
         """Begin to assign targets for all nodes after acquiring the lease."""
         takeover_s = now_s() if self.election.has_predecessor else None
         resend_budgets = ResendBudgets(resend_config(self), takeover_s)
-        rate_limits = TargetRateLimits()
-        for target, limit_per_s in self.limit_view.rate_limits_per_s().items():
-            rate_limits.record_limit(target, limit_per_s, -math.inf, now_s())
+        dispatcher = make_dispatcher(
+            resend_budgets,
+            self.limit_view,
+            self.holder_link.brittle_targets,
+            now_s(),
+        )
         self.holder = Holder(
             cluster_state=self.cluster_state,
-            dispatcher=Dispatcher(resend_budgets, rate_limits),
+            dispatcher=dispatcher,
             order_runner=OrderRunner(
                 self.engine_calls,
                 self.cfg.name,
                 lease.fence,
                 self.meters.count_order,
                 make_permit_waiter(
-                    rate_limits, self.election.is_lease_verified
+                    dispatcher.rate_limits, self.election.is_lease_verified
                 ),
-                make_call_interval(rate_limits),
+                make_call_interval(dispatcher.rate_limits),
             ),
             on_fenced=self.election.step_down,
             is_lease_verified=self.election.is_lease_verified,
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -15,7 +15,10 @@
 from mimosaworks.node.cluster_state import ClusterState
 from mimosaworks.node.election import RENEWAL_TIMEOUT_S, Election
 from mimosaworks.node.endpoints import serve_endpoints
-from mimosaworks.node.frontend_setup import make_frontend
+from mimosaworks.node.frontend_setup import (
+    make_brittle_targets,
+    make_frontend,
+)
 from mimosaworks.node.holder_link import HolderLink
 from mimosaworks.node.meters import Meters
 from mimosaworks.node.node import (
@@ -111,8 +114,12 @@
     )
     node.store_client.era.on_new_era = functools.partial(save_rows_again, node)
     node.limit_view = make_limit_view(node)
+    brittle_targets = make_brittle_targets(node, target_notices)
     node.engine_calls.on_head = functools.partial(
-        apply_response_headers, target_notices, node.limit_view
+        apply_response_headers,
+        target_notices,
+        node.limit_view,
+        brittle_targets,
     )
     node.holder_link = HolderLink(
         peers=PeerClient(peer_session),
@@ -121,12 +128,10 @@
         make_node_row=node.node_row,
         list_running_calls=lambda: node.frontend.list_running_calls(),
         list_leaving_targets=target_notices.leaving_targets,
-        list_brittle_targets=lambda: (
-            node.frontend.attempt_sender.brittle_targets.make_notes()
-        ),
         on_reply=node.apply_holder_reply,
         on_lost=lambda: node.cluster_follower.restart_follows(),
         limit_view=node.limit_view,
+        brittle_targets=brittle_targets,
     )
     node.cluster_follower = ClusterFollower(
         store=node.store_client,
--- a/mimosaworks/node/target_notices.py
+++ b/mimosaworks/node/target_notices.py
@@ -8,6 +8,7 @@
 from mimosaworks.bounded import forget_oldest
 from mimosaworks.clock import now_s
 from mimosaworks.events import Event, log_event
+from mimosaworks.node.brittle_targets import BrittleTargets
 from mimosaworks.node.limit_view import LimitView
 from mimosaworks.platform.headers import says_leaving
 
@@ -93,13 +94,16 @@
 def apply_response_headers(
     notices: TargetNotices,
     limits: LimitView,
+    brittle_targets: BrittleTargets,
     target: str,
     headers: MultiMapping[str],
 ) -> None:
     """Apply the headers of an answer to an order or to a report request.
 
-    They may announce that the target leaves, or a lower rate limit.
+    They may announce that the target leaves, is brittle, or has a lower rate
+    limit.
     """
     if says_leaving(headers):
         notices.record_leaving(target)
     limits.read_other_headers(target, headers, now_s())
+    brittle_targets.read_other_headers(target, headers)
--- a/mimosaworks/wire/dispatch.capnp
+++ b/mimosaworks/wire/dispatch.capnp
@@ -157,6 +157,8 @@
 struct LimitRow {
   target @0 :Text;
   perS @1 :Float64;
+  isBrittle @2 :Bool;
+  mostRejectionsPerS @3 :UInt32;
 }
 
 struct CrashNote {
@@ -179,6 +181,7 @@
   isBrittle @1 :Bool;
   isFull @2 :Bool;
   mostPerS @3 :UInt32;
+  call @4 :Text;
 }
 
 struct StreamNote {
--- a/mimosaworks/wire/target_messages.py
+++ b/mimosaworks/wire/target_messages.py
@@ -31,12 +31,14 @@
     """A target is brittle or no longer; is_full: it turned a request away.
 
     A brittle one crashes when it turns away more than most_per_s in a second.
+    call is the call whose answer said so, empty for a report.
     """
 
     target: str
     is_brittle: bool
     is_full: bool = False
     most_per_s: int = 0
+    call: str = ''
 
 
 @attrs.frozen
@@ -113,7 +115,12 @@
 
 @attrs.frozen
 class LimitRow:
-    """The rate limit of a target, in calls a second over all nodes."""
+    """The rate limit of a target, in calls a second over all nodes.
+
+    A brittle one crashes when it turns away more than most_rejections_per_s.
+    """
 
     target: str
     per_s: float
+    is_brittle: bool = False
+    most_rejections_per_s: int = 0
--- a/tests/test_node_limit_view.py
+++ b/tests/test_node_limit_view.py
@@ -12,6 +12,7 @@
 from mimosaworks.dispatch import (
     Assignment,
     CallOutcome,
+    RejectionLimits,
     TargetCrash,
     TargetRateLimits,
 )
@@ -206,14 +207,14 @@
     watch = LimitMonitor()
     limits = TargetRateLimits()
     limits.record_limit('t1', 2, -math.inf, 0)
-    watch.update_rows(limits)
+    watch.update_rows(limits, RejectionLimits())
     version = watch.row_log.version
     assert watch.row_log.changes_since(0).rows == (LimitRow('t1', 2),)
     limits.try_acquire('t1', 9)
-    watch.update_rows(limits)
+    watch.update_rows(limits, RejectionLimits())
     assert not watch.row_log.changes_since(version).rows
     limits.record_limit('t1', math.inf, 1, 2)
-    watch.update_rows(limits)
+    watch.update_rows(limits, RejectionLimits())
     assert watch.row_log.changes_since(version).removed_names == ('t1',)
 
 
--- a/tests/test_node_limits_fuzz.py
+++ b/tests/test_node_limits_fuzz.py
@@ -17,7 +17,7 @@
     WINDOW_S,
     most_hits,
 )
-from mimosaworks.dispatch import Job, TargetRateLimits
+from mimosaworks.dispatch import Job, RejectionLimits, TargetRateLimits
 from mimosaworks.node.limit_monitor import LimitMonitor
 from mimosaworks.node.limit_view import LimitView
 from mimosaworks.node.standalone_permits import StandalonePermits
@@ -265,7 +265,7 @@
         books.watch.record_announcements(books, beat, self.now)  # type: ignore[arg-type]
         if not is_answered:
             return
-        books.watch.update_rows(books.rate_limits)
+        books.watch.update_rows(books.rate_limits, RejectionLimits())
         version = node.view.limits_version if node.fence == fence else 0
         changes = books.watch.row_log.changes_since(version)
         node.fence = fence
--- a/tests/test_node_relay.py
+++ b/tests/test_node_relay.py
@@ -165,7 +165,7 @@
             await open_target_session(stack, 5, ANSWER_BYTES),
             make_notices(),
             make_limits(),
-            BrittleTargets(make_notices(), _ignore),
+            BrittleTargets(),
             HeldBytes(ANSWER_BYTES, ANSWER_BYTES),
             peers,
         )
