Standalone nodes share what a brittle target may turn away

Callers of a brittle target while no holder answers: each node sent it up to its share of the slots at once, all of them together more than it may turn away in a second.

Now all standalone nodes together have a quarter of that number, one at least, dealt by their names and the target's, without messages. Tests of the shares, 1 to 195 nodes, and of the choice; both fail without the bound, as it did not exist.

--- a/mimosaworks/node/standalone_chooser.py
+++ b/mimosaworks/node/standalone_chooser.py
@@ -39,12 +39,14 @@
     Only targets that have a request's model loaded are chosen. The node uses
     no more of a workspace's tokens and a target's slots than its share among
     all members. find_rate_limit returns a target's rate limit in calls a
-    second, inf without one. running_counts are this node's running requests
-    by target.
+    second, inf without one, find_brittle_share how many requests this node may
+    have at a target, inf if it is not brittle. running_counts are this node's
+    running requests by target.
     """
 
     limiter: WorkspaceLimiter = attrs.field(factory=WorkspaceLimiter)
     find_rate_limit: Callable[[str], float] = _no_limit
+    find_brittle_share: Callable[[str], float] = _no_limit
     permits: StandalonePermits = attrs.field(factory=StandalonePermits)
     running_counts: dict[str, int] = attrs.field(factory=dict)
     _deployment_version: int = 0
@@ -192,7 +194,11 @@
 
     def _has_free_slot(self, entry: TargetEntry) -> bool:
         slot_share = -(-entry.slots // max(self._member_count, 1))
-        return self._running_count(entry) <= slot_share
+        running_count = self._running_count(entry)
+        return (
+            running_count <= slot_share
+            and running_count < self.find_brittle_share(entry.name)
+        )
 
 
 def _holds_model(entry: TargetEntry, profile: RequestProfile) -> bool:
--- a/mimosaworks/node/target_chooser.py
+++ b/mimosaworks/node/target_chooser.py
@@ -1,6 +1,7 @@
 """Chooses a target for a request, by the lease holder or standalone."""
 
 import asyncio
+import functools
 import itertools
 import math
 from collections.abc import Callable, Iterator, Mapping
@@ -27,6 +28,7 @@
 from mimosaworks.node.heartbeat_times import MIN_MEMBER_TIMEOUT_S
 from mimosaworks.node.holder_link import HolderLink
 from mimosaworks.node.standalone_chooser import StandaloneChooser
+from mimosaworks.node.standalone_shares import share_of_rejections
 from mimosaworks.node.target_notices import TargetNotices
 from mimosaworks.wire import CallAsk
 
@@ -86,7 +88,8 @@
 
     def __attrs_post_init__(self) -> None:
         self.standalone_chooser = StandaloneChooser(
-            find_rate_limit=self.holder_link.limit_view.rate_limit_per_s
+            find_rate_limit=self.holder_link.limit_view.rate_limit_per_s,
+            find_brittle_share=functools.partial(_brittle_share, self),
         )
 
     async def choose_target(self, call: Call) -> Assignment:
@@ -393,3 +396,17 @@
     return (
         isinstance(decision, Refusal) and decision.kind in _TRANSIENT_REFUSALS
     )
+
+
+def _brittle_share(chooser: TargetChooser, target: str) -> float:
+    """Return how many requests a node may have at a target without a holder."""
+    most_per_s = chooser.holder_link.brittle_targets.most_per_s(target)
+    if most_per_s is None:
+        return math.inf
+    return share_of_rejections(
+        most_per_s,
+        target,
+        chooser.node_name,
+        chooser.holder_link.replicated_view.members,
+        chooser.count_members() or ASSUMED_MEMBER_COUNT,
+    )
--- a/tests/test_node_brittle_targets.py
+++ b/tests/test_node_brittle_targets.py
@@ -27,6 +27,7 @@
 from mimosaworks.node.dispatcher_setup import make_dispatcher
 from mimosaworks.node.limit_monitor import LimitMonitor
 from mimosaworks.node.limit_view import LimitView
+from mimosaworks.node.standalone_shares import share_of_rejections
 from mimosaworks.platform.headers import BRITTLE
 from mimosaworks.wire import Beat, BrittleNote, LimitRow, NodeRow
 from standins.agency.world import AgencyWorld, NodeHandle, open_agency
@@ -242,6 +243,22 @@
     assert isinstance(pool.submit(make_job('m0', now=6), 6), Assignment)
 
 
+# Guards against standalone nodes that each send a few: together they must keep
+# to a part of what a target may turn away.
+@pytest.mark.parametrize('most_per_s', [1, 5, 40, 1000])
+@pytest.mark.parametrize('node_count', [1, 2, 7, 195])
+def test_standalone_nodes_share_a_brittle_target(
+    most_per_s: int, node_count: int
+) -> None:
+    names = [f'node-{number}' for number in range(node_count)]
+    for target in ('t1', 't2', 't3'):
+        shares = [
+            share_of_rejections(most_per_s, target, name, names, node_count)
+            for name in names
+        ]
+        assert 0 < sum(shares) <= max(most_per_s / 4, 1)
+
+
 def read_head(known: BrittleTargets, sent: str, status: int = 200) -> None:
     """Read the head of an answer of t1 to a call with the id 'c'."""
     call = types.SimpleNamespace(call_ask=types.SimpleNamespace(call='c'))
--- a/tests/test_node_local_choice.py
+++ b/tests/test_node_local_choice.py
@@ -51,6 +51,19 @@
     return local.choose_target(call_ask, profile, known, now)
 
 
+# Guards against a standalone node that sends a brittle target as much as a sound
+# one: its share may be one request, or none.
+def test_a_node_alone_keeps_to_its_share_of_a_brittle_target() -> None:
+    shares = {'t1': 1, 't2': 0}
+    local = StandaloneChooser(find_brittle_share=shares.__getitem__)
+    first, second = (make_entry(name, service='ledger') for name in shares)
+    decided = choose(local, make_ask(), first, second)
+    assert isinstance(decided, Assignment)
+    assert decided.target == 't1'
+    local.adjust_running_count('t1', 1)
+    assert isinstance(choose(local, make_ask(), first, second), Refusal)
+
+
 def test_only_targets_that_hold_the_model_are_chosen() -> None:
     local = StandaloneChooser()
     holding = attrs.evolve(
