--- a/tests/test_node_local_choice.py
+++ b/tests/test_node_local_choice.py
@@ -51,8 +51,8 @@
     return local.choose_target(call_ask, profile, known, now)
 
 
-# Guards against a standalone node that sends a brittle target as much as a sound
-# one: its share may be one request, or none.
+# Guards against a standalone node that sends a brittle target as much as it
+# sends others: its share may be one request, or none.
 def test_a_node_alone_keeps_to_its_share_of_a_brittle_target() -> None:
     shares = {'t1': 1, 't2': 0}
     local = StandaloneChooser(find_brittle_share=shares.__getitem__)
