--- a/bench/soak.py
+++ b/bench/soak.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from bench.soak_brittle import SoakBrittle, broken_times
 from bench.soak_crashes import SoakCrashes, broken_counts
 from bench.soak_faults import SoakFaults
 from bench.soak_limits import SoakLimits, broken_limits
@@ -38,7 +39,8 @@
 class SoakResult:
     """What one seed showed; broken is empty when all promises held.
 
-    crashed counts the targets that a request crashed.
+    crashed counts the targets that a request crashed, fallen those that had to
+    turn away too much, turned_away the requests that brittle ones rejected.
     """
 
     seed: int
@@ -48,6 +50,8 @@
     crashed: int
     faults: tuple[str, ...]
     broken: tuple[str, ...]
+    turned_away: int = 0
+    fallen: int = 0
 
 
 SoakRun = Callable[[int, Path], Coroutine[None, None, SoakResult]]
@@ -63,7 +67,8 @@
         )
         calling = asyncio.create_task(load.run())
         crashing = asyncio.create_task(crashes.run())
-        faults = await _strike_and_notify(world, seed, duration_s)
+        brittle = SoakBrittle(world, load, random.Random(seed + 5))
+        faults = await _strike_and_notify(brittle, seed, duration_s)
         await asyncio.sleep(SETTLE_S)
         await cancel(calling)
         await cancel(crashing)
@@ -75,9 +80,15 @@
             answered=sum(one.status == OK for one in load.seen),
             recovered=sum(one.status == OK for one in after),
             crashed=len(world.crashed_s),
+            fallen=sum(one.falls() for one in brittle.times),
+            turned_away=sum(
+                len(replica.turned_away_s)
+                for replica in world.replicas.values()
+            ),
             faults=tuple(faults.history),
             broken=(
                 *_find_broken(world, load, crashes),
+                *broken_times(brittle),
                 *broken_counts(crashes, faults, after),
                 *broken_stops(world, load, faults.spans),
                 *broken_recovery(after),
@@ -123,15 +134,20 @@
 
 
 async def _strike_and_notify(
-    world: AgencyWorld, seed: int, duration_s: float
+    brittle: SoakBrittle, seed: int, duration_s: float
 ) -> SoakFaults:
-    """Inject faults, while targets leave, reject requests and name limits."""
+    """Inject faults, while targets leave, reject requests and name limits.
+
+    Services are brittle for a time.
+    """
+    world = brittle.world
     faults = SoakFaults(world, random.Random(seed))
     notices = SoakNotices(world, random.Random(seed + 2))
     limits = SoakLimits(world, random.Random(seed + 4))
     tasks = [
         asyncio.create_task(notices.run()),
         asyncio.create_task(limits.run()),
+        asyncio.create_task(brittle.run()),
     ]
     await strike(faults, duration_s)
     await asyncio.gather(*map(cancel, tasks))
--- a/bench/soak_command.py
+++ b/bench/soak_command.py
@@ -69,7 +69,8 @@
     click.echo(
         f'seed {outcome.seed}: {outcome.answered} of {outcome.requests} '
         f'answered, {outcome.recovered} after the faults, '
-        f'{outcome.crashed} crashed targets'
+        f'{outcome.crashed} crashed targets, '
+        f'{outcome.turned_away} turned away, {outcome.fallen} falls'
     )
     faults = ' '.join(outcome.faults)
     click.echo(f'  faults: {faults}')
