--- a/bench/soak_notices.py
+++ b/bench/soak_notices.py
@@ -57,7 +57,10 @@
         for request_id in replica.told_leaving:
             late = _late(replica, sent, request_id)
             if late:
-                yield f'{replica.name} left and still got {late}'
+                yield (
+                    f'{replica.name} told {request_id} that it leaves and '
+                    f'still got {late} from the same node'
+                )
         for request_id in replica.rejected:
             early = _early(replica, sent, request_id)
             if len(early) > TOLERATED:
