Report a brittle target once to a holder that keeps none

While nodes of two releases run side by side, a holder of the earlier one keeps no brittle targets. A new node forgot what it had seen with each answer of that holder, so it reported and logged the target again with each answer of it, and did not keep to its own share alone.

It now forgets only what the holder's rows say. Found by reading; the test failed before (two reports of two answers).

--- a/mimosaworks/node/brittle_targets.py
+++ b/mimosaworks/node/brittle_targets.py
@@ -106,10 +106,19 @@
             self._record(target, most_per_s, '', is_full=False)
 
     def apply_reply(self, heartbeat: Beat) -> None:
-        """Forget what the holder has received; it compares all answers."""
+        """Forget what the holder has received; it compares all answers.
+
+        A holder of an earlier release may keep no brittle targets.
+        """
+        rows = self.list_rows()
         for note in heartbeat.brittle:
+            row = rows.get(note.target)
+            is_kept = row is not None and row.is_brittle
             most_per_s = note.most_per_s if note.is_brittle else None
-            if self._unconfirmed_per_s.get(note.target, -1) == most_per_s:
+            is_newest = (
+                self._unconfirmed_per_s.get(note.target, -1) == most_per_s
+            )
+            if is_newest and (is_kept or not note.is_brittle):
                 self._unconfirmed_per_s.pop(note.target)
 
     def _record(
--- a/tests/test_node_brittle_targets.py
+++ b/tests/test_node_brittle_targets.py
@@ -286,6 +286,22 @@
     assert known.most_per_s('t1') == MAX_TURNED_AWAY
 
 
+# Guards against a report and a log line for each answer while the holder runs a
+# release that keeps no brittle targets.
+def test_a_node_remembers_what_its_holder_does_not_keep() -> None:
+    told: list[BrittleNote] = []
+    known = BrittleTargets(on_note=told.append)
+    row = NodeRow('node-1', 'front:1', 'peer:1', 'north')
+    for _ in range(2):
+        read_head(known, f'{MAX_TURNED_AWAY}')
+        known.apply_reply(Beat(row=row, fence=1, brittle=tuple(told)))
+    assert len(told) == 1
+    read_head(known, '')
+    known.apply_reply(Beat(row=row, fence=1, brittle=tuple(told)))
+    assert not known.known_limits()
+    assert len(told) == 2
+
+
 def test_reports_tell_only_that_a_target_is_brittle() -> None:
     told: list[BrittleNote] = []
     known = BrittleTargets(on_note=told.append)
