After a loss of all nodes, send targets few requests until they answer

Callers of brittle targets right after all nodes had been restarted: a burst that the targets turned away, up to one fall for each target, as no process knew that they are brittle.

Cause: what no process has seen was taken for sound. A first holder now has two unstarted requests at most at a target until an answer came: to a report or an order at this node, or to a request at any. A node that never heard from a holder has one. Processes that heard from a holder before know, and are not bounded.

The new tests fail without the bound, which did not exist.

--- a/mimosaworks/dispatch/dispatcher.py
+++ b/mimosaworks/dispatch/dispatcher.py
@@ -45,6 +45,7 @@
 # A node that had an answer within this time reaches some targets.
 REACH_TTL_S = 1.0
 _UNSENT_OUTCOMES = frozenset((CallOutcome.NOT_SENT, CallOutcome.UNREACHABLE))
+_ANSWERED_OUTCOMES = COMPLETE_OUTCOMES | {CallOutcome.REFUSED}
 _REFUNDED_OUTCOMES = _UNSENT_OUTCOMES | {CallOutcome.REFUSED}
 
 
@@ -189,10 +190,11 @@
     def record_first_event(self, call_id: str, first_s: float) -> None:
         """Record the first event of a request's answer."""
         job = self.jobs.get(call_id)
-        pool = (
-            None if job is None else self.pools.get(job.assignment_req.service)
-        )
-        if job is not None and isinstance(pool, EnginePool):
+        if job is None:
+            return
+        self.rejection_limits.record_answer(job.target)
+        pool = self.pools.get(job.assignment_req.service)
+        if isinstance(pool, EnginePool):
             pool.record_first_event(job, first_s)
 
     def record_outcome(
@@ -202,6 +204,8 @@
         job = self.jobs.pop(call_id, None)
         if job is None:
             return []
+        if outcome in _ANSWERED_OUTCOMES:
+            self.rejection_limits.record_answer(job.target)
         pool = self.pools.get(job.assignment_req.service)
         if pool is not None:
             _record_target_outcome(self, job, outcome, now)
--- a/mimosaworks/dispatch/rate_limit_queue.py
+++ b/mimosaworks/dispatch/rate_limit_queue.py
@@ -110,7 +110,7 @@
     def _limits_target(self, target: str) -> bool:
         return self.limits.is_limited(
             target
-        ) or self.rejection_limits.is_brittle(target)
+        ) or self.rejection_limits.is_bounded(target)
 
     def _try_grant(self, job: Job, now: float) -> bool:
         target = self.targets[job.target]
--- a/mimosaworks/dispatch/rejection_limits.py
+++ b/mimosaworks/dispatch/rejection_limits.py
@@ -1,7 +1,7 @@
 """Brittle targets, which crash when they turn away too many requests."""
 
 import math
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 import attrs
 
@@ -11,6 +11,8 @@
 # Share of the requests that a target may turn away in a second. The last
 # holder, the next one and standalone nodes may send at the same time.
 UNSTARTED_SHARE = 0.5
+# Requests at once at a target of which no process has had an answer.
+UNHEARD_AT_ONCE = 2
 # A request that was not turned away within this time was accepted. Targets may
 # be silent for about a second.
 REJECTION_TIMEOUT_S = 2.0
@@ -22,6 +24,10 @@
 REMOVED_TARGET_TTL_S = 60.0
 
 
+def _is_always_known(_target: str) -> bool:
+    return True
+
+
 @attrs.define
 class _BrittleTarget:
     """How many requests a target may turn away in a second, and since when.
@@ -40,10 +46,14 @@
 
     Used by the lease holder. A target is sent so few requests at once that it
     stands it if all are turned away. version grows with each change.
+    is_known tells of a target without a limit whether this process would know
+    one. Otherwise it may be brittle until an answer of it has come.
     """
 
     version: int = 0
+    is_known: Callable[[str], bool] = _is_always_known
     _targets: dict[str, _BrittleTarget] = attrs.field(factory=dict)
+    _answering_targets: set[str] = attrs.field(factory=set)
 
     def record_limit(
         self, target: str, most_per_s: int | None, granted_s: float, now: float
@@ -101,6 +111,17 @@
             if target not in self._targets:
                 self.record_limit(target, min(known_limits), -math.inf, now)
 
+    def record_answer(self, target: str) -> None:
+        """Record an answer of a target, after what it said of limits."""
+        if not self.is_known(target):
+            self._answering_targets.add(target)
+
+    def is_bounded(self, target: str) -> bool:
+        """Return whether a target is brittle, or may be as far as is known."""
+        return target in self._targets or not (
+            self.is_known(target) or target in self._answering_targets
+        )
+
     def is_brittle(self, target: str) -> bool:
         """Return whether a target is brittle."""
         return target in self._targets
@@ -111,7 +132,10 @@
         return brittle is not None and now < brittle.full_until_s
 
     def most_at_once(self, target: str) -> float:
-        """Return how many requests may be open that may be turned away."""
+        """Return how many requests may be open that may be turned away.
+
+        inf for a target that is not known as brittle.
+        """
         brittle = self._targets.get(target)
         if brittle is None:
             return math.inf
@@ -121,12 +145,13 @@
         self, target: str, jobs: Iterable[Job], now: float
     ) -> bool:
         """Return whether a target with these requests may be sent another."""
-        if target not in self._targets:
+        if not self.is_bounded(target):
             return True
+        most_at_once: float = UNHEARD_AT_ONCE
+        if target in self._targets:
+            most_at_once = self.most_at_once(target)
         unstarted = sum(_may_be_turned_away(job, now) for job in jobs)
-        return not self.is_full(target, now) and unstarted < self.most_at_once(
-            target
-        )
+        return not self.is_full(target, now) and unstarted < most_at_once
 
     def limits_by_target(self) -> dict[str, int]:
         """Return how many requests each brittle target may turn away."""
@@ -146,6 +171,7 @@
         ]
         for name in removed_names:
             self._targets.pop(name)
+        self._answering_targets.intersection_update(targets)
         self.version += bool(removed_names)
 
 
--- a/mimosaworks/node/brittle_targets.py
+++ b/mimosaworks/node/brittle_targets.py
@@ -37,13 +37,15 @@
     nothing from this node. list_rows returns the holder's limits by target.
     _unconfirmed_per_s is what answers
     said here, None for a target that is not brittle, until the holder has
-    received it.
+    received it. _answering_targets are those of which this node has had an
+    answer.
     """
 
     on_note: Callable[[BrittleNote], None] = _ignore_note
     on_full: Callable[[str, float], None] = _ignore_pause
     list_rows: Callable[[], Mapping[str, LimitRow]] = dict
     _unconfirmed_per_s: dict[str, int | None] = attrs.field(factory=dict)
+    _answering_targets: dict[str, None] = attrs.field(factory=dict)
 
     def most_per_s(self, target: str) -> int | None:
         """Return how many requests a target may turn away in a second.
@@ -56,6 +58,13 @@
             replicated_per_s = row.most_rejections_per_s
         return self._unconfirmed_per_s.get(target, replicated_per_s)
 
+    def is_known_sound(self, target: str) -> bool:
+        """Return whether a target has answered here and is not brittle."""
+        return (
+            target in self._answering_targets
+            and self.most_per_s(target) is None
+        )
+
     def known_limits(self) -> dict[str, int]:
         """Return how many requests each brittle target may turn away."""
         limits = {
@@ -79,6 +88,7 @@
         self, call: Call, target: str, resp: ClientResponse
     ) -> None:
         """Apply the head of an answer to a request."""
+        self._record_answer(target)
         most_per_s = _read_most_per_s(resp.headers)
         if most_per_s is None and resp.status == HTTPStatus.MISDIRECTED_REQUEST:
             # Another process may have the target's address.
@@ -101,6 +111,7 @@
 
         So it tells nothing about a target that is no longer brittle.
         """
+        self._record_answer(target)
         most_per_s = _read_most_per_s(headers)
         if most_per_s is not None and most_per_s != self.most_per_s(target):
             self._record(target, most_per_s, '', is_full=False)
@@ -121,6 +132,10 @@
             if is_newest and (is_kept or not note.is_brittle):
                 self._unconfirmed_per_s.pop(note.target)
 
+    def _record_answer(self, target: str) -> None:
+        self._answering_targets[target] = None
+        forget_oldest(self._answering_targets, MAX_BRITTLE_TARGETS)
+
     def _record(
         self,
         target: str,
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -141,6 +141,7 @@
             self.limit_view,
             self.holder_link.brittle_targets,
             now_s(),
+            is_informed=self.holder_link.last_reply_s > 0,
         )
         self.holder = Holder(
             cluster_state=self.cluster_state,
--- a/mimosaworks/node/target_chooser.py
+++ b/mimosaworks/node/target_chooser.py
@@ -400,13 +400,18 @@
 
 def _brittle_share(chooser: TargetChooser, target: str) -> float:
     """Return how many requests a node may have at a target without a holder."""
-    most_per_s = chooser.holder_link.brittle_targets.most_per_s(target)
+    link = chooser.holder_link
+    most_per_s = link.brittle_targets.most_per_s(target)
     if most_per_s is None:
-        return math.inf
+        # Without any answer nothing is known of the target.
+        is_known = link.last_reply_s or link.brittle_targets.is_known_sound(
+            target
+        )
+        return math.inf if is_known else 1
     return share_of_rejections(
         most_per_s,
         target,
         chooser.node_name,
-        chooser.holder_link.replicated_view.members,
+        link.replicated_view.members,
         chooser.count_members() or ASSUMED_MEMBER_COUNT,
     )
--- a/tests/test_node_brittle_targets.py
+++ b/tests/test_node_brittle_targets.py
@@ -202,6 +202,7 @@
         LimitView(limit_rows=rows),
         BrittleTargets(list_rows=lambda: rows),
         0,
+        is_informed=True,
     )
     pool = EnginePool(
         make_engine_cfg(), rejection_limits=dispatcher.rejection_limits
@@ -212,6 +213,54 @@
     assert 0 < len(granted) <= MAX_TURNED_AWAY / 2
 
 
+# Guards against a burst after a loss of all nodes, when none knows the brittle
+# targets: few are sent until the first answer, which may tell it.
+@pytest.mark.parametrize('tells', [False, True])
+def test_few_requests_are_sent_to_a_target_that_nobody_knows(
+    tells: bool,
+) -> None:
+    dispatcher = make_dispatcher(
+        ResendBudgets(ResendBudgetConfig(0.2, 50, 10)),
+        LimitView(),
+        BrittleTargets(),
+        0,
+        is_informed=False,
+    )
+    pool = PlainPool(rejection_limits=dispatcher.rejection_limits)
+    pool.apply_entries([make_entry('t1', service='ledger', slots=BURST)], 0)
+    dispatcher.pools['ledger'] = pool
+    requests = [make_assignment_req() for _ in range(BURST)]
+    decided = [dispatcher.submit(req, 0) for req in requests]
+    granted = sum(isinstance(one, Assignment) for one in decided)
+    assert 0 < granted <= MAX_TURNED_AWAY / 2
+    if tells:
+        report(dispatcher, 0.1, note('t1'))
+    later = dispatcher.record_outcome(
+        requests[0].call_id, CallOutcome.ANSWERED, 0.1, 0.1
+    )
+    expected = 1 if tells else BURST - granted
+    assert len(later) == expected
+
+
+# Guards against a new holder that waits for answers to requests, though its own
+# reports have told it that a target is sound.
+def test_a_report_shows_that_a_target_is_not_brittle() -> None:
+    known = BrittleTargets()
+    dispatcher = make_dispatcher(
+        ResendBudgets(ResendBudgetConfig(0.2, 50, 10)),
+        LimitView(),
+        known,
+        0,
+        is_informed=False,
+    )
+    limits = dispatcher.rejection_limits
+    assert limits.is_bounded('t1')
+    known.read_other_headers('t1', CIMultiDict())
+    assert not limits.is_bounded('t1')
+    known.read_other_headers('t1', CIMultiDict({BRITTLE: '5'}))
+    assert limits.is_bounded('t1')
+
+
 # Guards against an old answer, which overtook that of a target that is brittle
 # by now, and against a target that stays limited when it no longer is.
 def test_only_an_answer_to_a_newer_request_ends_it() -> None:
