Test of a stream that cannot go on: kill the engine after five sent tokens

Cause: the test kills the stand-in engine when it has generated five tokens. They are written by another task: what was generated and not written yet is lost with the process, rightly.

The stand-in counts what it has sent as well, and the tests of streams wait for that. The bound of five stays.

--- a/standins/engine/request_handlers.py
+++ b/standins/engine/request_handlers.py
@@ -129,6 +129,7 @@
             return resp
         chunk = json.dumps(completion.chunk(index))
         await resp.write(f'data: {chunk}\n\n'.encode())
+        sequence.record.sent += 1
     await resp.write(b'data: [DONE]\n\n')
     await resp.write_eof()
     sequence.record.completed += 1
--- a/tests/test_answers_streams.py
+++ b/tests/test_answers_streams.py
@@ -24,9 +24,13 @@
 
 
 async def _most_tokens(entry: Entry, engine: Node) -> int:
+    """Return the most tokens that an engine has sent of one stream.
+
+    One that is killed does not send what it has only generated.
+    """
     stats = await entry.cluster.get_json(engine, '/stats')
     records = stats['requests'].values()
-    return max((record['tokens'] for record in records), default=0)
+    return max((record['sent'] for record in records), default=0)
 
 
 async def _has_tokens(entry: Entry, engine: Node, tokens: int) -> bool:
@@ -34,7 +38,7 @@
 
 
 async def _busy(entry: Entry, tokens: int) -> Node:
-    """Return the engine that has generated this many tokens."""
+    """Return the engine that has sent this many tokens of a stream."""
     found: list[Node] = []
 
     async def has_tokens() -> bool:
