--- a/bench/soak.py
+++ b/bench/soak.py
@@ -122,7 +122,7 @@
 ) -> Iterator[str]:
     """Yield the promises that were broken."""
     yield from broken_promises(world, load.seen + crashes.seen)
-    yield from broken_notices(world, load)
+    yield from broken_notices(world, load.sent)
     yield from broken_limits(world, load)
 
 
--- a/bench/soak_notices.py
+++ b/bench/soak_notices.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from bench.soak_load import Sent, SoakLoad
+from bench.soak_load import Sent
 from standins.agency.replica import Replica
 from standins.agency.world import AgencyWorld
 
@@ -51,15 +51,10 @@
         replica.pause_s = 0
 
 
-def broken_notices(world: AgencyWorld, load: SoakLoad) -> Iterator[str]:
-    """Return targets that nodes sent to against their notices.
-
-    A node that got no answer for its caller may not have read the notice.
-    """
-    sent = load.sent
-    answered = {one.request_id for one in load.seen if one.status}
+def broken_notices(world: AgencyWorld, sent: dict[str, Sent]) -> Iterator[str]:
+    """Return targets that nodes sent to against their notices."""
     for replica in world.replicas.values():
-        for request_id in replica.told_leaving.keys() & answered:
+        for request_id in replica.told_leaving:
             late = _late(replica, sent, request_id)
             if late:
                 yield (
