Stand-ins: targets that write their answers themselves, real resets

A target can send an answer byte by byte and close or reset its connection behind it. The proxy in front of each target turned a reset of the target into an end, and aborted connections without a reset, so that no test with a whole node saw a reset behind an answer without framing.

The events' texts move to a module of their own.

--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -10,7 +10,8 @@
 
 from bench.soak_load import STREAMS, Seen, Sent, SoakLoad, place_of
 from bench.soak_plans import STREAM_LIMIT_MS
-from standins.agency.replica import ECHO, EVENTS_HEADER
+from standins.agency.event_text import ECHO
+from standins.agency.replica import EVENTS_HEADER
 from standins.agency.world import MODELS, NodeHandle
 
 PATHS = ('/post/', '/look/', '/chat/', '/draft/')
--- a/bench/soak_load.py
+++ b/bench/soak_load.py
@@ -10,7 +10,8 @@
 import aiohttp
 import attrs
 
-from standins.agency.replica import EVENTS, PLAIN, event_text
+from standins.agency.event_text import event_text
+from standins.agency.replica import EVENTS, PLAIN
 from standins.agency.world import MODELS, AgencyWorld, NodeHandle
 
 PAUSE_S = 0.02
--- /dev/null
+++ b/standins/agency/raw_answer.py
@@ -0,0 +1,54 @@
+"""Answers that a target writes itself, byte by byte."""
+
+import asyncio
+from typing import NoReturn
+
+import attrs
+from aiohttp import web
+
+from standins.resets import reset
+
+# Time in which the bytes before a reset reach the other side.
+RESET_DELAY_S = 0.03
+
+
+@attrs.frozen
+class RawAnswer:
+    """An answer in pieces, and how it ends.
+
+    fields are lines of the head, pieces the body as it is on the wire, sent
+    pause_s apart. is_reset: the connection is reset behind them, else it is
+    closed.
+    """
+
+    pieces: tuple[bytes, ...]
+    fields: tuple[str, ...] = ('Content-Type: text/event-stream',)
+    is_reset: bool = False
+    status: str = 'HTTP/1.1 200 OK'
+    pause_s: float = 0.01
+
+
+def in_chunks(*pieces: bytes) -> tuple[bytes, ...]:
+    """Return each piece as a chunk; an empty one is the last chunk."""
+    return tuple(b'%x\r\n%s\r\n' % (len(piece), piece) for piece in pieces)
+
+
+async def send_raw(
+    req: web.Request, raw: RawAnswer, head: dict[str, str]
+) -> NoReturn:
+    """Send an answer with more fields in its head, and end the connection."""
+    transport = req.transport
+    if transport is None:
+        raise ConnectionResetError
+    own_fields = tuple(f'{name}: {text}' for name, text in head.items())
+    lines = (raw.status, *own_fields, *raw.fields, '', '')
+    transport.write('\r\n'.join(lines).encode())
+    for piece in raw.pieces:
+        transport.write(piece)
+        await asyncio.sleep(raw.pause_s)  # noqa: WPS476 -- one after another
+    if raw.is_reset:
+        await asyncio.sleep(RESET_DELAY_S)
+        reset(transport)
+    else:
+        transport.close()
+    raise ConnectionResetError
--- a/standins/agency/replica.py
+++ b/standins/agency/replica.py
@@ -10,6 +10,7 @@
 import attrs
 from aiohttp import web
 
+from standins.agency.event_text import event_text, repeated_text
 from standins.agency.extra import (
     REQUEST_ID,
     Extra,
@@ -17,6 +18,7 @@
     send_extras,
 )
 from standins.agency.prompt_parts import PARTS_HEADER, shared_parts
+from standins.agency.raw_answer import RawAnswer, send_raw
 from standins.platform import Store, json_row
 
 FIRST_S = 0.01
@@ -25,7 +27,7 @@
 PLAIN = b'plain answer'
 ERROR_TEXT = b'the target failed'
 POISON = b'poison'  # the body of requests that crash what runs them
-ECHO = b'echo '  # the start of bodies whose first line answers repeat
+LAST_EVENT = 'Last-Event-Id'
 EVENTS_HEADER = 'X-Events'  # how many events the stream of a request has
 POISON_PATH = '/poison'  # or the end of their path, for those without a body
 
@@ -75,7 +77,7 @@
     ERROR_TEXT. version is that of its software, in its entry unless empty.
     All answers say how many requests in a second it may turn away if that is
     set (brittle); turned_away_s are the times of those, when it runs as many as
-    it has room for.
+    it has room for. raw is its answer to each request that resumes no stream.
     """
 
     name: str
@@ -122,6 +124,7 @@
     room: int = 0
     turned_away_s: list[float] = attrs.field(factory=list)
     running: int = 0
+    raw: RawAnswer | None = None
 
     def note_hit(self, request_id: str = '', sender: str = '') -> None:
         """Note a call that has arrived."""
@@ -329,39 +332,35 @@
         'X-Server-Seal': f'seal-{replica.name}',
     }
     await asyncio.sleep(replica.first_s)
+    if replica.raw is not None and LAST_EVENT not in req.headers:
+        await send_raw(req, replica.raw, head)
     if replica.fails_with:
         return web.Response(
             body=ERROR_TEXT, status=replica.fails_with, headers=head
         )
     if not model:
-        return web.Response(body=_said(body) or PLAIN, headers=head)
+        return web.Response(body=repeated_text(body) or PLAIN, headers=head)
+    return await _stream(replica, req, head, repeated_text(body))
+
+
+async def _stream(
+    replica: Replica, req: web.Request, head: dict[str, str], said: bytes
+) -> web.StreamResponse:
     out = web.StreamResponse(headers=head)
     out.content_type = 'text/event-stream'
     await out.prepare(req)
-    number = int(req.headers.get('Last-Event-Id') or 0)
+    number = int(req.headers.get(LAST_EVENT) or 0)
     events = int(req.headers.get(EVENTS_HEADER, replica.events))
     while number < events:
         number += 1
         if replica.breaks_after and number > replica.breaks_after:
             _break(req)
-        await out.write(event_text(number, _said(body)))
+        await out.write(event_text(number, said))
         await asyncio.sleep(replica.event_s)
     await out.write_eof()
     return out
 
 
-def event_text(number: int, said: bytes = b'') -> bytes:
-    """Return an event of a stream, with what its request's body says."""
-    words = [b'piece', b'%d' % number, said]
-    return b'id: %d\ndata: %s\n\n' % (number, b' '.join(filter(None, words)))
-
-
-def _said(body: bytes) -> bytes:
-    """Return what a body asks answers to repeat."""
-    first, _, _ = body.partition(b'\n')
-    return first if first.startswith(ECHO) else b''
-
-
 def _break(req: web.Request) -> None:
     if req.transport is not None:
         req.transport.abort()
--- a/standins/faultproxy/link.py
+++ b/standins/faultproxy/link.py
@@ -5,6 +5,7 @@
 import attrs
 
 from standins.faultproxy.faults import Faults
+from standins.resets import reset
 
 CHUNK_BYTES = 65536
 
@@ -31,8 +32,8 @@
 
     def abort(self) -> None:
         """Reset both connections at once."""
-        self.writer.transport.abort()
-        self.client_writer.transport.abort()
+        reset(self.writer.transport)
+        reset(self.client_writer.transport)
 
     async def _copy_up(self) -> None:
         while chunk := await self.client_reader.read(CHUNK_BYTES):
