Log what ended an answer on its way to the node

call_answered tells whether a length, chunks or the connection ended the body, so that an answer without framing that ended early can be told from others, and how many there were can be counted.

--- a/mimosaworks/node/attempt_sender.py
+++ b/mimosaworks/node/attempt_sender.py
@@ -26,6 +26,7 @@
 from mimosaworks.events import Event, log_event
 from mimosaworks.kept_connections import ForeignAnswerError
 from mimosaworks.node import call_log
+from mimosaworks.node.answer_framing import read_framing
 from mimosaworks.node.answer_resets import make_reset_check
 from mimosaworks.node.attempt_error import AttemptError
 from mimosaworks.node.attempt_progress import AttemptProgress, ProgressHooks
@@ -141,6 +142,7 @@
             check_relay(resp)
         else:
             self.relay_peers.paths.record_bytes()
+        call.framing = read_framing(resp)
         self._record_answer_head(call, assignment.target, resp)
         _check_answer_head(resp)
         return resp
--- a/mimosaworks/node/call.py
+++ b/mimosaworks/node/call.py
@@ -6,6 +6,7 @@
 from mimosaworks.clock import now_s
 from mimosaworks.deployment import RequestProfile, ServiceRoute
 from mimosaworks.dispatch import suspect_keys
+from mimosaworks.node.answer_framing import Framing
 from mimosaworks.node.attempt_error import CallerDisconnectedError
 from mimosaworks.node.event_buffer import EventBuffer
 from mimosaworks.wire import CallAsk
@@ -71,8 +72,9 @@
     its first event and empty if it is not known. resumes is the id of the
     caller's request that began the stream which this one resumes, None if it
     resumes none. is_relayed: the latest attempt went through another node.
-    is_ended_by_node: the stopping node ended the request. closes_connection:
-    the caller's connection is closed after the answer.
+    framing tells what ends the latest answer. is_ended_by_node: the stopping
+    node ended the request. closes_connection: the caller's connection is closed
+    after the answer.
     """
 
     req: web.BaseRequest
@@ -99,6 +101,7 @@
     stream_version: str | None = None
     resumes: str | None = None
     is_relayed: bool = False
+    framing: Framing = Framing.NONE
     is_ended_by_node: bool = False
     closes_connection: bool = False
 
--- a/mimosaworks/node/call_log.py
+++ b/mimosaworks/node/call_log.py
@@ -110,6 +110,7 @@
         status=status,
         seconds=call.age_s(),
         resends=call.resends,
+        framing=call.framing.value,
     )
 
 
