A body without framing ends only when its server closes the connection

What callers saw: a stream on a route that may be resumed, reset inside an event, reached them as complete with the half event joined to the events of the next target.

Cause: a body without framing ends with its connection, and the client library takes each end for the body's. A check for resets stood beside two of the readers, behind the block that drops an unfinished event, and saw neither an end that this process causes (a session that is closed, an aborted transport) nor readers that use the whole body at once.

Now the connection itself tells: a body that is lost by a reset, or by an end on this side, raises at whoever reads it, so that no reader needs a check.

--- a/mimosaworks/kept_connections.py
+++ b/mimosaworks/kept_connections.py
@@ -9,11 +9,11 @@
 from typing import Any
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import HttpProcessingError, RawResponseMessage
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
 from mimosaworks.asked_ids import AskedIds
+from mimosaworks.body_ends import BodyEndHandler
 from mimosaworks.events import Event, log_event
 
 _HEAD_END = b'\r\n\r\n'
@@ -23,7 +23,7 @@
     """An answer does not show that it belongs to the request."""
 
 
-class KeptHandler(ResponseHandler):
+class KeptHandler(BodyEndHandler):
     """Passes on the answers that belong to the request at hand.
 
     id_field is the header field with the id of a request, which answers
@@ -81,7 +81,7 @@
         if data and self._is_idle():
             self._refuse(len(data))
             return
-        ResponseHandler.data_received(self, data)
+        BodyEndHandler.data_received(self, data)
         if self._extra_body.exception() is None:
             self._extra_body.read_nowait()
         if self._is_idle() and self._has_part():
@@ -91,7 +91,7 @@
         sent = message.headers.get(self._id_field, '')
         if self._asked.is_own(sent):
             self._body = body
-            ResponseHandler.feed_data(self, (message, body))
+            BodyEndHandler.feed_data(self, (message, body))
         elif self._asked.skip(sent):
             self._drop(message, body, 'it belongs to another request')
         else:
--- a/mimosaworks/node/attempt_sender.py
+++ b/mimosaworks/node/attempt_sender.py
@@ -27,7 +27,6 @@
 from mimosaworks.kept_connections import ForeignAnswerError
 from mimosaworks.node import call_log
 from mimosaworks.node.answer_framing import read_framing
-from mimosaworks.node.answer_resets import make_reset_check
 from mimosaworks.node.attempt_error import AttemptError
 from mimosaworks.node.attempt_progress import AttemptProgress, ProgressHooks
 from mimosaworks.node.brittle_targets import BrittleTargets
@@ -174,7 +173,6 @@
     call: Call, resp: ClientResponse, progress: AttemptProgress, hold: Hold
 ) -> web.StreamResponse:
     """Relay an answer; raises ClientError or OSError when it breaks off."""
-    raise_if_reset = make_reset_check(resp)
     if (
         call.route.retry_policy is RetryPolicy.STREAM
         and resp.status == HTTPStatus.OK
@@ -187,7 +185,6 @@
         body, is_complete = await _buffer_body(resp, hold)
         _raise_for_retriable_failure(call, resp)
         if is_complete:
-            raise_if_reset()
             progress.record_first_bytes()
             return web.Response(
                 status=resp.status,
@@ -197,7 +194,6 @@
         hold.let_go()
         progress.record_first_bytes()
         relayed_stream = await _relay_unbuffered_rest(call, resp, body)
-    raise_if_reset()
     call.relayed_stream = relayed_stream
     await relayed_stream.finish(call.req)
     return relayed_stream.response
--- a/mimosaworks/node/relay.py
+++ b/mimosaworks/node/relay.py
@@ -21,7 +21,6 @@
 from mimosaworks.deployment import TargetEntry, TargetState
 from mimosaworks.dispatch import CallOutcome
 from mimosaworks.events import Event, log_event
-from mimosaworks.node.answer_resets import make_reset_check
 from mimosaworks.node.attempt_error import AttemptError
 from mimosaworks.node.relay_peers import (
     ANSWERED,
@@ -158,7 +157,6 @@
     req: web.Request, resp: ClientResponse
 ) -> web.StreamResponse:
     """Pass an answer on as it arrives, under its own framing."""
-    raise_if_reset = make_reset_check(resp)
     answer = web.StreamResponse(
         status=resp.status, headers=answer_headers(resp.headers)
     )
@@ -167,7 +165,6 @@
     await answer.prepare(req)
     async for chunk in resp.content.iter_any():
         await answer.write(chunk)
-    raise_if_reset()
     await answer.write_eof()
     _log_relayed(req, ANSWERED, f'status {resp.status}')
     return answer
--- a/tests/test_node_answer_ends.py
+++ b/tests/test_node_answer_ends.py
@@ -83,6 +83,8 @@
         stream(TWO, HALF),
         fields=(*STREAM, f'Content-Length: {len(TWO + HALF)}'),
     ),
+})
+RESETS = types.MappingProxyType({
     'reset': stream(TWO, HALF, is_reset=True),
     'reset, in one piece': stream(TWO + HALF, is_reset=True),
     'reset in chunks': attrs.evolve(
@@ -92,8 +94,26 @@
 })
 
 
+# Guards against a half event that stays in a stream whose target reset it, in
+# front of the events of the next target.
+@pytest.mark.parametrize(
+    ('path', 'expected'),
+    [(DRAFT, WHOLE), (CHAT, BROKEN)],
+    ids=['resumable', 'not resumable'],
+)
+async def test_a_stream_that_is_reset_inside_an_event_goes_on_behind_whole_ones(
+    world: AgencyWorld, path: str, expected: bytes
+) -> None:
+    node = await open_node(world)
+    bodies = {
+        name: await ask(world, node, path, name, raw)
+        for name, raw in RESETS.items()
+    }
+    assert bodies == dict.fromkeys(RESETS, expected)
+
+
 # Guards against a stream that ended inside an event and reached its caller as
-# complete, with the half event or joined to the events of the next target.
+# complete.
 @pytest.mark.parametrize(
     ('path', 'expected'),
     [(DRAFT, WHOLE), (CHAT, BROKEN)],
