A stream that ends inside an event has been broken off

What callers saw: a stream that its target stopped inside an event reached them as complete, with the half event, whatever ended the body: its connection, its last chunk or its length.

Cause: nothing looked at the events of a stream that ended. Where it may be resumed, what was held back went out as its end; elsewhere events were not looked at at all.

Each stream is now followed by its lines, as the event stream format defines them: with LF, CR LF or CR, comments and a byte order mark. A body that ends inside an event raises like one that breaks off, so that the stream goes on at another target or the caller's connection is cut. Only the end of a connection counts as a possible crash of the target. An unfinished event is dropped where the next run begins, not where one of several errors is caught. Bodies of other kinds are not judged by events.

--- a/mimosaworks/event_stream.py
+++ b/mimosaworks/event_stream.py
@@ -1,8 +1,70 @@
-"""Cuts a stream of server-sent events at the ends of its events."""
+"""Cuts a stream of server-sent events at the ends of its events.
+
+Lines end with LF, CR LF or CR, and an empty line ends an event; a line that
+starts with a colon is a comment, which is no part of an event (HTML standard,
+"Server-sent events").
+"""
 
 import attrs
 
 END_OF_EVENT = b'\n\n'
+BYTE_ORDER_MARK = b'\xef\xbb\xbf'
+_LINE_ENDS = b'\r\n'
+# Enough of a line to tell a comment, behind a byte order mark too.
+_LINE_START_BYTES = 4
+
+
+@attrs.define
+class EventScanner:
+    """Tells where the events of a stream end, whatever its chunks are."""
+
+    _line_start: bytes = b''
+    _has_fields: bool = False
+    _is_first_line: bool = True
+    _ended_with_cr: bool = False
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun and not ended yet."""
+        return self._has_fields or self._is_in_field()
+
+    def feed(self, chunk: bytes) -> int:
+        """Return how many bytes of a chunk belong to no unfinished event."""
+        end = 0
+        position = 0
+        for line in chunk.splitlines(keepends=True):
+            position += len(line)
+            is_rest_of_line_end = self._ended_with_cr and line == b'\n'
+            self._ended_with_cr = line.endswith(b'\r')
+            if not is_rest_of_line_end:
+                self._add_line(line)
+            if line[-1] in _LINE_ENDS and not self._has_fields:
+                end = position
+        return end
+
+    def _add_line(self, line: bytes) -> None:
+        """Add a line or a part of one."""
+        text = line.rstrip(_LINE_ENDS)
+        self._line_start = (self._line_start + text[:_LINE_START_BYTES])[
+            :_LINE_START_BYTES
+        ]
+        if len(text) == len(line):
+            return
+        if self._is_in_field():
+            self._has_fields = True
+        elif not self._unmarked_start():
+            self._has_fields = False
+        self._line_start = b''
+        self._is_first_line = False
+
+    def _is_in_field(self) -> bool:
+        start = self._unmarked_start()
+        return bool(start) and not start.startswith(b':')
+
+    def _unmarked_start(self) -> bytes:
+        if self._is_first_line:
+            return self._line_start.removeprefix(BYTE_ORDER_MARK)
+        return self._line_start
 
 
 @attrs.define
@@ -14,22 +76,30 @@
     """
 
     held: int = 0
+    _scanner: EventScanner = attrs.field(factory=EventScanner)
     _parts: list[bytes] = attrs.field(factory=list)
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun and not ended yet."""
+        return self._scanner.is_inside_event
+
     def feed(self, chunk: bytes) -> bytes:
         """Return the bytes up to the end of the last whole event."""
-        # An event may end across two chunks.
-        before = self._last_byte()
-        found = (before + chunk).rfind(END_OF_EVENT)
-        if found < 0:
+        end = self._scanner.feed(chunk)
+        if not end:
             self._hold(chunk)
             return b''
-        end = found + len(END_OF_EVENT) - len(before)
         self._hold(chunk[:end])
         whole = self.take_rest()
         self._hold(chunk[end:])
         return whole
 
+    def pass_on(self, chunk: bytes) -> bytes:
+        """Return all bytes, of unfinished events too."""
+        self._scanner.feed(chunk)
+        return chunk
+
     def take_rest(self) -> bytes:
         """Return the bytes that were held back, and forget them."""
         rest = b''.join(self._parts)
@@ -37,9 +107,6 @@
         self.held = 0
         return rest
 
-    def _last_byte(self) -> bytes:
-        return self._parts[-1][-1:] if self._parts else b''
-
     def _hold(self, chunk: bytes) -> None:
         if chunk:
             self._parts.append(chunk)
--- a/mimosaworks/node/answer_framing.py
+++ b/mimosaworks/node/answer_framing.py
@@ -2,7 +2,9 @@
 
 import enum
 
-from aiohttp import ClientResponse
+from aiohttp import ClientPayloadError, ClientResponse
+
+_EVENT_STREAM = 'text/event-stream'
 
 
 class Framing(enum.Enum):
@@ -14,6 +16,10 @@
     CONNECTION = 'connection'
 
 
+class UnfinishedEventError(ClientPayloadError):
+    """A stream ended inside an event, though its framing is complete."""
+
+
 def read_framing(resp: ClientResponse) -> Framing:
     """Return what ends the body, by the head of the answer."""
     coding = resp.headers.get('Transfer-Encoding', '')
@@ -22,3 +28,24 @@
     if resp.content_length is None:
         return Framing.CONNECTION
     return Framing.LENGTH
+
+
+def is_event_stream(resp: ClientResponse, *, is_expected: bool) -> bool:
+    """Return whether an answer is a stream of events.
+
+    is_expected is true where the answer may lack a Content-Type.
+    """
+    if 'Content-Type' in resp.headers:
+        return resp.content_type == _EVENT_STREAM
+    return is_expected
+
+
+def make_unfinished_error(framing: Framing) -> ClientPayloadError:
+    """Return the error for a stream that ended inside an event.
+
+    Only the end of a connection may mean that the target has ended.
+    """
+    reason = f'the stream ended inside an event, by its {framing.value}'
+    if framing is Framing.CONNECTION:
+        return ClientPayloadError(reason)
+    return UnfinishedEventError(reason)
--- /dev/null
+++ b/mimosaworks/node/answer_relay.py
@@ -0,0 +1,170 @@
+"""Relays the answer of a target to the caller, and judges its end."""
+
+from http import HTTPStatus
+
+from aiohttp import ClientResponse, web
+
+from mimosaworks.bounded_answers import Hold, OversizedError
+from mimosaworks.deployment import RetryPolicy
+from mimosaworks.dispatch import CallOutcome
+from mimosaworks.event_stream import EventScanner
+from mimosaworks.node.answer_framing import (
+    is_event_stream,
+    make_unfinished_error,
+)
+from mimosaworks.node.attempt_error import AttemptError
+from mimosaworks.node.attempt_progress import AttemptProgress
+from mimosaworks.node.call import Call, RelayedStream
+from mimosaworks.node.event_buffer import EventBuffer
+from mimosaworks.node.relay_peers import without_relay_field
+from mimosaworks.platform.headers import answer_headers
+
+
+async def relay_answer(
+    call: Call, resp: ClientResponse, progress: AttemptProgress, hold: Hold
+) -> web.StreamResponse:
+    """Relay an answer to its end, and return what the caller gets.
+
+    Raises AttemptError, ClientError or OSError when it is incomplete.
+    """
+    if _is_streamed(call, resp):
+        relayed_stream = call.relayed_stream or _start_relayed_stream(
+            call, resp, is_resumable=call.route.is_resumable
+        )
+        await _relay_stream(call, relayed_stream, resp, progress, hold)
+    else:
+        body, is_complete = await _buffer_body(resp, hold)
+        _raise_for_retriable_failure(call, resp)
+        if is_complete:
+            _check_body_end(call, resp, body)
+            progress.record_first_bytes()
+            return web.Response(
+                status=resp.status,
+                headers=answer_headers(without_relay_field(resp.headers)),
+                body=body,
+            )
+        hold.let_go()
+        progress.record_first_bytes()
+        relayed_stream = await _relay_unbuffered_rest(call, resp, body)
+    _check_stream_end(call, relayed_stream)
+    call.relayed_stream = relayed_stream
+    await relayed_stream.finish(call.req)
+    return relayed_stream.response
+
+
+async def _relay_stream(
+    call: Call,
+    relayed_stream: RelayedStream,
+    resp: ClientResponse,
+    progress: AttemptProgress,
+    hold: Hold,
+) -> None:
+    relayed_stream.discard_unfinished()
+    async for chunk in resp.content.iter_any():
+        progress.record_bytes()
+        if not call.is_answer_started:
+            call.is_answer_started = True
+            progress.record_first_bytes()
+        released = relayed_stream.release(chunk)
+        _hold_unfinished(relayed_stream, hold)
+        if released:
+            call.relayed_stream = relayed_stream
+            progress.hooks.on_stream_begun()
+            await relayed_stream.write_chunk(call.req, released)
+
+
+def _hold_unfinished(relayed_stream: RelayedStream, hold: Hold) -> None:
+    """Count the bytes of an unfinished event; raises OversizedError."""
+    held_bytes = relayed_stream.held_bytes
+    if not hold.keep(held_bytes):
+        raise OversizedError(held_bytes, hold.books.one_bytes)
+
+
+async def _buffer_body(resp: ClientResponse, hold: Hold) -> tuple[bytes, bool]:
+    """Return a body and true, or false if it is too large to be buffered.
+
+    Then the bytes that were received so far are returned.
+    """
+    chunks: list[bytes] = []
+    size = 0
+    async for chunk in resp.content.iter_any():
+        chunks.append(chunk)
+        size += len(chunk)
+        if not hold.keep(size):
+            return b''.join(chunks), False
+    return b''.join(chunks), True
+
+
+async def _relay_unbuffered_rest(
+    call: Call, resp: ClientResponse, buffered_body: bytes
+) -> RelayedStream:
+    """Relay a body that is too large to be buffered, in pieces.
+
+    buffered_body is the part that was received before.
+    """
+    relayed_stream = _start_relayed_stream(call, resp, is_resumable=False)
+    relayed_stream.response.content_length = resp.content_length
+    call.relayed_stream = relayed_stream
+    await relayed_stream.write_chunk(
+        call.req, relayed_stream.release(buffered_body)
+    )
+    async for chunk in resp.content.iter_any():
+        await relayed_stream.write_chunk(
+            call.req, relayed_stream.release(chunk)
+        )
+    return relayed_stream
+
+
+def _start_relayed_stream(
+    call: Call, resp: ClientResponse, *, is_resumable: bool
+) -> RelayedStream:
+    headers = answer_headers(without_relay_field(resp.headers))
+    response = web.StreamResponse(status=resp.status, headers=headers)
+    if call.closes_connection:
+        response.force_close()
+    if not _has_events(call, resp):
+        return RelayedStream(response)
+    return RelayedStream(response, EventBuffer(is_resumable))
+
+
+def _raise_for_retriable_failure(call: Call, resp: ClientResponse) -> None:
+    """Raise AttemptError for a failed status if a resend may succeed."""
+    is_failure = resp.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+    if call.relayed_stream is not None or (is_failure and call.may_resend()):
+        raise AttemptError(
+            CallOutcome.FAILED, f'the target answered {resp.status}'
+        )
+
+
+def _is_streamed(call: Call, resp: ClientResponse) -> bool:
+    """Return whether the answer is passed on as it arrives.
+
+    A stream that has begun goes on with events only.
+    """
+    if call.route.retry_policy is not RetryPolicy.STREAM:
+        return False
+    is_begun = call.relayed_stream is not None
+    return resp.status == HTTPStatus.OK and (
+        not is_begun or _has_events(call, resp)
+    )
+
+
+def _has_events(call: Call, resp: ClientResponse) -> bool:
+    """Return whether the body of a successful answer is made of events."""
+    is_expected = call.route.retry_policy is RetryPolicy.STREAM
+    return resp.ok and is_event_stream(resp, is_expected=is_expected)
+
+
+def _check_body_end(call: Call, resp: ClientResponse, body: bytes) -> None:
+    """Raise ClientError if a whole body ends inside an event."""
+    if _has_events(call, resp):
+        scanner = EventScanner()
+        scanner.feed(body)
+        if scanner.is_inside_event:
+            raise make_unfinished_error(call.framing)
+
+
+def _check_stream_end(call: Call, relayed_stream: RelayedStream) -> None:
+    """Raise ClientError if a stream has ended inside an event."""
+    if relayed_stream.is_inside_event:
+        raise make_unfinished_error(call.framing)
--- a/mimosaworks/node/attempt_sender.py
+++ b/mimosaworks/node/attempt_sender.py
@@ -1,7 +1,6 @@
 """Sends a request to a target and relays the answer to the caller."""
 
 from collections.abc import Callable
-from http import HTTPStatus
 
 import attrs
 from aiohttp import (
@@ -16,34 +15,31 @@
 
 from mimosaworks.bounded_answers import (
     HeldBytes,
-    Hold,
     OversizedError,
     log_cut,
 )
 from mimosaworks.clock import now_s
-from mimosaworks.deployment import RetryPolicy
 from mimosaworks.dispatch import Assignment, CallOutcome
 from mimosaworks.events import Event, log_event
 from mimosaworks.kept_connections import ForeignAnswerError
 from mimosaworks.node import call_log
-from mimosaworks.node.answer_framing import read_framing
+from mimosaworks.node.answer_framing import UnfinishedEventError, read_framing
+from mimosaworks.node.answer_relay import relay_answer
 from mimosaworks.node.attempt_error import AttemptError
 from mimosaworks.node.attempt_progress import AttemptProgress, ProgressHooks
 from mimosaworks.node.brittle_targets import BrittleTargets
-from mimosaworks.node.call import Call, RelayedStream
+from mimosaworks.node.call import Call
 from mimosaworks.node.limit_view import LimitView
 from mimosaworks.node.relay_peers import (
     RELAY_TO,
     RelayPeers,
     check_relay,
     make_request_url,
-    without_relay_field,
 )
 from mimosaworks.node.target_notices import TargetNotices
 from mimosaworks.platform.headers import (
     LAST_EVENT,
     RETRY_AFTER,
-    answer_headers,
     read_pause_s,
     says_leaving,
     says_not_run,
@@ -96,7 +92,7 @@
                 call, assignment, guard
             ) as resp:
                 try:
-                    return await _relay_answer(call, resp, progress, hold)
+                    return await relay_answer(call, resp, progress, hold)
                 except (ClientError, OSError) as exc:
                     raise _attempt_error_from(exc, assignment.target) from exc
 
@@ -111,7 +107,7 @@
             priority=assignment.priority if call.profile.model else None,
         )
         if call.relayed_stream is not None:
-            headers[LAST_EVENT] = call.relayed_stream.event_buffer.last_event_id
+            headers[LAST_EVENT] = call.relayed_stream.last_event_id
         relay = self.relay_peers.find_relay()
         call.is_relayed = bool(relay)
         if relay:
@@ -169,124 +165,6 @@
             self.target_notices.record_pause(target, pause_s, now_s())
 
 
-async def _relay_answer(
-    call: Call, resp: ClientResponse, progress: AttemptProgress, hold: Hold
-) -> web.StreamResponse:
-    """Relay an answer; raises ClientError or OSError when it breaks off."""
-    if (
-        call.route.retry_policy is RetryPolicy.STREAM
-        and resp.status == HTTPStatus.OK
-    ):
-        relayed_stream = call.relayed_stream or _start_relayed_stream(
-            call, resp
-        )
-        await _relay_stream(call, relayed_stream, resp, progress, hold)
-    else:
-        body, is_complete = await _buffer_body(resp, hold)
-        _raise_for_retriable_failure(call, resp)
-        if is_complete:
-            progress.record_first_bytes()
-            return web.Response(
-                status=resp.status,
-                headers=answer_headers(without_relay_field(resp.headers)),
-                body=body,
-            )
-        hold.let_go()
-        progress.record_first_bytes()
-        relayed_stream = await _relay_unbuffered_rest(call, resp, body)
-    call.relayed_stream = relayed_stream
-    await relayed_stream.finish(call.req)
-    return relayed_stream.response
-
-
-async def _relay_stream(
-    call: Call,
-    relayed_stream: RelayedStream,
-    resp: ClientResponse,
-    progress: AttemptProgress,
-    hold: Hold,
-) -> None:
-    try:
-        async for chunk in resp.content.iter_any():
-            progress.record_bytes()
-            if not call.is_answer_started:
-                call.is_answer_started = True
-                progress.record_first_bytes()
-            released = _release_chunk(call, relayed_stream, chunk, hold)
-            if released:
-                call.relayed_stream = relayed_stream
-                progress.hooks.on_stream_begun()
-                await relayed_stream.write_chunk(call.req, released)
-    except (ClientError, OSError):
-        relayed_stream.event_buffer.discard_unfinished()
-        raise
-
-
-def _release_chunk(
-    call: Call, relayed_stream: RelayedStream, chunk: bytes, hold: Hold
-) -> bytes:
-    """Return the bytes that the caller gets now.
-
-    These are complete events where another target may resume the stream.
-    """
-    if not call.route.is_resumable:
-        return chunk
-    released = relayed_stream.event_buffer.feed(chunk)
-    if not hold.keep(relayed_stream.event_buffer.held_bytes):
-        raise OversizedError(
-            relayed_stream.event_buffer.held_bytes, hold.books.one_bytes
-        )
-    return released
-
-
-async def _buffer_body(resp: ClientResponse, hold: Hold) -> tuple[bytes, bool]:
-    """Return a body and true, or false if it is too large to be buffered.
-
-    Then the bytes that were received so far are returned.
-    """
-    chunks: list[bytes] = []
-    size = 0
-    async for chunk in resp.content.iter_any():
-        chunks.append(chunk)
-        size += len(chunk)
-        if not hold.keep(size):
-            return b''.join(chunks), False
-    return b''.join(chunks), True
-
-
-async def _relay_unbuffered_rest(
-    call: Call, resp: ClientResponse, buffered_body: bytes
-) -> RelayedStream:
-    """Relay a body that is too large to be buffered, in pieces.
-
-    buffered_body is the part that was received before.
-    """
-    relayed_stream = _start_relayed_stream(call, resp)
-    relayed_stream.response.content_length = resp.content_length
-    call.relayed_stream = relayed_stream
-    await relayed_stream.write_chunk(call.req, buffered_body)
-    async for chunk in resp.content.iter_any():
-        await relayed_stream.write_chunk(call.req, chunk)
-    return relayed_stream
-
-
-def _start_relayed_stream(call: Call, resp: ClientResponse) -> RelayedStream:
-    headers = answer_headers(without_relay_field(resp.headers))
-    response = web.StreamResponse(status=resp.status, headers=headers)
-    if call.closes_connection:
-        response.force_close()
-    return RelayedStream(response)
-
-
-def _raise_for_retriable_failure(call: Call, resp: ClientResponse) -> None:
-    """Raise AttemptError for a failed status if a resend may succeed."""
-    is_failure = resp.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-    if call.relayed_stream is not None or (is_failure and call.may_resend()):
-        raise AttemptError(
-            CallOutcome.FAILED, f'the target answered {resp.status}'
-        )
-
-
 def _attempt_error_from(
     exc: ClientError | OSError, target: str
 ) -> AttemptError:
@@ -294,9 +172,11 @@
     if isinstance(exc, OversizedError):
         log_cut(target, exc)
         return AttemptError(CallOutcome.OVERSIZED, str(exc))
-    if isinstance(exc, (ForeignAnswerError, ClientResponseError)):
-        # The bytes are no answer of the target, so they do not show that it
-        # crashed.
+    if isinstance(
+        exc, (ForeignAnswerError, ClientResponseError, UnfinishedEventError)
+    ):
+        # Bytes that are no answer of the target, or the end that it gave its
+        # answer, do not show that it crashed.
         return AttemptError(CallOutcome.FAILED, str(exc))
     return AttemptError(CallOutcome.BROKEN, repr(exc))
 
--- a/mimosaworks/node/call.py
+++ b/mimosaworks/node/call.py
@@ -17,13 +17,44 @@
     """The part of an answer that was relayed to the caller.
 
     response keeps the head of the first target's answer when the stream is
-    resumed at another target.
+    resumed at another target. event_buffer is None for an answer that is no
+    stream of events.
     """
 
     response: web.StreamResponse
-    event_buffer: EventBuffer = attrs.field(factory=EventBuffer)
+    event_buffer: EventBuffer | None = None
     is_complete: bool = False
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun and not ended yet."""
+        return (
+            self.event_buffer is not None and self.event_buffer.is_inside_event
+        )
+
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes of an unfinished event that were not released."""
+        return 0 if self.event_buffer is None else self.event_buffer.held_bytes
+
+    @property
+    def last_event_id(self) -> str:
+        """The id of the last event that was released, empty without one."""
+        if self.event_buffer is None:
+            return ''
+        return self.event_buffer.last_event_id
+
+    def release(self, chunk: bytes) -> bytes:
+        """Add a chunk; return the bytes that the caller gets now."""
+        if self.event_buffer is None:
+            return chunk
+        return self.event_buffer.feed(chunk)
+
+    def discard_unfinished(self) -> None:
+        """Drop an unfinished event of an earlier attempt."""
+        if self.event_buffer is not None:
+            self.event_buffer.discard_unfinished()
+
     async def write_chunk(self, req: web.BaseRequest, chunk: bytes) -> None:
         """Send the head if it was not sent yet, then a chunk.
 
@@ -39,7 +70,8 @@
 
         Raises CallerDisconnectedError.
         """
-        await self.write_chunk(req, self.event_buffer.flush())
+        rest = b'' if self.event_buffer is None else self.event_buffer.flush()
+        await self.write_chunk(req, rest)
         try:
             await self.response.write_eof()
         except (ClientError, OSError) as exc:
@@ -117,6 +149,7 @@
             may_repeat |= self.route.may_retry_after_run
         else:
             may_repeat &= bool(self.stream_version)
+            may_repeat &= self.relayed_stream.event_buffer is not None
         return may_repeat and self.resends + 1 < self.route.max_attempts
 
     def remaining_s(self) -> float:
--- a/standins/agency/replica.py
+++ b/standins/agency/replica.py
@@ -77,7 +77,8 @@
     ERROR_TEXT. version is that of its software, in its entry unless empty.
     All answers say how many requests in a second it may turn away if that is
     set (brittle); turned_away_s are the times of those, when it runs as many as
-    it has room for. raw is its answer to each request that resumes no stream.
+    it has room for. raws are its next answers to requests, which it
+    writes itself.
     """
 
     name: str
@@ -124,7 +125,7 @@
     room: int = 0
     turned_away_s: list[float] = attrs.field(factory=list)
     running: int = 0
-    raw: RawAnswer | None = None
+    raws: list[RawAnswer] = attrs.field(factory=list)
 
     def note_hit(self, request_id: str = '', sender: str = '') -> None:
         """Note a call that has arrived."""
@@ -332,8 +333,8 @@
         'X-Server-Seal': f'seal-{replica.name}',
     }
     await asyncio.sleep(replica.first_s)
-    if replica.raw is not None and LAST_EVENT not in req.headers:
-        await send_raw(req, replica.raw, head)
+    if replica.raws:
+        await send_raw(req, replica.raws.pop(0), head)
     if replica.fails_with:
         return web.Response(
             body=ERROR_TEXT, status=replica.fails_with, headers=head
