A resumed stream keeps its place behind a run without events

What callers saw: a caller took up a stream behind an event, the target broke off before its first event, and the stream went on from the beginning.

Cause: once anything of a stream was relayed, a comment too, the id of the last relayed event was sent to the next target, also when there was none yet; it replaced the caller's own.

The caller's id stays until an event with an id was relayed.

--- a/mimosaworks/node/attempt_sender.py
+++ b/mimosaworks/node/attempt_sender.py
@@ -106,8 +106,9 @@
             workspace=call.workspace,
             priority=assignment.priority if call.profile.model else None,
         )
-        if call.relayed_stream is not None:
-            headers[LAST_EVENT] = call.relayed_stream.last_event_id
+        last_event_id = call.last_event_id()
+        if last_event_id:
+            headers[LAST_EVENT] = last_event_id
         relay = self.relay_peers.find_relay()
         call.is_relayed = bool(relay)
         if relay:
--- a/mimosaworks/node/call.py
+++ b/mimosaworks/node/call.py
@@ -152,6 +152,12 @@
             may_repeat &= self.relayed_stream.event_buffer is not None
         return may_repeat and self.resends + 1 < self.route.max_attempts
 
+    def last_event_id(self) -> str:
+        """Return the id of the last event that was relayed, or ''."""
+        if self.relayed_stream is None:
+            return ''
+        return self.relayed_stream.last_event_id
+
     def remaining_s(self) -> float:
         """Return the seconds until the deadline, at least 0."""
         return max(self.deadline_s - now_s(), 0)
--- a/tests/test_node_answer_ends.py
+++ b/tests/test_node_answer_ends.py
@@ -44,7 +44,12 @@
 
 
 async def ask(
-    world: AgencyWorld, node: NodeHandle, path: str, name: str, *raws: RawAnswer
+    world: AgencyWorld,
+    node: NodeHandle,
+    path: str,
+    name: str,
+    *raws: RawAnswer,
+    **extra: str,
 ) -> tuple[bytes, str]:
     """Return the body of an answer and what its head has in RAW.
 
@@ -54,9 +59,8 @@
     shared_raws = list(raws)
     for replica in world.replicas.values():
         replica.raws = shared_raws
-    extra = {}
     if path in {DRAFT, CHAT}:
-        extra = {'X_Model': 'alpha', 'X_Token_Counts': '1000,20'}
+        extra |= {'X_Model': 'alpha', 'X_Token_Counts': '1000,20'}
     try:
         async with world.request(
             node, path, name, name.encode(), **extra
@@ -219,3 +223,20 @@
     assert await ask(world, node, path, 'whole', plain(body)) == (body, '1')
     lost = plain(body, is_reset=True)
     assert await ask(world, node, path, 'reset', lost) == BROKEN
+
+
+REST = WHOLE.removeprefix(TWO)
+PING = b': ping\n\n'
+
+
+# Guards against a take-up that starts from the beginning, as its own last id
+# was replaced by that of a run that gave no event.
+async def test_a_resumed_stream_keeps_its_place_behind_a_run_without_events(
+    world: AgencyWorld,
+) -> None:
+    node = await open_node(world)
+    begun, lost = (raw(piece, is_reset=True) for piece in (TWO, PING))
+    assert await ask(world, node, DRAFT, 'begun', begun, lost) == BROKEN
+    resumed = {'Resumes': 'begun', 'Last_Event_Id': '2'}
+    answer = await ask(world, node, DRAFT, 'again', lost, **resumed)
+    assert answer == (PING + REST, '1')
