Events without an id come once when a stream is resumed

What callers saw: a stream broke off behind events without an id, and had them twice; where no event had an id, the next target's whole stream followed.

Cause: the place at which a stream is resumed was the last id that was relayed, whatever had been relayed behind it.

The events behind the last id are kept, up to a bound. The next target may repeat them, and the caller gets them once; if it sends another one in their place, the run does not fit and is given up. A stream of which events were relayed and none had an id is not resumed by the node. Ids are read by lines that end with CR too, and a byte order mark is left out in the middle.

--- a/mimosaworks/event_stream.py
+++ b/mimosaworks/event_stream.py
@@ -5,6 +5,8 @@
 "Server-sent events").
 """
 
+from collections.abc import Iterator
+
 import attrs
 
 END_OF_EVENT = b'\n\n'
@@ -14,6 +16,19 @@
 _LINE_START_BYTES = 4
 
 
+@attrs.frozen
+class Event:
+    """A whole event as it came, or comments beside events.
+
+    event_id is empty for an event without an id; has_data is false for what
+    reaches nobody who reads the events.
+    """
+
+    content: bytes
+    event_id: bytes = b''
+    has_data: bool = False
+
+
 @attrs.define
 class EventScanner:
     """Tells where the events of a stream end, whatever its chunks are."""
@@ -111,3 +126,26 @@
         if chunk:
             self._parts.append(chunk)
             self.held += len(chunk)
+
+
+def split_events(whole_events: bytes) -> Iterator[Event]:
+    """Split bytes that end outside of events; nothing is left out."""
+    lines: list[bytes] = []
+    fields: dict[bytes, bytes] = {}
+    for line in whole_events.splitlines(keepends=True):
+        lines.append(line)
+        name, _, text = line.rstrip(_LINE_ENDS).partition(b':')
+        fields[name.removeprefix(BYTE_ORDER_MARK)] = text
+        if not line.strip(_LINE_ENDS):
+            yield _make_event(lines, fields)
+            lines = []
+            fields = {}
+    if lines:
+        yield _make_event(lines, fields)
+
+
+def _make_event(lines: list[bytes], fields: dict[bytes, bytes]) -> Event:
+    event_id = fields.get(b'id', b'').removeprefix(b' ')
+    if b'\0' in event_id:
+        event_id = b''
+    return Event(b''.join(lines), event_id, b'data' in fields)
--- a/mimosaworks/node/answer_relay.py
+++ b/mimosaworks/node/answer_relay.py
@@ -59,7 +59,7 @@
     progress: AttemptProgress,
     hold: Hold,
 ) -> None:
-    relayed_stream.discard_unfinished()
+    relayed_stream.begin_run()
     async for chunk in resp.content.iter_any():
         progress.record_bytes()
         if not call.is_answer_started:
--- a/mimosaworks/node/attempt_sender.py
+++ b/mimosaworks/node/attempt_sender.py
@@ -29,6 +29,7 @@
 from mimosaworks.node.attempt_progress import AttemptProgress, ProgressHooks
 from mimosaworks.node.brittle_targets import BrittleTargets
 from mimosaworks.node.call import Call
+from mimosaworks.node.event_buffer import OtherEventError
 from mimosaworks.node.limit_view import LimitView
 from mimosaworks.node.relay_peers import (
     RELAY_TO,
@@ -174,10 +175,16 @@
         log_cut(target, exc)
         return AttemptError(CallOutcome.OVERSIZED, str(exc))
     if isinstance(
-        exc, (ForeignAnswerError, ClientResponseError, UnfinishedEventError)
+        exc,
+        (
+            ForeignAnswerError,
+            ClientResponseError,
+            UnfinishedEventError,
+            OtherEventError,
+        ),
     ):
-        # Bytes that are no answer of the target, or the end that it gave its
-        # answer, do not show that it crashed.
+        # Neither bytes that are no answer of the target nor what it answered
+        # show that it crashed.
         return AttemptError(CallOutcome.FAILED, str(exc))
     return AttemptError(CallOutcome.BROKEN, repr(exc))
 
--- a/mimosaworks/node/call.py
+++ b/mimosaworks/node/call.py
@@ -37,6 +37,11 @@
         """Number of bytes of an unfinished event that were not released."""
         return 0 if self.event_buffer is None else self.event_buffer.held_bytes
 
+    @property
+    def can_resume(self) -> bool:
+        """Whether it can go on at another target."""
+        return self.event_buffer is not None and self.event_buffer.can_resume
+
     @property
     def last_event_id(self) -> str:
         """The id of the last event that was released, empty without one."""
@@ -50,10 +55,10 @@
             return chunk
         return self.event_buffer.feed(chunk)
 
-    def discard_unfinished(self) -> None:
+    def begin_run(self) -> None:
         """Drop an unfinished event of an earlier attempt."""
         if self.event_buffer is not None:
-            self.event_buffer.discard_unfinished()
+            self.event_buffer.begin_run()
 
     async def write_chunk(self, req: web.BaseRequest, chunk: bytes) -> None:
         """Send the head if it was not sent yet, then a chunk.
@@ -149,7 +154,7 @@
             may_repeat |= self.route.may_retry_after_run
         else:
             may_repeat &= bool(self.stream_version)
-            may_repeat &= self.relayed_stream.event_buffer is not None
+            may_repeat &= self.relayed_stream.can_resume
         return may_repeat and self.resends + 1 < self.route.max_attempts
 
     def last_event_id(self) -> str:
--- a/mimosaworks/node/event_buffer.py
+++ b/mimosaworks/node/event_buffer.py
@@ -1,12 +1,21 @@
-"""Splits a stream at complete events and keeps the id to resume after."""
-
-import re
+"""Splits a stream at complete events and keeps the place to resume it at."""
 
 import attrs
+from aiohttp import ClientPayloadError
+
+from mimosaworks.event_stream import (
+    BYTE_ORDER_MARK,
+    Event,
+    EventCutter,
+    split_events,
+)
+
+# Some events; a stream with more of them behind its last id is not resumed.
+MAX_UNNUMBERED_BYTES = 16000
 
-from mimosaworks.event_stream import EventCutter
 
-_ID_LINE = re.compile(rb'(?:^|[\r\n])id:[ ]?([^\r\n]*)')
+class OtherEventError(ClientPayloadError):
+    """A resumed stream has another event where one was released before."""
 
 
 @attrs.define
@@ -14,13 +23,19 @@
     """Follows a stream's events, so that its end can be judged.
 
     With is_resumable it holds an unfinished event back, so that the stream can
-    go on at another target. last_event_id is the id of the last event that
-    was released.
+    go on at another target. last_event_id is the id of the last event with one
+    that was released. A target may repeat the events without an id behind that
+    one; the caller gets them once.
     """
 
     is_resumable: bool
     last_event_id: str = ''
     _cutter: EventCutter = attrs.field(factory=EventCutter)
+    _unnumbered: list[bytes] = attrs.field(factory=list)
+    _repeatable: list[bytes] = attrs.field(factory=list)
+    _is_place_lost: bool = False
+    _is_begun: bool = False
+    _is_run_begun: bool = False
 
     @property
     def is_inside_event(self) -> bool:
@@ -32,20 +47,70 @@
         """Number of buffered bytes of an unfinished event."""
         return self._cutter.held
 
+    @property
+    def can_resume(self) -> bool:
+        """Whether the last event with an id tells where the stream stands."""
+        return self.is_resumable and not self._is_place_lost
+
     def feed(self, chunk: bytes) -> bytes:
-        """Add a chunk; return the bytes that can be released."""
+        """Add a chunk; return the bytes that can be released.
+
+        Raises OtherEventError.
+        """
         if not self.is_resumable:
             return self._cutter.pass_on(chunk)
         complete = self._cutter.feed(chunk)
-        ids = _ID_LINE.findall(complete)
-        if ids:
-            self.last_event_id = ids[-1].decode('latin-1')
-        return complete
+        if complete and not self._is_run_begun:
+            complete = self._begin_events(complete)
+        return b''.join(
+            self._release(event) for event in split_events(complete)
+        )
 
     def flush(self) -> bytes:
         """Return the bytes after the last event of a finished stream."""
         return self._cutter.take_rest()
 
-    def discard_unfinished(self) -> None:
-        """Drop an unfinished event before the stream is resumed."""
+    def begin_run(self) -> None:
+        """Drop an unfinished event; the next chunk is the run's first one."""
         self._cutter = EventCutter()
+        self._repeatable = self._unnumbered.copy()
+        self._is_run_begun = False
+
+    def _begin_events(self, complete: bytes) -> bytes:
+        """Return the first events of a run without a mark inside a stream."""
+        is_resumed = self._is_begun
+        self._is_begun = True
+        self._is_run_begun = True
+        return complete.removeprefix(BYTE_ORDER_MARK if is_resumed else b'')
+
+    def _release(self, event: Event) -> bytes:
+        """Return the bytes of an event that the caller gets."""
+        if event.event_id:
+            self._keep_place(event.event_id)
+        elif event.has_data and self._repeatable:
+            self._check_repeated(event.content)
+            return b''
+        elif event.has_data:
+            self._keep_unnumbered(event.content)
+        return event.content
+
+    def _keep_place(self, event_id: bytes) -> None:
+        self.last_event_id = event_id.decode(errors='replace')
+        self._unnumbered.clear()
+        self._repeatable.clear()
+        self._is_place_lost = False
+
+    def _check_repeated(self, content: bytes) -> None:
+        """Raise OtherEventError unless the caller has this event."""
+        if content != self._repeatable.pop(0):
+            raise OtherEventError(
+                f'another event than before follows id {self.last_event_id!r}'
+            )
+
+    def _keep_unnumbered(self, content: bytes) -> None:
+        """Keep an event that the next run may repeat."""
+        self._unnumbered.append(content)
+        size = sum(len(kept) for kept in self._unnumbered)
+        if not self.last_event_id or size > MAX_UNNUMBERED_BYTES:
+            self._unnumbered.clear()
+            self._is_place_lost = True
--- a/tests/test_node_answer_ends.py
+++ b/tests/test_node_answer_ends.py
@@ -1,5 +1,6 @@
 """Answers that end early, with and without framing, at a real node."""
 
+import functools
 import types
 from collections.abc import AsyncIterator
 from pathlib import Path
@@ -225,8 +226,35 @@
     assert await ask(world, node, path, 'reset', lost) == BROKEN
 
 
+ASIDE = b'data: aside\n\n'
 REST = WHOLE.removeprefix(TWO)
+TWO_CR = TWO.replace(b'\n', b'\r')
 PING = b': ping\n\n'
+MARK = b'\xef\xbb\xbf'
+
+
+# Guards against events that come twice, or of which another run is joined,
+# behind ones without an id, and against a stream that needn't have ended there.
+async def test_a_stream_goes_on_behind_events_without_an_id(
+    world: AgencyWorld,
+) -> None:
+    node = await open_node(world)
+    lost = functools.partial(raw, is_reset=True)
+    beside = TWO + ASIDE
+    for name, sent, expected in (
+        ('next', [lost(beside)], beside + REST),
+        ('repeated', [lost(beside), raw(ASIDE, REST)], beside + REST),
+        ('more', [lost(beside), raw(ASIDE * 2, REST)], beside + ASIDE + REST),
+        ('comment', [lost(PING)], PING + WHOLE),
+        ('comment behind', [lost(TWO + PING)], TWO + PING + REST),
+        ('mark', [lost(MARK + TWO), raw(MARK, REST)], MARK + WHOLE),
+        ('CR', [lost(TWO_CR, HALF)], TWO_CR + REST),
+    ):
+        answer = await ask(world, node, DRAFT, name, *sent)
+        assert answer == (expected, '1'), name
+    other = [lost(beside), raw(b'data: other\n\n', REST)]
+    assert await ask(world, node, DRAFT, 'other', *other) == BROKEN
+    assert await ask(world, node, DRAFT, 'no ids', lost(ASIDE)) == BROKEN
 
 
 # Guards against a take-up that starts from the beginning, as its own last id
