Reset the connection of an answer without framing that is broken off

What callers saw: a caller that reads no chunks (HTTP/1.0) got a stream that was broken off, and its connection ended as that of a complete one does.

Cause: the node aborts the connection of an incomplete answer, which closes it without a reset. The end of an answer in chunks shows by the last chunk; an answer without framing has nothing but the kind of its end.

From its head until it is complete, such a connection is set to be reset when it is closed, by whomever: the node, a stop, or the end of the process.

--- a/mimosaworks/node/call.py
+++ b/mimosaworks/node/call.py
@@ -9,6 +9,7 @@
 from mimosaworks.node.answer_framing import Framing
 from mimosaworks.node.attempt_error import CallerDisconnectedError
 from mimosaworks.node.event_buffer import EventBuffer
+from mimosaworks.serving import set_reset_on_close
 from mimosaworks.wire import CallAsk
 
 
@@ -81,6 +82,8 @@
             await self.response.write_eof()
         except (ClientError, OSError) as exc:
             raise CallerDisconnectedError(repr(exc)) from exc
+        if self._ends_with_connection():
+            set_reset_on_close(req.transport, is_on=False)
         self.is_complete = True
 
     async def _prepare_and_write(
@@ -88,9 +91,18 @@
     ) -> None:
         if not self.response.prepared:
             await self.response.prepare(req)
+            if self._ends_with_connection():
+                # Until it is complete: the caller can't see an early end.
+                set_reset_on_close(req.transport, is_on=True)
         if chunk:
             await self.response.write(chunk)
 
+    def _ends_with_connection(self) -> bool:
+        """Whether its end is that of the connection, as in HTTP/1.0."""
+        return not self.response.chunked and (
+            self.response.content_length is None
+        )
+
 
 @attrs.define(eq=False)
 class Call:
--- a/mimosaworks/serving/__init__.py
+++ b/mimosaworks/serving/__init__.py
@@ -6,6 +6,7 @@
     error_fields,
     error_headers,
 )
+from mimosaworks.serving.reset_on_close import set_reset_on_close
 from mimosaworks.serving.serving import (
     PROMPT_SHUTDOWN_S,
     serve_app,
@@ -20,6 +21,7 @@
     'error_fields',
     'error_headers',
     'serve_app',
+    'set_reset_on_close',
     'start_task',
     'stop_event',
 ]
--- a/tests/test_node_answer_ends.py
+++ b/tests/test_node_answer_ends.py
@@ -1,5 +1,7 @@
 """Answers that end early, with and without framing, at a real node."""
 
+import asyncio
+import contextlib
 import functools
 import types
 from collections.abc import AsyncIterator
@@ -13,8 +15,14 @@
 from standins.agency.event_text import event_text
 from standins.agency.raw_answer import RawAnswer, in_chunks
 from standins.agency.replica import EVENTS, PLAIN
-from standins.agency.world import AgencyWorld, NodeHandle, open_agency
-from tests.test_node_processes import open_pair
+from standins.agency.world import (
+    HOST,
+    KEY,
+    AgencyWorld,
+    NodeHandle,
+    open_agency,
+)
+from tests.test_node_processes import open_pair, until
 
 BROKEN = (b'broken off', '')
 RAW = 'X-Raw'
@@ -268,3 +276,50 @@
     resumed = {'Resumes': 'begun', 'Last_Event_Id': '2'}
     answer = await ask(world, node, DRAFT, 'again', lost, **resumed)
     assert answer == (PING + REST, '1')
+
+
+async def ask_as_http_1_0(
+    world: AgencyWorld, node: NodeHandle, name: str, *raws: RawAnswer
+) -> bytes:
+    """Return what comes on a connection until its server closes it."""
+    shared_raws = list(raws)
+    for replica in world.replicas.values():
+        replica.raws = shared_raws
+    host, _, port = node.front.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    fields = {
+        'Host': HOST,
+        'Authorization': f'Bearer {KEY}',
+        'X-Request-Id': name,
+        'X-Deadline': '4000',
+        'X-Model': 'alpha',
+        'X-Token-Counts': '1000,20',
+        'Content-Length': '2',
+    }
+    lines = [f'{field}: {text}' for field, text in fields.items()]
+    head = '\r\n'.join((f'POST {CHAT} HTTP/1.0', *lines, '', '{}'))
+    writer.write(head.encode())
+    with contextlib.closing(writer):
+        return await reader.read()
+
+
+# Guards against an answer that looks complete to a caller that reads no chunks,
+# though its target or this node broke it off.
+async def test_a_broken_answer_without_framing_is_reset(
+    world: AgencyWorld,
+) -> None:
+    node = await open_node(world)
+    for number in range(5):
+        name = f'whole-{number}'
+        answer = await ask_as_http_1_0(world, node, name, raw(WHOLE))
+        assert answer.endswith(b'\r\n\r\n%s' % WHOLE)
+        assert b'Transfer-Encoding' not in answer
+    for number, sent in enumerate((INSIDE['closed'], RESETS['reset'])):
+        with pytest.raises(ConnectionResetError):
+            await ask_as_http_1_0(world, node, f'broken-{number}', sent)
+    slow = raw(TWO, HALF, pause_s=1)
+    asked = asyncio.create_task(ask_as_http_1_0(world, node, 'killed', slow))
+    await until(lambda: bool(node.events('call_started')[7:]))
+    await node.process.kill()
+    with pytest.raises(ConnectionResetError):
+        await asked
