--- a/mimosaworks/node/answer_relay.py
+++ b/mimosaworks/node/answer_relay.py
@@ -14,9 +14,10 @@
 )
 from mimosaworks.node.attempt_error import AttemptError
 from mimosaworks.node.attempt_progress import AttemptProgress
-from mimosaworks.node.call import Call, RelayedStream
-from mimosaworks.node.event_buffer import EventBuffer
+from mimosaworks.node.call import Call
+from mimosaworks.node.event_buffer import EventBuffer, PlainBuffer
 from mimosaworks.node.relay_peers import without_relay_field
+from mimosaworks.node.relayed_stream import RelayedStream
 from mimosaworks.platform.headers import answer_headers
 
 
@@ -59,13 +60,13 @@
     progress: AttemptProgress,
     hold: Hold,
 ) -> None:
-    relayed_stream.begin_run()
+    relayed_stream.buffer.begin_run()
     async for chunk in resp.content.iter_any():
         progress.record_bytes()
         if not call.is_answer_started:
             call.is_answer_started = True
             progress.record_first_bytes()
-        released = relayed_stream.release(chunk)
+        released = relayed_stream.buffer.feed(chunk)
         _hold_unfinished(relayed_stream, hold)
         if released:
             call.relayed_stream = relayed_stream
@@ -75,7 +76,7 @@
 
 def _hold_unfinished(relayed_stream: RelayedStream, hold: Hold) -> None:
     """Count the bytes of an unfinished event; raises OversizedError."""
-    held_bytes = relayed_stream.held_bytes
+    held_bytes = relayed_stream.buffer.held_bytes
     if not hold.keep(held_bytes):
         raise OversizedError(held_bytes, hold.books.one_bytes)
 
@@ -106,11 +107,11 @@
     relayed_stream.response.content_length = resp.content_length
     call.relayed_stream = relayed_stream
     await relayed_stream.write_chunk(
-        call.req, relayed_stream.release(buffered_body)
+        call.req, relayed_stream.buffer.feed(buffered_body)
     )
     async for chunk in resp.content.iter_any():
         await relayed_stream.write_chunk(
-            call.req, relayed_stream.release(chunk)
+            call.req, relayed_stream.buffer.feed(chunk)
         )
     return relayed_stream
 
@@ -122,9 +123,9 @@
     response = web.StreamResponse(status=resp.status, headers=headers)
     if call.closes_connection:
         response.force_close()
-    if not _has_events(call, resp):
-        return RelayedStream(response)
-    return RelayedStream(response, EventBuffer(is_resumable))
+    if _has_events(call, resp):
+        return RelayedStream(response, EventBuffer(is_resumable))
+    return RelayedStream(response, PlainBuffer())
 
 
 def _raise_for_retriable_failure(call: Call, resp: ClientResponse) -> None:
@@ -166,5 +167,5 @@
 
 def _check_stream_end(call: Call, relayed_stream: RelayedStream) -> None:
     """Raise ClientError if a stream has ended inside an event."""
-    if relayed_stream.is_inside_event:
+    if relayed_stream.buffer.is_inside_event:
         raise make_unfinished_error(call.framing)
--- a/mimosaworks/node/call.py
+++ b/mimosaworks/node/call.py
@@ -1,109 +1,16 @@
 """State of one caller's request at an entry node."""
 
 import attrs
-from aiohttp import ClientError, web
+from aiohttp import web
 
 from mimosaworks.clock import now_s
 from mimosaworks.deployment import RequestProfile, ServiceRoute
 from mimosaworks.dispatch import suspect_keys
 from mimosaworks.node.answer_framing import Framing
-from mimosaworks.node.attempt_error import CallerDisconnectedError
-from mimosaworks.node.event_buffer import EventBuffer
-from mimosaworks.serving import set_reset_on_close
+from mimosaworks.node.relayed_stream import RelayedStream
 from mimosaworks.wire import CallAsk
 
 
-@attrs.define(eq=False)
-class RelayedStream:
-    """The part of an answer that was relayed to the caller.
-
-    response keeps the head of the first target's answer when the stream is
-    resumed at another target. event_buffer is None for an answer that is no
-    stream of events.
-    """
-
-    response: web.StreamResponse
-    event_buffer: EventBuffer | None = None
-    is_complete: bool = False
-
-    @property
-    def is_inside_event(self) -> bool:
-        """Whether an event has begun and not ended yet."""
-        return (
-            self.event_buffer is not None and self.event_buffer.is_inside_event
-        )
-
-    @property
-    def held_bytes(self) -> int:
-        """Number of bytes of an unfinished event that were not released."""
-        return 0 if self.event_buffer is None else self.event_buffer.held_bytes
-
-    @property
-    def can_resume(self) -> bool:
-        """Whether it can go on at another target."""
-        return self.event_buffer is not None and self.event_buffer.can_resume
-
-    @property
-    def last_event_id(self) -> str:
-        """The id of the last event that was released, empty without one."""
-        if self.event_buffer is None:
-            return ''
-        return self.event_buffer.last_event_id
-
-    def release(self, chunk: bytes) -> bytes:
-        """Add a chunk; return the bytes that the caller gets now."""
-        if self.event_buffer is None:
-            return chunk
-        return self.event_buffer.feed(chunk)
-
-    def begin_run(self) -> None:
-        """Drop an unfinished event of an earlier attempt."""
-        if self.event_buffer is not None:
-            self.event_buffer.begin_run()
-
-    async def write_chunk(self, req: web.BaseRequest, chunk: bytes) -> None:
-        """Send the head if it was not sent yet, then a chunk.
-
-        Raises CallerDisconnectedError.
-        """
-        try:
-            await self._prepare_and_write(req, chunk)
-        except (ClientError, OSError) as exc:
-            raise CallerDisconnectedError(repr(exc)) from exc
-
-    async def finish(self, req: web.BaseRequest) -> None:
-        """Send the buffered rest and end the answer.
-
-        Raises CallerDisconnectedError.
-        """
-        rest = b'' if self.event_buffer is None else self.event_buffer.flush()
-        await self.write_chunk(req, rest)
-        try:
-            await self.response.write_eof()
-        except (ClientError, OSError) as exc:
-            raise CallerDisconnectedError(repr(exc)) from exc
-        if self._ends_with_connection():
-            set_reset_on_close(req.transport, is_on=False)
-        self.is_complete = True
-
-    async def _prepare_and_write(
-        self, req: web.BaseRequest, chunk: bytes
-    ) -> None:
-        if not self.response.prepared:
-            await self.response.prepare(req)
-            if self._ends_with_connection():
-                # Until it is complete: the caller can't see an early end.
-                set_reset_on_close(req.transport, is_on=True)
-        if chunk:
-            await self.response.write(chunk)
-
-    def _ends_with_connection(self) -> bool:
-        """Whether its end is that of the connection, as in HTTP/1.0."""
-        return not self.response.chunked and (
-            self.response.content_length is None
-        )
-
-
 @attrs.define(eq=False)
 class Call:
     """An admitted request with its body and the state of its attempts.
@@ -166,14 +73,14 @@
             may_repeat |= self.route.may_retry_after_run
         else:
             may_repeat &= bool(self.stream_version)
-            may_repeat &= self.relayed_stream.can_resume
+            may_repeat &= self.relayed_stream.buffer.can_resume
         return may_repeat and self.resends + 1 < self.route.max_attempts
 
     def last_event_id(self) -> str:
         """Return the id of the last event that was relayed, or ''."""
         if self.relayed_stream is None:
             return ''
-        return self.relayed_stream.last_event_id
+        return self.relayed_stream.buffer.last_event_id
 
     def remaining_s(self) -> float:
         """Return the seconds until the deadline, at least 0."""
--- a/mimosaworks/node/event_buffer.py
+++ b/mimosaworks/node/event_buffer.py
@@ -18,6 +18,27 @@
     """A resumed stream has another event where one was released before."""
 
 
+@attrs.frozen
+class PlainBuffer:
+    """Passes on a body that is no stream of events and can't be resumed."""
+
+    is_inside_event: bool = False
+    held_bytes: int = 0
+    can_resume: bool = False
+    last_event_id: str = ''
+
+    def feed(self, chunk: bytes) -> bytes:
+        """Return the chunk."""
+        return chunk
+
+    def flush(self) -> bytes:
+        """Return nothing, as nothing is held back."""
+        return b''
+
+    def begin_run(self) -> None:
+        """Do nothing, as there is one run only."""
+
+
 @attrs.define
 class EventBuffer:
     """Follows a stream's events, so that its end can be judged.
--- a/tests/test_answers_ends.py
+++ b/tests/test_answers_ends.py
@@ -7,7 +7,8 @@
 import pytest
 
 from mimosaworks.errors import ErrorKind, RequestError
-from mimosaworks.node.call import RelayedStream
+from mimosaworks.node.event_buffer import PlainBuffer
+from mimosaworks.node.relayed_stream import RelayedStream
 from mimosaworks.relay.attempt_error import CallerGoneError
 from mimosaworks.relay.caller_stream import CallerStream
 
@@ -50,7 +51,7 @@
 # caller reads slowly was over while the end was written.
 async def test_an_end_that_is_not_written_is_no_end_of_the_answer() -> None:
     out: Any = SlowAnswer()
-    passed = RelayedStream(out)
+    passed = RelayedStream(out, PlainBuffer())
     req: Any = Caller()
     with pytest.raises(TimeoutError):
         async with asyncio.timeout(SHORT_S):
