--- a/mimosaworks/event_stream.py
+++ b/mimosaworks/event_stream.py
@@ -12,7 +12,7 @@
 END_OF_EVENT = b'\n\n'
 BYTE_ORDER_MARK = b'\xef\xbb\xbf'
 _LINE_ENDS = b'\r\n'
-# Enough of a line to tell a comment, behind a byte order mark too.
+# Enough to tell a comment, behind a byte order mark too.
 _LINE_START_BYTES = 4
 
 
@@ -45,6 +45,10 @@
 
     def feed(self, chunk: bytes) -> int:
         """Return how many bytes of a chunk belong to no unfinished event."""
+        if chunk.endswith(END_OF_EVENT):
+            # The usual chunk: an empty line ends any event.
+            self._reset_line()
+            return len(chunk)
         end = 0
         position = 0
         for line in chunk.splitlines(keepends=True):
@@ -72,6 +76,13 @@
         self._line_start = b''
         self._is_first_line = False
 
+    def _reset_line(self) -> None:
+        """Forget the lines so far, as behind an empty line."""
+        self._line_start = b''
+        self._has_fields = False
+        self._is_first_line = False
+        self._ended_with_cr = False
+
     def _is_in_field(self) -> bool:
         start = self._unmarked_start()
         return bool(start) and not start.startswith(b':')
