Reset only answers that have no chunks

Callers of streams in chunks that were broken off lost what they had not read yet: the connection was reset, which is meant for answers without framing.

Cause: the server decides on chunks when it prepares an answer and notes them in its head, not in the attribute that was asked.

--- a/mimosaworks/node/relayed_stream.py
+++ b/mimosaworks/node/relayed_stream.py
@@ -1,7 +1,7 @@
 """The part of an answer that its caller has."""
 
 import attrs
-from aiohttp import ClientError, web
+from aiohttp import ClientError, hdrs, web
 
 from mimosaworks.node.attempt_error import CallerDisconnectedError
 from mimosaworks.node.event_buffer import EventBuffer, PlainBuffer
@@ -57,6 +57,6 @@
 
     def _ends_with_connection(self) -> bool:
         """Whether its end is that of the connection, as in HTTP/1.0."""
-        return not self.response.chunked and (
-            self.response.content_length is None
-        )
+        # The server decides on chunks when it prepares the answer.
+        has_chunks = hdrs.TRANSFER_ENCODING in self.response.headers
+        return not has_chunks and self.response.content_length is None
