A large stream ends with chunks where its length would look complete

Callers got a large stream of events with its length on a route for plain answers, complete by that length and ended inside an event.

Cause: a body that is too large to be held is passed on under its own length, and its last event is judged when all of it has left.

A stream of events is passed on in chunks; the last one follows the verdict.

--- a/mimosaworks/node/answer_relay.py
+++ b/mimosaworks/node/answer_relay.py
@@ -104,7 +104,9 @@
     buffered_body is the part that was received before.
     """
     relayed_stream = _start_relayed_stream(call, resp, is_resumable=False)
-    relayed_stream.response.content_length = resp.content_length
+    if not _has_events(call, resp):
+        # The length of a stream could be complete though its last event is not.
+        relayed_stream.response.content_length = resp.content_length
     call.relayed_stream = relayed_stream
     await relayed_stream.write_chunk(
         call.req, relayed_stream.buffer.feed(buffered_body)
--- a/tests/test_node_answer_ends.py
+++ b/tests/test_node_answer_ends.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import functools
+import socket
 import types
 from collections.abc import AsyncIterator
 from pathlib import Path
@@ -31,6 +32,9 @@
 IN_FIRST_EVENT = 'inside the first event'
 TWO = event_text(1) + event_text(2)
 HALF = event_text(3)[:12]
+MUCH = TWO * 130000
+CALLER_BYTES = 65536
+UNREAD_S = 0.5
 WHOLE = b''.join(event_text(number) for number in range(1, EVENTS + 1))
 DRAFT = '/draft/x'
 CHAT = '/chat/x'
@@ -46,9 +50,9 @@
 
 async def open_node(world: AgencyWorld) -> NodeHandle:
     """Start nodes before two targets for each request."""
+    await world.add_replica('ledger-2', service='ledger', slots=6)
     node, _ = await open_pair(world)
     world.replicas['engine-2'].models['alpha'] = set()
-    await world.add_replica('ledger-2', service='ledger', slots=6)
     return node
 
 
@@ -150,6 +154,8 @@
     }
     first_body, first_raw = answers.pop(IN_FIRST_EVENT)
     assert (first_body, first_raw) == (expected[0], '')
+    crashes = {line['request_id'] for line in node.events('target_end_seen')}
+    assert crashes == set(INSIDE) - {'last chunk', 'length'}
     assert answers == dict.fromkeys(answers, expected)
 
 
@@ -215,6 +221,12 @@
         ('large, reset', plain(large, is_reset=True), BROKEN),
         ('inside an event', raw(TWO, HALF), (PLAIN, '')),
         ('behind an event', raw(TWO), (TWO, '1')),
+        ('large, inside an event', sized(LARGE_EVENT * 4, HALF), BROKEN),
+        (
+            'large, behind an event',
+            raw(LARGE_EVENT * 4),
+            (LARGE_EVENT * 4, '1'),
+        ),
     ):
         assert await ask(world, node, LOOK, name, sent) == expected, name
         once = expected if expected[1] else BROKEN
@@ -278,15 +290,21 @@
     assert answer == (PING + REST, '1')
 
 
-async def ask_as_http_1_0(
-    world: AgencyWorld, node: NodeHandle, name: str, *raws: RawAnswer
-) -> bytes:
-    """Return what comes on a connection until its server closes it."""
+async def open_caller(
+    world: AgencyWorld, node: NodeHandle, version: str, name: str, *raws: Any
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Send a request for a stream on a connection that takes little unread."""
     shared_raws = list(raws)
     for replica in world.replicas.values():
         replica.raws = shared_raws
     host, _, port = node.front.rpartition(':')
-    reader, writer = await asyncio.open_connection(host, int(port))
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, CALLER_BYTES)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+    reader, writer = await asyncio.open_connection(
+        sock=sock, limit=CALLER_BYTES
+    )
     fields = {
         'Host': HOST,
         'Authorization': f'Bearer {KEY}',
@@ -297,8 +315,15 @@
         'Content-Length': '2',
     }
     lines = [f'{field}: {text}' for field, text in fields.items()]
-    head = '\r\n'.join((f'POST {CHAT} HTTP/1.0', *lines, '', '{}'))
+    head = '\r\n'.join((f'POST {CHAT} {version}', *lines, '', '{}'))
     writer.write(head.encode())
+    return reader, writer
+
+
+async def ask_as_http_1_0(*request: Any) -> bytes:
+    """Return what comes on a connection until its server closes it."""
+    world, node, *answer = request
+    reader, writer = await open_caller(world, node, 'HTTP/1.0', *answer)
     with contextlib.closing(writer):
         return await reader.read()
 
@@ -323,3 +348,37 @@
     await node.process.kill()
     with pytest.raises(ConnectionResetError):
         await asked
+
+
+# Guards against the end of a node that cuts off the last bytes of an answer
+# without framing, which had counted as sent.
+async def test_an_unread_answer_without_framing_is_reset_by_a_kill(
+    world: AgencyWorld,
+) -> None:
+    node = await open_node(world)
+    reader, writer = await open_caller(
+        world, node, 'HTTP/1.0', 'unread', raw(MUCH)
+    )
+    with contextlib.closing(writer):
+        await until(lambda: bool(node.events('call_started')))
+        await asyncio.sleep(UNREAD_S)
+        await node.process.kill()
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+
+
+# Guards against a broken stream in chunks of which the caller loses what it
+# had not read yet, as its connection is reset.
+async def test_a_broken_stream_in_chunks_is_not_reset(
+    world: AgencyWorld,
+) -> None:
+    node = await open_node(world)
+    reader, writer = await open_caller(
+        world, node, 'HTTP/1.1', 'slow', raw(MUCH, HALF)
+    )
+    received = bytearray()
+    with contextlib.closing(writer):
+        while piece := await reader.read(CALLER_BYTES):
+            received.extend(piece)
+    assert received.count(b'piece 1') > MUCH.count(b'piece 1') / 2
+    assert not received.endswith(b'0\r\n\r\n')
