A resumed stream begins with an id that did not come before

Callers had events 1, 2, 1, 2, 3 in one complete stream when a target started it over instead of resuming it.

Cause: nothing looked at the first id of a run. It must now be greater than the last one where both are numbers, else neither the first nor the last one.

--- a/mimosaworks/node/answer_relay.py
+++ b/mimosaworks/node/answer_relay.py
@@ -18,7 +18,7 @@
 from mimosaworks.node.event_buffer import EventBuffer, PlainBuffer
 from mimosaworks.node.relay_peers import without_relay_field
 from mimosaworks.node.relayed_stream import RelayedStream
-from mimosaworks.platform.headers import answer_headers
+from mimosaworks.platform.headers import LAST_EVENT, answer_headers
 
 
 async def relay_answer(
@@ -126,7 +126,8 @@
     if call.closes_connection:
         response.force_close()
     if _has_events(call, resp):
-        return RelayedStream(response, EventBuffer(is_resumable))
+        place = call.req.headers.get(LAST_EVENT, '')
+        return RelayedStream(response, EventBuffer(is_resumable, place))
     return RelayedStream(response, PlainBuffer())
 
 
--- a/mimosaworks/node/event_buffer.py
+++ b/mimosaworks/node/event_buffer.py
@@ -18,6 +18,32 @@
     """A resumed stream has another event where one was released before."""
 
 
+@attrs.define
+class _RelayedIds:
+    """The ids that tell a run which starts over from one that goes on."""
+
+    _first: bytes = b''
+    _last: bytes = b''
+    _is_run_begun: bool = True
+
+    def begin_run(self) -> None:
+        """Expect the first id of another run."""
+        self._is_run_begun = not self._last
+
+    def add(self, event_id: bytes) -> None:
+        """Add an id; raises OtherEventError for one that came before."""
+        if not self._is_run_begun and self._came_before(event_id):
+            raise OtherEventError(f'id {event_id!r} comes again')
+        self._first = self._first or event_id
+        self._last = event_id
+        self._is_run_begun = True
+
+    def _came_before(self, event_id: bytes) -> bool:
+        if event_id.isdigit() and self._last.isdigit():
+            return int(event_id) <= int(self._last)
+        return event_id in {self._first, self._last}
+
+
 @attrs.frozen
 class PlainBuffer:
     """Passes on a body that is no stream of events and can't be resumed."""
@@ -45,14 +71,17 @@
 
     With is_resumable it holds an unfinished event back, so that the stream can
     go on at another target. last_event_id is the id of the last event with one
-    that was released. A target may repeat the events without an id behind that
-    one; the caller gets them once.
+    that was released; at first, that behind which the caller asked to begin. A
+    target may repeat the events without an id behind that one; the caller gets
+    them once.
     """
 
     is_resumable: bool
     last_event_id: str = ''
     _cutter: EventCutter = attrs.field(factory=EventCutter)
+    _ids: _RelayedIds = attrs.field(factory=_RelayedIds)
     _unnumbered: list[bytes] = attrs.field(factory=list)
+    _unnumbered_bytes: int = 0
     _repeatable: list[bytes] = attrs.field(factory=list)
     _is_place_lost: bool = False
     _is_begun: bool = False
@@ -81,9 +110,10 @@
         if not self.is_resumable:
             return self._cutter.pass_on(chunk)
         complete = self._cutter.feed(chunk)
+        mark = b''
         if complete and not self._is_run_begun:
-            complete = self._begin_events(complete)
-        return b''.join(
+            mark, complete = self._take_mark(complete)
+        return mark + b''.join(
             self._release(event) for event in split_events(complete)
         )
 
@@ -95,14 +125,19 @@
         """Drop an unfinished event; the next chunk is the run's first one."""
         self._cutter = EventCutter()
         self._repeatable = self._unnumbered.copy()
+        self._ids.begin_run()
         self._is_run_begun = False
 
-    def _begin_events(self, complete: bytes) -> bytes:
-        """Return the first events of a run without a mark inside a stream."""
-        is_resumed = self._is_begun
+    def _take_mark(self, complete: bytes) -> tuple[bytes, bytes]:
+        """Return a run's byte order mark, if it is released, and the rest."""
+        is_marked = complete.startswith(BYTE_ORDER_MARK)
+        is_released = is_marked and not self._is_begun
         self._is_begun = True
         self._is_run_begun = True
-        return complete.removeprefix(BYTE_ORDER_MARK if is_resumed else b'')
+        return (
+            BYTE_ORDER_MARK if is_released else b'',
+            complete.removeprefix(BYTE_ORDER_MARK),
+        )
 
     def _release(self, event: Event) -> bytes:
         """Return the bytes of an event that the caller gets."""
@@ -111,13 +146,14 @@
         elif event.has_data and self._repeatable:
             self._check_repeated(event.content)
             return b''
-        elif event.has_data:
+        elif event.has_data and not self._is_place_lost:
             self._keep_unnumbered(event.content)
         return event.content
 
     def _keep_place(self, event_id: bytes) -> None:
+        self._ids.add(event_id)
         self.last_event_id = event_id.decode(errors='replace')
-        self._unnumbered.clear()
+        self._forget_unnumbered()
         self._repeatable.clear()
         self._is_place_lost = False
 
@@ -131,7 +167,12 @@
     def _keep_unnumbered(self, content: bytes) -> None:
         """Keep an event that the next run may repeat."""
         self._unnumbered.append(content)
-        size = sum(len(kept) for kept in self._unnumbered)
-        if not self.last_event_id or size > MAX_UNNUMBERED_BYTES:
-            self._unnumbered.clear()
+        self._unnumbered_bytes += len(content)
+        is_beyond = self._unnumbered_bytes > MAX_UNNUMBERED_BYTES
+        if is_beyond or not self.last_event_id:
+            self._forget_unnumbered()
             self._is_place_lost = True
+
+    def _forget_unnumbered(self) -> None:
+        self._unnumbered.clear()
+        self._unnumbered_bytes = 0
