Take oddly written types of event streams for what they say

A half event passed as complete under a type like 'text/event-stream charset=...', in quotes, or empty, which a strict reading takes for no stream of events. Found by a review; no test of its own.

--- a/mimosaworks/node/answer_framing.py
+++ b/mimosaworks/node/answer_framing.py
@@ -35,9 +35,11 @@
 
     is_expected is true where the answer may lack a Content-Type.
     """
-    if 'Content-Type' in resp.headers:
-        return resp.content_type == _EVENT_STREAM
-    return is_expected
+    declared = resp.headers.get('Content-Type', '').strip().lower()
+    if not declared:
+        return is_expected
+    # Some servers write more behind the type than a list of parameters.
+    return declared.strip('"').startswith(_EVENT_STREAM)
 
 
 def make_unfinished_error(framing: Framing) -> ClientPayloadError:
