A body is whole once its server has closed the connection

A whole answer without framing was refused when this side failed to write the rest of its request behind the server's close. Found by a review, with requests of 20 MB, by hand; no test of its own.

--- a/mimosaworks/body_ends.py
+++ b/mimosaworks/body_ends.py
@@ -39,7 +39,8 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the body at hand, with an error unless it is complete."""
         body = self._latest_body
-        is_lost = exc is not None or not self._is_closed_by_peer
+        # Once the other side has closed it, all bytes of the body have come.
+        is_lost = not self._is_closed_by_peer
         if is_lost and body is not None and _is_expected(body):
             reason = 'closed by this process' if exc is None else repr(exc)
             body.set_exception(
