--- a/mimosaworks/relay/caller_stream.py
+++ b/mimosaworks/relay/caller_stream.py
@@ -32,7 +32,7 @@
 
         was_cold tells the caller that a model or adapter had to be loaded.
         """
-        self.counter.drop_rest()
+        self.counter.begin_run()
         if self.resp is not None:
             return
         resp = web.StreamResponse(status=upstream.status)
