--- a/mimosaworks/relay/upstream.py
+++ b/mimosaworks/relay/upstream.py
@@ -14,6 +14,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 STREAM_IDLE_S = 15.0
+STREAM_END_S = 0.1  # behind its closing event
 RESUME_HEADER = 'X-Resume-From'
 CANCEL_TIMEOUT_S = 1.0
 
