An object of the store must have a length or chunks

Whoever read it raised JSONDecodeError, which no reader of the table expects, where the store should count as unavailable.

Cause: a body without framing ends with its connection, and an object is raw bytes, of which a part looks like the whole.

Now a read of such an object fails as unavailable. Rows need no framing: a part of their JSON is none.

--- a/mimosaworks/platform/store.py
+++ b/mimosaworks/platform/store.py
@@ -135,6 +135,9 @@
         if answer.status == HTTPStatus.NOT_FOUND:
             return None
         _check_done(answer)
+        if not answer.is_framed:
+            # Nothing in it tells that it is whole, other than in JSON.
+            raise StoreUnavailableError(f'store: {name} has no length')
         return answer.content
 
     async def put_object(
@@ -204,7 +207,7 @@
                 self.on_call(kind, str(resp.status))
                 content = await resp.read()
                 era = self.era.record_answer(resp.headers.get(_ERA, '0'))
-                return _Answer(resp.status, content, era)
+                return _Answer(resp.status, content, era, _is_framed(resp))
         except aiohttp.ClientConnectorError as exc:
             raise StoreUnavailableError(f'store: {exc}') from exc
         except OversizedError as exc:
@@ -221,6 +224,13 @@
     status: int
     content: bytes
     era: int
+    is_framed: bool
+
+
+def _is_framed(resp: aiohttp.ClientResponse) -> bool:
+    """Return whether the body has a length or chunks."""
+    coding = resp.headers.get('Transfer-Encoding', '')
+    return resp.content_length is not None or coding.lower() == 'chunked'
 
 
 def _span_params(table: str, part: str, span: KeyRange) -> dict[str, str]:
