All sessions of the programs tell lost bodies from complete ones

What was seen: the sessions for the platform, peers, orders and the administration had the client library's connector, which takes a body without framing that is reset for a complete one.

Cause: the connector that tells was used by the sessions for targets only.

The new test, which reads all calls that make a session, failed before.

The options of the sessions stay.

--- a/mimosaworks/admin/process.py
+++ b/mimosaworks/admin/process.py
@@ -3,7 +3,7 @@
 import contextlib
 from typing import Any
 
-from aiohttp import ClientSession, web
+from aiohttp import web
 
 from mimosaworks.admin.middleware import answer_errors, authenticate
 from mimosaworks.admin.operators import parse_operators
@@ -17,7 +17,12 @@
 from mimosaworks.members.removal import fail_when_removed
 from mimosaworks.metrics import MetricsClient, open_metrics
 from mimosaworks.platform import platform_clients
-from mimosaworks.serving import serve_app, start_task, stop_event
+from mimosaworks.serving import (
+    open_session,
+    serve_app,
+    start_task,
+    stop_event,
+)
 from mimosaworks.wire import PeerClient, new_peer_app
 
 PROGRAM = 'admin'
@@ -61,7 +66,7 @@
     metrics: MetricsClient,
     stack: contextlib.AsyncExitStack,
 ) -> AdminService:
-    session = await stack.enter_async_context(ClientSession())
+    session = await open_session(stack)
     platform = platform_clients(session, cfg.platform_url)
     peer_app = new_peer_app()
     own = Member(
--- a/mimosaworks/cmdline/ctl_calls.py
+++ b/mimosaworks/cmdline/ctl_calls.py
@@ -9,6 +9,7 @@
 
 from mimosaworks.admin.api_error import AdminApiError
 from mimosaworks.admin.client import AdminClient
+from mimosaworks.body_ends import BodyEndConnector
 from mimosaworks.cmdline.ctl_settings import CtlSettings
 
 EXIT_FAILED = 1
@@ -33,7 +34,9 @@
     cfg: CtlSettings, action: Callable[[AdminClient], Awaitable[Result]]
 ) -> Result:
     headers = {'Authorization': f'Bearer {cfg.operator_token}'}
-    async with ClientSession(headers=headers) as session:
+    async with ClientSession(
+        connector=BodyEndConnector(), headers=headers
+    ) as session:
         return await action(AdminClient(session, cfg.admin_url.rstrip('/')))
 
 
--- a/mimosaworks/placement/target_sessions.py
+++ b/mimosaworks/placement/target_sessions.py
@@ -4,8 +4,9 @@
 from typing import Self
 
 import attrs
-from aiohttp import ClientSession, TCPConnector
+from aiohttp import ClientSession
 
+from mimosaworks.body_ends import BodyEndConnector
 from mimosaworks.bounded_answers import AnswerBounds, BoundedConnector
 from mimosaworks.placement.report_reader import ReportReader
 
@@ -24,7 +25,7 @@
     @classmethod
     async def open(cls, stack: contextlib.AsyncExitStack) -> Self:
         """Return sessions that are open until the stack is closed."""
-        orders = ClientSession(connector=TCPConnector(force_close=True))
+        orders = ClientSession(connector=BodyEndConnector(force_close=True))
         await stack.enter_async_context(orders)
         bounded = BoundedConnector(AnswerBounds().answer_bytes)
         reports = ClientSession(connector=bounded)
--- a/mimosaworks/placement/wiring.py
+++ b/mimosaworks/placement/wiring.py
@@ -25,7 +25,12 @@
 from mimosaworks.placement.target_sessions import TargetSessions
 from mimosaworks.placement.vm_monitor import VmStateMonitor
 from mimosaworks.platform import PlatformClients, platform_clients
-from mimosaworks.serving import serve_app, start_task, stop_event
+from mimosaworks.serving import (
+    open_session,
+    serve_app,
+    start_task,
+    stop_event,
+)
 from mimosaworks.wire import Demand, PeerClient, add_peer_handler, new_peer_app
 
 PROGRAM = 'placer'
@@ -38,7 +43,7 @@
     stopping = stop_event()
     async with contextlib.AsyncExitStack() as stack:
         metrics = stack.enter_context(open_metrics(cfg.statsd_address, PROGRAM))
-        session = await stack.enter_async_context(ClientSession())
+        session = await open_session(stack)
         app = new_peer_app()
         platform = platform_clients(session, cfg.platform_url)
         members = _make_members(cfg, session, app, platform)
--- a/mimosaworks/router/program.py
+++ b/mimosaworks/router/program.py
@@ -49,6 +49,7 @@
 )
 from mimosaworks.serving import (
     REQUEST_ID_HEADER,
+    open_session,
     serve_app,
     start_task,
     stop_event,
@@ -107,7 +108,7 @@
     stack: contextlib.AsyncExitStack,
     stopping: asyncio.Event,
 ) -> None:
-    session = await stack.enter_async_context(ClientSession())
+    session = await open_session(stack)
     peer_app = new_peer_app()
     metrics = stack.enter_context(open_metrics(cfg.statsd_address, PROGRAM))
     router = _new_router(cfg, session, peer_app, metrics)
--- a/mimosaworks/serving/__init__.py
+++ b/mimosaworks/serving/__init__.py
@@ -8,6 +8,7 @@
 )
 from mimosaworks.serving.serving import (
     PROMPT_SHUTDOWN_S,
+    open_session,
     serve_app,
     start_task,
     stop_event,
@@ -19,6 +20,7 @@
     'RUN_HEADER',
     'error_fields',
     'error_headers',
+    'open_session',
     'serve_app',
     'start_task',
     'stop_event',
--- a/mimosaworks/serving/serving.py
+++ b/mimosaworks/serving/serving.py
@@ -6,8 +6,9 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from aiohttp import web
+from aiohttp import ClientSession, web
 
+from mimosaworks.body_ends import BodyEndConnector
 from mimosaworks.events import Event, log_event
 
 SHUTDOWN_TIMEOUT_S = 10.0
@@ -43,6 +44,12 @@
     return runner
 
 
+async def open_session(stack: contextlib.AsyncExitStack) -> ClientSession:
+    """Return a session that tells complete bodies from lost ones."""
+    session = ClientSession(connector=BodyEndConnector())
+    return await stack.enter_async_context(session)
+
+
 async def _close(runner: web.AppRunner, timeout_s: float) -> None:
     # aiohttp gives handlers this time twice: as they are, and once more when
     # they are cancelled. It doesn't wait for those without a connection.
--- a/tests/test_body_ends.py
+++ b/tests/test_body_ends.py
@@ -1,7 +1,9 @@
 """Bodies without framing, which end with their connection."""
 
+import ast
 import asyncio
 import contextlib
+import re
 from collections.abc import AsyncGenerator, Awaitable, Callable, Coroutine
 
 import aiohttp
@@ -13,10 +15,13 @@
 from mimosaworks.bounded_answers import BoundedConnector
 from standins.addresses import reserve_address
 from standins.resets import reset
+from tests.catalogue import PACKAGE
 
 HEAD = b'HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n\r\n'
 LARGE = b'x' * 3000000
 PAUSE_S = 0.02
+SESSION = re.compile(r'(aiohttp\.)?ClientSession\(')
+PLAIN_CONNECTOR = re.compile(r'(aiohttp\.)?TCPConnector\(')
 CONNECTORS = (
     pytest.param(BodyEndConnector, id='plain'),
     pytest.param(lambda: BoundedConnector(4000000), id='bounded'),
@@ -172,3 +177,20 @@
                 assert b''.join([chunk async for chunk in chunks]) == body
 
     run(read_twice())
+
+
+# Guards against a program whose session takes a part of a body for the whole.
+def test_each_session_has_a_connector_that_tells_lost_bodies() -> None:
+    sources = PACKAGE.rglob('*.py')
+    calls = [
+        ast.unparse(node)
+        for source in sources
+        for node in ast.walk(ast.parse(source.read_text()))
+        if isinstance(node, ast.Call)
+    ]
+    sessions = [call for call in calls if SESSION.match(call)]
+    assert sessions
+    for call in sessions:
+        assert 'connector=' in call
+    for other in calls:
+        assert not PLAIN_CONNECTOR.match(other)
