mimosactl: a cut answer of the administration counts as none

What operators saw: an answer without framing that was cut ended mimosactl with a traceback (JSONDecodeError, TypeError), also where their change may have been stored; without any byte, a status read as None.

Cause: the client expected errors of the connection only.

Now an answer that is no JSON object is one that did not come, which tells where the change may have been stored.

--- a/mimosaworks/admin/client.py
+++ b/mimosaworks/admin/client.py
@@ -81,7 +81,7 @@
                 return await _checked(resp)
         except aiohttp.ClientConnectorError as exc:
             raise AdminApiError(f'{url}: {exc}') from exc
-        except (TimeoutError, aiohttp.ClientError) as exc:
+        except (TimeoutError, aiohttp.ClientError, ValueError) as exc:
             raise AdminApiError(
                 f'{url}: no answer: {exc!r}', may_have_run=method == 'POST'
             ) from exc
@@ -96,7 +96,9 @@
 
 
 async def _checked(resp: aiohttp.ClientResponse) -> dict[str, Any]:
-    content: dict[str, Any] = await resp.json()
+    content = await resp.json()
+    if not isinstance(content, dict):
+        raise ValueError(f'{content!r} is no JSON object')
     if resp.status < HTTPStatus.BAD_REQUEST:
         return content
     error = content['error']
--- a/tests/test_admin_client.py
+++ b/tests/test_admin_client.py
@@ -6,11 +6,13 @@
 
 from mimosaworks.admin.api_error import AdminApiError
 from mimosaworks.admin.client import AdminClient
+from mimosaworks.body_ends import BodyEndConnector
 from mimosaworks.cmdline.ctl_changes import ATTEMPTS, change_with_retries
 from mimosaworks.entities import Catalogue, Change, HolderSet, Workspace
 from mimosaworks.errors import StoreInDoubtError
 from mimosaworks.members import Acceptance
 from tests.admin_fakes import FakeMembers, FakeStore, admin_client
+from tests.test_body_ends import EndingServer, open_session
 
 CUPS = Change('workspace', 'cups', Workspace('cups', 1, 1))
 LATER = Change('workspace', 'cups', Workspace('cups', 2, 2))
@@ -93,3 +95,18 @@
         holder_set={'holders': HolderSet(epoch=1, addresses=('a:1', 'b:1'))},
     )
     assert await client.read_config() == store.catalogue
+
+
+# Guards against a traceback where a change may have been stored, and against no
+# answer that is taken for one.
+@pytest.mark.parametrize('body', [b'', b'{"version": 3, "sta'])
+async def test_a_cut_answer_is_none(body: bytes) -> None:
+    head = b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n'
+    server = EndingServer(b'%s%s' % (head, body), 0)
+    async with open_session(server, BodyEndConnector) as session:
+        api = AdminClient(session, server.url.rstrip('/'))
+        with pytest.raises(AdminApiError) as read:
+            await api.read_status()
+        with pytest.raises(AdminApiError) as change:
+            await api.change([CUPS], 2)
+    assert (read.value.may_have_run, change.value.may_have_run) == (False, True)
