Tests of cut messages and of whole bodies that are reset; services' streams

Shown, but not mended yet: a stream of a plain service without a model's closing event is taken for a broken one, and sent twice where the call may be repeated.

--- a/tests/test_relay_stream_ends.py
+++ b/tests/test_relay_stream_ends.py
@@ -21,7 +21,8 @@
 END = b'data: 2\n\n%s' % DONE
 MARK = b'\xef\xbb\xbf'
 CRLF = b'data: 1\r\n\r\ndata: [DONE]\r\n\r\n'
-HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n'
+PLAIN = b'HTTP/1.1 200 OK\r\n\r\n'
+STREAM = b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n'
 REPORT = b'HTTP/1.1 200 OK\r\nContent-Length: 18\r\n\r\n{"generation":"g"}'
 LENGTH = re.compile(rb'(?i)content-length: *(\d+)')
 RESUMED = re.compile(rb'(?i)x-resume-from: *(\d+)')
@@ -29,10 +30,11 @@
 
 @attrs.frozen
 class Run:
-    """A streamed answer without framing."""
+    """An answer without framing."""
 
     sent: bytes
     is_reset: bool = False
+    head: bytes = STREAM
 
 
 @attrs.define(eq=False)
@@ -59,7 +61,7 @@
                 return
             self.resumed.append(_number(RESUMED, head))
             run = self.runs.pop(0)
-            writer.write(HEAD + run.sent)
+            writer.write(run.head + run.sent)
             await asyncio.sleep(PAUSE_S)
             if run.is_reset:
                 reset(writer.transport)
@@ -100,6 +102,11 @@
         ([Run(ONE + END, is_reset=True), Run(END)], ONE + END, [0]),
         ([Run(PING + ONE), Run(END)], PING + ONE + END, [0, 1]),
         ([Run(ONE + PING[:4], is_reset=True), Run(END)], ONE + END, [0, 1]),
+        (
+            [Run(b'{"a', is_reset=True, head=PLAIN), Run(b'{}', head=PLAIN)],
+            b'{}',
+            [0, 0],
+        ),
         ([Run(ONE + END[:-1]), Run(MARK + DONE)], ONE + END, [0, 2]),
     )
     seen = []
--- a/tests/test_wire_codec.py
+++ b/tests/test_wire_codec.py
@@ -64,6 +64,15 @@
     return (get_origin(kind) or kind)()
 
 
+# Guards against a cut message that is taken for one with less in it.
+@pytest.mark.parametrize('message', [Ack(accepted=True), *MESSAGES])
+def test_a_cut_message_is_a_value_error(message: object) -> None:
+    packed = encode(message)
+    for size, _ in enumerate(packed):
+        with pytest.raises(ValueError, match='not a'):
+            decode(type(message), packed[:size])
+
+
 def test_broken_bytes_are_a_value_error() -> None:
     with pytest.raises(ValueError, match='not a Demand'):
         decode(Demand, b'\xff\xff\xff')
