Router: a service's stream is whole when it ends behind an event

What callers saw: a stream of a plain service that ended whole got an error event behind it; where the call may be repeated, its events came twice before that.

Cause: streams of services were judged by the closing event that only models send, and went on with a header field that services do not know.

On the code before, the new test ended with TimeoutError, without an answer.

Now a service's stream has ended when its body ends behind an event, and goes to one target only once its answer has begun.

--- a/mimosaworks/relay/exchange.py
+++ b/mimosaworks/relay/exchange.py
@@ -22,11 +22,8 @@
 from mimosaworks.relay.headers import copy_answer_headers
 from mimosaworks.relay.not_run import says_not_run
 from mimosaworks.relay.outgoing import Outgoing
-from mimosaworks.relay.upstream import (
-    STREAM_END_S,
-    STREAM_IDLE_S,
-    Upstream,
-)
+from mimosaworks.relay.stream_relay import relay_events, relay_tokens
+from mimosaworks.relay.upstream import Upstream
 from mimosaworks.relay.usage import read_completion_tokens
 from mimosaworks.routing import (
     CrashMonitor,
@@ -187,14 +184,13 @@
         self, slot: Slot, resp: ClientResponse
     ) -> web.StreamResponse:
         await self.stream.begin(resp, was_cold=self.ticket.was_cold)
-        while not self.stream.counter.is_done:
-            async with asyncio.timeout(STREAM_IDLE_S):
-                chunk = await resp.content.readany()
-            if not chunk:
-                raise AttemptInDoubtError('stream ended early')
-            await self.stream.write_events(chunk)
+        if self.ticket.model:
+            await relay_tokens(self.stream, resp)
+        else:
+            # A service knows no resume.
+            self.is_repeatable = False
+            await relay_events(self.stream, resp)
         self._note_answered(slot, resp.status, self.stream.counter.tokens)
-        await _await_end(resp)
         return await self.stream.finish()
 
     def _note_answered(self, slot: Slot, status: int, tokens: int) -> None:
@@ -269,13 +265,6 @@
         )
 
 
-async def _await_end(resp: ClientResponse) -> None:
-    """Give a whole stream time to end, so that its connection is kept."""
-    with contextlib.suppress(*_TRANSPORT_ERRORS):
-        async with asyncio.timeout(STREAM_END_S):
-            await resp.content.readany()
-
-
 @contextlib.contextmanager
 def _noted_doubt(exchange: Exchange, guard: SendGuard) -> Generator[None]:
     try:
--- a/tests/test_relay_stream_ends.py
+++ b/tests/test_relay_stream_ends.py
@@ -11,7 +11,7 @@
 from standins.addresses import reserve_address
 from standins.resets import reset
 from tests.harness import wait_until
-from tests.harness_entry import CHAT, Entry, chat
+from tests.harness_entry import CHAT, READINGS, Entry, chat
 
 PAUSE_S = 0.02
 DEADLINE_S = '3'
@@ -72,17 +72,22 @@
     return int(found[1]) if found else 0
 
 
+@contextlib.asynccontextmanager
+async def listen(engines: Engines) -> AsyncGenerator[str, None]:
+    address = reserve_address()
+    host, _, port = address.rpartition(':')
+    async with await asyncio.start_server(engines.serve, host, int(port)):
+        yield f'http://{address}'
+
+
 @contextlib.asynccontextmanager
 async def open_engines(entry: Entry) -> AsyncGenerator[Engines, None]:
     engines = Engines()
     async with contextlib.AsyncExitStack() as stack:
         targets = []
         for name in ('raw-1', 'raw-2'):
-            address = reserve_address()
-            host, _, port = address.rpartition(':')
-            server = await asyncio.start_server(engines.serve, host, int(port))
-            await stack.enter_async_context(server)
-            targets.append(Target(name, f'http://{address}', 'models'))
+            url = await stack.enter_async_context(listen(engines))
+            targets.append(Target(name, url, 'models'))
         await entry.open(*targets)
         await entry.announce([target.name for target in targets])
 
@@ -122,3 +127,19 @@
             seen.append((runs, answer.body, engines.resumed))
             engines.runs = []
     assert seen == list(cases)
+
+
+# Guards against a service's whole stream that is taken for a broken one, and
+# against a broken one that is sent twice or looks whole.
+async def test_a_stream_of_a_service_ends_behind_an_event(entry: Entry) -> None:
+    service = Engines()
+    other = b'data: 1\r\n\r\n%s' % PING[:4]
+    seen = []
+    async with listen(service) as url:
+        await entry.open(Target('raw', url, 'plots', 'service'))
+        for sent in (ONE + ONE, other, ONE + END[:4]):
+            service.runs = [Run(sent), Run(sent)]
+            answer = await entry.call(READINGS, b'x')
+            body, error, _ = answer.body.partition(b'event: error')
+            seen.append((body, bool(error), len(service.runs)))
+    assert seen == [(ONE + ONE, False, 1), (other, False, 1), (ONE, True, 1)]
