--- a/mimosaworks/platform/store.py
+++ b/mimosaworks/platform/store.py
@@ -10,6 +10,7 @@
 import attrs
 from yarl import URL
 
+from mimosaworks.body_framing import is_framed, require_framing
 from mimosaworks.bounded_answers import OversizedError, log_cut
 from mimosaworks.errors import (
     StoreConflictError,
@@ -135,9 +136,7 @@
         if answer.status == HTTPStatus.NOT_FOUND:
             return None
         _check_done(answer)
-        if not answer.is_framed:
-            # Nothing in it tells that it is whole, other than in JSON.
-            raise StoreUnavailableError(f'store: {name} has no length')
+        require_framing(name, has_framing=answer.is_framed)
         return answer.content
 
     async def put_object(
@@ -207,7 +206,7 @@
                 self.on_call(kind, str(resp.status))
                 content = await resp.read()
                 era = self.era.record_answer(resp.headers.get(_ERA, '0'))
-                return _Answer(resp.status, content, era, _is_framed(resp))
+                return _Answer(resp.status, content, era, is_framed(resp))
         except aiohttp.ClientConnectorError as exc:
             raise StoreUnavailableError(f'store: {exc}') from exc
         except OversizedError as exc:
@@ -227,12 +226,6 @@
     is_framed: bool
 
 
-def _is_framed(resp: aiohttp.ClientResponse) -> bool:
-    """Return whether the body has a length or chunks."""
-    coding = resp.headers.get('Transfer-Encoding', '')
-    return resp.content_length is not None or coding.lower() == 'chunked'
-
-
 def _span_params(table: str, part: str, span: KeyRange) -> dict[str, str]:
     params = {'table': table, 'part': part, 'from': span.start}
     if span.end:
