--- a/mimosaworks/platform/store.py
+++ b/mimosaworks/platform/store.py
@@ -10,6 +10,7 @@
 import attrs
 from yarl import URL
 
+from mimosaworks.body_framing import is_framed, require_framing
 from mimosaworks.bounded_answers import OversizedError, log_cut
 from mimosaworks.errors import (
     StoreConflictError,
@@ -135,6 +136,7 @@
         if answer.status == HTTPStatus.NOT_FOUND:
             return None
         _check_done(answer)
+        require_framing(name, has_framing=answer.is_framed)
         return answer.content
 
     async def put_object(
@@ -204,7 +206,7 @@
                 self.on_call(kind, str(resp.status))
                 content = await resp.read()
                 era = self.era.record_answer(resp.headers.get(_ERA, '0'))
-                return _Answer(resp.status, content, era)
+                return _Answer(resp.status, content, era, is_framed(resp))
         except aiohttp.ClientConnectorError as exc:
             raise StoreUnavailableError(f'store: {exc}') from exc
         except OversizedError as exc:
@@ -221,6 +223,7 @@
     status: int
     content: bytes
     era: int
+    is_framed: bool
 
 
 def _span_params(table: str, part: str, span: KeyRange) -> dict[str, str]:
--- a/mimosaworks/relay/exchange.py
+++ b/mimosaworks/relay/exchange.py
@@ -22,7 +22,8 @@
 from mimosaworks.relay.headers import copy_answer_headers
 from mimosaworks.relay.not_run import says_not_run
 from mimosaworks.relay.outgoing import Outgoing
-from mimosaworks.relay.upstream import STREAM_IDLE_S, Upstream
+from mimosaworks.relay.stream_relay import relay_events, relay_tokens
+from mimosaworks.relay.upstream import Upstream
 from mimosaworks.relay.usage import read_completion_tokens
 from mimosaworks.routing import (
     CrashMonitor,
@@ -183,14 +184,12 @@
         self, slot: Slot, resp: ClientResponse
     ) -> web.StreamResponse:
         await self.stream.begin(resp, was_cold=self.ticket.was_cold)
-        while True:
-            async with asyncio.timeout(STREAM_IDLE_S):
-                chunk = await resp.content.readany()
-            if not chunk:
-                break
-            await self.stream.write_events(chunk)
-        if not self.stream.counter.is_done:
-            raise AttemptInDoubtError('stream ended early')
+        if self.ticket.model:
+            await relay_tokens(self.stream, resp)
+        else:
+            # A service knows no resume.
+            self.is_repeatable = False
+            await relay_events(self.stream, resp)
         self._note_answered(slot, resp.status, self.stream.counter.tokens)
         return await self.stream.finish()
 
--- a/mimosaworks/serving/__init__.py
+++ b/mimosaworks/serving/__init__.py
@@ -9,6 +9,7 @@
 from mimosaworks.serving.reset_on_close import set_reset_on_close
 from mimosaworks.serving.serving import (
     PROMPT_SHUTDOWN_S,
+    open_session,
     serve_app,
     start_task,
     stop_event,
@@ -20,6 +21,7 @@
     'RUN_HEADER',
     'error_fields',
     'error_headers',
+    'open_session',
     'serve_app',
     'set_reset_on_close',
     'start_task',
