A resend waits until the first answer is kept

Cause: an answer leaves before the table keeps it, since the store must not hold up an answer that is known. Storing it takes a read and a commit; a resend in between finds the claim running and was refused at once.

A resend that finds a claim running now reads it again, with pauses that double up to 0.3 s, until it has ended, for at most 1 s and half of the time that its caller gives it, not beyond the cut of a planned stop. After that, and when the store fails meanwhile, it is told as before that the request runs. It only reads: a commit that conflicts would split the commits that share its group. Weighed: to answer once the claim's end is stored, which adds two calls of the store to each answer and holds it up while the store is away.

Not covered: a settling whose first try failed is tried again after 1 to 2 s, longer than a resend waits; then the 409 asks to come back.

Evidence: test_a_resend_waits_until_the_answer_is_kept has the store hold back what the first router asks; it failed on the code before with this 409. test_a_long_request_holds_up_no_resend_and_needs_no_table keeps the bound, and that an answer leaves while the store is away.

--- a/mimosaworks/relay/claim_book.py
+++ b/mimosaworks/relay/claim_book.py
@@ -1,5 +1,7 @@
 """Claims idempotency keys in the table before a request is sent."""
 
+import asyncio
+import contextlib
 import secrets
 from collections.abc import Callable
 
@@ -33,6 +35,9 @@
 MAX_TRIES = 3
 SETTLE_TRIES = 20
 SETTLE_MAX_WAIT_S = 2.0
+# Between reads of a claim that runs; each pause is twice the one before.
+FIRST_PAUSE_S = 0.02
+MAX_PAUSE_S = 0.3
 
 
 @attrs.define
@@ -59,17 +64,21 @@
             mark=mark,
         )
 
-    async def claim(self, wanted: Claim) -> Claim:
+    async def claim(self, wanted: Claim, may_wait: Callable[[], bool]) -> Claim:
         """Make the claim and return it, or an answered one to replay.
 
-        Raises RequestError when another request holds the key or the table
-        can't be written; then nothing was sent to a target. After
-        STORE_UNAVAILABLE the claim may stand: call release.
+        Waits for a claim that runs while may_wait() holds: its caller may have
+        the answer already, and the table not yet. Raises RequestError when
+        another request holds the key or the table can't be written; then
+        nothing was sent to a target. After STORE_UNAVAILABLE the claim may
+        stand: call release.
         """
         tries = 0
         while tries < MAX_TRIES:
             tries += 1
             found = await self._try_claim(wanted)
+            if found is not None and found.mark == wanted.mark:
+                found = await self._read_ended(found, wanted, may_wait)
             if found is not None:
                 return _judge(found, wanted, self.is_running)
         raise _unavailable('the claim was not settled')
@@ -101,6 +110,26 @@
             raise _unavailable(str(exc)) from exc
         return wanted
 
+    async def _read_ended(
+        self, found: Claim, wanted: Claim, may_wait: Callable[[], bool]
+    ) -> Claim | None:
+        latest: Claim | None = found
+        pause_s = FIRST_PAUSE_S
+        # Without the table, the claim stands as it was read last.
+        with contextlib.suppress(RequestError):
+            while latest and self._is_held(latest, wanted) and may_wait():
+                await asyncio.sleep(pause_s)
+                pause_s = min(pause_s * 2, MAX_PAUSE_S)
+                latest = await self._read(wanted.key)
+        return latest
+
+    def _is_held(self, found: Claim, wanted: Claim) -> bool:
+        return (
+            found.nonce != wanted.nonce
+            and found.state is ClaimState.RUNNING
+            and self.is_running(found.owner, found.boot)
+        )
+
     async def _read(self, key: str) -> Claim | None:
         row = await self._read_row(key)
         return claim_from_json(row.content) if row else None
--- a/mimosaworks/relay/claimed_run.py
+++ b/mimosaworks/relay/claimed_run.py
@@ -38,13 +38,15 @@
         mark: str,
         request_id: str,
         exchange: Callable[[], Coroutine[Any, Any, web.StreamResponse]],
+        may_wait: Callable[[], bool],
     ) -> web.StreamResponse:
         """Return the request's answer, or the kept one for a resend.
 
-        The exchange goes on when the caller hangs up: its outcome is what a
+        While may_wait() holds, a resend waits for the first request. The
+        exchange goes on when the caller hangs up: its outcome is what a
         resend asks for. Raises RequestError.
         """
-        claim = await self._claim(self.book.new_claim(key, mark))
+        claim = await self._claim(self.book.new_claim(key, mark), may_wait)
         if claim.answer is not None:
             return _replay(claim.answer, request_id)
         task = asyncio.create_task(self._run_claimed(claim, exchange))
@@ -66,9 +68,11 @@
                 while self._tasks:
                     await asyncio.wait(self._tasks)
 
-    async def _claim(self, wanted: Claim) -> Claim:
+    async def _claim(
+        self, wanted: Claim, may_wait: Callable[[], bool]
+    ) -> Claim:
         try:
-            return await self.book.claim(wanted)
+            return await self.book.claim(wanted, may_wait)
         except RequestError as exc:
             if exc.kind is ErrorKind.STORE_UNAVAILABLE:
                 self._settle(self.book.release(wanted))
@@ -94,7 +98,8 @@
         return resp
 
     def _settle(self, work: Coroutine[Any, Any, None]) -> None:
-        # The caller does not wait for the table: its answer is known.
+        # The caller does not wait for the table: its answer is known. A
+        # resend may come before the table knows it; ClaimBook.claim waits.
         self._keep(asyncio.create_task(work))
 
     def _keep(self, task: 'asyncio.Task[Any]') -> None:
--- a/mimosaworks/relay/frontend.py
+++ b/mimosaworks/relay/frontend.py
@@ -2,12 +2,14 @@
 
 import functools
 import uuid
+from collections.abc import Callable
 
 import attrs
 from absl import logging
 from aiohttp import web
 
 from mimosaworks.admission import (
+    Deadline,
     KeyIndex,
     ModelRequest,
     check_route_access,
@@ -44,6 +46,8 @@
 MODEL_PRIORITY = 10
 CALLER_GONE_STATUS = 499
 IDEMPOTENCY_HEADER = 'Idempotency-Key'
+# For the end of the first request; storing it takes two calls of the store.
+MAX_RESEND_WAIT_S = 1.0
 
 
 @attrs.define
@@ -156,8 +160,16 @@
             compute_fingerprint(req.method, req.path, body),
             request_id,
             functools.partial(exchange.run, self.cutoff),
+            self._patience(deadline),
         )
 
+    def _patience(self, deadline: Deadline) -> Callable[[], bool]:
+        """Return what tells whether a resend may go on to wait."""
+        now = now_s()
+        # Half of its time: it may still have to be sent.
+        wait_s = min(MAX_RESEND_WAIT_S, deadline.remaining_s(now) / 2)
+        return lambda: not self.cutoff.is_over and now_s() < now + wait_s
+
     def _find_route(self, req: web.Request) -> Route:
         try:
             return find_route(self.view.catalogue, req.path)
--- a/tests/test_answers_idempotency.py
+++ b/tests/test_answers_idempotency.py
@@ -5,7 +5,7 @@
 from http import HTTPStatus
 
 from tests.harness import wait_until
-from tests.harness_entry import PLOTS, Entry
+from tests.harness_entry import PLOTS, Answer, Entry
 
 KEY = types.MappingProxyType({'Idempotency-Key': 'pickup-17'})
 REPLAYED = 'Idempotency-Replayed'
@@ -28,6 +28,52 @@
     assert len(entry.runs()) == 1
 
 
+async def _running_call(entry: Entry, sleep_s: str) -> 'asyncio.Task[Answer]':
+    """Return a call with the key that has begun to run."""
+    headers = {**KEY, 'X-Sleep-S': sleep_s}
+    call = asyncio.create_task(entry.call(PLOTS, b'x', headers=headers))
+
+    async def is_running() -> bool:
+        return bool(entry.runs())
+
+    await wait_until(is_running)
+    return call
+
+
+# Guards against a 409 "is running" for a request that its caller has the
+# answer to: the answer leaves before the table keeps it.
+async def test_a_resend_waits_until_the_answer_is_kept(entry: Entry) -> None:
+    await entry.add_service('s1')
+    await entry.open()
+    other = await entry.add_router()
+    call = await _running_call(entry, '0.3')
+    await entry.cluster.control(entry.cluster.platform, slow_s=0.3)
+    first = await call
+    # What the router asked before is still held back.
+    await entry.cluster.control(entry.cluster.platform, slow_s=0)
+    again = await entry.call(PLOTS, b'x', headers=KEY, router=other)
+    assert first.status == again.status == HTTPStatus.OK
+    assert REPLAYED in again.headers
+    assert len(entry.runs()) == 1
+
+
+# Guards against a resend that waits for a long request beyond its deadline,
+# and an answer that waits for a table that is away.
+async def test_a_long_request_holds_up_no_resend_and_needs_no_table(
+    entry: Entry,
+) -> None:
+    await entry.add_service('s1')
+    await entry.open()
+    call = await _running_call(entry, '1.2')
+    headers = {**KEY, 'Mimosa-Deadline-S': '0.8'}
+    async with asyncio.timeout(0.8):
+        again = await entry.call(PLOTS, b'x', headers=headers)
+    assert again.fields()['error']['code'] == 'idempotency_in_progress'
+    assert again.run == 'may-have-run'
+    await entry.cluster.control(entry.cluster.platform, outage=True)
+    assert (await call).status == HTTPStatus.OK
+
+
 async def test_resends_at_the_same_time_run_once(entry: Entry) -> None:
     await entry.add_service('s1')
     await entry.open()
@@ -95,13 +141,7 @@
     await entry.add_service('s1')
     await entry.open()
     other = await entry.add_router()
-    headers = {**KEY, 'X-Sleep-S': '1'}
-    call = asyncio.create_task(entry.call(PLOTS, b'x', headers=headers))
-
-    async def is_running() -> bool:
-        return bool(entry.runs())
-
-    await wait_until(is_running)
+    call = await _running_call(entry, '1')
     await entry.router.process.kill()
     await asyncio.wait([call])
     assert call.exception() is not None
--- a/tests/test_relay_claims_fuzz.py
+++ b/tests/test_relay_claims_fuzz.py
@@ -117,7 +117,7 @@
         book = self.book(owner)
         wanted = book.new_claim(key, 'mark')
         try:
-            claim = await book.claim(wanted)
+            claim = await book.claim(wanted, _may_not_wait)
         except RequestError as exc:
             if exc.kind is ErrorKind.STORE_UNAVAILABLE:
                 await self._quietly(book.release(wanted))
@@ -155,6 +155,10 @@
         await asyncio.gather(task, return_exceptions=True)
 
 
+def _may_not_wait() -> bool:
+    return False
+
+
 def _as_client(table: FaultyTable) -> TableClient:
     return table  # type: ignore[return-value]
 
