Fault proxy: openings at once listen once, and a closing stays

Cause: the check whether the proxy listens and the listening are apart, as starting a server waits for the loop. Two faults of one proxy that end at once, or a crash of its target beside them, both found it closed. For the same reason a close() during an opening was lost: the proxy listened in spite of a cut. Openings now take turns, and one that was overtaken by a close() is undone.

--- a/standins/faultproxy/proxy.py
+++ b/standins/faultproxy/proxy.py
@@ -28,16 +28,23 @@
     faults: Faults = attrs.Factory(Faults)
     links: set[Link] = attrs.Factory(set)
     _server: asyncio.Server | None = None
+    _is_open: bool = False
+    _opening: asyncio.Lock = attrs.Factory(asyncio.Lock)
 
     async def open(self) -> None:
-        """Listen, unless that is so already."""
-        if self._server is None:
-            self._server = await asyncio.start_server(
-                self.accept, *self.address
-            )
+        """Listen, unless that is so already or close() is called meanwhile."""
+        self._is_open = True
+        async with self._opening:
+            if self._server is None and self._is_open:
+                self._server = await asyncio.start_server(
+                    self.accept, *self.address
+                )
+            if not self._is_open:
+                self.close()
 
     def close(self) -> None:
         """Refuse new connections and reset the open ones."""
+        self._is_open = False
         if self._server is not None:
             self._server.close()
             self._server = None
--- a/tests/test_standin_proxy.py
+++ b/tests/test_standin_proxy.py
@@ -1,11 +1,15 @@
 """Tests of the fault proxy and the plain service behind it."""
 
 import asyncio
+from collections.abc import Iterator
 from http import HTTPStatus
 
 import aiohttp
 import pytest
 
+from standins.addresses import reserve_address
+from standins.faultproxy.proxy import Proxy
+from standins.serving import split_address
 from tests.harness import Cluster, Node, wait_until
 
 
@@ -14,6 +18,26 @@
     return service, await cluster.start_proxy(service.address)
 
 
+@pytest.fixture
+def own_proxy() -> Iterator[Proxy]:
+    """A proxy in this process, without an upstream."""
+    proxy = Proxy(
+        split_address(reserve_address()), split_address(reserve_address())
+    )
+    yield proxy
+    proxy.close()
+
+
+async def _accepts(proxy: Proxy) -> bool:
+    try:
+        _, writer = await asyncio.open_connection(*proxy.address)
+    except ConnectionRefusedError:
+        return False
+    writer.close()
+    await writer.wait_closed()
+    return True
+
+
 async def _call(cluster: Cluster, proxy: Node, request_id: str) -> int:
     headers = {'X-Request-Id': request_id, 'Connection': 'close'}
     async with cluster.http.post(
@@ -44,6 +68,24 @@
     assert await _runs(cluster, service) == ['r2']
 
 
+# Guards against a soak that ends with "address already in use": two faults of
+# one proxy that end at once.
+async def test_openings_at_once_listen_once(own_proxy: Proxy) -> None:
+    await asyncio.gather(own_proxy.open(), own_proxy.open())
+    assert await _accepts(own_proxy)
+    own_proxy.close()
+    assert not await _accepts(own_proxy)
+
+
+# Guards against a cut that an opening, begun before it, undoes.
+async def test_a_closing_during_an_opening_stays(own_proxy: Proxy) -> None:
+    opening = asyncio.create_task(own_proxy.open())
+    await asyncio.sleep(0)
+    own_proxy.close()
+    await opening
+    assert not await _accepts(own_proxy)
+
+
 async def test_a_dropped_reply_closes_after_the_run(cluster: Cluster) -> None:
     service, proxy = await _links(cluster)
     await cluster.control(proxy, drop_replies=1)
