A node takes in what a target said while it was paused

What was seen: a node that was paused sent on to a target that had announced its leave meanwhile, and broke the soak's rule on leaving targets.

Cause: the node went on after the deadline of the request. The head of its answer and the time-out were due at once, and the loop takes timers first: the request was cancelled, its connection closed and the head with the notice dropped unread. The same goes for pauses, limits and brittle targets that the head names.

The time-out of a call now comes 5 ms after the loop has found it due, counted in, so that it is not late otherwise; and it waits behind those that received bytes woke. The caller of a request whose time is over is told as before: once its head is recorded, the call waits for the time-out.

Not covered: a caller that hangs up during the pause; its end and the head are read in any order.

--- a/mimosaworks/node/attempt_sender.py
+++ b/mimosaworks/node/attempt_sender.py
@@ -1,5 +1,6 @@
 """Sends a request to a target and relays the answer to the caller."""
 
+import asyncio
 from collections.abc import Callable
 
 import attrs
@@ -36,6 +37,7 @@
     check_relay,
     make_request_url,
 )
+from mimosaworks.node.stall_detector import READ_S
 from mimosaworks.node.target_notices import TargetNotices
 from mimosaworks.platform.headers import (
     LAST_EVENT,
@@ -139,6 +141,8 @@
             self.relay_peers.paths.record_bytes()
         call.framing = read_framing(resp)
         self._record_answer_head(call, assignment.target, resp)
+        if call.remaining_s() <= 0:
+            await _wait_for_timeout(resp)
         _check_answer_head(resp)
         return resp
 
@@ -165,6 +169,15 @@
             self.target_notices.record_pause(target, pause_s, now_s())
 
 
+async def _wait_for_timeout(resp: ClientResponse) -> None:
+    """Let the time-out of a call that is over come before its answer."""
+    try:
+        await asyncio.sleep(2 * READ_S)
+    except asyncio.CancelledError:
+        resp.close()
+        raise
+
+
 def _attempt_error_from(
     exc: ClientError | OSError, target: str
 ) -> AttemptError:
--- a/mimosaworks/node/frontend.py
+++ b/mimosaworks/node/frontend.py
@@ -26,7 +26,10 @@
 from mimosaworks.node.meters import Meters
 from mimosaworks.node.open_requests import OpenRequest, OpenRequests
 from mimosaworks.node.relay import Relay
-from mimosaworks.node.stall_detector import StallDetector
+from mimosaworks.node.stall_detector import (
+    StallDetector,
+    timeout_after_reading,
+)
 from mimosaworks.node.stream_versions import (
     check_version,
     record_begun_version,
@@ -140,7 +143,7 @@
         call.closes_connection = self.stop_remaining_s() is not None
         call_log.log_admitted(call, self._deployment_version())
         try:
-            async with asyncio.timeout(call.remaining_s()):
+            async with timeout_after_reading(call.remaining_s()):
                 await trace_resumed_stream(
                     call, self.target_chooser.holder_link
                 )
--- a/mimosaworks/node/stall_detector.py
+++ b/mimosaworks/node/stall_detector.py
@@ -1,7 +1,9 @@
-"""Detects pauses of the process, to date requests that waited meanwhile."""
+"""Detects pauses of the process, and has what waited meanwhile read first."""
 
 import asyncio
+import contextlib
 import math
+from collections.abc import AsyncGenerator
 
 import attrs
 
@@ -13,6 +15,8 @@
 STALL_THRESHOLD_S = 0.25
 # Time after a stall in which the requests that arrived meanwhile are read.
 BACKLOG_READ_S = 0.1
+# Some rounds of the loop, in which those who wait for received bytes go on.
+READ_S = 0.005
 
 
 @attrs.define(eq=False)
@@ -41,3 +45,25 @@
             self.backlog_read_until_s = now + BACKLOG_READ_S
         self.last_check_s = now
         return self.stall_started_s if now < self.backlog_read_until_s else now
+
+
+@contextlib.asynccontextmanager
+async def timeout_after_reading(max_s: float) -> AsyncGenerator[None, None]:
+    """Raise TimeoutError after max_s seconds.
+
+    After a pause of the process, received bytes and the time-out are due at
+    once, and the loop may take timers first. Then the bytes are read before.
+    """
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(None) as limit:
+
+        def end_soon() -> None:
+            # A time in the past: the end waits behind those that bytes woke.
+            timers.append(loop.call_later(READ_S, limit.reschedule, 0))
+
+        timers = [loop.call_later(max_s - READ_S, end_soon)]
+        try:
+            yield
+        finally:
+            for timer in timers:
+                timer.cancel()
--- a/tests/test_node_pauses.py
+++ b/tests/test_node_pauses.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from http import HTTPStatus
 from pathlib import Path
 
 import pytest
@@ -13,7 +14,7 @@
     NodeHandle,
     open_agency,
 )
-from tests.test_node_processes import until_served
+from tests.test_node_processes import until, until_served
 
 DEADLINE_MS = 500
 LONG_MS = 2000
@@ -59,6 +60,15 @@
     return line
 
 
+async def ask_status(
+    world: AgencyWorld, node: NodeHandle, request_id: str
+) -> int:
+    async with world.request(
+        node, '/post/x', request_id, X_Deadline=f'{DEADLINE_MS}'
+    ) as resp:
+        return int(resp.status)
+
+
 async def answers_after_pause(node: NodeHandle, deadline_ms: int) -> set[bytes]:
     node.process.pause()
     asked = [
@@ -98,3 +108,23 @@
     ]
     assert len(told) == REQUESTS
     assert max(told) < LONG_MS - PAUSE_S * 1000 + ALLOWED_MS
+
+
+# Guards against a node that loses what a target said while it was paused, as
+# the request's time was over as well when it went on.
+async def test_what_a_target_said_in_a_pause_is_taken_in(
+    world: AgencyWorld,
+) -> None:
+    node, ledger = world.nodes[0], world.replicas['ledger-1']
+    ledger.first_s = 0.2
+    call = asyncio.create_task(ask_status(world, node, 'r1'))
+    await until(lambda: 'r1' in ledger.runs)
+    ledger.is_leaving = True
+    node.process.pause()
+    await asyncio.sleep(PAUSE_S)
+    assert 'r1' in ledger.told_leaving
+    node.process.resume()
+    assert await call == HTTPStatus.GATEWAY_TIMEOUT
+    # Both were logged by then, in this order; the log is written behind.
+    await until(lambda: bool(node.events('call_refused')))
+    assert node.events('target_leaving')
