Test of streams without framing: wait for the log

Cause: the test. A thread writes the log behind the answers (events/json_stream.py), and the test read it right after the last one. It now waits until as many events are there and then asks for exactly as many. That no attempt broke is read after that, when those lines must be there, so it can no longer miss one.

--- a/tests/test_node_answer_ends.py
+++ b/tests/test_node_answer_ends.py
@@ -13,7 +13,7 @@
 from standins.agency.raw_answer import RawAnswer, in_chunks
 from standins.agency.replica import EVENTS, PLAIN
 from standins.agency.world import AgencyWorld, NodeHandle, open_agency
-from tests.test_node_processes import open_pair
+from tests.test_node_processes import open_pair, until
 
 BROKEN = (b'broken off', '')
 RAW = 'X-Raw'
@@ -171,9 +171,15 @@
         split = raw(body[:cut_at], body[cut_at:])
         answer = await ask(world, node, path, f'{name}, split', split)
         assert answer == (body, '1')
+
+    def count_framed() -> int:
+        framings = [line['framing'] for line in node.events('call_answered')]
+        return framings.count('connection')
+
+    # The log is written behind the answers.
+    await until(lambda: count_framed() >= 2 * len(STREAMS))
+    assert count_framed() == 2 * len(STREAMS)
     assert not node.events('call_broken')
-    framings = [line['framing'] for line in node.events('call_answered')]
-    assert framings.count('connection') == 2 * len(STREAMS)
 
 
 BODY = b'a plain body'
