--- a/tests/test_node_answer_ends.py
+++ b/tests/test_node_answer_ends.py
@@ -190,9 +190,15 @@
         split = raw(body[:cut_at], body[cut_at:])
         answer = await ask(world, node, path, f'{name}, split', split)
         assert answer == (body, '1')
+
+    def count_framed() -> int:
+        framings = [line['framing'] for line in node.events('call_answered')]
+        return framings.count('connection')
+
+    # The log is written behind the answers.
+    await until(lambda: count_framed() >= 2 * len(STREAMS))
+    assert count_framed() == 2 * len(STREAMS)
     assert not node.events('call_broken')
-    framings = [line['framing'] for line in node.events('call_answered')]
-    assert framings.count('connection') == 2 * len(STREAMS)
 
 
 BODY = b'a plain body'
