Soak: targets whose answers end with their connection, whole or cut

The soak had never seen an answer without framing, nor a reset behind one. For a time some targets now send their answers so: whole, closed or reset inside an event, reset behind an event, a plain body that is reset; with LF or CR LF, with comments or none. The checks of whole bodies judge these too, and an answer that looks complete has one target's seal in its head.

One half of the load has a content of its own for each request, as contents that are cut again and again are refused as crash suspects.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 import tempfile
+from collections import Counter
 from collections.abc import Callable, Coroutine, Iterator
 from pathlib import Path
 from typing import Protocol
@@ -17,6 +18,8 @@
 from bench.soak_load import OK, Seen, SoakLoad, broken_promises
 from bench.soak_lost import broken_stops
 from bench.soak_notices import SoakNotices, broken_notices
+from bench.soak_spans import SoakSpans
+from bench.soak_unframed import SoakUnframed
 from standins.agency.world import MODELS, AgencyWorld, open_agency
 
 NODES = 3
@@ -41,6 +44,7 @@
 
     crashed counts the targets that a request crashed, fallen those that had to
     turn away too much, turned_away the requests that brittle ones rejected.
+    unframed counts the ends of answers without framing.
     """
 
     seed: int
@@ -52,6 +56,7 @@
     broken: tuple[str, ...]
     turned_away: int = 0
     fallen: int = 0
+    unframed: 'Counter[str]' = attrs.field(factory=Counter)
 
 
 SoakRun = Callable[[int, Path], Coroutine[None, None, SoakResult]]
@@ -60,7 +65,7 @@
 async def run_soak(seed: int, duration_s: float, folder: Path) -> SoakResult:
     """Run one seed for duration_s seconds of faults."""
     async with open_agency(folder) as world:
-        await populate(world, NODES)
+        await populate(world, NODES, copies_for(seed))
         load = SoakLoad(world, random.Random(seed + 1))
         crashes = SoakCrashes(
             world, random.Random(seed + 3), is_bare=seed % 2 == 0
@@ -68,7 +73,8 @@
         calling = asyncio.create_task(load.run())
         crashing = asyncio.create_task(crashes.run())
         brittle = SoakBrittle(world, load, random.Random(seed + 5))
-        faults = await _strike_and_notify(brittle, seed, duration_s)
+        unframed = SoakUnframed(world, SoakSpans(), random.Random(seed + 6))
+        faults = await _strike_and_notify(brittle, unframed, seed, duration_s)
         await asyncio.sleep(SETTLE_S)
         await cancel(calling)
         await cancel(crashing)
@@ -85,9 +91,10 @@
                 len(replica.turned_away_s)
                 for replica in world.replicas.values()
             ),
+            unframed=unframed.count(),
             faults=tuple(faults.history),
             broken=(
-                *_find_broken(world, load, crashes),
+                *_find_broken(unframed, load, crashes),
                 *broken_times(brittle),
                 *broken_counts(crashes, faults, after),
                 *broken_stops(world, load, faults.spans),
@@ -118,10 +125,12 @@
 
 
 def _find_broken(
-    world: AgencyWorld, load: SoakLoad, crashes: SoakCrashes
+    unframed: SoakUnframed, load: SoakLoad, crashes: SoakCrashes
 ) -> Iterator[str]:
     """Yield the promises that were broken."""
-    yield from broken_promises(world, load.seen + crashes.seen)
+    world = unframed.world
+    seen = unframed.undress(load.seen + crashes.seen)
+    yield from broken_promises(world, list(seen))
     yield from broken_notices(world, load.sent)
     yield from broken_limits(world, load)
 
@@ -134,31 +143,41 @@
 
 
 async def _strike_and_notify(
-    brittle: SoakBrittle, seed: int, duration_s: float
+    brittle: SoakBrittle, unframed: SoakUnframed, seed: int, duration_s: float
 ) -> SoakFaults:
     """Inject faults, while targets leave, reject requests and name limits.
 
-    Services are brittle for a time.
+    Services are brittle for a time, and answers have no framing.
     """
     world = brittle.world
-    faults = SoakFaults(world, random.Random(seed))
+    faults = SoakFaults(world, random.Random(seed), spans=unframed.spans)
     notices = SoakNotices(world, random.Random(seed + 2))
     limits = SoakLimits(world, random.Random(seed + 4))
     tasks = [
         asyncio.create_task(notices.run()),
         asyncio.create_task(limits.run()),
         asyncio.create_task(brittle.run()),
+        asyncio.create_task(unframed.run()),
     ]
     await strike(faults, duration_s)
     await asyncio.gather(*map(cancel, tasks))
     return faults
 
 
-async def populate(world: AgencyWorld, count: int) -> None:
-    """Start the targets and so many nodes."""
+def copies_for(seed: int) -> int:
+    """Return the copies of each model; streams go on if there are two."""
+    return 1 + seed % 2
+
+
+async def populate(world: AgencyWorld, count: int, copies: int) -> None:
+    """Start the targets, with so many copies of each model, and nodes."""
+    models = MODELS * 2
     engines = (
-        world.add_replica(f'engine-{model}', models={model: set()})
-        for model in MODELS
+        world.add_replica(
+            f'engine-{model}',
+            models={name: set() for name in models[place : place + copies]},
+        )
+        for place, model in enumerate(MODELS)
     )
     ledgers = (
         world.add_replica(f'ledger-{number}', service='ledger', slots=6)
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -8,7 +8,14 @@
 import aiohttp
 import attrs
 
-from bench.soak_load import STREAMS, Seen, Sent, SoakLoad, place_of
+from bench.soak_load import (
+    STREAMS,
+    Seen,
+    Sent,
+    SoakLoad,
+    place_of,
+    read_seals,
+)
 from bench.soak_plans import STREAM_LIMIT_MS
 from standins.agency.event_text import ECHO
 from standins.agency.replica import EVENTS_HEADER
@@ -71,6 +78,7 @@
             place_of(node), time.monotonic(), limit_ms / MS_PER_S
         )
         status, text = 0, b''
+        seals: tuple[str, ...] = ()
         try:
             async with request(
                 node,
@@ -82,7 +90,7 @@
             ) as resp:
                 self._follow(resp)
                 text = await resp.read()
-                status = resp.status
+                status, seals = resp.status, read_seals(resp)
         except aiohttp.ClientConnectorError:
             self.node = None
         except (aiohttp.ClientError, TimeoutError) as exc:
@@ -97,6 +105,7 @@
                 said,
                 events,
                 written_s=self._written_s,
+                seals=seals,
             )
         )
 
--- a/bench/soak_command.py
+++ b/bench/soak_command.py
@@ -72,6 +72,10 @@
         f'{outcome.crashed} crashed targets, '
         f'{outcome.turned_away} turned away, {outcome.fallen} falls'
     )
+    ends = ', '.join(
+        f'{end} {count}' for end, count in sorted(outcome.unframed.items())
+    )
+    click.echo(f'  without framing: {ends}')
     faults = ' '.join(outcome.faults)
     click.echo(f'  faults: {faults}')
     for broken in outcome.broken:
--- a/bench/soak_crashes.py
+++ b/bench/soak_crashes.py
@@ -11,7 +11,7 @@
 import attrs
 
 from bench.soak_faults import SoakFaults
-from bench.soak_load import STREAMS, Seen
+from bench.soak_load import STREAMS, Seen, read_seals
 from standins.agency.replica import POISON, POISON_PATH
 from standins.agency.world import MODELS, AgencyWorld, NodeHandle
 
@@ -58,7 +58,15 @@
         with contextlib.suppress(aiohttp.ClientError, TimeoutError):
             async with self._request(node, path, request_id, extra) as resp:
                 body = await resp.read()
-                self.seen.append(Seen(request_id, path, resp.status, body))
+                self.seen.append(
+                    Seen(
+                        request_id,
+                        path,
+                        resp.status,
+                        body,
+                        seals=read_seals(resp),
+                    )
+                )
 
     def _request(
         self,
--- a/bench/soak_load.py
+++ b/bench/soak_load.py
@@ -6,11 +6,12 @@
 import time
 from collections import Counter
 from collections.abc import Iterator
+from typing import Any
 
 import aiohttp
 import attrs
 
-from standins.agency.event_text import event_text
+from standins.agency.event_text import ECHO, event_text
 from standins.agency.replica import EVENTS, PLAIN
 from standins.agency.world import MODELS, AgencyWorld, NodeHandle
 
@@ -27,7 +28,8 @@
     """One answer as a caller saw it; status 0 for a broken one, with its error.
 
     The answer is to repeat what the request said, in as many events. written_s
-    is when its last bytes were sent, where that is known.
+    is when its last bytes were sent, where that is known. seals are those in
+    its head.
     """
 
     request_id: str
@@ -37,6 +39,7 @@
     said: bytes = b''
     events: int = EVENTS
     written_s: float = 0
+    seals: tuple[str, ...] = ()
     ended_s: float = attrs.field(factory=time.monotonic)
 
     def is_whole(self) -> bool:
@@ -60,6 +63,11 @@
     limit_s: float = LIMIT_S
 
 
+def read_seals(resp: aiohttp.ClientResponse) -> tuple[str, ...]:
+    """Return the targets that the head of an answer names."""
+    return tuple(resp.headers.getall('X-Server-Seal', ()))
+
+
 def place_of(node: NodeHandle) -> tuple[str, int]:
     """Return the name and the process id of a node."""
     return (node.process.name, node.process.pid)
@@ -92,25 +100,38 @@
         """Send one request and note what came back."""
         if not self.world.nodes:
             return
+        number = next(self._numbers)
+        request_id = f'soak-{number}'
+        # One half has the same content, the other its own each.
+        said = b'%s%s' % (ECHO, request_id.encode()) if number % 2 else b''
         path = self.rng.choice(('/post/', '/look/', '/chat/', '/draft/'))
-        request_id = f'soak-{next(self._numbers)}'
-        extra = {}
-        if path in STREAMS:
-            adapter = self.rng.choice(('', '', '/a1', '/a2', '/a3'))
-            model = self.rng.choice(MODELS)
-            extra['X_Model'] = f'{model}{adapter}'
-            extra['X_Token_Counts'] = '500,20'
+        extra = self._more(path)
         node = self.rng.choice(self.world.nodes)
         self.sent[request_id] = Sent(place_of(node), time.monotonic())
+        status, body, seals = await self._ask(
+            node, path, request_id, said or b'{}', **extra
+        )
+        self.seen.append(
+            Seen(request_id, path, status, body, said, seals=seals)
+        )
+
+    def _more(self, path: str) -> dict[str, str]:
+        """Return the headers that only some requests have."""
+        if path not in STREAMS:
+            return {}
+        adapter = self.rng.choice(('', '', '/a1', '/a2', '/a3'))
+        model = self.rng.choice(MODELS)
+        return {'X_Model': f'{model}{adapter}', 'X_Token_Counts': '500,20'}
+
+    async def _ask(
+        self, *request: Any, **extra: str
+    ) -> tuple[int, bytes, tuple[str, ...]]:
+        """Return the status, the body and the seals of an answer."""
         try:
-            async with self.world.request(
-                node, path, request_id, **extra
-            ) as resp:
-                body = await resp.read()
-                self.seen.append(Seen(request_id, path, resp.status, body))
+            async with self.world.request(*request, **extra) as resp:
+                return resp.status, await resp.read(), read_seals(resp)
         except (aiohttp.ClientError, TimeoutError) as exc:
-            failure = repr(exc).encode()
-            self.seen.append(Seen(request_id, path, 0, failure))
+            return 0, repr(exc).encode(), ()
 
 
 def broken_promises(world: AgencyWorld, seen: list[Seen]) -> list[str]:
@@ -143,3 +164,5 @@
         yield f'{one.request_id} {one.path} was said not to have run'
     if one.status == OK and not one.is_whole():
         yield f'{one.request_id} {one.path} has a wrong body: {one.body!r}'
+    if one.status == OK and len(one.seals) != 1:
+        yield f'{one.request_id} {one.path} has a head of {one.seals}'
--- a/bench/soak_planned.py
+++ b/bench/soak_planned.py
@@ -12,6 +12,7 @@
     SoakResult,
     broken_recovery,
     cancel,
+    copies_for,
     populate,
     probe,
     strike,
@@ -23,6 +24,7 @@
 from bench.soak_load import OK, SoakLoad, broken_promises
 from bench.soak_lost import broken_stops
 from bench.soak_plans import SoakPlans, patient_state
+from bench.soak_unframed import SoakUnframed
 from standins.agency.world import AgencyWorld, open_agency
 
 MIN_CALLERS = 24
@@ -47,11 +49,16 @@
         faults = await _open(world, seed, scale)
         load = SoakLoad(world, random.Random(seed + 1))
         plans = SoakPlans(faults, random.Random(seed + 2))
-        extras = SoakExtras(world, faults.spans, random.Random(seed + 3))
+        unframed = SoakUnframed(world, faults.spans, random.Random(seed + 4))
         callers = list(_callers(load, seed, scale))
         calling = asyncio.gather(*(caller.run() for caller in callers))
         others = [
-            asyncio.create_task(work) for work in (load.run(), extras.run())
+            asyncio.create_task(work)
+            for work in (
+                load.run(),
+                SoakExtras(world, faults.spans, random.Random(seed + 3)).run(),
+                unframed.run(),
+            )
         ]
         await asyncio.gather(
             strike(plans, scale.duration_s, PLAN_PAUSE_S),
@@ -69,9 +76,10 @@
             answered=sum(one.status == OK for one in load.seen),
             recovered=sum(one.status == OK for one in after),
             crashed=len(world.crashed_s),
+            unframed=unframed.count(),
             faults=tuple(faults.history),
             broken=(
-                *broken_promises(world, load.seen),
+                *broken_promises(world, list(unframed.undress(load.seen))),
                 *broken_stops(world, load, faults.spans),
                 *broken_recovery(after),
                 *refused_bystanders(after),
@@ -83,7 +91,7 @@
     rng = random.Random(seed)
     world.bounds['grace-s'] = scale.grace_s
     world.configure(patient_state(1))
-    await populate(world, scale.nodes)
+    await populate(world, scale.nodes, copies_for(seed))
     for name in sorted(world.replicas):
         world.replicas[name].event_s = rng.choice(EVENT_S)
     return SoakFaults(world, rng, FAULTS, patient_state)
--- a/standins/agency/raw_answer.py
+++ b/standins/agency/raw_answer.py
@@ -1,7 +1,8 @@
 """Answers that a target writes itself, byte by byte."""
 
 import asyncio
-from typing import NoReturn
+from collections.abc import Sequence
+from typing import NoReturn, Protocol
 
 import attrs
 from aiohttp import web
@@ -28,6 +29,15 @@
     pause_s: float = 0.01
 
 
+class Writer(Protocol):
+    """Says how targets send their answers."""
+
+    def __call__(
+        self, target: str, request_id: str, pieces: Sequence[bytes]
+    ) -> RawAnswer | None:
+        """Return the answer that has these pieces, None if it is as usual."""
+
+
 def in_chunks(*pieces: bytes) -> tuple[bytes, ...]:
     """Return each piece as a chunk; an empty one is the last chunk."""
     return tuple(b'%x\r\n%s\r\n' % (len(piece), piece) for piece in pieces)
--- a/standins/agency/replica.py
+++ b/standins/agency/replica.py
@@ -18,7 +18,7 @@
     send_extras,
 )
 from standins.agency.prompt_parts import PARTS_HEADER, shared_parts
-from standins.agency.raw_answer import RawAnswer, send_raw
+from standins.agency.raw_answer import RawAnswer, Writer, send_raw
 from standins.platform import Store, json_row
 
 FIRST_S = 0.01
@@ -78,7 +78,7 @@
     All answers say how many requests in a second it may turn away if that is
     set (brittle); turned_away_s are the times of those, when it runs as many as
     it has room for. raws are its next answers to requests, which it
-    writes itself.
+    writes itself; then a writer, if set, makes them.
     """
 
     name: str
@@ -126,6 +126,7 @@
     turned_away_s: list[float] = attrs.field(factory=list)
     running: int = 0
     raws: list[RawAnswer] = attrs.field(factory=list)
+    writer: Writer | None = None
 
     def note_hit(self, request_id: str = '', sender: str = '') -> None:
         """Note a call that has arrived."""
@@ -142,6 +143,16 @@
         """Whether it has no room for another request."""
         return 0 < self.room <= self.running
 
+    def next_raw(
+        self, request_id: str, pieces: list[bytes]
+    ) -> RawAnswer | None:
+        """Return the answer that the target writes itself, or None."""
+        if self.raws:
+            return self.raws.pop(0)
+        if self.writer is None:
+            return None
+        return self.writer(self.name, request_id, pieces)
+
     def turn_away(self, req: web.Request, now: float) -> web.Response:
         """Return the rejection of a target that pauses or is full."""
         resp = _reject(self, req, HTTPStatus.SERVICE_UNAVAILABLE)
@@ -249,18 +260,20 @@
         ]
 
 
-def _say_more(replica: Replica, req: web.Request, resp: Any) -> None:
-    """Add to an answer what the target says of further requests."""
+def _say_more(replica: Replica, req: web.Request) -> dict[str, str]:
+    """Return what the head of an answer says of further requests."""
     request_id = req.headers.get(REQUEST_ID, '')
+    said = {}
     if replica.is_leaving:
-        resp.headers['Server-Leaving'] = '1'
+        said['Server-Leaving'] = '1'
         replica.told_leaving[request_id] = time.monotonic()
     if replica.limit:
-        resp.headers['Server-Limit'] = replica.limit
+        said['Server-Limit'] = replica.limit
     if replica.brittle:
-        resp.headers['Server-Brittle'] = f'{replica.brittle}'
+        said['Server-Brittle'] = f'{replica.brittle}'
     if request_id:
         replica.name_limit(request_id)
+    return said
 
 
 def replica_app(replica: Replica) -> web.Application:
@@ -294,7 +307,7 @@
             return await _run(replica, req, body, model)
 
     async def say_more(req: web.Request, resp: web.StreamResponse) -> None:
-        _say_more(replica, req, resp)
+        resp.headers.update(_say_more(replica, req))
 
     handler = send_extras(replica, reject_first(replica, serve))
     app = web.Application()
@@ -333,15 +346,27 @@
         'X-Server-Seal': f'seal-{replica.name}',
     }
     await asyncio.sleep(replica.first_s)
-    if replica.raws:
-        await send_raw(req, replica.raws.pop(0), head)
+    said = repeated_text(body)
+    raw = replica.next_raw(
+        req.headers[REQUEST_ID],
+        _events(replica, req, said) if model else [said or PLAIN],
+    )
+    if raw is not None:
+        await send_raw(req, raw, head | _say_more(replica, req))
     if replica.fails_with:
         return web.Response(
             body=ERROR_TEXT, status=replica.fails_with, headers=head
         )
     if not model:
-        return web.Response(body=repeated_text(body) or PLAIN, headers=head)
-    return await _stream(replica, req, head, repeated_text(body))
+        return web.Response(body=said or PLAIN, headers=head)
+    return await _stream(replica, req, head, said)
+
+
+def _events(replica: Replica, req: web.Request, said: bytes) -> list[bytes]:
+    """Return the events of a stream that its caller has not got yet."""
+    first = int(req.headers.get(LAST_EVENT) or 0) + 1
+    events = int(req.headers.get(EVENTS_HEADER, replica.events))
+    return [event_text(number, said) for number in range(first, events + 1)]
 
 
 async def _stream(
