Tests: the ends of answers on the way round

A node that is cut off from the targets sends through another one, which gives an answer without framing chunks. Broken answers stay broken there and whole ones whole: both kinds of route, all framings, 1xx before the answer, HTTP/1.0, a relaying node that ends in the middle of the answer. No fault was found.

The bound of an answer in these tests is higher than the one of what is held, so that large answers pass.

--- a/tests/test_node_relay.py
+++ b/tests/test_node_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import types
 from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from typing import Any
 
@@ -28,13 +29,29 @@
 from mimosaworks.platform import decode_desired
 from mimosaworks.wire import NodeRow
 from standins.addresses import reserve_address
+from standins.agency.raw_answer import RawAnswer, in_chunks
 from standins.agency.replica import EVENTS, PLAIN, Replica, replica_app
 from standins.agency.world import HOST, KEY, desired
 from tests.dispatch_world import make_entry
+from tests.test_node_answer_ends import (
+    BODY,
+    BROKEN,
+    CHUNKED,
+    INSIDE,
+    RAW,
+    RESETS,
+    STREAMS,
+    TWO,
+    WHOLE,
+    plain,
+    raw,
+    sized,
+)
 from tests.test_node_processes import until
 
 DEPLOYMENT = decode_desired(json.dumps(desired()).encode())
-ANSWER_BYTES = 1000000
+ANSWER_BYTES = 8000000
+HELD_BYTES = 1000000
 PIECE = b'data: piece'
 
 
@@ -128,6 +145,14 @@
     return app
 
 
+def relay_app(relay: Relay) -> web.Application:
+    app = web.Application()
+    app.router.add_route(
+        '*', f'{RELAY_PREFIX}/{{tail:.*}}', relay.handle_request
+    )
+    return app
+
+
 @contextlib.asynccontextmanager
 async def open_relay_world() -> AsyncGenerator[RelayWorld, None]:
     async with contextlib.AsyncExitStack() as stack:
@@ -147,11 +172,7 @@
             lambda: targets,
             _ignore_stop,
         )
-        app = web.Application()
-        app.router.add_route(
-            '*', f'{RELAY_PREFIX}/{{tail:.*}}', relay.handle_request
-        )
-        address = await serve(app, stack)
+        address = await serve(relay_app(relay), stack)
         row = NodeRow('other', 'f', address, 'north', relays=True)
         paths = TargetPaths(tuple, is_cut_off=True)
         peers = RelayPeers('own', 'north', paths, lambda: {'other': row})
@@ -166,7 +187,7 @@
             make_notices(),
             make_limits(),
             BrittleTargets(),
-            HeldBytes(ANSWER_BYTES, ANSWER_BYTES),
+            HeldBytes(HELD_BYTES, HELD_BYTES),
             peers,
         )
         world.front = await serve(front_app(world, sender), stack)
@@ -230,6 +251,91 @@
     assert not world.failures[0].is_not_run
 
 
+async def ask(
+    world: RelayWorld, path: str, *sent: RawAnswer
+) -> tuple[bytes, str]:
+    """Return the body that a caller gets for an answer, and RAW in its head."""
+    world.replica.raws = list(sent)
+    try:
+        async with world.request(
+            path, X_Model='alpha', X_Token_Counts='10,20'
+        ) as resp:
+            body = bytes(await resp.read())
+            assert resp.status == 200
+            return body, resp.headers.get(RAW, '')
+    except ClientError:
+        return BROKEN
+
+
+SPLIT = (WHOLE[:20], WHOLE[20:])
+HEAD_END = '\r\n\r\n'
+OK = 'HTTP/1.1 200 OK'
+HINTS = f'HTTP/1.1 103 Early Hints{HEAD_END}{OK}'
+CONTINUE = f'HTTP/1.1 100 Continue{HEAD_END}{OK}'
+WHOLE_ANSWERS = types.MappingProxyType({
+    **{f'closed, {name}': raw(body) for name, body in STREAMS.items()},
+    'closed, announced': raw(*SPLIT, fields=('Connection: close',)),
+    'HTTP/1.0': raw(*SPLIT, status='HTTP/1.0 200 OK'),
+    'HTTP/1.0 with a length': attrs.evolve(
+        sized(*SPLIT), status='HTTP/1.0 200 OK'
+    ),
+    'length': sized(*SPLIT),
+    'behind a 100': raw(*SPLIT, status=CONTINUE),
+    'behind a 103': raw(*SPLIT, status=HINTS),
+    'plain': plain(BODY),
+    'plain, none': plain(),
+    'plain, large': plain(BODY * 200000),
+    'plain, large, HTTP/1.0': plain(BODY * 200000, status='HTTP/1.0 200 OK'),
+})
+BROKEN_ANSWERS = types.MappingProxyType({
+    **RESETS,
+    **INSIDE,
+    'chunks without the last': raw(*in_chunks(TWO), fields=(CHUNKED,)),
+    'chunk that is cut': raw(in_chunks(TWO)[0][:-9], fields=(CHUNKED,)),
+    'length that is larger': sized(TWO, more=9),
+    'length that is smaller': sized(TWO, more=-9),
+    'reset before its length': attrs.evolve(sized(TWO, more=9), is_reset=True),
+    'behind a 103': raw(WHOLE[:12], status=HINTS),
+    'reset, HTTP/1.0': raw(TWO, status='HTTP/1.0 200 OK', is_reset=True),
+    'plain, reset': plain(BODY, is_reset=True),
+    'plain, none, reset': plain(is_reset=True),
+    'plain, large, reset': plain(BODY * 200000, is_reset=True),
+})
+
+
+# Guards against an answer that the way round completes, as it gives the answer
+# another framing, and against a whole one that it breaks.
+@pytest.mark.parametrize('path', ['/chat/x', '/draft/x', '/look/x'])
+async def test_broken_answers_stay_broken_and_whole_ones_whole(
+    world: RelayWorld, path: str
+) -> None:
+    for name, sent in WHOLE_ANSWERS.items():
+        answer = await ask(world, path, sent)
+        assert answer == (b''.join(sent.pieces), '1'), name
+    chunks = raw(*in_chunks(*SPLIT, b''), fields=(CHUNKED,))
+    assert await ask(world, path, chunks) == (WHOLE, '1')
+    for name, sent in BROKEN_ANSWERS.items():
+        assert await ask(world, path, sent) == BROKEN, name
+
+
+# Guards against an answer without framing that the end of the node that relays
+# it completes.
+@pytest.mark.parametrize('path', ['/chat/x', '/draft/x', '/look/x'])
+async def test_a_relay_that_ends_breaks_its_answers_off(
+    world: RelayWorld, path: str
+) -> None:
+    slow = raw(TWO, *SPLIT, pause_s=0.5)
+    async with contextlib.AsyncExitStack() as stack:
+        address = await serve(relay_app(world.relay), stack)
+        row = NodeRow('other', 'f', address, 'north', relays=True)
+        world.peers.list_members = lambda: {'other': row}
+        asked = asyncio.create_task(ask(world, path, slow))
+        await until(lambda: bool(world.replica.runs))
+        await asyncio.sleep(0.2)
+    assert await asked == BROKEN
+    assert [exc.outcome for exc in world.failures] == [CallOutcome.BROKEN]
+
+
 # Guards against a target that goes on working for a caller who has left.
 async def test_a_caller_that_leaves_is_noticed_by_the_target(
     world: RelayWorld,
