--- a/bench/soak_unframed.py
+++ b/bench/soak_unframed.py
@@ -34,6 +34,7 @@
 LINE_ENDS = (LF, CR_LF)
 COMMENTS = (b'', COMMENT)
 QUIET_S = (0.1, 0.5)
+EXTRAS_S = 1.0  # after its last answer with more bytes
 UNFRAMED_S = (0.5, 2.0)
 
 
@@ -87,8 +88,8 @@
         self, target: str, request_id: str, pieces: Sequence[bytes]
     ) -> RawAnswer | None:
         body = b''.join(pieces)
-        if ECHO not in body:
-            # Requests with the same content would count as the cause.
+        # Requests with the same content would count as the cause.
+        if ECHO not in body or self._may_send_extras(target):
             return None
         is_stream = body.startswith(EVENT_START)
         end = self.rng.choice(STREAM_ENDS if is_stream else PLAIN_ENDS)
@@ -106,6 +107,18 @@
             pause_s=self.world.replicas[target].event_s,
         )
 
+    def _may_send_extras(self, target: str) -> bool:
+        """Return whether bytes behind an earlier answer may still come.
+
+        They would be a part of any body that ends with its connection.
+        """
+        return self.world.replicas[target].extra is not None or any(
+            span.who == target
+            and span.begun_s < span.ended_s
+            and span.ended_s > time.monotonic() - EXTRAS_S
+            for span in self.spans.spans
+        )
+
     def _draw_events(
         self, events: Sequence[bytes], end: str
     ) -> Iterator[bytes]:
