--- a/tests/test_node_answer_stops.py
+++ b/tests/test_node_answer_stops.py
@@ -45,7 +45,11 @@
 
 
 async def begin(
-    world: AgencyWorld, node: NodeHandle, path: str, sent: RawAnswer
+    world: AgencyWorld,
+    node: NodeHandle,
+    path: str,
+    sent: RawAnswer,
+    deadline_ms: int = 4000,
 ) -> 'asyncio.Task[bytes]':
     """Return a task that reads an answer whose first bytes have arrived."""
     for replica in world.replicas.values():
@@ -55,7 +59,7 @@
         f'POST {path} HTTP/1.1',
         f'Host: {HOST}',
         f'X-Request-Id: {path}',
-        'X-Deadline: 4000',
+        f'X-Deadline: {deadline_ms}',
         f'Authorization: Bearer {KEY}',
         'Content-Length: 2',
     )
@@ -126,3 +130,20 @@
     ]
     assert ends == [False, False, False, True]
     await stopping
+
+
+# Guards against an answer without framing that its node completes when the
+# deadline of its request is over.
+async def test_a_deadline_completes_no_answer(world: AgencyWorld) -> None:
+    node = await open_node(world)
+    reading = [
+        await begin(world, node, path, sent, deadline_ms=1500)
+        for path, sent in (
+            (CHAT, raw(TWO, *MORE, pause_s=LONG_S)),
+            (DRAFT, raw(TWO, *MORE, pause_s=LONG_S)),
+            (LOOK, plain(LARGE, *MORE, pause_s=LONG_S)),
+        )
+    ]
+    for answer in await asyncio.gather(*reading):
+        assert answer.startswith(b'HTTP/1.1 200')
+        assert not answer.endswith(LAST_CHUNK)
