--- a/Makefile
+++ b/Makefile
@@ -26,4 +26,4 @@
 	$(VENV)/bin/mypy
 
 test: check
-	$(PY) -m pytest -n 4 --dist loadfile tests
+	$(PY) -m pytest -n 6 --dist loadfile tests
--- a/mimosaworks/body_framing.py
+++ b/mimosaworks/body_framing.py
@@ -1,20 +1,35 @@
-"""Tells bodies with a length or chunks from those that may be cut."""
+"""What ends the body of an answer, by its head."""
 
-import aiohttp
+import enum
+
+from aiohttp import ClientResponse
 
 from mimosaworks.errors import StoreUnavailableError
 
 
-def is_framed(resp: aiohttp.ClientResponse) -> bool:
-    """Return whether the body has a length or chunks."""
+class Framing(enum.Enum):
+    """What ends the body of an answer; none before there is an answer."""
+
+    NONE = 'none'
+    LENGTH = 'length'
+    CHUNKS = 'chunks'
+    CONNECTION = 'connection'
+
+
+def read_framing(resp: ClientResponse) -> Framing:
+    """Return what ends the body, by the head of the answer."""
     coding = resp.headers.get('Transfer-Encoding', '')
-    return resp.content_length is not None or coding.lower() == 'chunked'
+    if coding.lower().endswith('chunked'):
+        return Framing.CHUNKS
+    if resp.content_length is None:
+        return Framing.CONNECTION
+    return Framing.LENGTH
 
 
-def require_framing(name: str, *, has_framing: bool) -> None:
+def require_framing(name: str, framing: Framing) -> None:
     """Raise StoreUnavailableError for an object that may be cut.
 
     Nothing in raw bytes tells that they are whole, as it does in JSON.
     """
-    if not has_framing:
+    if framing is Framing.CONNECTION:
         raise StoreUnavailableError(f'store: {name} has no length')
--- a/mimosaworks/event_stream.py
+++ b/mimosaworks/event_stream.py
@@ -10,7 +10,6 @@
 
 import attrs
 
-END_OF_EVENT = b'\n\n'
 BYTE_ORDER_MARK = b'\xef\xbb\xbf'
 _CR = b'\r'
 _LF = b'\n'
--- a/mimosaworks/node/answer_relay.py
+++ b/mimosaworks/node/answer_relay.py
@@ -8,14 +8,14 @@
 from mimosaworks.deployment import RetryPolicy
 from mimosaworks.dispatch import CallOutcome
 from mimosaworks.event_stream import EventScanner
-from mimosaworks.node.answer_framing import (
-    is_event_stream,
-    make_unfinished_error,
-)
 from mimosaworks.node.attempt_error import AttemptError
 from mimosaworks.node.attempt_progress import AttemptProgress
 from mimosaworks.node.call import Call
 from mimosaworks.node.event_buffer import EventBuffer, PlainBuffer
+from mimosaworks.node.event_ends import (
+    is_event_stream,
+    make_unfinished_error,
+)
 from mimosaworks.node.relay_peers import without_relay_field
 from mimosaworks.node.relayed_stream import RelayedStream
 from mimosaworks.platform.headers import LAST_EVENT, answer_headers
--- a/mimosaworks/node/attempt_sender.py
+++ b/mimosaworks/node/attempt_sender.py
@@ -14,6 +14,7 @@
     web,
 )
 
+from mimosaworks.body_framing import read_framing
 from mimosaworks.bounded_answers import (
     HeldBytes,
     OversizedError,
@@ -24,13 +25,13 @@
 from mimosaworks.events import Event, log_event
 from mimosaworks.kept_connections import ForeignAnswerError
 from mimosaworks.node import call_log
-from mimosaworks.node.answer_framing import UnfinishedEventError, read_framing
 from mimosaworks.node.answer_relay import relay_answer
 from mimosaworks.node.attempt_error import AttemptError
 from mimosaworks.node.attempt_progress import AttemptProgress, ProgressHooks
 from mimosaworks.node.brittle_targets import BrittleTargets
 from mimosaworks.node.call import Call
 from mimosaworks.node.event_buffer import OtherEventError
+from mimosaworks.node.event_ends import UnfinishedEventError
 from mimosaworks.node.limit_view import LimitView
 from mimosaworks.node.relay_peers import (
     RELAY_TO,
--- a/mimosaworks/node/call.py
+++ b/mimosaworks/node/call.py
@@ -3,10 +3,10 @@
 import attrs
 from aiohttp import web
 
+from mimosaworks.body_framing import Framing
 from mimosaworks.clock import now_s
 from mimosaworks.deployment import RequestProfile, ServiceRoute
 from mimosaworks.dispatch import suspect_keys
-from mimosaworks.node.answer_framing import Framing
 from mimosaworks.node.relayed_stream import RelayedStream
 from mimosaworks.wire import CallAsk
 
--- a/mimosaworks/node/answer_framing.py
+++ b/mimosaworks/node/event_ends.py
@@ -1,35 +1,16 @@
-"""How the end of an answer's body shows."""
-
-import enum
+"""Streams of events by their head, and the error for an early end."""
 
 from aiohttp import ClientPayloadError, ClientResponse
 
-_EVENT_STREAM = 'text/event-stream'
-
-
-class Framing(enum.Enum):
-    """What ends the body of an answer; none before there is an answer."""
+from mimosaworks.body_framing import Framing
 
-    NONE = 'none'
-    LENGTH = 'length'
-    CHUNKS = 'chunks'
-    CONNECTION = 'connection'
+_EVENT_STREAM = 'text/event-stream'
 
 
 class UnfinishedEventError(ClientPayloadError):
     """A stream ended inside an event, though its framing is complete."""
 
 
-def read_framing(resp: ClientResponse) -> Framing:
-    """Return what ends the body, by the head of the answer."""
-    coding = resp.headers.get('Transfer-Encoding', '')
-    if coding.lower().endswith('chunked'):
-        return Framing.CHUNKS
-    if resp.content_length is None:
-        return Framing.CONNECTION
-    return Framing.LENGTH
-
-
 def is_event_stream(resp: ClientResponse, *, is_expected: bool) -> bool:
     """Return whether an answer is a stream of events.
 
--- a/mimosaworks/platform/store.py
+++ b/mimosaworks/platform/store.py
@@ -10,7 +10,7 @@
 import attrs
 from yarl import URL
 
-from mimosaworks.body_framing import is_framed, require_framing
+from mimosaworks.body_framing import Framing, read_framing, require_framing
 from mimosaworks.bounded_answers import OversizedError, log_cut
 from mimosaworks.errors import (
     StoreConflictError,
@@ -136,7 +136,7 @@
         if answer.status == HTTPStatus.NOT_FOUND:
             return None
         _check_done(answer)
-        require_framing(name, has_framing=answer.is_framed)
+        require_framing(name, answer.framing)
         return answer.content
 
     async def put_object(
@@ -206,7 +206,7 @@
                 self.on_call(kind, str(resp.status))
                 content = await resp.read()
                 era = self.era.record_answer(resp.headers.get(_ERA, '0'))
-                return _Answer(resp.status, content, era, is_framed(resp))
+                return _Answer(resp.status, content, era, read_framing(resp))
         except aiohttp.ClientConnectorError as exc:
             raise StoreUnavailableError(f'store: {exc}') from exc
         except OversizedError as exc:
@@ -223,7 +223,7 @@
     status: int
     content: bytes
     era: int
-    is_framed: bool
+    framing: Framing
 
 
 def _span_params(table: str, part: str, span: KeyRange) -> dict[str, str]:
