No version for a target that started again before its entry

Callers saw a stream of two software versions: it had begun at a target that had started again under its id with another version, was recorded at the one before, and went on at a target of that one.

Cause: the holder reads the report of a target that has lost its models, and uses it under the entry of the start before, though the start in the report (born) is another; it also gave such a target a first order without any report, as the count of its orders is 0 either way.

The test failed before: the take-ups ran at engine-2, with models that were loaded and with one that no order had loaded.

Now the target's record keeps the start of the last report and names no version while its entry is of another start; a first order has a report read while it is carried out. Requests that are bound to a version do not go there, and what begins there is recorded at none, until the entry is read.

--- a/mimosaworks/dispatch/engine_pool.py
+++ b/mimosaworks/dispatch/engine_pool.py
@@ -160,7 +160,7 @@
             granted_s=now,
             has_permit=self.rate_limits.is_limited(target.entry.name),
             incarnation=target.entry.incarnation,
-            software_version=target.entry.software_version,
+            software_version=target.software_version,
         )
 
     def collect_jobs_to_reassign(self, now: float) -> list[Job]:
--- a/mimosaworks/dispatch/engine_target.py
+++ b/mimosaworks/dispatch/engine_target.py
@@ -88,7 +88,8 @@
     is when the queued orders should have ended, load_completed_s when each
     model was loaded by this holder, prefill_end_s when the engine should have
     read the granted prompts. in_memory and on_disk list copies of weights,
-    the least recently used first.
+    the least recently used first. reported_incarnation is that of the process
+    that answered the last report, 0 before one.
     """
 
     entry: TargetEntry
@@ -106,6 +107,22 @@
     prefill_end_s: float = 0
     is_synced: bool = False
     is_running_orders: bool = False
+    reported_incarnation: int = 0
+
+    @property
+    def software_version(self) -> str:
+        """The version of the process that last reported, empty if unknown.
+
+        The entry of a process that has just started may be late, above all
+        while the store is away; that of the one before may name another.
+        """
+        if self.reported_incarnation in {0, self.entry.incarnation}:
+            return self.entry.software_version
+        return ''
+
+    def runs_version(self, software_version: str) -> bool:
+        """Return whether it runs this version; an empty one is any."""
+        return software_version in {'', self.software_version}
 
     @property
     def retained_mb(self) -> float:
--- a/mimosaworks/dispatch/target_selector.py
+++ b/mimosaworks/dispatch/target_selector.py
@@ -209,7 +209,7 @@
     return (
         target.entry.state is TargetState.READY
         and target.entry.name not in job.assignment_req.excluded
-        and target.entry.runs_version(job.assignment_req.software_version)
+        and target.runs_version(job.assignment_req.software_version)
         and not target.health.is_down(now, job.assignment_req.direct_node)
     )
 
--- a/mimosaworks/node/order_runner.py
+++ b/mimosaworks/node/order_runner.py
@@ -163,7 +163,7 @@
     ) -> bool:
         if answer is OrderAnswer.ACCEPTED:
             target.order_count += 1
-            await asyncio.sleep(step.duration_s)
+            await self._await_expected_end(target, step)
             return _ends_in_expected_time(
                 step
             ) or await self._await_reported_effect(
@@ -180,6 +180,19 @@
             )
         )
 
+    async def _await_expected_end(
+        self, target: EngineTarget, step: Step
+    ) -> None:
+        """Wait for an order's predicted time.
+
+        A target that has started again accepts a first order as the one
+        before would have; its report shows which one did.
+        """
+        waits: list[Awaitable[object]] = [asyncio.sleep(step.duration_s)]
+        if target.order_count == 1:
+            waits.append(self._read_report(target))
+        await asyncio.gather(*waits)
+
     async def _await_reported_effect(
         self, target: EngineTarget, step: Step, expected_orders: int
     ) -> bool:
@@ -223,10 +236,12 @@
         await asyncio.sleep(self.call_interval_s(entry.name))
         await self.wait_for_permit(entry.name)
         try:
-            return await self.calls.report(entry.name, entry.address)
+            report = await self.calls.report(entry.name, entry.address)
         except _REPORT_READ_ERRORS:
             # The caller logs it: the order ends without an answer.
             return None
+        target.reported_incarnation = report.born
+        return report
 
 
 def _is_report_current(target: EngineTarget, report: TargetReport) -> bool:
--- a/standins/agency/world.py
+++ b/standins/agency/world.py
@@ -263,6 +263,13 @@
         self.nodes.append(node)
         return node
 
+    async def add_parted_node(self, name: str) -> tuple[NodeHandle, Proxy]:
+        """Start a node with a path of its own to the store; return both."""
+        path = await self._proxy(self.store_address)
+        boot = self._boot(name)
+        boot['platform']['address'] = _joined(path.address)
+        return await self.add_node(name, boot), path
+
     def draw_replica(self, rng: random.Random) -> Replica:
         """Return a target that is drawn at random."""
         return self.replicas[rng.choice(sorted(self.replicas))]
--- /dev/null
+++ b/tests/test_node_versions_out_of_step.py
@@ -0,0 +1,105 @@
+"""Streams at targets that started again unseen, with another version."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from standins.agency.replica import EVENTS
+from standins.agency.world import AgencyWorld, NodeHandle, open_agency
+from tests.test_node_processes import until_served
+from tests.test_node_stream_versions import NEW, OLD, PIECE, ran
+
+BEGUN = 2
+EVENT_S = 0.1
+
+
+@pytest.fixture
+async def world(tmp_path: Path) -> AsyncIterator[AgencyWorld]:
+    async with open_agency(tmp_path) as opened:
+        await opened.add_replica('ledger-1', service='ledger', slots=6)
+        yield opened
+
+
+async def ask(
+    world: AgencyWorld,
+    node: NodeHandle,
+    request_id: str,
+    most: int = EVENTS,
+    **extra: str,
+) -> tuple[int, int]:
+    """Return the status and the number of pieces; leave after the most."""
+    received = bytearray()
+    async with world.request(
+        node,
+        f'/draft/{request_id}',
+        request_id,
+        **{'X_Model': 'alpha', 'X_Token_Counts': '1000,20', **extra},
+    ) as resp:
+        async for chunk in resp.content.iter_any():
+            received.extend(chunk)
+            if received.count(PIECE) >= most:
+                break
+        resp.close()
+        return resp.status, received.count(PIECE)
+
+
+async def begin(
+    world: AgencyWorld, node: NodeHandle, request_id: str, **extra: str
+) -> None:
+    """Begin a stream and leave it."""
+    for replica in world.replicas.values():
+        replica.event_s = EVENT_S
+    assert await ask(world, node, request_id, BEGUN, **extra) == (200, BEGUN)
+    for replica in world.replicas.values():
+        replica.event_s = 0
+
+
+async def take_up(
+    world: AgencyWorld, node: NodeHandle, begun: str, number: int, **extra: str
+) -> tuple[int, list[str]]:
+    """Resume a stream; return the status and what ran it."""
+    request_id = f'{begun}-{number}'
+    resumption = {'Last-Event-Id': f'{BEGUN}', 'Resumes': begun}
+    status, _ = await ask(world, node, request_id, **resumption, **extra)
+    return status, ran(world, request_id)
+
+
+# Guards against a stream that is recorded at the version before, since its
+# target started again and its entry was late: the holder had an order accepted
+# (beta), or has read its report (alpha).
+async def test_a_target_that_started_again_has_no_version_before_its_entry(
+    world: AgencyWorld,
+) -> None:
+    engine = await world.add_replica(
+        'engine-1', models={'alpha': set()}, version=OLD
+    )
+    nodes = [await world.add_node(f'node-{number}') for number in range(2)]
+    for node in nodes:
+        await until_served(world, node)
+    await ask(world, nodes[0], 'before')
+    world.proxies['engine-1'].close()
+    engine.restart()
+    engine.version = NEW
+    await world.proxies['engine-1'].open()
+    held: dict[str, set[str]] = {'beta': set(), 'alpha': set()}
+    for model in held:
+        await begin(world, nodes[0], f'begun-{model}', X_Model=model)
+    world.proxies['engine-1'].close()
+    await world.add_replica('engine-2', models=held, version=OLD)
+    await asyncio.sleep(0.5)
+    for model in held:
+        begun = f'begun-{model}'
+        assert await ask(world, nodes[1], model, X_Model=model) == (200, EVENTS)
+        assert ran(world, model) == ['engine-2']
+        for number, node in enumerate(nodes):
+            taken_up = await take_up(world, node, begun, number, X_Model=model)
+            assert taken_up == (503, [])
+    await world.proxies['engine-1'].open()
+    engine.register(world.store)
+    world.replicas['engine-2'].state = 'draining'
+    world.replicas['engine-2'].register(world.store)
+    await asyncio.sleep(0.5)
+    await begin(world, nodes[0], 'later')
+    assert await take_up(world, nodes[1], 'later', 0) == (200, ['engine-1'])
