A node alone takes no versions from an old list

Callers saw a stream that a node without holder and store had begun go on at another software version: its target, or another one in the node's list, had started again under its id meanwhile.

Cause: without store and holder a node decides on a list of any age, as there is no fresher one, and took the versions in it for those that run.

Evidence: 12 of 12 take-ups sent to the other version on lists 1.6 to 5.1 s old. The test failed before: the take-ups ran at engine-1, of another version by then.

Now a list that is too old for the holder's decisions (1.4 s here) names no versions: streams begin there as before and are recorded at none; one that goes on waits for a holder and is refused as not run if none comes. Targets that start again are back after some seconds, later than that.

--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -175,6 +175,7 @@
         target_notices=target_notices,
         count_members=lambda: node.candidates.count_members(),
         is_view_usable=node.cluster_follower.is_view_usable,
+        is_view_fresh=node.cluster_follower.is_view_fresh,
         max_send_age_s=node.cluster_follower.max_send_age_s,
         find_resend_config=functools.partial(resend_config, node),
     )
--- a/mimosaworks/node/target_chooser.py
+++ b/mimosaworks/node/target_chooser.py
@@ -65,7 +65,8 @@
     target_notices are the targets to which nothing may be sent for now.
     count_members returns the number of nodes, 0 when it is unknown.
     is_view_usable returns whether a view of the targets of this age in
-    seconds may be used for a decision, max_send_age_s the greatest age of the
+    seconds may be used for a decision, is_view_fresh whether the software
+    versions in it still hold, max_send_age_s the greatest age of the
     view behind a request that is sent, find_resend_config the resend budget of
     all nodes, is_cut_off whether this node has no path to targets.
     """
@@ -78,6 +79,7 @@
     target_notices: TargetNotices
     count_members: Callable[[], int]
     is_view_usable: Callable[[float], bool]
+    is_view_fresh: Callable[[float], bool]
     find_resend_config: Callable[[], ResendBudgetConfig]
     max_send_age_s: Callable[[], float] = lambda: math.inf
     is_cut_off: Callable[[], bool] = _is_never_cut_off
@@ -287,7 +289,8 @@
         if refusal is not None:
             return refusal
         now = now_s()
-        if not self.is_view_usable(self._targets_age_s()):
+        targets_age_s = self._targets_age_s()
+        if not self.is_view_usable(targets_age_s):
             return Refusal(
                 ErrorKind.NO_TARGET,
                 MAX_HOLDER_WAIT_S,
@@ -295,6 +298,8 @@
             )
         member_count = self.count_members() or ASSUMED_MEMBER_COUNT
         targets = self.latest_targets()
+        if not self.is_view_fresh(targets_age_s):
+            targets = _without_versions(targets)
         self.standalone_chooser.apply_token_shares(
             deployment,
             self.holder_link.replicated_view.token_balances,
@@ -385,6 +390,19 @@
         )
 
 
+def _without_versions(
+    targets: Mapping[str, TargetEntry],
+) -> Mapping[str, TargetEntry]:
+    """Return targets that may have started again since with other versions.
+
+    Streams may begin there, to be resumed nowhere.
+    """
+    return {
+        name: attrs.evolve(entry, software_version='')
+        for name, entry in targets.items()
+    }
+
+
 def _crash_refusal_reason(verdict: Verdict) -> str:
     if verdict is Verdict.REFUSED:
         return 'requests like this crashed several targets since'
--- a/tests/test_node_limit_view.py
+++ b/tests/test_node_limit_view.py
@@ -278,6 +278,7 @@
         ),  # type: ignore[arg-type]
         count_members=lambda: 3,
         is_view_usable=lambda _: True,
+        is_view_fresh=lambda _: True,
         find_resend_config=lambda: None,  # type: ignore[arg-type,return-value]
     )
 
--- a/tests/test_node_versions_out_of_step.py
+++ b/tests/test_node_versions_out_of_step.py
@@ -8,11 +8,13 @@
 
 from standins.agency.replica import EVENTS
 from standins.agency.world import AgencyWorld, NodeHandle, open_agency
-from tests.test_node_processes import until_served
+from tests.test_node_processes import holder_of, until, until_served
 from tests.test_node_stream_versions import NEW, OLD, PIECE, ran
 
 BEGUN = 2
 EVENT_S = 0.1
+# Targets are back after some seconds; lists up to 1.4 s old hold.
+DOWN_S = 1.5
 
 
 @pytest.fixture
@@ -66,6 +68,19 @@
     return status, ran(world, request_id)
 
 
+async def start_anew(world: AgencyWorld, name: str, version: str) -> None:
+    """Start a target again under its id, with models as a holder loads them."""
+    replica = world.replicas[name]
+    held = dict(replica.models)
+    world.proxies[name].close()
+    replica.restart()
+    replica.models = held
+    replica.version = version
+    await asyncio.sleep(DOWN_S)
+    await world.proxies[name].open()
+    replica.register(world.store)
+
+
 # Guards against a stream that is recorded at the version before, since its
 # target started again and its entry was late: the holder had an order accepted
 # (beta), or has read its report (alpha).
@@ -103,3 +118,32 @@
     await asyncio.sleep(0.5)
     await begin(world, nodes[0], 'later')
     assert await take_up(world, nodes[1], 'later', 0) == (200, ['engine-1'])
+
+
+# Guards against a node without holder and store that takes the versions in its
+# old list for those that run, and against one that resumes nothing afterwards.
+async def test_a_node_alone_knows_no_versions_by_an_old_list(
+    world: AgencyWorld,
+) -> None:
+    await world.add_replica('engine-1', models={'alpha': set()}, version=OLD)
+    holder = await world.add_node('holder')
+    alone, path = await world.add_parted_node('alone')
+    await until_served(world, alone)
+    assert holder_of(holder, alone) is holder
+    await begin(world, alone, 'begun')
+    path.close()
+    holder.process.pause()
+    await start_anew(world, 'engine-1', NEW)
+    # What begins there is served, and recorded at no version.
+    await begin(world, alone, 'meanwhile')
+    taken_up = await asyncio.gather(
+        *(take_up(world, alone, 'begun', number) for number in range(3))
+    )
+    assert set(map(str, taken_up)) == {str((503, []))}
+    await until(lambda: len(alone.events('call_decided_alone')) > len(taken_up))
+    await path.open()
+    holder.process.resume()
+    await start_anew(world, 'engine-1', OLD)
+    await asyncio.sleep(0.5)
+    assert await take_up(world, alone, 'meanwhile', 0) == (503, [])
+    assert await take_up(world, alone, 'begun', 3) == (200, ['engine-1'])
