What a holder found before it stood still holds no more

Callers saw a stream go on at another software version by a holder that had stood still: the first take-up that waited there was sent to a target that had started again with another version meanwhile.

Cause: while the store answers no node, a holder decides on a list of any age. After a standstill it still took that for so, and decided on its old list before it had asked anybody again, though the store was back for the others and another node had the lease.

Now the finding ends once the process has not run for longer than a probe takes (0.8 s, less than it takes to elect another), and a probe whose time limits may have passed during a standstill finds nothing. Requests wait as for any list that is too old, while the store is asked again.

--- a/mimosaworks/node/lease_handover.py
+++ b/mimosaworks/node/lease_handover.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from mimosaworks.clock import now_s
 from mimosaworks.errors import PeerError, PlatformError, StoreHistoryError
 from mimosaworks.events import Event, log_event
 from mimosaworks.platform import TARGETS_TABLE, StoreClient
@@ -29,6 +30,9 @@
 FIRST_PROBE_PAUSE_S = 0.25
 # A third of the time after which a store that is back counts as stable.
 MAX_PROBE_PAUSE_S = 1.0
+# Longer than a probe, shorter than the time to detect that a holder is lost and
+# to elect another, which may know more.
+MAX_STANDSTILL_S = 0.8
 
 
 def _is_never_cut_off() -> bool:
@@ -42,7 +46,8 @@
     A store that refuses some nodes looks to each of them like one that is
     away. The holder and some other nodes read it at the same time: if it
     answers only others, one of them is offered the lease. If it answers none,
-    is_store_away is set: no node can have a fresher view.
+    is_store_away holds: no node can have a fresher view. What was found before
+    this process stood still is dropped.
 
     is_view_overdue tells whether the view of the targets should have been read
     again by now, is_view_fresh whether one of this age in seconds may be used
@@ -65,10 +70,16 @@
     on_store_reached: Callable[[], None]
     on_lease_notice: Callable[[LeaseNotice], bool]
     is_cut_off: Callable[[], bool] = _is_never_cut_off
-    is_store_away: bool = False
+    _was_store_away: bool = False
+    _awake_s: float = attrs.field(factory=now_s)
     _probed_count: int = MIN_PROBED_NODES
     _pause_s: float = FIRST_PROBE_PAUSE_S
 
+    @property
+    def is_store_away(self) -> bool:
+        """Whether the store answered no node that was asked lately."""
+        return self._was_store_away and not self._has_stood_still()
+
     def is_view_usable(self) -> bool:
         """Return whether the holder may decide from its view."""
         return self.is_view_fresh(self.binding_age_s())
@@ -81,16 +92,33 @@
         """Look for a node that reaches the store until cancelled."""
         # A new holder reads the targets first.
         await asyncio.sleep(PROBE_TIMEOUT_S)
+        self._awake_s = now_s()
         while True:  # noqa: WPS457 -- ends when the task is cancelled
             if self.is_view_overdue():
                 await self._probe_store()
             elif self.is_cut_off():
                 await self._offer_lease_to_relays()
             else:
-                self.is_store_away = False
+                self._was_store_away = False
                 self._probed_count = MIN_PROBED_NODES
                 self._pause_s = FIRST_PROBE_PAUSE_S
             await asyncio.sleep(CHECK_INTERVAL_S)
+            self._note_awake()
+
+    def _has_stood_still(self) -> bool:
+        return now_s() - self._awake_s > MAX_STANDSTILL_S
+
+    def _note_awake(self) -> bool:
+        """Return whether this process was awake since the last call.
+
+        Otherwise what was found before is dropped, and soon looked for again.
+        """
+        is_awake = not self._has_stood_still()
+        self._awake_s = now_s()
+        if not is_awake:
+            self._was_store_away = False
+            self._pause_s = FIRST_PROBE_PAUSE_S
+        return is_awake
 
     async def _probe_store(self) -> None:
         nodes = self._choose_nodes()
@@ -111,7 +139,10 @@
             reached=[node.name for node in reached_nodes],
             is_reached=is_reached,
         )
-        self.is_store_away = not is_reached and not reached_nodes
+        # Time limits pass during a standstill, whatever the store would say.
+        self._was_store_away = (
+            self._note_awake() and not is_reached and not reached_nodes
+        )
         if is_reached:
             self.on_store_reached()
         elif reached_nodes:
@@ -179,7 +210,13 @@
                 return
 
     async def _pause(self) -> None:
-        await asyncio.sleep(self._pause_s)
+        # Offers of the lease take longer than a standstill.
+        self._awake_s = now_s()
+        pause_end_s = self._awake_s + self._pause_s
+        while now_s() < pause_end_s:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            if not self._note_awake():
+                return
         self._pause_s = min(self._pause_s * 2, MAX_PROBE_PAUSE_S)
 
 
--- a/tests/test_node_versions_out_of_step.py
+++ b/tests/test_node_versions_out_of_step.py
@@ -13,7 +13,8 @@
 
 BEGUN = 2
 EVENT_S = 0.1
-# Targets are back after some seconds; lists up to 1.4 s old hold.
+# Lists of this age still hold: targets are back after some seconds.
+FRESH_S = 1.4
 DOWN_S = 1.5
 
 
@@ -147,3 +148,37 @@
     await asyncio.sleep(0.5)
     assert await take_up(world, alone, 'meanwhile', 0) == (503, [])
     assert await take_up(world, alone, 'begun', 3) == (200, ['engine-1'])
+
+
+# Guards against a holder that believes after a standstill that the store still
+# answers nobody, and decides on its old list before anything else.
+async def test_a_holder_that_stood_still_decides_nothing_on_its_old_list(
+    world: AgencyWorld,
+) -> None:
+    await world.add_replica('engine-1', models={'alpha': set()}, version=OLD)
+    holder, path = await world.add_parted_node('holder')
+    await until_served(world, holder)
+    other = await world.add_node('other')
+    await until_served(world, other)
+    await begin(world, holder, 'begun')
+    world.faults.outage = True
+    await until(
+        lambda: any(
+            line['view_age_s'] > FRESH_S
+            for line in holder.events('store_probed')
+        )
+    )
+    assert await take_up(world, holder, 'begun', 0) == (200, ['engine-1'])
+    holder.process.pause()
+    path.close()
+    world.faults.outage = False
+    await until(lambda: bool(other.events('lease_taken')))
+    await start_anew(world, 'engine-1', NEW)
+    waiting = [
+        asyncio.create_task(take_up(world, holder, 'begun', number))
+        for number in range(1, 4)
+    ]
+    await asyncio.sleep(0.3)
+    holder.process.resume()
+    for taken_up in await asyncio.gather(*waiting):
+        assert taken_up == (503, [])
