Split events in one pass over their lines

Splitting took 20 microseconds for an event of 200 bytes, beside other runs: the expression went on byte by byte, and ids were looked for at each of them.

--- a/mimosaworks/event_stream.py
+++ b/mimosaworks/event_stream.py
@@ -17,9 +17,15 @@
 _EMPTY_LINE_ENDS = (b'\n\n', b'\n\r', b'\r\r')
 _LINE_END = re.compile(rb'[\r\n]')
 _FIELD = re.compile(rb'(?:^|[\r\n])[^:\r\n]')
-_EVENT = re.compile(rb'.*?(?>\r\n|\r|\n){2,}+|.+', re.DOTALL)
-_ID = re.compile(rb'(?:^|[\r\n])id:[ ]?([^\0\r\n]*)(?=[\r\n])')
-_DATA = re.compile(rb'(?:^|[\r\n])data[:\r\n]')
+# Lines that are not empty and the empty ones behind them.
+_EVENT = re.compile(
+    rb'(?:[^\r\n]++(?>\r\n|\r|\n))++(?>\r\n|\r|\n)*+'
+    rb'|(?>\r\n|\r|\n)++'
+)
+# The look behind for the start of the line comes second: a search for literal
+# bytes is faster.
+_ID = re.compile(rb'id:(?<![^\r\n]id:)[ ]?([^\0\r\n]*)(?=[\r\n])')
+_DATA = re.compile(rb'data(?<![^\r\n]data)[:\r\n]')
 # Enough to tell a comment, behind a byte order mark too.
 _LINE_START_BYTES = 4
 
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -6,7 +6,7 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from mimosaworks.event_stream import EventCutter, EventScanner
+from mimosaworks.event_stream import EventCutter, EventScanner, split_events
 
 PARTS = (
     b'id: 1',
@@ -61,6 +61,8 @@
     passed += cutter.feed(stream[cut:])
     assert not is_inside_event(passed)
     assert cutter.is_inside_event == is_inside_event(stream)
+    contents = [event.content for event in split_events(passed)]
+    assert b''.join(contents) == passed
     held = cutter.take_rest()
     assert b'' not in LINE_END.split(held)[:-1]
     assert passed + held == stream
