Close the connection behind an answer without framing

A caller that reads no chunks and asks to keep its connection got a whole stream, and its end came only when the node closed the idle connection 20 s later; a second answer on it would have been a part of the first.

Cause: the server notes that such an answer ends the connection, and goes by another attribute when it has been sent.

Only answers to callers before HTTP/1.1 count as without framing: later ones have chunks or no body.

--- a/mimosaworks/node/relayed_stream.py
+++ b/mimosaworks/node/relayed_stream.py
@@ -1,7 +1,7 @@
 """The part of an answer that its caller has."""
 
 import attrs
-from aiohttp import ClientError, hdrs, web
+from aiohttp import ClientError, HttpVersion11, web
 
 from mimosaworks.node.attempt_error import CallerDisconnectedError
 from mimosaworks.node.event_buffer import EventBuffer, PlainBuffer
@@ -40,7 +40,7 @@
             await self.response.write_eof()
         except (ClientError, OSError) as exc:
             raise CallerDisconnectedError(repr(exc)) from exc
-        if self._ends_with_connection():
+        if self._ends_with_connection(req):
             set_reset_on_close(req.transport, is_on=False)
         self.is_complete = True
 
@@ -49,14 +49,14 @@
     ) -> None:
         if not self.response.prepared:
             await self.response.prepare(req)
-            if self._ends_with_connection():
+            if self._ends_with_connection(req):
                 # Until it is complete: the caller can't see an early end.
                 set_reset_on_close(req.transport, is_on=True)
+                self.response.force_close()
         if chunk:
             await self.response.write(chunk)
 
-    def _ends_with_connection(self) -> bool:
-        """Whether its end is that of the connection, as in HTTP/1.0."""
-        # The server decides on chunks when it prepares the answer.
-        has_chunks = hdrs.TRANSFER_ENCODING in self.response.headers
+    def _ends_with_connection(self, req: web.BaseRequest) -> bool:
+        """Return whether its end is that of the connection."""
+        has_chunks = req.version >= HttpVersion11
         return not has_chunks and self.response.content_length is None
--- a/tests/test_node_answer_ends.py
+++ b/tests/test_node_answer_ends.py
@@ -319,6 +319,7 @@
         'X-Model': 'alpha',
         'X-Token-Counts': '1000,20',
         'Content-Length': '2',
+        'Connection': 'keep-alive',
     }
     lines = [f'{field}: {text}' for field, text in fields.items()]
     head = '\r\n'.join((f'POST {CHAT} {version}', *lines, '', '{}'))
@@ -335,7 +336,7 @@
 
 
 # Guards against an answer that looks complete to a caller that reads no chunks,
-# though its target or this node broke it off.
+# though its target or this node broke it off, and against one without an end.
 async def test_a_broken_answer_without_framing_is_reset(
     world: AgencyWorld,
 ) -> None:
