Test of streams that end inside an event: announce closed connections

Traced: the target before it closed a kept connection behind its last chunk, and the next request went there first; with a pause of 0.3 s before that close it fails each time. Ends and checks are the same, but the answers say that the connection is closed.

--- a/tests/test_node_answer_ends.py
+++ b/tests/test_node_answer_ends.py
@@ -29,6 +29,8 @@
 RAW = 'X-Raw'
 EVENT_TYPE = 'Content-Type: text/event-stream'
 CHUNKED = 'Transfer-Encoding: chunked'
+# So that no request follows on a connection that is closed.
+CLOSE = 'Connection: close'
 IN_FIRST_EVENT = 'inside the first event'
 TWO = event_text(1) + event_text(2)
 HALF = event_text(3)[:12]
@@ -96,7 +98,7 @@
 
 def sized(*pieces: bytes, more: int = 0) -> RawAnswer:
     length = len(b''.join(pieces)) + more
-    return raw(*pieces, fields=(f'Content-Length: {length}',))
+    return raw(*pieces, fields=(f'Content-Length: {length}', CLOSE))
 
 
 RESETS = types.MappingProxyType({
@@ -109,11 +111,11 @@
 })
 INSIDE = types.MappingProxyType({
     'closed': raw(TWO, HALF),
-    'closed, announced': raw(TWO, HALF, fields=('Connection: close',)),
+    'closed, announced': raw(TWO, HALF, fields=(CLOSE,)),
     'closed, HTTP/1.0': raw(TWO, HALF, status='HTTP/1.0 200 OK'),
     'closed behind the data': raw(TWO, event_text(3)[:-1]),
     IN_FIRST_EVENT: raw(TWO[:5]),
-    'last chunk': raw(*in_chunks(TWO, HALF, b''), fields=(CHUNKED,)),
+    'last chunk': raw(*in_chunks(TWO, HALF, b''), fields=(CHUNKED, CLOSE)),
     'length': sized(TWO, HALF),
     'closed before its length': sized(TWO, HALF, more=9),
 })
