--- a/mimosaworks/event_stream.py
+++ b/mimosaworks/event_stream.py
@@ -13,11 +13,11 @@
 BYTE_ORDER_MARK = b'\xef\xbb\xbf'
 _CR = b'\r'
 _LF = b'\n'
-# What the last two bytes of a chunk's part are that ends with an empty line.
+# The last two bytes of a part that ends with an empty line.
 _EMPTY_LINE_ENDS = (b'\n\n', b'\n\r', b'\r\r')
 _LINE_END = re.compile(rb'[\r\n]')
 _FIELD = re.compile(rb'(?:^|[\r\n])[^:\r\n]')
-# Lines that are not empty and the empty ones behind them.
+# Lines with text and the empty ones behind them, or empty ones alone.
 _EVENT = re.compile(
     rb'(?:[^\r\n]++(?>\r\n|\r|\n))++(?>\r\n|\r|\n)*+'
     rb'|(?>\r\n|\r|\n)++'
