--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -39,6 +39,7 @@
 @given(streams, st.lists(st.integers(0, 60), max_size=6))
 @example(b'data: x\r\n\r\n', [8, 10])
 @example(b'\xef\xbb\xbf: ping', [1, 2, 3])
+@example(b': c\ry\n\n', [4, 5, 6])
 def test_the_end_is_found_whatever_the_chunks_are(
     stream: bytes, cuts: list[int]
 ) -> None:
--- a/tests/test_node_event_buffer.py
+++ b/tests/test_node_event_buffer.py
@@ -124,14 +124,19 @@
     st.lists(st.sampled_from(PIECES), max_size=4),
     st.lists(st.integers(0, 150), max_size=6),
     st.sampled_from((b'\n', b'\r\n', b'\r')),
+    st.sampled_from((b'', b': ping\n')),
 )
 def test_repeated_events_come_once_whatever_their_bytes_are(
-    asides: list[bytes], rest: list[bytes], cuts: list[int], line_end: bytes
+    asides: list[bytes],
+    rest: list[bytes],
+    cuts: list[int],
+    line_end: bytes,
+    comment: bytes,
 ) -> None:
     buffer = begun(b'1')
     released = [buffer.feed(b''.join(asides))]
     buffer.begin_run()
-    repeated = b''.join((*asides, *rest)).replace(b'\n', line_end)
+    repeated = comment.join((b'', *asides, *rest)).replace(b'\n', line_end)
     edges = [0, *sorted(cuts), len(repeated)]
     for start, end in itertools.pairwise(edges):
         released.append(buffer.feed(repeated[start:end]))
