A SIGHUP during a start ends no process

Nothing that was accepted is lost, but the node has to be started again.

Cause: the handler was set when the node had been built, 0.6 s and more after the start; until then the default action of SIGHUP ends the process.

The new test starts mimosa_node.py with a slow import in place of the program and sends SIGHUP meanwhile. Run on the code before it fails, as the process ends by the signal.

--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -1,10 +1,8 @@
 """Composition root of the entry node: builds its parts and runs them."""
 
-import asyncio
 import contextlib
 import functools
 import secrets
-import signal
 
 import attrs
 
@@ -66,10 +64,12 @@
     boot_path is the settings file, which is read again on SIGHUP.
     """
     with json_logging() as log_stream:
-        stop_requested = stop_event()
         async with contextlib.AsyncExitStack() as stack:
             node = await _build_node(cfg, bounds, stack)
-            await _start_tasks(node, boot_path, log_stream, stack)
+            stop_requested = stop_event(
+                functools.partial(node.reload_settings, boot_path)
+            )
+            await _start_tasks(node, log_stream, stack)
             await stop_requested.wait()
             await stop_node(node)
         log_stopped(node, log_stream.dropped)
@@ -185,13 +185,9 @@
 
 async def _start_tasks(
     node: Node,
-    boot_path: str,
     log_stream: JsonStream,
     stack: contextlib.AsyncExitStack,
 ) -> None:
-    loop = asyncio.get_running_loop()
-    reload_settings = functools.partial(node.reload_settings, boot_path)
-    loop.add_signal_handler(signal.SIGHUP, reload_settings)
     await serve_endpoints(node, stack)
     gauge_updates = node.run_gauge_updates(lambda: log_stream.dropped)
     for background_task in (
--- a/mimosaworks/serving/serving.py
+++ b/mimosaworks/serving/serving.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import signal
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from aiohttp import ClientSession, web
@@ -68,15 +68,20 @@
             conn.transport.abort()
 
 
-def stop_event() -> asyncio.Event:
+def stop_event(
+    on_hangup: Callable[[], None] | None = None,
+) -> asyncio.Event:
     """Return an event that SIGTERM, SIGINT and SIGHUP set.
 
-    A program that reads its settings again on SIGHUP handles that itself.
+    A program that reads its settings again on SIGHUP gives on_hangup, which
+    is called instead. A SIGHUP that was blocked until now is handled.
     """
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+    for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, on_hangup or stopping.set)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP,))
     return stopping
 
 
--- a/tests/test_cmdline_node.py
+++ b/tests/test_cmdline_node.py
@@ -1,5 +1,8 @@
 """The command line of mimosa-node."""
 
+import signal
+import subprocess
+import sys
 from pathlib import Path
 
 from click.testing import CliRunner
@@ -33,3 +36,30 @@
         main, ['--check'], env={'MIMOSAWORKS_BOOT': write_boot(tmp_path)}
     )
     assert shown.exit_code == 0
+
+
+# Guards against a process that SIGHUP ends while it imports its modules.
+def test_settings_that_change_during_a_start_do_not_end_the_process(
+    tmp_path: Path,
+) -> None:
+    # Stands in for the rest of the program, and takes as long to import.
+    program = tmp_path / 'mimosaworks' / 'cmdline' / 'node.py'
+    program.parent.mkdir(parents=True)
+    for folder in (program.parent, program.parent.parent):
+        (folder / '__init__.py').touch()
+    program.write_text(
+        'import signal, sys, time\n'
+        "print('imports', flush=True)\n"
+        'time.sleep(0.2)\n'
+        "main = lambda: print('pending', signal.sigpending())\n"
+    )
+    copy = tmp_path / 'mimosa_node.py'
+    copy.write_bytes(Path('mimosa_node.py').read_bytes())
+    with subprocess.Popen(
+        [sys.executable, copy], stdout=subprocess.PIPE, text=True
+    ) as child:
+        assert child.stdout is not None
+        assert child.stdout.readline() == 'imports\n'
+        child.send_signal(signal.SIGHUP)
+        assert 'SIGHUP' in child.stdout.read()
+    assert child.returncode == 0
