Count and models of a target come from one report, or neither does

Cause: an order that got no answer had the holder take over the target's count of orders without its models, which a stale holder had changed. Orders that were queued also outlived a report that showed other models. Two facts that belong together were taken from two times.

An accepted order proves that no other one came since the report from which the count was taken, as long as the models are those of the same report. So both are now taken from one report, also behind an order without an answer.

--- a/mimosaworks/dispatch/engine_target.py
+++ b/mimosaworks/dispatch/engine_target.py
@@ -191,7 +191,12 @@
             # The load would use the weight store, which has no capacity for it.
             return False
         loaded = self.models.get(step.model)
-        if step.adapter and (loaded is None or not loaded.is_ready):
+        if loaded is None:
+            # A report has shown otherwise since: no memory is reserved for it.
+            return False
+        if step.adapter and not (
+            loaded.is_ready and step.adapter in loaded.adapters
+        ):
             return False
         needed_mb = math.fsum(
             loaded.size_mb
--- a/mimosaworks/dispatch/reconcile.py
+++ b/mimosaworks/dispatch/reconcile.py
@@ -1,6 +1,6 @@
 """Reconciles the holder's record of a target with what it reports."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping, Set
 
 from mimosaworks.deployment import ResidentModel, TargetEntry
 from mimosaworks.dispatch.engine_target import (
@@ -54,12 +54,14 @@
 ) -> None:
     """Replace the models by those that the target reports.
 
-    Changes by queued orders are still expected and stay recorded.
+    Changes by queued orders are still expected and stay recorded. Queued
+    unloads of adapters that are gone are dropped.
     """
     target.order_count = order_count
     reported_residences = {
         residence.model: residence for residence in residences
     }
+    _drop_needless_unloads(target, reported_residences)
     for name, loaded_model in list(target.models.items()):
         if loaded_model.is_ready and name not in reported_residences:
             remove_model(target, name)
@@ -77,18 +79,50 @@
         )
         loaded.is_ready = True
         loaded.is_unloading = residence.model in unloading_models
-        _apply_reported_adapters(loaded, residence)
+        _apply_reported_adapters(
+            loaded, residence, _find_unloading_adapters(target, residence.model)
+        )
     target.recount_jobs()
 
 
+def _drop_needless_unloads(
+    target: EngineTarget, residences: Mapping[str, ResidentModel]
+) -> None:
+    """Drop queued unloads of adapters that the target does not hold.
+
+    Their answer is that of an unload that was carried out at once, though the
+    target does not count them.
+    """
+    needed_steps = [
+        step
+        for step in target.steps
+        if step.is_load
+        or not step.adapter
+        or (
+            step.model in residences
+            and step.adapter in residences[step.model].adapters
+        )
+    ]
+    target.steps.clear()
+    target.steps.extend(needed_steps)
+
+
 def remove_model(target: EngineTarget, model: str) -> None:
     """Remove a model that the target no longer holds, with its prefixes."""
     target.models.pop(model, None)
     target.cache.drop_model(model)
 
 
+def _find_unloading_adapters(target: EngineTarget, model: str) -> set[str]:
+    return {
+        step.adapter
+        for step in target.steps
+        if step.model == model and step.adapter and not step.is_load
+    }
+
+
 def _apply_reported_adapters(
-    loaded: LoadedModel, residence: ResidentModel
+    loaded: LoadedModel, residence: ResidentModel, unloading: Set[str]
 ) -> None:
     known_adapters = loaded.adapters
     pending_adapters = {
@@ -99,6 +133,7 @@
     reported_adapters = {
         name: known_adapters.get(name) or LoadedAdapter(name, last_used_s=0)
         for name in residence.adapters
+        if name not in unloading
     }
     for adapter in reported_adapters.values():
         adapter.is_ready = True
--- a/mimosaworks/node/order_runner.py
+++ b/mimosaworks/node/order_runner.py
@@ -199,7 +199,8 @@
         """Read reports until they show that an order was carried out.
 
         expected_orders is the target's order count with that order; a report
-        with a lower count shows the state before it.
+        with a lower count shows the state before it. The count and the models
+        are taken from the same report, as orders of another holder may count.
         """
         remaining_reports = MAX_EFFECT_REPORTS
         if step.is_from_store:
@@ -210,13 +211,11 @@
             report = await self._read_report(target)
             if report is None:
                 return False
-            if report.orders >= expected_orders and _shows_step_effect(
-                report, step
-            ):
-                target.order_count = max(target.order_count, report.orders)
-                return True
             if _is_report_current(target, report):
-                return False
+                if not _shows_order(target, report, step, expected_orders):
+                    return False
+                apply_reported_models(target, report.residences, report.orders)
+                return True
             await asyncio.sleep(REPORT_POLL_S)
         return False
 
@@ -244,6 +243,20 @@
         return report
 
 
+def _shows_order(
+    target: EngineTarget,
+    report: TargetReport,
+    step: Step,
+    expected_orders: int,
+) -> bool:
+    is_restarted = report.born != target.entry.incarnation
+    return (
+        not is_restarted
+        and report.orders >= expected_orders
+        and _shows_step_effect(report, step)
+    )
+
+
 def _is_report_current(target: EngineTarget, report: TargetReport) -> bool:
     # A report is some hundred milliseconds old, orders may be newer.
     if report.is_busy or report.coming:
