A holder grants the shares of the nodes that it hears

Cause: each side of a cut granted a whole rate: the holder that was cut off, or the nodes that heard only it, beside the next one.

With n members each has one n-th of each rate and balance. A holder withholds the shares of nodes that it does not hear, and names them in its replies, so that a node alone divides by all and the next holder knows of them.

--- a/mimosaworks/node/candidates.py
+++ b/mimosaworks/node/candidates.py
@@ -49,6 +49,14 @@
         lease = self.election.lease
         return 0 if lease is None else lease.members
 
+    def count_shares(self) -> int:
+        """Return how many nodes share the rates, 0 when it is not known.
+
+        Those that the holder no longer hears are among them.
+        """
+        sharing_nodes = self.link.replicated_view.sharing_nodes()
+        return len(sharing_nodes) or self.count_members()
+
     def candidate_rank(self) -> int:
         """Return this node's place among the candidates, 0 for the first.
 
--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -206,6 +206,12 @@
         """Apply a node's updates; return the changes that the node lacks."""
         now = now_s()
         self.members.record_heartbeat(heartbeat.row, now)
+        is_charged = self.members.shares.settle_heartbeat(
+            self.dispatcher.limiter,
+            heartbeat.row.name,
+            now,
+            is_confirmed=heartbeat.fence == self.order_runner.fence,
+        )
         for running_call in heartbeat.running:
             if running_call.ask.call not in self.dispatcher.jobs:
                 job = self.dispatcher.import_running_job(
@@ -233,9 +239,10 @@
             )
         if self.stream_saver is not None:
             self.stream_saver.record_notes(heartbeat.streams)
-        self.dispatcher.limiter.charge(
-            (charge.workspace, charge.cost) for charge in heartbeat.spent
-        )
+        if is_charged:
+            self.dispatcher.limiter.charge(
+                (charge.workspace, charge.cost) for charge in heartbeat.spent
+            )
         for leaving_target in heartbeat.leaving:
             self.dispatcher.record_leaving_target(
                 leaving_target.target, leaving_target.born
@@ -333,6 +340,7 @@
             limits_version=self.limit_monitor.row_log.version,
             interval_s=self.members.heartbeat_interval_s(),
             view_age_s=self.cluster_state.targets_age_s(),
+            silent=tuple(sorted(self.members.shares.silent_nodes())),
         )
 
     async def _wait_for_decision(
@@ -371,6 +379,7 @@
             self.weights_monitor.log_changes(self.dispatcher.pools, now)
             _reconcile_crashes(self, now)
             self._drop_expired_jobs(now)
+            self.members.shares.withhold_from(self.dispatcher.limiter, now)
             self._start_order_runs()
             await asyncio.sleep(TICK_S)
 
--- a/mimosaworks/node/members.py
+++ b/mimosaworks/node/members.py
@@ -8,6 +8,7 @@
     heartbeat_interval_s,
     member_timeout_s,
 )
+from mimosaworks.node.rate_shares import RateShares
 from mimosaworks.wire import NodeRow
 
 
@@ -16,6 +17,7 @@
     """All nodes that send heartbeats, and when each one's last arrived."""
 
     row_log: ChangeLog[NodeRow] = attrs.field(factory=ChangeLog)
+    shares: RateShares = attrs.field(factory=RateShares)
     _last_heartbeat_s: dict[str, float] = attrs.field(factory=dict)
 
     def __len__(self) -> int:
@@ -46,6 +48,8 @@
         )
         for name in lost_members:
             silent_s = now - self._last_heartbeat_s.pop(name)
+            if self.row_log.rows[name].is_stopping:
+                self.shares.forget_node(name)
             self.row_log.remove_row(name)
             log_event(Event.MEMBER_LOST, node=name, silent_s=silent_s)
         return lost_members
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -178,8 +178,15 @@
         self.holder.start()
         self.cluster_follower.restart_follows()
         self.candidates.notify_members(lease)
-        token_balances = self.holder_link.replicated_view.token_balances
-        self.holder.dispatcher.limiter.cap_balances(token_balances, now_s())
+        replicated_view = self.holder_link.replicated_view
+        self.holder.dispatcher.limiter.cap_balances(
+            replicated_view.token_balances, now_s()
+        )
+        shares = self.holder.members.shares
+        silent_since_s = replicated_view.silent_since_s
+        for node in replicated_view.sharing_nodes():
+            shares.expect_node(node, silent_since_s.get(node, now_s()))
+        shares.withhold_from(self.holder.dispatcher.limiter, now_s())
 
     def unsaved_rows(self) -> tuple[RowChange, ...]:
         """Return the holder's rows that are not in the store yet."""
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -173,7 +173,7 @@
         cluster_state=node.cluster_state,
         holder_link=node.holder_link,
         target_notices=target_notices,
-        count_members=lambda: node.candidates.count_members(),
+        count_members=lambda: node.candidates.count_shares(),
         is_view_usable=node.cluster_follower.is_view_usable,
         is_view_fresh=node.cluster_follower.is_view_fresh,
         max_send_age_s=node.cluster_follower.max_send_age_s,
--- a/mimosaworks/node/replicated_view.py
+++ b/mimosaworks/node/replicated_view.py
@@ -16,7 +16,9 @@
 
     The balances are by workspace; balances_received_s is when they came. The
     versions are the holder's; targets_as_of_s is when the holder's view of the
-    targets was read.
+    targets was read. silent_since_s has the nodes that may have a share of the
+    rates, though the holder does not hear them. Times are on this process's
+    clock.
     """
 
     members: dict[str, NodeRow] = attrs.field(factory=dict)
@@ -26,11 +28,19 @@
     targets_version: int = 0
     targets_as_of_s: float = 0
     balances_received_s: float = 0
+    silent_since_s: dict[str, float] = attrs.field(factory=dict)
 
     def needs_balances(self, now: float) -> bool:
         """Return whether the token balances should be requested again."""
         return now - self.balances_received_s > BALANCES_INTERVAL_S
 
+    def sharing_nodes(self) -> frozenset[str]:
+        """Return the nodes that have a share of each rate."""
+        running = {
+            name for name, row in self.members.items() if not row.is_stopping
+        }
+        return frozenset(running | self.silent_since_s.keys())
+
     def apply_reply(self, reply: BeatReply, now: float) -> None:
         """Apply the changes in the holder's answer to a heartbeat."""
         if reply.levels:
@@ -38,6 +48,9 @@
             self.token_balances = {
                 balance.workspace: balance.cost for balance in reply.levels
             }
+        self.silent_since_s = {
+            name: self.silent_since_s.get(name, now) for name in reply.silent
+        }
         self.members_version = reply.members_version
         self.members = apply_changes(
             {} if reply.members_whole else self.members,
--- a/mimosaworks/node/target_chooser.py
+++ b/mimosaworks/node/target_chooser.py
@@ -63,7 +63,8 @@
 
     node_name, nonce and data_centre identify this process and its location.
     target_notices are the targets to which nothing may be sent for now.
-    count_members returns the number of nodes, 0 when it is unknown.
+    count_members returns the number of nodes that share the limits, 0 when it
+    is unknown.
     is_view_usable returns whether a view of the targets of this age in
     seconds may be used for a decision, is_view_fresh whether the software
     versions in it still hold, max_send_age_s the greatest age of the
--- a/mimosaworks/wire/dispatch.capnp
+++ b/mimosaworks/wire/dispatch.capnp
@@ -233,4 +233,5 @@
   limitsWhole @21 :Bool;
   limitsVersion @22 :UInt64;
   viewAgeS @23 :Float64;
+  silent @24 :List(Text);
 }
--- a/mimosaworks/wire/dispatch_messages.py
+++ b/mimosaworks/wire/dispatch_messages.py
@@ -182,7 +182,8 @@
     are. What the holder knew of suspects unsaved_s ago is in the store.
     lease_version is the lease row's version at the last
     renewal, deployment_version the newest deployment that the holder knows,
-    view_age_s the age of its entries of targets.
+    view_age_s the age of its entries of targets, silent the nodes that it does
+    not hear and that may use their shares of the rates themselves.
     """
 
     is_holder: bool
@@ -209,3 +210,4 @@
     limits_whole: bool = False
     limits_version: int = 0
     view_age_s: float = 0
+    silent: tuple[str, ...] = ()
