Bound what peers, their messages, heads and framing may take

Another operator reports a replica that sent bytes without end, in a head or a body: the process that had asked for them ran out of memory. Here requests to targets had bounds, but replies of other nodes had not.

Cause: a bound for each answer, none for what many hold. Replies were read up to 16 MB each, one for each request that waits; interim heads were queued as they were parsed, framing in place of a body was skipped without a bound, heads of requests had no bound in sum. Lists of a message may name the same bytes again and again.

- Replies and messages are bounded by what their type needs, and messages also in sum while they arrive.
- A message is read as far as twice the words that its head names.
- Interim heads are not queued.
An answer whose framing exceeds 1 MB and 16 times its body is cut, so that honest chunks of one byte pass.
- All heads that are incomplete or wait have 16 MB together, on all sockets of a node.
- Buffered bodies are let go with their error, and the code for it has one place.

The tests send each kind without end to real nodes and check their memory.

--- a/mimosaworks/bounded_answers.py
+++ b/mimosaworks/bounded_answers.py
@@ -21,7 +21,12 @@
 ANSWER_MB = 64
 HELD_KB = 1000
 ALL_HELD_MB = 48
+REPORT_BYTES = 1000000  # all models and runs of a target
 HEAD_BYTES = 262144  # a head with some fields of the longest allowed size
+# Of an answer's bytes that are no body, or of which a slow reader has not taken
+# the body yet.
+FRAMING_BYTES = 1000000
+FRAMING_RATIO = 16  # a chunk of one byte has a line of five bytes at least
 
 
 @attrs.frozen
@@ -58,13 +63,36 @@
     """
     chunks: list[bytes] = []
     size = 0
-    async for chunk in resp.content.iter_any():
-        size += len(chunk)
-        if size > most:
-            resp.close()
-            raise OversizedError(size, most)
-        chunks.append(chunk)
-    return b''.join(chunks)
+    with contextlib.ExitStack() as stack:
+        # An exception refers to this frame until it is collected.
+        stack.callback(chunks.clear)
+        async for chunk in resp.content.iter_any():
+            size += len(chunk)
+            if size > most:
+                resp.close()
+                raise OversizedError(size, most)
+            chunks.append(chunk)
+        return b''.join(chunks)
+
+
+async def read_held(
+    resp: aiohttp.ClientResponse, hold: 'Hold'
+) -> tuple[bytes, bool]:
+    """Return a body and true, or false if there is no room to hold it.
+
+    Then the bytes that were received so far are returned.
+    """
+    chunks: list[bytes] = []
+    size = 0
+    with contextlib.ExitStack() as stack:
+        # As in read_bounded.
+        stack.callback(chunks.clear)
+        async for chunk in resp.content.iter_any():
+            chunks.append(chunk)
+            size += len(chunk)
+            if not hold.keep(size):
+                return b''.join(chunks), False
+        return b''.join(chunks), True
 
 
 class _BoundedHandler(KeptHandler):
@@ -80,18 +108,27 @@
         self._answer_bytes = answer_bytes
         self._most = HEAD_BYTES
         self._size = 0
+        # More than one where late answers to earlier requests are skipped.
+        self._bodies: list[aiohttp.StreamReader] = []
 
     def set_response_params(self, **options: Any) -> None:
         """Begin to count for the next answer."""
         self._most = HEAD_BYTES
         self._size = 0
+        self._bodies = []
         super().set_response_params(**options)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
-        """Allow a body behind a head that is no interim one."""
-        message, _ = data
+        """Allow a body behind a head; leave out interim ones.
+
+        Nobody waits for those, and each would be held as it is parsed.
+        """
+        message, body = data
         if message.code >= HTTPStatus.OK:
             self._most = self._answer_bytes
+            self._bodies.append(body)
+        elif message.code != HTTPStatus.SWITCHING_PROTOCOLS:
+            return
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
@@ -99,8 +136,8 @@
         self._size += len(data)
         super().data_received(data)
         body = self._payload
-        if self._size > HEAD_BYTES and self._size > self._most:
-            exc = OversizedError(self._size, self._most)
+        exc = self._find_excess()
+        if exc is not None:
             self.set_exception(exc)
             self._cut(body, exc)
         elif isinstance(self.exception(), HttpProcessingError):
@@ -108,6 +145,15 @@
             rest = None if body is None or body.is_eof() else body
             self._cut(rest, aiohttp.ClientPayloadError(f'{self.exception()!r}'))
 
+    def _find_excess(self) -> OversizedError | None:
+        """Return what to tell if too much has come, in all or as framing."""
+        if self._size > HEAD_BYTES and self._size > self._most:
+            return OversizedError(self._size, self._most)
+        body_bytes = sum(body.total_bytes for body in self._bodies)
+        framing = self._size - body_bytes
+        most = FRAMING_BYTES + FRAMING_RATIO * body_bytes
+        return OversizedError(framing, most) if framing > most else None
+
     def _cut(
         self, body: aiohttp.StreamReader | None, exc: aiohttp.ClientError
     ) -> None:
@@ -195,6 +241,11 @@
         self.size = size
         return True
 
+    def require(self, size: int) -> None:
+        """Hold this many bytes; raises OversizedError without room."""
+        if not self.keep(size):
+            raise OversizedError(size, self.books.one_bytes)
+
     def let_go(self) -> None:
         """Hold nothing more."""
         self.keep(0)
--- a/mimosaworks/node/answer_relay.py
+++ b/mimosaworks/node/answer_relay.py
@@ -4,7 +4,7 @@
 
 from aiohttp import ClientResponse, web
 
-from mimosaworks.bounded_answers import Hold, OversizedError
+from mimosaworks.bounded_answers import Hold, read_held
 from mimosaworks.deployment import RetryPolicy
 from mimosaworks.dispatch import CallOutcome
 from mimosaworks.event_stream import EventScanner
@@ -35,7 +35,7 @@
         )
         await _relay_stream(call, relayed_stream, resp, progress, hold)
     else:
-        body, is_complete = await _buffer_body(resp, hold)
+        body, is_complete = await read_held(resp, hold)
         _raise_for_retriable_failure(call, resp)
         if is_complete:
             _check_body_end(call, resp, body)
@@ -68,35 +68,13 @@
             call.is_answer_started = True
             progress.record_first_bytes()
         released = relayed_stream.buffer.feed(chunk)
-        _hold_unfinished(relayed_stream, hold)
+        hold.require(relayed_stream.buffer.held_bytes)
         if released:
             call.relayed_stream = relayed_stream
             progress.hooks.on_stream_begun()
             await relayed_stream.write_chunk(call.req, released)
 
 
-def _hold_unfinished(relayed_stream: RelayedStream, hold: Hold) -> None:
-    """Count the bytes of an unfinished event; raises OversizedError."""
-    held_bytes = relayed_stream.buffer.held_bytes
-    if not hold.keep(held_bytes):
-        raise OversizedError(held_bytes, hold.books.one_bytes)
-
-
-async def _buffer_body(resp: ClientResponse, hold: Hold) -> tuple[bytes, bool]:
-    """Return a body and true, or false if it is too large to be buffered.
-
-    Then the bytes that were received so far are returned.
-    """
-    chunks: list[bytes] = []
-    size = 0
-    async for chunk in resp.content.iter_any():
-        chunks.append(chunk)
-        size += len(chunk)
-        if not hold.keep(size):
-            return b''.join(chunks), False
-    return b''.join(chunks), True
-
-
 async def _relay_unbuffered_rest(
     call: Call, resp: ClientResponse, buffered_body: bytes
 ) -> RelayedStream:
--- a/mimosaworks/node/caller_server.py
+++ b/mimosaworks/node/caller_server.py
@@ -7,6 +7,7 @@
 import attrs
 from aiohttp import web
 
+from mimosaworks.bounded_answers import HeldBytes
 from mimosaworks.node.head_timeout_server import HeadTimeoutServer
 from mimosaworks.node.sessions import MAX_HEADER_FIELD_BYTES
 from mimosaworks.serving import PROMPT_SHUTDOWN_S
@@ -53,6 +54,7 @@
     handler: CallerHandler,
     head_timeout_s: Callable[[], float],
     on_head_timeout: Callable[[], None],
+    held_heads: HeldBytes,
     address: str,
     stack: contextlib.AsyncExitStack,
 ) -> CallerServer:
@@ -61,10 +63,11 @@
     The handler runs until the last byte of its answer is written and is
     cancelled when the caller disconnects. The head of a connection's first
     request may take head_timeout_s() seconds; on_head_timeout is called for
-    each one that takes longer.
+    each one that takes longer. held_heads bounds the bytes of all heads.
     """
     server = HeadTimeoutServer(
         handler,
+        held_heads,
         head_timeout_s,
         on_head_timeout,
         handler_cancellation=True,
--- a/mimosaworks/node/endpoints.py
+++ b/mimosaworks/node/endpoints.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from mimosaworks.bounded_heads import new_held_heads
 from mimosaworks.deployment import RequestLimits
 from mimosaworks.errors import ErrorKind, RequestError
 from mimosaworks.node import call_log
@@ -38,6 +39,7 @@
     They are served until the stack is closed.
     """
     cfg = node.cfg
+    held_heads = new_held_heads()
     peer_app = new_peer_app()
     add_peer_handler(peer_app, CallAsk, node.handle_call_ask)
     add_peer_handler(peer_app, Beat, node.handle_heartbeat)
@@ -61,23 +63,27 @@
         stack,
         cancels_on_hang_up=True,
         shutdown_s=PROMPT_SHUTDOWN_S,
+        held_heads=held_heads,
         # Callers' requests are relayed as they are.
         max_field_size=MAX_HEADER_FIELD_BYTES,
         max_line_size=MAX_HEADER_FIELD_BYTES,
         auto_decompress=False,
     )
-    await _serve_http_app(
-        node.meters.make_metrics_app(), cfg.metrics_address, stack
+    serve_small = functools.partial(
+        serve_app,
+        stack=stack,
+        shutdown_s=PROMPT_SHUTDOWN_S,
+        held_heads=held_heads,
     )
+    await serve_small(node.meters.make_metrics_app(), cfg.metrics_address)
     directory = directory_app(node.caller_addresses, DIRECTORY_TTL_S)
-    await _serve_http_app(directory, cfg.directory_address, stack)
-    await _serve_http_app(
-        ready_app(node.accepts_callers), cfg.ready_address, stack
-    )
+    await serve_small(directory, cfg.directory_address)
+    await serve_small(ready_app(node.accepts_callers), cfg.ready_address)
     node.caller_server = await serve_callers(
         node.frontend.handle_request,
         functools.partial(_head_timeout_s, node),
         functools.partial(_record_head_timeout, node),
+        held_heads,
         cfg.front_address,
         stack,
     )
@@ -90,12 +96,6 @@
     return await node.holder.stream_saver.find_stream(stream_ask.request_id)
 
 
-async def _serve_http_app(
-    app: web.Application, address: str, stack: contextlib.AsyncExitStack
-) -> None:
-    await serve_app(app, address, stack, shutdown_s=PROMPT_SHUTDOWN_S)
-
-
 def _head_timeout_s(node: Node) -> float:
     """Return the timeout for the head of a caller's request."""
     deployment = node.cluster_state.deployment
--- a/mimosaworks/node/head_timeout_server.py
+++ b/mimosaworks/node/head_timeout_server.py
@@ -6,8 +6,11 @@
 
 from aiohttp import web
 
+from mimosaworks.bounded_answers import HeldBytes
+from mimosaworks.bounded_heads import BoundedHeadHandler, BoundedHeadServer
 
-class _HeadTimeoutHandler(web.RequestHandler):
+
+class _HeadTimeoutHandler(BoundedHeadHandler):
     """Connection handler with a timeout for the head of the first request.
 
     The base class closes a connection whose later heads are incomplete by
@@ -17,11 +20,12 @@
     def __init__(
         self,
         server: web.Server,
+        held_heads: HeldBytes,
         head_timeout_s: Callable[[], float],
         on_head_timeout: Callable[[], None],
         **options: Any,
     ) -> None:
-        super().__init__(server, **options)
+        super().__init__(server, held_heads, **options)
         self._head_timeout_s = head_timeout_s
         self._on_head_timeout = on_head_timeout
         self._head_timer: asyncio.TimerHandle | None = None
@@ -54,8 +58,8 @@
             self.transport.close()
 
 
-class HeadTimeoutServer(web.Server):
-    """A web.Server whose connections time out by their first head.
+class HeadTimeoutServer(BoundedHeadServer):
+    """A BoundedHeadServer whose connections time out by their first head.
 
     The head may take head_timeout_s() seconds from its first byte on.
     on_head_timeout is called for each connection that is closed for taking
@@ -65,11 +69,12 @@
     def __init__(
         self,
         handler: Callable[[web.BaseRequest], Any],
+        held_heads: HeldBytes,
         head_timeout_s: Callable[[], float],
         on_head_timeout: Callable[[], None],
         **options: Any,
     ) -> None:
-        super().__init__(handler, **options)
+        super().__init__(handler, held_heads, **options)
         self._head_timeout_s = head_timeout_s
         self._on_head_timeout = on_head_timeout
 
@@ -77,6 +82,7 @@
         """Return the handler of a new connection."""
         return _HeadTimeoutHandler(
             self,
+            self._held_heads,
             self._head_timeout_s,
             self._on_head_timeout,
             loop=self._loop,
--- a/mimosaworks/platform/engine_calls.py
+++ b/mimosaworks/platform/engine_calls.py
@@ -9,7 +9,7 @@
 import attrs
 from multidict import MultiMapping
 
-from mimosaworks.bounded_answers import read_bounded
+from mimosaworks.bounded_answers import REPORT_BYTES, read_bounded
 from mimosaworks.deployment import ResidentModel
 from mimosaworks.json_fields import (
     Fields,
@@ -25,7 +25,6 @@
 # accepted is refused by its count.
 ORDER_TIMEOUT_S = 0.25
 REPORT_TIMEOUT_S = 0.6
-REPORT_BYTES = 1000000  # all models and runs of a target
 
 
 class OrderAnswer(enum.Enum):
--- a/mimosaworks/serving/serving.py
+++ b/mimosaworks/serving/serving.py
@@ -8,7 +8,8 @@
 
 from aiohttp import ClientSession, web
 
-from mimosaworks.body_ends import BodyEndConnector
+from mimosaworks.bounded_answers import AnswerBounds, BoundedConnector
+from mimosaworks.bounded_heads import BoundedAppRunner
 from mimosaworks.events import Event, log_event
 
 SHUTDOWN_TIMEOUT_S = 10.0
@@ -28,9 +29,9 @@
 
     cancels_on_hang_up cancels a handler when its caller disconnects.
     shutdown_s (above 0) bounds the wait for handlers; connections that are left
-    then are aborted. server_options are those of aiohttp's server.
+    then are aborted. server_options are those of BoundedAppRunner.
     """
-    runner = web.AppRunner(
+    runner = BoundedAppRunner(
         app,
         access_log=None,
         shutdown_timeout=shutdown_s,
@@ -45,8 +46,9 @@
 
 
 async def open_session(stack: contextlib.AsyncExitStack) -> ClientSession:
-    """Return a session that tells complete bodies from lost ones."""
-    session = ClientSession(connector=BodyEndConnector())
+    """Return a session with bounded answers that tells whole from lost ones."""
+    connector = BoundedConnector(AnswerBounds().answer_bytes)
+    session = ClientSession(connector=connector)
     return await stack.enter_async_context(session)
 
 
--- a/mimosaworks/wire/codec.py
+++ b/mimosaworks/wire/codec.py
@@ -14,11 +14,16 @@
     override,
 )
 
-from mimosaworks.wire.framing import check_frame
+from mimosaworks.wire.framing import count_message_words
 
 Message = TypeVar('Message')
 
 _SCHEMA_DIR = pathlib.Path(__file__).parent
+# The library reads at most so many words of a message, those that several of
+# its pointers name counted again.
+MAX_WORDS = 8388608
+# What it counts for parts of a message that have no bytes.
+EMPTY_WORDS = 64
 _UNDERSCORED = re.compile('_([a-z])')
 
 
@@ -56,8 +61,10 @@
     """
     struct = _struct(message_type.__name__)
     try:
-        check_frame(packed)
-        fields = struct.from_bytes_packed(packed).to_dict()
+        most = 2 * count_message_words(packed) + EMPTY_WORDS
+        fields = struct.from_bytes_packed(
+            packed, traversal_limit_in_words=min(most, MAX_WORDS)
+        ).to_dict()
         # A text or struct that was not sent has no key.
         return _converter().structure(fields, message_type)
     except (capnp.KjException, ValueError, KeyError) as exc:
--- a/mimosaworks/wire/framing.py
+++ b/mimosaworks/wire/framing.py
@@ -13,21 +13,24 @@
 _SIZES = tuple(tag.bit_count() for tag in range(_VERBATIM + 1))
 
 
-def check_frame(packed: bytes) -> None:
-    """Raise ValueError unless all segments of a message are whole.
+def count_message_words(packed: bytes) -> int:
+    """Return the number of words of a message, as its head names them.
 
-    The library reads the segments after the first as they are used, and the
-    rest of them when the message is dropped: one that is cut short ends the
-    process then. It checks messages of one segment itself.
+    Raises ValueError unless all segments are whole. The library reads those
+    after the first as they are used, and the rest of them when the message is
+    dropped: one that is cut short ends the process then. It checks messages of
+    one segment itself.
     """
-    if not packed or not packed[0] & _COUNT_BITS:
-        return
+    if not packed:
+        return 0
     try:
-        is_whole = _count_words(packed) == _count_named_words(packed)
+        words = _count_named_words(packed)
+        is_whole = not packed[0] & _COUNT_BITS or words == _count_words(packed)
     except (IndexError, struct.error) as exc:
         raise ValueError('the message is cut short') from exc
     if not is_whole:
         raise ValueError('the segments differ from what the head names')
+    return words
 
 
 def _count_words(packed: bytes) -> int:
--- a/tests/test_bounded_answers.py
+++ b/tests/test_bounded_answers.py
@@ -9,6 +9,7 @@
 from aiohttp import ClientError, ClientSession, web
 
 from mimosaworks.bounded_answers import (
+    FRAMING_BYTES,
     HEAD_BYTES,
     BoundedConnector,
     HeldBytes,
@@ -157,6 +158,46 @@
     assert cutter.take_rest() == b'rest'
 
 
+# Guards against targets that send nothing but framing: many at once keep a VM
+# busy until the time limits of the requests.
+@pytest.mark.parametrize('kind', ['extension', 'extensions', 'zeros'])
+async def test_framing_without_a_body_is_cut_early(
+    world: AgencyWorld, kind: str
+) -> None:
+    target = EndlessTarget(kind)
+    await target.open(world.stack)
+    async with (
+        open_bounded(LARGE) as session,
+        session.get(f'http://{target.address}/') as resp,
+    ):
+        with pytest.raises(OversizedError):
+            await resp.read()
+    assert target.sent_bytes < LARGE / 2
+
+
+# Guards against honest bodies in small chunks that are cut for their framing.
+async def test_a_body_in_chunks_of_one_byte_is_read(
+    world: AgencyWorld,
+) -> None:
+    size = FRAMING_BYTES // 3
+
+    async def answer(req: web.Request) -> web.StreamResponse:
+        resp = web.StreamResponse()
+        await resp.prepare(req)
+        assert req.transport is not None
+        req.transport.write(b'1;a=b\r\nx\r\n' * size)
+        return resp
+
+    app = web.Application()
+    app.router.add_get('/', answer)
+    address = await world.serve(app)
+    async with (
+        open_bounded(LARGE) as session,
+        session.get(f'http://{address}/') as resp,
+    ):
+        assert await resp.read() == b'x' * size
+
+
 # Guards against honest bodies that are cut, or held, because they are large.
 async def test_a_large_body_passes_in_pieces(world: AgencyWorld) -> None:
     replica = Replica('large', 'ledger', 'north')
--- a/tests/test_node_endless_answers.py
+++ b/tests/test_node_endless_answers.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import AsyncIterator
 from pathlib import Path
+from typing import Any
 
 import aiohttp
 import psutil
@@ -39,10 +40,14 @@
 
 
 async def ask(
-    world: AgencyWorld, node: NodeHandle, path: str, number: int
+    world: AgencyWorld,
+    node: NodeHandle,
+    path: str,
+    number: int,
+    model: str = MODEL,
 ) -> int:
     """Return the status of an answer, 0 for one that is not whole."""
-    extra = {'X_Model': MODEL, 'X_Token_Counts': '500,20'}
+    extra = {'X_Model': model, 'X_Token_Counts': '500,20'}
     if path == '/look/x':
         extra = {}
     try:
@@ -55,7 +60,7 @@
         return 0
 
 
-async def peak_mb(node: NodeHandle, until_done: 'asyncio.Future[int]') -> float:
+async def peak_mb(node: NodeHandle, until_done: 'asyncio.Future[Any]') -> float:
     """Return the most memory that a node has until a request is answered."""
     process = psutil.Process(node.process.child.pid)
     most = 0
--- a/tests/test_wire_codec.py
+++ b/tests/test_wire_codec.py
@@ -3,6 +3,7 @@
 import contextlib
 import importlib
 import random
+import time
 from collections.abc import Iterator
 from typing import Any, get_origin
 
@@ -11,6 +12,7 @@
 
 from mimosaworks.wire import (
     Ack,
+    BeatReply,
     Demand,
     LeaseNotice,
     ModelDemand,
@@ -24,7 +26,14 @@
 SEED = 31
 MUTATIONS = 2000
 HEAD_BYTES = 24
+MAX_READ_S = 0.5
 MODELS = 600  # so that a message has several segments
+# A reply whose lists have the same bytes, named again and again.
+OVERLAPPING = bytes.fromhex(
+    '101f500b0a010101030005c0f07f00011125071125071125071125061121e1111d07'
+    '111d0611190711190696151650030450010150020750010250020111051211051201'
+    '610162'
+)
 MESSAGES = (
     ReplicaMap(3, 4, 'h', (ReplicaEntry('m', 't', 'ready', ('x',)),)),
     Demand('r', (ModelDemand('m', waiting_tokens=5),)),
@@ -116,3 +125,19 @@
 def test_a_message_of_another_kind_is_a_value_error() -> None:
     with pytest.raises(ValueError, match='not a LeaseNotice'):
         decode(LeaseNotice, encode(Ack(accepted=True)))
+
+
+# Guards against a short message of a peer that takes a node's memory and stops
+# its event loop as it is read.
+def test_a_message_that_names_its_bytes_again_and_again_is_refused() -> None:
+    started_s = time.process_time()
+    with pytest.raises(ValueError, match='not a BeatReply'):
+        decode(BeatReply, OVERLAPPING)
+    assert time.process_time() - started_s < MAX_READ_S
+
+
+# Guards against a bound on that which refuses whole messages.
+def test_long_lists_of_a_message_are_read() -> None:
+    names = tuple(f'node-{one}' for one in range(MODELS))
+    reply = BeatReply(is_holder=True, silent=names, members_gone=names)
+    assert decode(BeatReply, encode(reply)) == reply
