One account of the bodies of all requests that a process holds

Cause: each body had a bound, not all of them together, and one was held up to three times: its chunks, the joined body, and a copy in the buffer of the connection to its target. A body without a length was held twice until its request had ended.

A body that finds no room waits unread, or is refused as not run, with Retry-After; large bodies get room in the order in which they came, and a quarter of it is left to those of 64 KiB or less. A body is read into one buffer and sent in slices of it. Settings that leave no memory, or that exceed it, end the program with the name of the setting, as does a settings file that can't be decoded. Two gauges and a counter show what is held, what waits and what became of it; they are no fault's fix, and their tests fail before for the names only.

Two cases of messages without end, those that a node relays, need this account, too.

--- a/mimosaworks/cmdline/node.py
+++ b/mimosaworks/cmdline/node.py
@@ -15,7 +15,7 @@
     AnswerBounds,
 )
 from mimosaworks.errors import SettingError
-from mimosaworks.node import run_node
+from mimosaworks.node import run_node, share_memory
 from mimosaworks.platform import read_boot
 
 _SIZE = click.IntRange(min=1)
@@ -55,18 +55,27 @@
     show_default=True,
     help='The most megabytes of all answers that are held in memory.',
 )
+@click.option(
+    '--all-bodies-mb',
+    type=_SIZE,
+    show_default='a quarter of limits.memory-mb of the settings file',
+    help='The most megabytes of all requests that are held in memory.',
+)
 @click.version_option(__version__)
-def main(boot: str, *, check: bool, **sizes: int) -> None:
+def main(
+    boot: str, *, check: bool, all_bodies_mb: int | None, **sizes: int
+) -> None:
     """Serve callers on one entry VM of the platform."""
-    try:
-        cfg = read_boot(boot)
-    except SettingError as exc:
-        raise click.UsageError(str(exc)) from exc
-    bounds = AnswerBounds(
+    answers = AnswerBounds(
         sizes['answer_mb'] * MB,
         sizes['held_kb'] * KB,
         sizes['all_held_mb'] * MB,
     )
+    try:
+        cfg = read_boot(boot)
+        bounds = share_memory(cfg.memory_mb, answers, all_bodies_mb)
+    except SettingError as exc:
+        raise click.UsageError(str(exc)) from exc
     if check:
         click.echo(cfg)
         click.echo(bounds)
--- a/mimosaworks/node/admission.py
+++ b/mimosaworks/node/admission.py
@@ -16,6 +16,7 @@
 )
 from mimosaworks.errors import ErrorKind, RequestError, RunState
 from mimosaworks.node.call import Call
+from mimosaworks.node.held_bodies import BodyHold, read_request_body
 from mimosaworks.platform.headers import (
     LAST_EVENT,
     REQUEST_ID,
@@ -31,15 +32,20 @@
 # Number of route priorities that are distinguished within a workspace.
 ROUTE_PRIORITY_LEVELS = 3
 NO_DEPLOYMENT_RETRY_S = 1.0
+# Of the time until an answer must begin, in which a body may wait for room.
+ROOM_WAIT_SHARE = 0.5
 
 
 async def admit_request(
-    req: web.BaseRequest, deployment: Deployment | None, arrived_s: float
+    req: web.BaseRequest,
+    deployment: Deployment | None,
+    arrived_s: float,
+    hold: BodyHold,
 ) -> Call:
     """Read a request and return it if the deployment allows it.
 
-    Its timeout counts from arrived_s. Raises RequestError otherwise; nothing
-    was sent to a target by then.
+    Its timeout counts from arrived_s; hold accounts for its bytes. Raises
+    RequestError otherwise; nothing was sent to a target by then.
     """
     if deployment is None:
         raise RequestError(
@@ -57,7 +63,12 @@
     deadline_s = arrived_s + timeout_s
     try:
         async with asyncio.timeout(deadline_s - now_s()):
-            body = await read_request_body(req, deployment.limits.body_bytes)
+            body = await read_request_body(
+                req,
+                deployment.limits.body_bytes,
+                hold,
+                min(timeout_s, route.first_event_timeout_s) * ROOM_WAIT_SHARE,
+            )
     except TimeoutError as exc:
         raise _deadline_exceeded(
             'the body did not arrive before the deadline'
@@ -101,23 +112,6 @@
     return random.choices(route.shares, weights)[0].service
 
 
-async def read_request_body(req: web.BaseRequest, max_bytes: int) -> bytes:
-    """Return a request's body; raises RequestError above max_bytes."""
-    if not req.body_exists:
-        return b''
-    chunks: list[bytes] = []
-    size = 0
-    async for chunk in req.content.iter_any():
-        size += len(chunk)
-        if size > max_bytes:
-            raise RequestError(
-                ErrorKind.BODY_TOO_LARGE,
-                f'the body has more than {max_bytes} bytes',
-            )
-        chunks.append(chunk)
-    return b''.join(chunks)
-
-
 def _check_head_is_utf8(req: web.BaseRequest) -> None:
     """Raise RequestError for a head that can't be forwarded unchanged."""
     for text in (req.raw_path, *req.headers.values()):
@@ -194,7 +188,7 @@
 
 
 def _request_fingerprint(
-    req: web.BaseRequest, grant: Grant | None, body: bytes
+    req: web.BaseRequest, grant: Grant | None, body: bytes | bytearray
 ) -> str:
     workspace = '' if grant is None else grant.workspace
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
--- a/mimosaworks/node/attempt_sender.py
+++ b/mimosaworks/node/attempt_sender.py
@@ -122,7 +122,7 @@
             resp = await self.session.request(
                 call.req.method,
                 make_request_url(call.req.raw_path, assignment.address, relay),
-                data=call.body or None,
+                data=call.sent_body(),
                 headers=headers,
                 skip_auto_headers=_SKIPPED_HEADERS,
                 allow_redirects=False,
--- a/mimosaworks/node/call.py
+++ b/mimosaworks/node/call.py
@@ -8,6 +8,7 @@
 from mimosaworks.deployment import RequestProfile, ServiceRoute
 from mimosaworks.dispatch import suspect_keys
 from mimosaworks.node.relayed_stream import RelayedStream
+from mimosaworks.node.sliced_body import SentBody, sent_body
 from mimosaworks.wire import CallAsk
 
 
@@ -41,7 +42,7 @@
     cost: float
     priority: int
     profile: RequestProfile
-    body: bytes
+    body: bytes | bytearray
     arrived_s: float
     deadline_s: float
     fingerprint: str = ''
@@ -76,6 +77,10 @@
             may_repeat &= self.relayed_stream.buffer.can_resume
         return may_repeat and self.resends + 1 < self.route.max_attempts
 
+    def sent_body(self) -> SentBody:
+        """Return what a client session sends as the body."""
+        return sent_body(self.body)
+
     def last_event_id(self) -> str:
         """Return the id of the last event that was relayed, or ''."""
         if self.relayed_stream is None:
--- a/mimosaworks/node/caller_server.py
+++ b/mimosaworks/node/caller_server.py
@@ -15,6 +15,8 @@
 # Callers close idle connections earlier, so the server does not close one on
 # which a caller sends a request.
 CALLER_IDLE_TIMEOUT_S = 20.0
+# Of a body that waits for room, this much is buffered, twice.
+READ_BYTES = 65536
 CLOSE_POLL_INTERVAL_S = 0.01
 CallerHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -74,6 +76,7 @@
         access_log=None,
         keepalive_timeout=CALLER_IDLE_TIMEOUT_S,
         lingering_time=0,
+        read_bufsize=READ_BYTES,
         max_field_size=MAX_HEADER_FIELD_BYTES,
         max_line_size=MAX_HEADER_FIELD_BYTES,
         auto_decompress=False,
--- a/mimosaworks/node/frontend.py
+++ b/mimosaworks/node/frontend.py
@@ -134,28 +134,29 @@
     async def _admit_and_serve(
         self, open_request: OpenRequest
     ) -> web.StreamResponse:
-        call = await admit_request(
-            open_request.req,
-            self.target_chooser.cluster_state.deployment,
-            self.stall_detector.earliest_arrival_s(),
-        )
-        open_request.call = call
-        call.closes_connection = self.stop_remaining_s() is not None
-        call_log.log_admitted(call, self._deployment_version())
-        try:
-            async with timeout_after_reading(call.remaining_s()):
-                await trace_resumed_stream(
-                    call, self.target_chooser.holder_link
-                )
-                return await self._send_until_answered(call)
-        except asyncio.CancelledError:
-            if not call.target:
-                call_log.log_abandoned(call, _cancellation_outcome(call))
-            raise
-        except TimeoutError as exc:
-            raise _deadline_error(call) from exc
-        finally:
-            _abort_incomplete_answer(call)
+        with contextlib.ExitStack() as stack:
+            call = await admit_request(
+                open_request.req,
+                self.target_chooser.cluster_state.deployment,
+                self.stall_detector.earliest_arrival_s(),
+                stack.enter_context(self.relay.held_bodies.hold()),
+            )
+            stack.callback(_end_call, call)
+            open_request.call = call
+            call.closes_connection = self.stop_remaining_s() is not None
+            call_log.log_admitted(call, self._deployment_version())
+            try:
+                async with timeout_after_reading(call.remaining_s()):
+                    await trace_resumed_stream(
+                        call, self.target_chooser.holder_link
+                    )
+                    return await self._send_until_answered(call)
+            except asyncio.CancelledError:
+                if not call.target:
+                    call_log.log_abandoned(call, _cancellation_outcome(call))
+                raise
+            except TimeoutError as exc:
+                raise _deadline_error(call) from exc
 
     async def _send_until_answered(self, call: Call) -> web.StreamResponse:
         while True:  # noqa: WPS457 -- each round sends, or raises
@@ -430,8 +431,12 @@
     )
 
 
-def _abort_incomplete_answer(call: Call) -> None:
-    """Abort the caller's connection if its answer is incomplete."""
+def _end_call(call: Call) -> None:
+    """Abort the caller's connection if its answer is incomplete.
+
+    The body is dropped, as it is not accounted for any longer.
+    """
+    call.body = b''
     relayed_stream = call.relayed_stream
     if relayed_stream is None or relayed_stream.is_complete:
         return
--- a/mimosaworks/node/frontend_setup.py
+++ b/mimosaworks/node/frontend_setup.py
@@ -2,11 +2,13 @@
 
 from aiohttp import ClientSession
 
-from mimosaworks.bounded_answers import AnswerBounds, HeldBytes
+from mimosaworks.bounded_answers import HeldBytes
 from mimosaworks.clock import now_s
 from mimosaworks.node.attempt_sender import AttemptSender
 from mimosaworks.node.brittle_targets import BrittleTargets
 from mimosaworks.node.frontend import Frontend
+from mimosaworks.node.held_bodies import HeldBodies
+from mimosaworks.node.memory_bounds import MemoryBounds
 from mimosaworks.node.node import Node
 from mimosaworks.node.relay import Relay
 from mimosaworks.node.relay_peers import RelayPeers
@@ -34,7 +36,7 @@
     node: Node,
     target_chooser: TargetChooser,
     target_session: ClientSession,
-    bounds: AnswerBounds,
+    bounds: MemoryBounds,
 ) -> Frontend:
     """Return the frontend of a node, connected to its other parts."""
     paths = TargetPaths(
@@ -54,7 +56,7 @@
             target_chooser.target_notices,
             node.limit_view,
             node.holder_link.brittle_targets,
-            HeldBytes(bounds.held_bytes, bounds.all_held_bytes),
+            HeldBytes(bounds.answers.held_bytes, bounds.answers.all_held_bytes),
             relay_peers,
         ),
         meters=node.meters,
@@ -65,5 +67,6 @@
             target_chooser.target_notices,
             target_chooser.latest_targets,
             node.stop_remaining_s,
+            HeldBodies(bounds.body_bytes, node.meters.count_body_room),
         ),
     )
--- a/mimosaworks/node/meters.py
+++ b/mimosaworks/node/meters.py
@@ -39,6 +39,7 @@
     target_notices: Counter = attrs.field(init=False)
     possible_crashes: Counter = attrs.field(init=False)
     rate_limited_requests: Counter = attrs.field(init=False)
+    body_room: Counter = attrs.field(init=False)
     wait_seconds: Histogram = attrs.field(init=False)
     first_bytes_seconds: Histogram = attrs.field(init=False)
     complete_answer_seconds: Histogram = attrs.field(init=False)
@@ -50,6 +51,8 @@
     view_ages: Gauge = attrs.field(init=False)
     deployment_version: Gauge = attrs.field(init=False)
     rate_limited_targets: Gauge = attrs.field(init=False)
+    held_bytes: Gauge = attrs.field(init=False)
+    waiting_bodies: Gauge = attrs.field(init=False)
     dropped_log_lines: Gauge = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -73,6 +76,10 @@
         """Count a notice by which a target limits further requests."""
         self.target_notices.labels(kind).inc()
 
+    def count_body_room(self, room_result: str) -> None:
+        """Count a body of a request that found no room at once."""
+        self.body_room.labels(room_result).inc()
+
     def make_metrics_app(self) -> web.Application:
         """Return the application that serves the metrics."""
 
@@ -116,6 +123,9 @@
             "Requests that a target's rate limit held up.",
             'result',
         )
+        self.body_room = self._counter(
+            'mimosa_body_room', 'Bodies that found no room at once.', 'result'
+        )
 
     def _make_histograms(self) -> None:
         self.wait_seconds = self._histogram(
@@ -150,6 +160,12 @@
         self.rate_limited_targets = self._gauge(
             'mimosa_target_limits', 'Targets with a rate limit.'
         )
+        self.held_bytes = self._gauge(
+            'mimosa_held_bytes', 'Bytes of requests that are held.'
+        )
+        self.waiting_bodies = self._gauge(
+            'mimosa_waiting_bodies', 'Bodies that wait for room.'
+        )
         self.deployment_version = self._gauge(
             'mimosa_deployment_version', 'Version in force here.'
         )
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -272,6 +272,9 @@
         meters.rate_limited_targets.set(
             len(self.limit_view.rate_limits_per_s())
         )
+        held_bodies = self.frontend.relay.held_bodies
+        meters.held_bytes.set(held_bodies.held)
+        meters.waiting_bodies.set(held_bodies.waiting_count)
         meters.known_members.set(len(self.holder_link.replicated_view.members))
         meters.is_holder.set(self.holder is not None)
         waiting_count = (
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -6,7 +6,6 @@
 
 import attrs
 
-from mimosaworks.bounded_answers import AnswerBounds
 from mimosaworks.events import Event, JsonStream, json_logging, log_event
 from mimosaworks.node.candidates import Candidates, compute_strength
 from mimosaworks.node.cluster_follower import ClusterFollower
@@ -18,6 +17,7 @@
     make_frontend,
 )
 from mimosaworks.node.holder_link import HolderLink
+from mimosaworks.node.memory_bounds import MemoryBounds
 from mimosaworks.node.meters import Meters
 from mimosaworks.node.node import (
     Node,
@@ -57,7 +57,7 @@
 
 
 async def run_node(
-    cfg: BootSettings, boot_path: str, bounds: AnswerBounds
+    cfg: BootSettings, boot_path: str, bounds: MemoryBounds
 ) -> None:
     """Serve until SIGTERM, then stop after draining open requests.
 
@@ -77,14 +77,14 @@
 
 async def _build_node(
     cfg: BootSettings,
-    bounds: AnswerBounds,
+    bounds: MemoryBounds,
     stack: contextlib.AsyncExitStack,
 ) -> Node:
     store_session = await open_session(
         stack, PEER_IDLE_TIMEOUT_S, MAX_STORE_ANSWER_BYTES
     )
     target_session = await open_target_session(
-        stack, TARGET_IDLE_TIMEOUT_S, bounds.answer_bytes
+        stack, TARGET_IDLE_TIMEOUT_S, bounds.answers.answer_bytes
     )
     peer_session = await open_session(
         stack, PEER_IDLE_TIMEOUT_S, MAX_PEER_ANSWER_BYTES
--- a/mimosaworks/node/relay.py
+++ b/mimosaworks/node/relay.py
@@ -20,8 +20,14 @@
 from mimosaworks.clock import now_s
 from mimosaworks.deployment import TargetEntry, TargetState
 from mimosaworks.dispatch import CallOutcome
+from mimosaworks.errors import RequestError
 from mimosaworks.events import Event, log_event
 from mimosaworks.node.attempt_error import AttemptError
+from mimosaworks.node.held_bodies import (
+    BodyHold,
+    HeldBodies,
+    read_request_body,
+)
 from mimosaworks.node.relay_peers import (
     ANSWERED,
     REFUSED,
@@ -30,6 +36,7 @@
     RELAYED,
     UNREACHED,
 )
+from mimosaworks.node.sliced_body import sent_body
 from mimosaworks.node.target_notices import TargetNotices
 from mimosaworks.node.target_paths import TargetPaths
 from mimosaworks.platform.headers import (
@@ -41,6 +48,8 @@
 )
 from mimosaworks.send_guard import SendGuard
 
+MAX_BODY_BYTES = 1 << 24  # 16 MiB
+MAX_ROOM_WAIT_S = 1.0
 _SKIPPED_HEADERS = ('User-Agent', 'Accept', 'Accept-Encoding', 'Content-Type')
 _OWN_HEADERS = frozenset((
     'connection',
@@ -60,8 +69,9 @@
     its requests. The sender has checked all that it
     knows; the relay checks the target once more, right before the first byte.
     A request that it has not sent is answered so, with REFUSED or UNREACHED;
-    an answer that is incomplete ends with its connection. running is the
-    number of requests that are relayed now.
+    an answer that is incomplete ends with its connection. held_bodies bounds
+    the bytes of requests, also those of callers. running is the number of
+    requests that are relayed now.
     """
 
     paths: TargetPaths
@@ -69,13 +79,14 @@
     target_notices: TargetNotices
     find_targets: Callable[[], Mapping[str, TargetEntry]]
     stop_remaining_s: Callable[[], float | None]
+    held_bodies: HeldBodies
     running: int = 0
 
     async def handle_request(self, req: web.Request) -> web.StreamResponse:
         """Relay one request of a peer."""
-        with self._count_running():
-            body = await req.read()
+        with self._count_running(), self.held_bodies.hold() as hold:
             try:
+                body = await _read_body(req, hold)
                 return await self._forward(req, body)
             except AttemptError as exc:
                 return _not_sent(req, REFUSED, exc.reason)
@@ -89,7 +100,7 @@
                 raise asyncio.CancelledError from exc
 
     async def _forward(
-        self, req: web.Request, body: bytes
+        self, req: web.Request, body: bytes | bytearray
     ) -> web.StreamResponse:
         address = req.headers.get(RELAY_TO, '')
         target = req.headers.get(EXPECTED_TARGET, '')
@@ -101,7 +112,7 @@
         async with self.session.request(
             req.method,
             URL(f'http://{address}{path}', encoded=True),
-            data=body or None,
+            data=sent_body(body),
             headers=[
                 (name, sent)
                 for name, sent in req.headers.items()
@@ -153,6 +164,18 @@
             self.running -= 1
 
 
+async def _read_body(req: web.Request, hold: BodyHold) -> bytes | bytearray:
+    """Return a body; raises AttemptError where there is no room for it."""
+    left_s = read_time_left_s(req.headers) or MAX_ROOM_WAIT_S
+    wait_s = min(left_s, MAX_ROOM_WAIT_S)
+    try:
+        return await read_request_body(req, MAX_BODY_BYTES, hold, wait_s)
+    except RequestError as exc:
+        raise AttemptError(
+            CallOutcome.NOT_SENT, exc.message, is_not_run=True
+        ) from exc
+
+
 async def _pass_on(
     req: web.Request, resp: ClientResponse
 ) -> web.StreamResponse:
--- a/mimosaworks/platform/boot.py
+++ b/mimosaworks/platform/boot.py
@@ -1,6 +1,5 @@
 """The settings file that the platform writes for each process."""
 
-import json
 import pathlib
 
 import attrs
@@ -10,6 +9,7 @@
     Fields,
     flag,
     number,
+    parse_table,
     table,
     text,
     whole,
@@ -19,6 +19,7 @@
 UNLIMITED_MBPS = 1000.0
 HEARTBEAT_MS = 1200  # where the settings name none
 ROW_BYTES = 65536  # where the settings name no bound
+MEMORY_MB = 300  # where the settings name none
 LEASE_MS = 3000  # where a deployment without engines names none
 _PORT_SPAN = 2
 
@@ -46,9 +47,9 @@
 class BootSettings:
     """What one process is told at its start; addresses are host:port.
 
-    cores is the power of the VM's processor in cores, row_bytes the size that
-    the store allows for a row, heartbeat_s the pause between two signs of
-    life of a target.
+    cores is the power of the VM's processor in cores, memory_mb what a process
+    may use, row_bytes the size that the store allows for a row, heartbeat_s the
+    pause between two signs of life of a target.
     """
 
     name: str
@@ -61,6 +62,7 @@
     last_port: int
     cores: float
     link_mbps: float
+    memory_mb: int
     store_address: str
     row_bytes: int
     heartbeat_s: float
@@ -83,15 +85,9 @@
     Raises SettingError naming the file and the field.
     """
     try:
-        parsed = json.loads(pathlib.Path(path).read_text())
+        return _decode(parse_table(pathlib.Path(path).read_bytes()))
     except (OSError, ValueError) as exc:
         raise SettingError(f'{path}: {exc}') from exc
-    if not isinstance(parsed, dict):
-        raise SettingError(f'{path}: not a table of settings')
-    try:
-        return _decode(parsed)
-    except ValueError as exc:
-        raise SettingError(f'{path}: {exc}') from exc
 
 
 def _decode(parsed: Fields) -> BootSettings:
@@ -111,6 +107,7 @@
         last_port=int(ports[1]),
         cores=_cores(limits),
         link_mbps=limits.get('link-mbps', UNLIMITED_MBPS),
+        memory_mb=whole(limits, 'memory-mb', MEMORY_MB),
         store_address=text(table(parsed, 'platform'), 'address'),
         row_bytes=whole(table(parsed, 'platform'), 'row-bytes', ROW_BYTES),
         heartbeat_s=parsed.get('heartbeat-ms', HEARTBEAT_MS) / MS_PER_S,
--- a/standins/agency/replica.py
+++ b/standins/agency/replica.py
@@ -21,6 +21,7 @@
 from standins.agency.raw_answer import RawAnswer, Writer, send_raw
 from standins.platform import Store, json_row
 
+MAX_BODY_BYTES = 1 << 24
 FIRST_S = 0.01
 EVENT_S = 0.005
 EVENTS = 5
@@ -310,7 +311,7 @@
         resp.headers.update(_say_more(replica, req))
 
     handler = send_extras(replica, reject_first(replica, serve))
-    app = web.Application()
+    app = web.Application(client_max_size=MAX_BODY_BYTES)
     app.on_response_prepare.append(say_more)
     app.router.add_post('/v1/order', order)
     app.router.add_get('/v1/report', report)
--- a/tests/test_cmdline_node.py
+++ b/tests/test_cmdline_node.py
@@ -4,7 +4,9 @@
 import subprocess
 import sys
 from pathlib import Path
+from typing import Any
 
+import pytest
 from click.testing import CliRunner
 
 from mimosaworks.cmdline.node import main
@@ -29,6 +31,24 @@
     assert 'front must be a text' in shown.output
 
 
+@pytest.mark.parametrize(
+    ('limits', 'options', 'reason'),
+    [
+        ({'memory-mb': 0}, [], 'memory-mb must be above 0'),
+        ({'memory-mb': '300'}, [], 'memory-mb must be a whole number'),
+        ({'memory-mb': 300}, ['--all-bodies-mb', '0'], '--all-bodies-mb'),
+        ({'memory-mb': 300}, ['--all-bodies-mb', '260'], '--all-bodies-mb'),
+    ],
+)
+def test_bad_bounds_on_memory_are_named(
+    tmp_path: Path, limits: dict[str, Any], options: list[str], reason: str
+) -> None:
+    path = write_boot(tmp_path, limits=limits)
+    shown = CliRunner().invoke(main, ['--boot', path, *options])
+    assert shown.exit_code == 2
+    assert reason in shown.output
+
+
 def test_the_settings_file_may_come_from_the_environment(
     tmp_path: Path,
 ) -> None:
--- a/tests/test_node_endless_peers.py
+++ b/tests/test_node_endless_peers.py
@@ -22,6 +22,7 @@
 PUSH_S = 2
 PIECE = b'x' * 65536
 POST = b'POST /peer/CallAsk HTTP/1.1\r\nHost: n\r\n'
+RELAYED = b'POST /relay/look/x HTTP/1.1\r\nHost: n\r\n'
 MESSAGES = {  # noqa: WPS407 -- read only
     'length': (b'%sContent-Length: 99000000000\r\n\r\n' % POST, PIECE),
     'in one': (b'%sContent-Length: 16000000\r\n\r\n' % POST, PIECE),
@@ -29,6 +30,11 @@
         b'%sTransfer-Encoding: chunked\r\n\r\n' % POST,
         b'10000\r\n%s\r\n' % PIECE,
     ),
+    'relayed': (b'%sContent-Length: 16000000\r\n\r\n' % RELAYED, PIECE),
+    'relayed chunks': (
+        b'%sTransfer-Encoding: chunked\r\n\r\n' % RELAYED,
+        b'10000\r\n%s\r\n' % PIECE,
+    ),
 }
 BEAT_INTERVAL_S = 0.3
 BEATS = 10
--- a/tests/test_node_relay.py
+++ b/tests/test_node_relay.py
@@ -20,6 +20,7 @@
 from mimosaworks.node.attempt_progress import ProgressHooks
 from mimosaworks.node.attempt_sender import AttemptSender
 from mimosaworks.node.brittle_targets import BrittleTargets
+from mimosaworks.node.held_bodies import BodyHold, HeldBodies
 from mimosaworks.node.limit_view import LimitView
 from mimosaworks.node.relay import Relay
 from mimosaworks.node.relay_peers import RELAY_PREFIX, RelayPeers
@@ -125,7 +126,8 @@
 
 def front_app(world: RelayWorld, sender: AttemptSender) -> web.Application:
     async def handle(req: web.Request) -> web.StreamResponse:
-        call = await admit_request(req, DEPLOYMENT, now_s())
+        hold = BodyHold(HeldBodies(ANSWER_BYTES))
+        call = await admit_request(req, DEPLOYMENT, now_s(), hold)
         assignment = Assignment('engine-1', world.replica.address, 5)
         try:
             return await sender.send_and_relay(
@@ -171,6 +173,7 @@
             make_notices(),
             lambda: targets,
             _ignore_stop,
+            HeldBodies(ANSWER_BYTES),
         )
         address = await serve(relay_app(relay), stack)
         row = NodeRow('other', 'f', address, 'north', relays=True)
