A body ends where the head of another answer begins

Seen with real nodes of: half an event of a stream, then another answer with its head, and the caller got both as one complete answer; a plain body was filled up with another answer, or followed by it. On all four kinds of routes, with and without a node between.

Cause: a body without framing, an event and a length that is not full take any bytes. Nothing asked whether they belong to whoever is awaited.

The connection looks for the head of another answer in each body: with the id field of a request, or, in events and JSON, by its fields. The search goes over the ends of chunks, is linear, and leaves out bodies whose type says that they hold messages. Such a body is broken off with ForeignAnswerError before the bytes are released.

--- a/mimosaworks/kept_connections.py
+++ b/mimosaworks/kept_connections.py
@@ -3,27 +3,29 @@
 import array
 import asyncio
 import fcntl
+import re
 import select
 import termios
 from http import HTTPStatus
 from typing import Any
 
-import aiohttp
 from aiohttp.http import HttpProcessingError, RawResponseMessage
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
 from mimosaworks.asked_ids import AskedIds
-from mimosaworks.body_ends import BodyEndHandler
 from mimosaworks.events import Event, log_event
+from mimosaworks.unmixed_bodies import (
+    ForeignAnswerError,
+    UnmixedBodyHandler,
+    log_dropped,
+    peer_address,
+)
 
-_HEAD_END = b'\r\n\r\n'
+_HEAD_END = re.compile(rb'\r?\n\r?\n')
+_HEAD_END_PART = 3  # the longest part of it that is none itself
 
 
-class ForeignAnswerError(aiohttp.ClientError):
-    """An answer does not show that it belongs to the request."""
-
-
-class KeptHandler(BodyEndHandler):
+class KeptHandler(UnmixedBodyHandler):
     """Passes on the answers that belong to the request at hand.
 
     id_field is the header field with the id of a request, which answers
@@ -32,17 +34,20 @@
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, id_field: str) -> None:
-        super().__init__(loop)
-        self._id_field = id_field
+        super().__init__(loop, id_field)
         self._asked = AskedIds()
         # The body of the answer at hand; None while that is awaited.
         self._body: StreamReader | None = EMPTY_PAYLOAD
         self._extra_body: StreamReader = EMPTY_PAYLOAD
+        # The latest bytes of a head that has not ended.
+        self._head_tail = b''
 
     def expect(self, request_id: str) -> None:
         """Wait for the answer to a request, which may have an id."""
         self._asked.begin(request_id)
         self._body = None
+        self._head_tail = b''
+        self.leave_body()
 
     def close_if_asked(self, request_id: str) -> None:
         """Close an idle connection that a request was sent on before."""
@@ -68,20 +73,30 @@
 
     def data_received(self, data: bytes) -> None:
         """Read an answer; close the connection on bytes behind it."""
-        if self._body is None:
-            # Bytes behind an answer that are none must not take it along.
-            head, mark, rest = data.partition(_HEAD_END)
-            self._read(head + mark)
-            if rest and self.exception() is None:
-                self._read(rest)
-        else:
+        if self._body is not None:
             self._read(data)
+            return
+        # Bytes behind an answer that are none must not take it along, and a
+        # body is read once the head in front of it is known.
+        text = self._head_tail + data
+        start = len(self._head_tail)
+        head_start = 0
+        for found in _HEAD_END.finditer(text):
+            if self._body is not None or self.exception() is not None:
+                break
+            self._read(text[start : found.end()])
+            head_start = found.end()
+            start = head_start
+        tail_start = max(head_start, len(text) - _HEAD_END_PART)
+        self._head_tail = text[tail_start:]
+        if start < len(text) and self.exception() is None:
+            self._read(text[start:])
 
     def _read(self, data: bytes) -> None:
         if data and self._is_idle():
             self._refuse(len(data))
             return
-        BodyEndHandler.data_received(self, data)
+        UnmixedBodyHandler.data_received(self, data)
         if self._extra_body.exception() is None:
             self._extra_body.read_nowait()
         if self._is_idle() and self._has_part():
@@ -91,7 +106,8 @@
         sent = message.headers.get(self._id_field, '')
         if self._asked.is_own(sent):
             self._body = body
-            BodyEndHandler.feed_data(self, (message, body))
+            self.watch_body(self._asked.now, message)
+            UnmixedBodyHandler.feed_data(self, (message, body))
         elif self._asked.skip(sent):
             self._drop(message, body, 'it belongs to another request')
         else:
@@ -121,13 +137,12 @@
     ) -> None:
         self.force_close()
         self._extra_body = body
-        log_event(
-            Event.ANSWER_DROPPED,
-            address=_address(self.transport),
-            request_id=self._asked.now,
-            sent=message.headers.get(self._id_field, ''),
-            status=message.code,
-            reason=reason,
+        log_dropped(
+            self.transport,
+            self._asked.now,
+            message.headers.get(self._id_field, ''),
+            message.code,
+            reason,
         )
 
     def _give_up(self) -> None:
@@ -140,7 +155,7 @@
     def _refuse(self, size: int) -> None:
         log_event(
             Event.BYTES_DROPPED,
-            address=_address(self.transport),
+            address=peer_address(self.transport),
             request_id=self._asked.now,
             bytes=size,
         )
@@ -169,8 +184,3 @@
     size = array.array('i', (0,))
     fcntl.ioctl(sock.fileno(), termios.FIONREAD, size)
     return size[0]
-
-
-def _address(transport: asyncio.BaseTransport | None) -> str:
-    peer = None if transport is None else transport.get_extra_info('peername')
-    return '' if peer is None else f'{peer[0]}:{peer[1]}'
--- a/mimosaworks/node/attempt_sender.py
+++ b/mimosaworks/node/attempt_sender.py
@@ -23,7 +23,6 @@
 from mimosaworks.clock import now_s
 from mimosaworks.dispatch import Assignment, CallOutcome
 from mimosaworks.events import Event, log_event
-from mimosaworks.kept_connections import ForeignAnswerError
 from mimosaworks.node import call_log
 from mimosaworks.node.answer_relay import relay_answer
 from mimosaworks.node.attempt_error import AttemptError
@@ -50,6 +49,7 @@
     target_headers,
 )
 from mimosaworks.send_guard import SendGuard
+from mimosaworks.unmixed_bodies import ForeignAnswerError
 
 # Enough for some round trips and a lost packet.
 CONNECT_TIMEOUT_S = 0.5
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import socket
 import threading
 import time
@@ -12,7 +13,7 @@
 import pytest
 
 from mimosaworks.bounded_answers import BoundedConnector
-from mimosaworks.kept_connections import ForeignAnswerError
+from mimosaworks.unmixed_bodies import ForeignAnswerError
 
 ID = 'X-Request-Id'
 MOST = 4000000
@@ -91,6 +92,27 @@
     return ids[0].partition(': ')[2] if ids else ''
 
 
+INTERIM = b'HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n'
+UNFRAMED = f'HTTP/1.1 200 OK\r\n{ID}: a\r\n\r\n'.encode()
+
+
+# Guards against a search that is blind behind interim heads that come in one
+# packet with the answer, or behind heads whose lines end with LF.
+@pytest.mark.parametrize('interim_heads', [0, 1, 5, 50])
+@pytest.mark.parametrize('line_end', [b'\r\n', b'\n'])
+async def test_a_body_is_searched_whatever_heads_come_with_it(
+    interim_heads: int, line_end: bytes
+) -> None:
+    heads = b''.join((INTERIM * interim_heads, UNFRAMED))
+    heads = heads.replace(b'\r\n', line_end)
+    sent = b''.join((heads, b'part', answer('b', b'two')))
+    script = Script({'a': sent})
+    async with opened(script) as session:
+        with pytest.raises(ForeignAnswerError):
+            async with asyncio.timeout(ACCEPT_S):
+                await ask(session, script, 'a')
+
+
 async def test_sound_answers_keep_their_connection() -> None:
     script = Script({name: answer(name, name.encode()) for name in 'abcde'})
     async with opened(script) as session:
@@ -272,3 +294,31 @@
         second = stack.enter_context(server.accept()[0])
         second.recv(MOST)
         second.sendall(answer('b', b'two'))
+
+
+# Guards against another answer inside a body that is not looked for where the
+# head in front of the body ends in the next packet.
+@pytest.mark.parametrize('length', ['', 'Content-Length: 1000\r\n'])
+@pytest.mark.parametrize('end', [b'\r\n\r\n', b'\n\n'])
+@pytest.mark.parametrize('rest', [1, 2, 3, 4])
+async def test_another_answer_is_found_behind_a_head_in_two_packets(
+    rest: int, end: bytes, length: str
+) -> None:
+    head = f'HTTP/1.1 200 OK\r\n{length}{ID}: a'.encode()
+    sent = b''.join((head, end, b'part of it', answer('b', b'other')))
+    cut = len(head + end) - rest
+    script = Script({'a': sent[:cut]}, {'a': sent[cut:]})
+    async with opened(script) as session:
+        with pytest.raises(ForeignAnswerError):
+            async with asyncio.timeout(ACCEPT_S):
+                await ask(session, script, 'a')
+
+
+async def test_a_head_in_two_packets_is_read() -> None:
+    head = answer('a', b'body').removesuffix(b'body')
+    for part in itertools.accumulate(map(chr, head[:-1])):
+        begun = part.encode()
+        rest = head.removeprefix(begun)
+        script = Script({'a': begun}, {'a': b'%sbody' % rest})
+        async with opened(script) as session:
+            assert await ask(session, script, 'a') == (200, b'body')
--- a/tests/test_node_answer_ends.py
+++ b/tests/test_node_answer_ends.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import functools
+import json
 import socket
 import types
 from collections.abc import AsyncIterator
@@ -172,6 +173,7 @@
     'last comment, CR LF': b'%s: bye\r\n\r\n' % TWO,
     'comment without a line end': b'%s: bye' % WHOLE,
     'more empty lines': b'\n\n%s\n\n' % WHOLE,
+    'quoted heads': b'data: HTTP/1.1 200 OK\r\ndata: Content-Length: 2\r\n\r\n',
     'many events': TWO * 50000,
     'large events': LARGE_EVENT * 8,
 })
@@ -504,6 +506,111 @@
     assert not received.endswith(b'0\r\n\r\n')
 
 
+FOREIGN = (
+    b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+    b'X-Request-Id: other\r\nX-Server-Seal: other\r\n\r\ndata: foreign\n\n'
+)
+BARE = (
+    b'HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 2\r\n\r\n\n\n'
+)
+DATED = b'HTTP/1.1 200 OK\r\nDate: today\r\n\r\ndata: foreign\n\n'
+BY_BYTE = tuple(bytes((one,)) for one in HALF + FOREIGN)
+JOINED = types.MappingProxyType({
+    'closed': raw(TWO, HALF, FOREIGN),
+    'closed, by byte': raw(TWO, *BY_BYTE, pause_s=0.001),
+    'closed inside its head': raw(TWO, HALF, FOREIGN[:60]),
+    'reset': raw(TWO, HALF, FOREIGN, is_reset=True),
+    'in a chunk': raw(
+        *in_chunks(TWO), b'ffff\r\n%s' % HALF, FOREIGN, fields=(CHUNKED,)
+    ),
+    'behind the last event': raw(WHOLE, FOREIGN),
+    'without an id': raw(TWO, HALF, BARE),
+    'with other fields': raw(TWO, HALF, DATED),
+    'with LF': raw(TWO, HALF, FOREIGN.replace(b'\r\n', b'\n')),
+    'without an id, no type': attrs.evolve(
+        raw(TWO, HALF, BARE), fields=(f'{RAW}: 1',)
+    ),
+    'without an id, quoted type': attrs.evolve(
+        raw(TWO, HALF, BARE),
+        fields=('Content-Type: "text/event-stream"', f'{RAW}: 1'),
+    ),
+})
+
+
+# Guards against the events of another answer, which a target had begun inside
+# an unfinished stream, and that reached the caller as a part of this one.
+@pytest.mark.parametrize(
+    ('path', 'expected'),
+    [(DRAFT, (WHOLE, '1')), (CHAT, BROKEN)],
+    ids=['resumable', 'not resumable'],
+)
+async def test_a_stream_in_which_another_answer_begins_is_broken_off(
+    world: AgencyWorld, path: str, expected: tuple[bytes, str]
+) -> None:
+    node = await open_node(world)
+    answers = {
+        name: await ask(world, node, path, name, sent)
+        for name, sent in JOINED.items()
+    }
+    # The next target gives no event, which does not show that none follows.
+    assert answers.pop('behind the last event') == BROKEN
+    assert answers == dict.fromkeys(answers, expected)
+
+    def find_dropped() -> set[str]:
+        return {line['request_id'] for line in node.events('answer_dropped')}
+
+    # The log is written behind the answers.
+    await until(lambda: find_dropped() >= JOINED.keys())
+    assert find_dropped() == JOINED.keys()
+    assert not node.events('target_end_seen')
+
+
+# Guards against a plain body that another answer fills up, or follows; and
+# against a whole one that is broken off as it quotes heads.
+async def test_a_plain_body_in_which_another_answer_begins_is_sent_for_again(
+    world: AgencyWorld,
+) -> None:
+    node = await open_node(world)
+    large = BODY * 200000
+    sized_body = attrs.evolve(
+        plain(BODY, FOREIGN), fields=(PLAIN_TYPE, 'Content-Length: 40')
+    )
+    for name, sent, expected in (
+        ('fills its length', sized_body, (PLAIN, '')),
+        ('closed', plain(BODY, FOREIGN), (PLAIN, '')),
+        ('closed inside its head', plain(BODY, FOREIGN[:21]), (PLAIN, '')),
+        ('large', plain(large, FOREIGN), BROKEN),
+    ):
+        assert await ask(world, node, LOOK, name, sent) == expected, name
+        assert await ask(world, node, POST, f'{name}, once', sent) == BROKEN
+    request = b'POST /x HTTP/1.1\r\nX-Request-Id: a\r\n\r\n'
+    for body in (request, b'HTTP/1.1 200 OK', FOREIGN.replace(b'\r', b'')):
+        answer = await ask(world, node, POST, f'{len(body)}', plain(body))
+        assert answer == (body, '1')
+
+
+HALF_JSON = b'{"name": "a'
+WHOLE_JSON = json.dumps('HTTP/1.1 200 OK\r\nDate: today\r\n').encode()
+
+
+# Guards against JSON that ends inside another answer's head without an id, or
+# with LF; and against whole JSON that is broken off as it quotes one.
+async def test_json_in_which_another_answer_begins_is_sent_for_again(
+    world: AgencyWorld,
+) -> None:
+    node = await open_node(world)
+    for content_type in ('application/json; a=b', 'application/problem+json'):
+        fields = (f'Content-Type: {content_type}', f'{RAW}: 1')
+        for head in (DATED, BARE, FOREIGN.replace(b'\r\n', b'\n')):
+            sent = attrs.evolve(raw(HALF_JSON, head), fields=fields)
+            name = f'{content_type} {head!r}'
+            assert await ask(world, node, LOOK, name, sent) == (PLAIN, '')
+            assert await ask(world, node, POST, f'{name}, once', sent) == BROKEN
+        whole = attrs.evolve(raw(WHOLE_JSON), fields=fields)
+        answer = await ask(world, node, POST, content_type, whole)
+        assert answer == (WHOLE_JSON, '1')
+
+
 OTHER_TYPES = ('application/json', 'text/plain', 'application/octet-stream')
 
 
