Confirm the end of an answer that only its connection shows

Cause: the close of a connection was taken for the end of an answer without framing. An exit closes connections in the same way, and a later process at the address accepts others at once.

The end of such an answer, and only the end, waits until its target has accepted another connection. It is broken off at the time limit, at the end of the notice of a target that leaves, if a later process is known there, and if the end was read late. The process is identified, not its address: while such answers run, a node keeps an idle connection to their target, which a process that ends takes along. Answers that end at once share what is asked. A body coded by more than chunks is broken off.

call_answered tells what confirmed an end. Entries and the holder's rows carry the end of a notice. The stand-ins write answers at whose end their target ends, and the proxies keep a target down while it is held down.

Open: a time limit below 0.15 s, targets without a report that are back at once, a target that restarted before a send that a node does not know of (its whole answer is broken off; worse than before).

--- a/mimosaworks/deployment/target.py
+++ b/mimosaworks/deployment/target.py
@@ -1,6 +1,7 @@
 """Registry entries in which targets describe themselves."""
 
 import enum
+import math
 
 import attrs
 
@@ -26,7 +27,8 @@
 
     Its incarnation is the Unix time of its start in milliseconds. in_memory
     and on_disk name models whose weights it can load without the weight
-    store. software_version is empty if it is not known.
+    store. software_version is empty if it is not known. leaves_at_s is when a
+    target that leaves at short notice ends, on this process's clock.
     """
 
     name: str
@@ -41,6 +43,7 @@
     on_disk: tuple[str, ...] = ()
     slow_start_s: float = 0
     software_version: str = ''
+    leaves_at_s: float = math.inf
 
     def runs_version(self, software_version: str) -> bool:
         """Return whether it runs this version; empty stands for any."""
--- a/mimosaworks/node/answer_relay.py
+++ b/mimosaworks/node/answer_relay.py
@@ -1,5 +1,6 @@
 """Relays the answer of a target to the caller, and judges its end."""
 
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
 from aiohttp import ClientResponse, hdrs, web
@@ -28,11 +29,16 @@
 
 
 async def relay_answer(
-    call: Call, resp: ClientResponse, progress: AttemptProgress, hold: Hold
+    call: Call,
+    resp: ClientResponse,
+    progress: AttemptProgress,
+    hold: Hold,
+    confirm_end: Callable[[], Awaitable[None]],
 ) -> web.StreamResponse:
     """Relay an answer to its end, and return what the caller gets.
 
-    Raises AttemptError, ClientError or OSError when it is incomplete.
+    confirm_end is called before the caller is told of the end. Raises
+    AttemptError, ClientError or OSError when the answer is incomplete.
     """
     if _is_streamed(call, resp):
         relayed_stream = call.relayed_stream or _start_relayed_stream(
@@ -44,6 +50,7 @@
         _raise_for_retriable_failure(call, resp)
         if is_complete:
             _check_body_end(call, resp, body)
+            await confirm_end()
             progress.record_first_bytes()
             return web.Response(
                 status=resp.status,
@@ -54,6 +61,7 @@
         progress.record_first_bytes()
         relayed_stream = await _relay_unbuffered_rest(call, resp, body)
     _check_stream_end(call, relayed_stream)
+    await confirm_end()
     call.relayed_stream = relayed_stream
     await relayed_stream.finish(call.req)
     return relayed_stream.response
--- a/mimosaworks/node/attempt_sender.py
+++ b/mimosaworks/node/attempt_sender.py
@@ -1,6 +1,7 @@
 """Sends a request to a target and relays the answer to the caller."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 import attrs
@@ -8,18 +9,17 @@
     ClientConnectorError,
     ClientError,
     ClientResponse,
-    ClientResponseError,
     ClientSession,
     ConnectionTimeoutError,
     web,
 )
 
-from mimosaworks.body_framing import read_framing
-from mimosaworks.bounded_answers import (
-    HeldBytes,
-    OversizedError,
-    log_cut,
+from mimosaworks.body_framing import (
+    ends_with_connection,
+    has_other_coding,
+    read_framing,
 )
+from mimosaworks.bounded_answers import HeldBytes
 from mimosaworks.clock import now_s
 from mimosaworks.dispatch import Assignment, CallOutcome
 from mimosaworks.events import Event, log_event
@@ -28,8 +28,13 @@
 from mimosaworks.node.attempt_error import AttemptError
 from mimosaworks.node.attempt_progress import AttemptProgress, ProgressHooks
 from mimosaworks.node.brittle_targets import BrittleTargets
+from mimosaworks.node.broken_answers import attempt_error_from
 from mimosaworks.node.call import Call
-from mimosaworks.node.event_ends import UnfinishedEventError
+from mimosaworks.node.end_judge import (
+    EndJudge,
+    EndProof,
+    SentRequest,
+)
 from mimosaworks.node.limit_view import LimitView
 from mimosaworks.node.relay_peers import (
     RELAY_TO,
@@ -38,7 +43,6 @@
     make_request_url,
 )
 from mimosaworks.node.stall_detector import READ_S
-from mimosaworks.node.stream_place import OtherEventError
 from mimosaworks.node.target_notices import TargetNotices
 from mimosaworks.platform.headers import (
     LAST_EVENT,
@@ -49,7 +53,6 @@
     target_headers,
 )
 from mimosaworks.send_guard import SendGuard
-from mimosaworks.unmixed_bodies import ForeignAnswerError
 
 # Enough for some round trips and a lost packet.
 CONNECT_TIMEOUT_S = 0.5
@@ -64,7 +67,7 @@
     target_notices, limit_view and brittle_targets record what the heads of
     answers say about further requests. held_answers bounds the bytes of
     buffered answers. relay_peers names the node that sends for this one while
-    it is cut off.
+    it is cut off. end_judge judges the ends of answers without framing.
     """
 
     session: ClientSession
@@ -73,6 +76,7 @@
     brittle_targets: BrittleTargets
     held_answers: HeldBytes
     relay_peers: RelayPeers
+    end_judge: EndJudge = attrs.field(factory=EndJudge)
 
     async def send_and_relay(
         self,
@@ -90,15 +94,43 @@
         """
         paths = self.relay_peers.paths
         progress = AttemptProgress(hooks, paths.record_bytes)
-        guard = SendGuard(lambda: check_assignment(assignment))
-        with paths.track_attempt(), self.held_answers.hold() as hold:
-            async with await self._send_request(
-                call, assignment, guard
-            ) as resp:
-                try:
-                    return await relay_answer(call, resp, progress, hold)
-                except (ClientError, OSError) as exc:
-                    raise _attempt_error_from(exc, assignment.target) from exc
+        sent = SentRequest(
+            assignment.target,
+            assignment.address,
+            assignment.incarnation,
+            call.deadline_s,
+        )
+        async with contextlib.AsyncExitStack() as stack:
+            stack.enter_context(paths.track_attempt())
+            hold = stack.enter_context(self.held_answers.hold())
+            answer = await stack.enter_async_context(
+                self.end_judge.witnesses.watch(assignment.address)
+            )
+
+            def begin_sending() -> None:
+                check_assignment(assignment)
+                answer.note_sending()
+
+            async def confirm_end() -> None:
+                if answer.has_open_end:
+                    call.end_proof = await self.end_judge.check_end(
+                        sent, answer
+                    )
+
+            resp = await stack.enter_async_context(
+                await self._send_request(
+                    call, assignment, SendGuard(begin_sending)
+                )
+            )
+            # A relay judges the end, and gives the answer a framing.
+            if ends_with_connection(resp) and not call.is_relayed:
+                answer.read_head(resp)
+            try:
+                return await relay_answer(
+                    call, resp, progress, hold, confirm_end
+                )
+            except (ClientError, OSError) as exc:
+                raise attempt_error_from(exc, assignment.target) from exc
 
     async def _send_request(
         self, call: Call, assignment: Assignment, guard: SendGuard
@@ -137,12 +169,13 @@
                 CallOutcome.UNREACHABLE, repr(exc), is_not_run=True
             ) from exc
         except (ClientError, OSError) as exc:
-            raise _attempt_error_from(exc, assignment.target) from exc
+            raise attempt_error_from(exc, assignment.target) from exc
         if relay:
             check_relay(resp)
         else:
             self.relay_peers.paths.record_bytes()
         call.framing = read_framing(resp)
+        call.end_proof = EndProof.NONE
         self._record_answer_head(call, assignment.target, resp)
         if call.remaining_s() <= 0:
             await _wait_for_timeout(resp)
@@ -181,28 +214,6 @@
         raise
 
 
-def _attempt_error_from(
-    exc: ClientError | OSError, target: str
-) -> AttemptError:
-    """Return the AttemptError for an answer that broke off."""
-    if isinstance(exc, OversizedError):
-        log_cut(target, exc)
-        return AttemptError(CallOutcome.OVERSIZED, str(exc))
-    if isinstance(
-        exc,
-        (
-            ForeignAnswerError,
-            ClientResponseError,
-            UnfinishedEventError,
-            OtherEventError,
-        ),
-    ):
-        # Neither bytes that are no answer of the target nor what it answered
-        # show that it crashed.
-        return AttemptError(CallOutcome.FAILED, str(exc))
-    return AttemptError(CallOutcome.BROKEN, repr(exc))
-
-
 def _check_answer_head(resp: ClientResponse) -> None:
     if says_not_run(resp.status, resp.headers):
         resp.release()
@@ -216,3 +227,8 @@
         raise AttemptError(
             CallOutcome.BROKEN, 'the answer has a Content-Encoding'
         )
+    if has_other_coding(resp):
+        resp.close()
+        raise AttemptError(
+            CallOutcome.BROKEN, 'the answer has another Transfer-Encoding'
+        )
--- a/mimosaworks/node/call.py
+++ b/mimosaworks/node/call.py
@@ -7,6 +7,7 @@
 from mimosaworks.clock import now_s
 from mimosaworks.deployment import RequestProfile, ServiceRoute
 from mimosaworks.dispatch import suspect_keys
+from mimosaworks.node.end_judge import EndProof
 from mimosaworks.node.relayed_stream import RelayedStream
 from mimosaworks.node.sliced_body import SentBody, sent_body
 from mimosaworks.wire import CallAsk
@@ -29,9 +30,10 @@
     its first event and empty if it is not known. resumes is the id of the
     caller's request that began the stream which this one resumes, None if it
     resumes none. is_relayed: the latest attempt went through another node.
-    framing tells what ends the latest answer. is_ended_by_node: the stopping
-    node ended the request. closes_connection: the caller's connection is closed
-    after the answer.
+    framing tells what ends the latest answer, end_proof what confirmed the end
+    of one without framing. is_ended_by_node: the stopping node ended the
+    request. closes_connection: the caller's connection is closed after the
+    answer.
     """
 
     req: web.BaseRequest
@@ -59,6 +61,7 @@
     resumes: str | None = None
     is_relayed: bool = False
     framing: Framing = Framing.NONE
+    end_proof: EndProof = EndProof.NONE
     is_ended_by_node: bool = False
     closes_connection: bool = False
 
--- a/mimosaworks/node/call_log.py
+++ b/mimosaworks/node/call_log.py
@@ -5,6 +5,7 @@
 from mimosaworks.errors import RequestError
 from mimosaworks.events import Event, log_event
 from mimosaworks.node.call import Call
+from mimosaworks.node.end_judge import EndProof
 from mimosaworks.platform.headers import LAST_EVENT, RESUMED_REQUEST
 from mimosaworks.wire import CrashNote, StreamReply
 
@@ -113,6 +114,8 @@
         resends=call.resends,
         framing=call.framing.value,
         has_events=None if stream is None else stream.buffer.has_run_event,
+        is_end_confirmed=call.end_proof is not EndProof.NONE,
+        end_proof=call.end_proof.value,
     )
 
 
--- a/mimosaworks/node/cluster_state.py
+++ b/mimosaworks/node/cluster_state.py
@@ -124,7 +124,11 @@
             and known_entry.state is TargetState.DRAINING
             and known_entry.incarnation == entry.incarnation
         ):
-            return attrs.evolve(entry, state=TargetState.DRAINING)
+            return attrs.evolve(
+                entry,
+                state=TargetState.DRAINING,
+                leaves_at_s=min(entry.leaves_at_s, known_entry.leaves_at_s),
+            )
         return entry
 
     def _decode_cached_entry(
@@ -136,6 +140,7 @@
         entry = None
         try:
             entry = decode_entry(name, content)
+            entry = attrs.evolve(entry, leaves_at_s=now_s() + entry.leaves_at_s)
         except (ValueError, TypeError) as exc:
             log_event(
                 Event.TARGET_IGNORED,
--- a/mimosaworks/node/conversions.py
+++ b/mimosaworks/node/conversions.py
@@ -1,5 +1,7 @@
 """Converts between messages of nodes and the types of dispatch."""
 
+import math
+
 from mimosaworks.deployment import (
     PromptPart,
     RequestProfile,
@@ -16,6 +18,9 @@
     TargetRow,
 )
 
+MS_PER_S = 1000
+MAX_NOTICE_MS = 3600000  # no notice is longer
+
 
 def assignment_request_from(call_ask: CallAsk, now: float) -> AssignmentRequest:
     """Return the assignment request of a message.
@@ -85,8 +90,13 @@
     )
 
 
-def target_row_from(entry: TargetEntry) -> TargetRow:
-    """Return the message that describes a target."""
+def target_row_from(entry: TargetEntry, now: float) -> TargetRow:
+    """Return the message that describes a target from now on."""
+    leaves_in_ms = 0
+    if entry.leaves_at_s < math.inf:
+        # Zero stands for a target without a notice.
+        notice_ms = int((entry.leaves_at_s - now) * MS_PER_S)
+        leaves_in_ms = min(max(notice_ms, 1), MAX_NOTICE_MS)
     return TargetRow(
         name=entry.name,
         service=entry.service,
@@ -100,11 +110,15 @@
             for residence in entry.resident_models
         ),
         software_version=entry.software_version,
+        leaves_in_ms=leaves_in_ms,
     )
 
 
-def target_entry_from(row: TargetRow) -> TargetEntry:
-    """Return the target that a message describes."""
+def target_entry_from(row: TargetRow, now: float) -> TargetEntry:
+    """Return the target that a message from now describes."""
+    leaves_at_s = math.inf
+    if row.leaves_in_ms:
+        leaves_at_s = now + row.leaves_in_ms / MS_PER_S
     return TargetEntry(
         name=row.name,
         service=row.service,
@@ -118,4 +132,5 @@
             for target_model in row.models
         ),
         software_version=row.software_version,
+        leaves_at_s=leaves_at_s,
     )
--- /dev/null
+++ b/mimosaworks/node/end_judge.py
@@ -0,0 +1,210 @@
+"""Judges the ends of answers that only the end of their connection shows."""
+
+import asyncio
+import enum
+from collections.abc import Callable, Mapping
+
+import attrs
+from aiohttp import ClientPayloadError
+
+from mimosaworks.clock import now_s
+from mimosaworks.deployment import TargetEntry, TargetState
+from mimosaworks.node.shared_probes import SharedProbes
+from mimosaworks.node.target_identity import TargetIdentities
+from mimosaworks.node.target_paths import PROBE_TIMEOUT_S, reaches
+from mimosaworks.node.witness import Sign
+from mimosaworks.node.witnesses import WatchedAnswer, Witnesses
+
+# A target may reach its time limit by timers and clocks that run a bit fast.
+LIMIT_MARGIN_S = 0.1
+LIMIT_MARGIN_SHARE = 0.2
+# A node reads the notice of a target that leaves a bit later than it was given:
+# an interval of reading the targets and one of heartbeats.
+NOTICE_MARGIN_S = 1.0
+# A process that exits closes its connections and its listener one by one.
+EXIT_S = 0.02
+# Two tries to connect take less; a target that starts again takes longer. The
+# questions for its report and its entry have time limits of their own.
+MAX_CHECK_S = 1.5
+
+
+class EndProof(enum.Enum):
+    """What confirmed the end of an answer without framing."""
+
+    NONE = 'none'
+    PROBE = 'probe'
+    REPORT = 'report'
+    WITNESS = 'witness'
+
+
+class ExpiredAnswerError(ClientPayloadError):
+    """An answer ended when the time of its target or its request was over."""
+
+
+class UnknownEndError(ClientPayloadError):
+    """An answer ended, and whether its target did as well is not known."""
+
+
+class LostTargetError(ClientPayloadError):
+    """An answer ended together with its target."""
+
+
+@attrs.frozen
+class SentRequest:
+    """A request as its target got it; times are on this process's clock.
+
+    The target counts deadline_s from its receipt, so a bit later. incarnation
+    is that of the target when it was chosen, 0 if it is not known.
+    """
+
+    target: str
+    address: str
+    incarnation: int
+    deadline_s: float
+    sent_s: float = attrs.field(factory=now_s)
+
+    def is_limit_reached(self) -> bool:
+        """Return whether the target may have stopped at its time limit."""
+        given_s = self.deadline_s - self.sent_s
+        margin_s = min(LIMIT_MARGIN_S, given_s * LIMIT_MARGIN_SHARE)
+        return now_s() >= self.deadline_s - margin_s
+
+
+@attrs.define(eq=False)
+class EndJudge:
+    """Finds out whether something else than its answer ended a connection.
+
+    A process that exits closes its connections as the end of an answer without
+    framing does. find_targets returns the latest view of the targets,
+    earliest_s the earliest time at which an end that is read now may have come.
+    witnesses watch the answers, identities tell which process a target is.
+    """
+
+    find_targets: Callable[[], Mapping[str, TargetEntry]] = dict
+    earliest_s: Callable[[], float] = now_s
+    witnesses: Witnesses = attrs.field(factory=Witnesses)
+    identities: TargetIdentities | None = None
+    _connects: SharedProbes[str, bool | None] = attrs.field(
+        factory=lambda: SharedProbes(_accepts)
+    )
+
+    async def check_end(
+        self, sent: SentRequest, answer: WatchedAnswer | None = None
+    ) -> EndProof:
+        """Return if nothing else explains the end of an answer, right after it.
+
+        The result tells what shows that the target is the same one: its
+        witness, its report, or, without these, connections that it accepted
+        in time. Raises ExpiredAnswerError, UnknownEndError or LostTargetError.
+        """
+        ended_s = self.earliest_s()
+        self._check_time(sent)
+        await asyncio.sleep(EXIT_S)
+        await self._check_accepts(sent)
+        is_late = now_s() - ended_s > MAX_CHECK_S
+        # The end of the witness has arrived before a later process accepts.
+        sign = await answer.read_sign() if answer else Sign.NONE
+        if sign is Sign.ENDED:
+            raise _lost('an idle one to the target ended with it')
+        if self._is_replaced(sent):
+            raise _lost('the target has started again')
+        is_open = sign is Sign.OPEN
+        if is_open and answer and answer.is_witness_early:
+            return EndProof.WITNESS
+        if await self._is_same_by_report(sent):
+            return EndProof.REPORT
+        if is_late and not is_open:
+            raise _unknown()
+        await self._check_entry(sent)
+        return EndProof.WITNESS if is_open else EndProof.PROBE
+
+    async def _check_accepts(self, sent: SentRequest) -> None:
+        """Raise an error unless the target accepts a connection."""
+        is_there = await self._connects.ask(sent.address)
+        if is_there is None:
+            raise _unknown()
+        if not is_there:
+            raise _lost('the target accepts no other')
+
+    async def _is_same_by_report(self, sent: SentRequest) -> bool:
+        """Return whether the target shows that it is the one that answered.
+
+        Raises LostTargetError if it shows that it is not.
+        """
+        if self.identities is None or not sent.incarnation:
+            return False
+        identity = await self.identities.ask_report(sent.target, sent.address)
+        sign = identity.compare(sent.incarnation)
+        if sign is Sign.ENDED:
+            raise _lost('the target reports that it has started again')
+        return sign is Sign.OPEN
+
+    async def _check_entry(self, sent: SentRequest) -> None:
+        """Raise an error if a later entry, or no connection, shows an end."""
+        if self.identities is None or not sent.incarnation:
+            return
+        identity = await self.identities.ask_entry(sent.target)
+        if identity.compare(sent.incarnation) is Sign.ENDED:
+            raise _lost('the target has registered again')
+        await self._check_accepts(sent)
+
+    def _check_time(self, sent: SentRequest) -> None:
+        """Raise ExpiredAnswerError if the time of an answer is over."""
+        if sent.is_limit_reached():
+            raise ExpiredAnswerError(
+                'the connection was closed at the time limit of the request'
+            )
+        entry = self.find_targets().get(sent.target)
+        if entry is not None and _is_notice_over(entry, sent):
+            raise ExpiredAnswerError(
+                'the connection was closed when the notice of the target ended'
+            )
+
+    def _is_replaced(self, sent: SentRequest) -> bool:
+        """Return whether a later process is known at the target's address.
+
+        A target without an entry may serve on for a while.
+        """
+        if not sent.incarnation:
+            return False
+        targets = self.find_targets()
+        entry = targets.get(sent.target)
+        if entry is not None:
+            return entry.incarnation > sent.incarnation
+        return any(
+            other.address == sent.address
+            and other.incarnation > sent.incarnation
+            for other in targets.values()
+        )
+
+
+def _lost(reason: str) -> LostTargetError:
+    return LostTargetError(f'the connection was closed, and {reason}')
+
+
+def _unknown() -> UnknownEndError:
+    return UnknownEndError(
+        'the connection was closed, and the target does not reply'
+        ' before it may have started again'
+    )
+
+
+def _is_notice_over(entry: TargetEntry, sent: SentRequest) -> bool:
+    """Return whether the target ends now, or has ended, at short notice."""
+    is_leaving = entry.state is TargetState.DRAINING
+    is_same = sent.incarnation in {0, entry.incarnation}
+    is_over = now_s() >= entry.leaves_at_s - NOTICE_MARGIN_S
+    return is_leaving and is_same and is_over
+
+
+async def _accepts(address: str) -> bool | None:
+    """Return whether an address accepts a connection, at the second try.
+
+    It is tried again only if there was no reply, as when a packet was lost or
+    this process was paused. None: nothing was learned.
+    """
+    started_s = now_s()
+    is_there = await reaches(address)
+    if is_there is not None or now_s() - started_s < PROBE_TIMEOUT_S:
+        return is_there
+    return await reaches(address)
--- a/mimosaworks/node/frontend_setup.py
+++ b/mimosaworks/node/frontend_setup.py
@@ -6,13 +6,16 @@
 from mimosaworks.clock import now_s
 from mimosaworks.node.attempt_sender import AttemptSender
 from mimosaworks.node.brittle_targets import BrittleTargets
+from mimosaworks.node.end_judge import EndJudge
 from mimosaworks.node.frontend import Frontend
 from mimosaworks.node.held_bodies import HeldBodies
 from mimosaworks.node.memory_bounds import MemoryBounds
 from mimosaworks.node.node import Node
 from mimosaworks.node.relay import Relay
 from mimosaworks.node.relay_peers import RelayPeers
+from mimosaworks.node.stall_detector import StallDetector
 from mimosaworks.node.target_chooser import TargetChooser
+from mimosaworks.node.target_identity import TargetIdentities
 from mimosaworks.node.target_notices import TargetNotices
 from mimosaworks.node.target_paths import TargetPaths, list_ready_addresses
 
@@ -48,6 +51,14 @@
         paths,
         lambda: node.holder_link.replicated_view.members,
     )
+    stall_detector = StallDetector()
+    end_judge = EndJudge(
+        target_chooser.latest_targets,
+        stall_detector.earliest_arrival_s,
+        identities=TargetIdentities(
+            node.engine_calls.report, node.store_client
+        ),
+    )
     target_chooser.is_cut_off = lambda: paths.is_cut_off
     return Frontend(
         target_chooser=target_chooser,
@@ -58,6 +69,7 @@
             node.holder_link.brittle_targets,
             HeldBytes(bounds.answers.held_bytes, bounds.answers.all_held_bytes),
             relay_peers,
+            end_judge,
         ),
         meters=node.meters,
         stop_remaining_s=node.stop_remaining_s,
@@ -69,4 +81,5 @@
             node.stop_remaining_s,
             HeldBodies(bounds.body_bytes, node.meters.count_body_room),
         ),
+        stall_detector=stall_detector,
     )
--- a/mimosaworks/node/holder.py
+++ b/mimosaworks/node/holder.py
@@ -325,7 +325,7 @@
             levels=tuple(
                 Spent(name, balance) for name, balance in token_balances.items()
             ),
-            targets=tuple(map(target_row_from, targets.rows)),
+            targets=tuple(target_row_from(row, now) for row in targets.rows),
             targets_gone=targets.removed_names,
             targets_whole=targets.is_full_snapshot,
             targets_version=self.target_log.version,
--- a/mimosaworks/node/replicated_view.py
+++ b/mimosaworks/node/replicated_view.py
@@ -61,6 +61,6 @@
         self.targets_as_of_s = now - reply.view_age_s
         self.targets = apply_changes(
             {} if reply.targets_whole else self.targets,
-            {row.name: target_entry_from(row) for row in reply.targets},
+            {row.name: target_entry_from(row, now) for row in reply.targets},
             reply.targets_gone,
         )
--- a/mimosaworks/node/target_paths.py
+++ b/mimosaworks/node/target_paths.py
@@ -25,12 +25,24 @@
 
 async def connects(address: str) -> bool:
     """Return whether a target accepts a connection, which is closed at once."""
+    return await reaches(address) is True
+
+
+async def reaches(address: str) -> bool | None:
+    """Return whether a target accepts a connection or refuses it.
+
+    None: it did neither, or this process could not ask.
+    """
     host, _, port = address.rpartition(':')
     try:
         async with asyncio.timeout(PROBE_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(host, int(port))
-    except (OSError, TimeoutError):
+            _, writer = await asyncio.open_connection(
+                host.strip('[]'), int(port)
+            )
+    except ConnectionRefusedError:
         return False
+    except (OSError, TimeoutError):
+        return None
     writer.close()
     return True
 
--- a/mimosaworks/platform/entries.py
+++ b/mimosaworks/platform/entries.py
@@ -15,7 +15,7 @@
     texts,
     whole,
 )
-from mimosaworks.platform.boot import MS_PER_S
+from mimosaworks.json_seconds import MS_PER_S, seconds_left
 
 TARGETS_TABLE = 'servers'
 MAX_PORT = 65535
@@ -26,7 +26,7 @@
 
 
 def decode_entry(name: str, written: bytes) -> TargetEntry:
-    """Return the target that an entry describes.
+    """Return the target that an entry describes, as if received at 0 s.
 
     Raises ValueError for an entry that can't be used: no JSON, a field that
     is absent or malformed, or an unknown state.
@@ -46,6 +46,7 @@
         on_disk=texts(at_hand, 'on-disk'),
         slow_start_s=whole(fields, 'cold-left-ms', 0) / MS_PER_S,
         software_version=text(fields, 'version', ''),
+        leaves_at_s=seconds_left(fields, 'remaining-ms'),
     )
 
 
@@ -63,9 +64,7 @@
 def _address(address: str) -> str:
     host, _, port = address.rpartition(':')
     if not _PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
-        raise ValueError(
-            f'address {address!r} must have a port from 1 to 65535'
-        )
+        raise ValueError(f'address {address!r} must have a port up to 65535')
     if not _is_ip_address(host) and not _is_host_name(host):
         raise ValueError(f'address {address!r} must name a host')
     return address
--- a/mimosaworks/wire/dispatch.capnp
+++ b/mimosaworks/wire/dispatch.capnp
@@ -125,6 +125,7 @@
   born @6 :UInt64;
   models @7 :List(TargetModel);
   softwareVersion @8 :Text;
+  leavesInMs @9 :UInt32;
 }
 
 struct Beat {
--- a/mimosaworks/wire/target_messages.py
+++ b/mimosaworks/wire/target_messages.py
@@ -13,7 +13,10 @@
 
 @attrs.frozen
 class TargetRow:
-    """A target as the holder sees it; state is a TargetState's value."""
+    """A target as the holder sees it; state is a TargetState's value.
+
+    leaves_in_ms is the time until it ends at short notice, 0 without one.
+    """
 
     name: str
     service: str
@@ -24,6 +27,7 @@
     born: int
     models: tuple[TargetModel, ...] = ()
     software_version: str = ''
+    leaves_in_ms: int = 0
 
 
 @attrs.frozen
--- a/standins/agency/raw_answer.py
+++ b/standins/agency/raw_answer.py
@@ -1,7 +1,7 @@
 """Answers that a target writes itself, byte by byte."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NoReturn, Protocol
 
 import attrs
@@ -11,6 +11,12 @@
 
 # Time in which the bytes before a reset reach the other side.
 RESET_DELAY_S = 0.03
+EXPECTED = 'X-Expect-Instance'
+CHUNKED = 'Transfer-Encoding: chunked'  # the field of an answer in chunks
+
+
+def _serve_on(_target: str) -> None:
+    """Go on."""
 
 
 @attrs.frozen
@@ -19,7 +25,7 @@
 
     fields are lines of the head, pieces the body as it is on the wire, sent
     pause_s apart. is_reset: the connection is reset behind them, else it is
-    closed.
+    closed. on_end is called with the target's name right before that.
     """
 
     pieces: tuple[bytes, ...]
@@ -27,6 +33,7 @@
     is_reset: bool = False
     status: str = 'HTTP/1.1 200 OK'
     pause_s: float = 0.01
+    on_end: Callable[[str], None] = _serve_on
 
 
 class Writer(Protocol):
@@ -58,6 +65,8 @@
         await asyncio.sleep(raw.pause_s)  # noqa: WPS476 -- one after another
     if raw.is_reset:
         await asyncio.sleep(RESET_DELAY_S)
+    raw.on_end(req.headers.get(EXPECTED, ''))
+    if raw.is_reset:
         reset(transport)
     else:
         transport.close()
--- a/standins/agency/replica.py
+++ b/standins/agency/replica.py
@@ -79,7 +79,8 @@
     All answers say how many requests in a second it may turn away if that is
     set (brittle); turned_away_s are the times of those, when it runs as many as
     it has room for. raws are its next answers to requests, which it
-    writes itself; then a writer, if set, makes them.
+    writes itself; then a writer, if set, makes them. remaining_ms is the notice
+    in its entry, if set. Without has_report it tells nothing of itself.
     """
 
     name: str
@@ -128,6 +129,8 @@
     running: int = 0
     raws: list[RawAnswer] = attrs.field(factory=list)
     writer: Writer | None = None
+    remaining_ms: int = 0
+    has_report: bool = True
 
     def note_hit(self, request_id: str = '', sender: str = '') -> None:
         """Note a call that has arrived."""
@@ -196,6 +199,9 @@
             'slots': self.slots,
             'state': self.state,
             'cold-left-ms': 0,
+            **(
+                {'remaining-ms': self.remaining_ms} if self.remaining_ms else {}
+            ),
             'stage': 'colocated',
             'models': self._listed(),
             'at-hand': {'in-memory': [], 'on-disk': self.on_disk},
@@ -287,6 +293,8 @@
 
     async def report(_: web.Request) -> web.Response:
         replica.note_hit()
+        if not replica.has_report:
+            return web.Response(status=HTTPStatus.NOT_FOUND)
         return web.json_response(replica.report())
 
     async def serve(req: web.Request) -> web.StreamResponse:
--- a/standins/agency/world.py
+++ b/standins/agency/world.py
@@ -274,15 +274,27 @@
         """Return a target that is drawn at random."""
         return self.replicas[rng.choice(sorted(self.replicas))]
 
-    async def crash(self, name: str, down_s: float) -> None:
-        """End a target at once and start it again down_s later."""
+    async def crash(
+        self, name: str, down_s: float, *, is_reset: bool = True
+    ) -> None:
+        """End a target at once and start it again down_s later.
+
+        Its connections are reset, or last as long as the answers on them;
+        those without a request are closed. If it ends again meanwhile, it is
+        down until both times are over.
+        """
         proxy = self.proxies[name]
-        proxy.close()
-        self.replicas[name].restart()
-        await asyncio.sleep(down_s)
+        with proxy.hold_down():
+            if is_reset:
+                proxy.close()
+            else:
+                proxy.close_unused()
+            self.replicas[name].restart()
+            await asyncio.sleep(down_s)
         await proxy.open()
         await asyncio.sleep(self.entry_late_s)
-        self.replicas[name].register(self.store)
+        if not proxy.is_held_down:
+            self.replicas[name].register(self.store)
 
     async def serve(self, app: web.Application) -> str:
         """Serve an application; return its address."""
--- a/standins/faultproxy/proxy.py
+++ b/standins/faultproxy/proxy.py
@@ -1,13 +1,14 @@
 """The TCP proxy and its open links."""
 
 import asyncio
-from contextlib import ExitStack
+from collections.abc import Callable, Generator
+from contextlib import ExitStack, contextmanager
 from typing import Any
 
 import attrs
 
 from standins.faultproxy.faults import Faults
-from standins.faultproxy.link import Link
+from standins.faultproxy.link import Link, ignore
 
 CONTROLS = frozenset((
     'delay_s',
@@ -21,18 +22,46 @@
 
 @attrs.define
 class Proxy:
-    """Accepts clients at one address and links each to the upstream."""
+    """Accepts clients at one address and links each to the upstream.
+
+    on_passed is called with the bytes that clients got.
+    """
 
     address: tuple[str, int]
     upstream: tuple[str, int]
     faults: Faults = attrs.Factory(Faults)
     links: set[Link] = attrs.Factory(set)
+    on_passed: Callable[[bytes], None] = ignore
     _server: asyncio.Server | None = None
     _is_open: bool = False
+    _holds: int = 0
     _opening: asyncio.Lock = attrs.Factory(asyncio.Lock)
 
+    @property
+    def is_held_down(self) -> bool:
+        """Whether the upstream is down."""
+        return self._holds > 0
+
+    @contextmanager
+    def hold_down(self) -> Generator[None, None, None]:
+        """Refuse new connections until this closes, then open() may follow.
+
+        Several may overlap; none ends the others.
+        """
+        self._holds += 1
+        self.refuse()
+        try:
+            yield
+        finally:
+            self._holds -= 1
+
     async def open(self) -> None:
-        """Listen, unless that is so already or close() is called meanwhile."""
+        """Listen, unless that is so already or close() is called meanwhile.
+
+        While it is held down, this does nothing.
+        """
+        if self.is_held_down:
+            return
         self._is_open = True
         async with self._opening:
             if self._server is None and self._is_open:
@@ -44,12 +73,22 @@
 
     def close(self) -> None:
         """Refuse new connections and reset the open ones."""
+        self.refuse()
+        for link in tuple(self.links):
+            link.abort()
+
+    def close_unused(self) -> None:
+        """Close the links over which no client has sent anything."""
+        for link in tuple(self.links):
+            if not link.is_used:
+                link.close()
+
+    def refuse(self) -> None:
+        """Refuse new connections until it is opened again."""
         self._is_open = False
         if self._server is not None:
             self._server.close()
             self._server = None
-        for link in tuple(self.links):
-            link.abort()
 
     async def accept(
         self,
@@ -62,7 +101,14 @@
         except OSError:
             client_writer.transport.abort()
             return
-        link = Link(self.faults, client_reader, client_writer, reader, writer)
+        link = Link(
+            self.faults,
+            client_reader,
+            client_writer,
+            reader,
+            writer,
+            self._tell_passed,
+        )
         self.links.add(link)
         with ExitStack() as stack:
             stack.callback(self.links.discard, link)
@@ -77,3 +123,7 @@
             self.close()
         else:
             await self.open()
+
+    def _tell_passed(self, chunk: bytes) -> None:
+        # It may have been set after the link was opened.
+        self.on_passed(chunk)
--- a/tests/test_node_answer_ends.py
+++ b/tests/test_node_answer_ends.py
@@ -6,7 +6,7 @@
 import json
 import socket
 import types
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 from typing import Any
 
@@ -15,7 +15,7 @@
 import pytest
 
 from standins.agency.event_text import event_text
-from standins.agency.raw_answer import RawAnswer, in_chunks
+from standins.agency.raw_answer import CHUNKED, RawAnswer, in_chunks
 from standins.agency.replica import EVENTS, PLAIN
 from standins.agency.world import (
     HOST,
@@ -27,9 +27,9 @@
 from tests.test_node_processes import open_pair, until
 
 BROKEN = (b'broken off', '')
+TIMED_OUT = (b'timed out', '')
 RAW = 'X-Raw'
 EVENT_TYPE = 'Content-Type: text/event-stream'
-CHUNKED = 'Transfer-Encoding: chunked'
 # So that no request follows on a connection that is closed.
 CLOSE = 'Connection: close'
 IN_FIRST_EVENT = 'inside the first event'
@@ -43,6 +43,8 @@
 CHAT = '/chat/x'
 LOOK = '/look/x'
 POST = '/post/x'
+LATE_ENTRY_S = 2.0
+SOON_ENTRY_S = 0.1
 
 
 @pytest.fixture
@@ -70,7 +72,8 @@
     """Return the body of an answer and what its head has in RAW.
 
     The first targets that run the request send raws; its id and its body are
-    the name. Returns BROKEN for an answer that is not complete.
+    the name. Returns BROKEN for an answer that is not complete,
+    TIMED_OUT for a 504.
     """
     shared_raws = list(raws)
     for replica in world.replicas.values():
@@ -84,6 +87,8 @@
             body = bytes(await resp.read())
             if resp.status == 502:
                 return BROKEN
+            if resp.status == 504:
+                return TIMED_OUT
             assert resp.status == 200
             return body, resp.headers.get(RAW, '')
     except aiohttp.ClientError:
@@ -157,8 +162,16 @@
     }
     first_body, first_raw = answers.pop(IN_FIRST_EVENT)
     assert (first_body, first_raw) == (expected[0], '')
-    crashes = {line['request_id'] for line in node.events('target_end_seen')}
-    assert crashes == set(INSIDE) - {'last chunk', 'length'}
+    expected_crashes = set(INSIDE) - {'last chunk', 'length'}
+
+    def find_crashes() -> set[str]:
+        lines = node.events('target_end_seen')
+        return {line['request_id'] for line in lines}
+
+    # The log is written behind the answers, in the order of the requests: the
+    # last of them is one that is expected.
+    await until(lambda: find_crashes() >= expected_crashes)
+    assert find_crashes() == expected_crashes
     assert answers == dict.fromkeys(answers, expected)
 
 
@@ -254,6 +267,192 @@
     assert await ask(world, node, path, 'reset', lost) == BROKEN
 
 
+ENDING = types.MappingProxyType({
+    (DRAFT, 'behind an event'): (raw(TWO), (WHOLE, '1')),
+    (CHAT, 'behind an event'): (raw(TWO), BROKEN),
+    (CHAT, 'plain'): (plain(BODY), BROKEN),
+    (LOOK, 'plain'): (plain(BODY), (PLAIN, '')),
+    (LOOK, 'plain, none'): (plain(), (PLAIN, '')),
+    (LOOK, 'plain, large'): (plain(BODY * 200000), BROKEN),
+    (POST, 'plain'): (plain(BODY), BROKEN),
+    (POST, 'plain, large'): (plain(BODY * 200000), BROKEN),
+})
+
+
+# Guards against an answer without framing that is complete for its caller,
+# though its target ended behind an event or in a plain body.
+@pytest.mark.parametrize(
+    'delay_s', [0, 0.005], ids=['listener first', 'connection first']
+)
+async def test_an_answer_without_framing_whose_target_ends_is_broken_off(
+    world: AgencyWorld, delay_s: float
+) -> None:
+    node = await open_node(world)
+
+    def end_target(target: str) -> None:
+        refuse = world.proxies[target].refuse
+        if delay_s:
+            asyncio.get_running_loop().call_later(delay_s, refuse)
+        else:
+            refuse()
+
+    answers = {}
+    for (path, name), (sent, _) in ENDING.items():
+        dying = attrs.evolve(sent, on_end=end_target)
+        answers[path, name] = await ask(
+            world, node, path, f'{path}, {name}', dying
+        )
+        await asyncio.sleep(2 * delay_s)
+        for proxy in world.proxies.values():
+            await proxy.open()
+    assert answers == {case: expected for case, (_, expected) in ENDING.items()}
+    await until(lambda: len(node.events('target_end_seen')) == len(ENDING))
+    reasons = [line['reason'] for line in node.events('call_broken')]
+    assert all('accepts no other' in reason for reason in reasons)
+
+
+# Guards against an answer without framing that is complete for its caller, as
+# its target ended with it and had started again when it was asked.
+@pytest.mark.parametrize(
+    'delay_s', [0, 0.004], ids=['idle ones first', 'answer first']
+)
+async def test_an_answer_whose_target_starts_again_at_once_is_broken_off(
+    world: AgencyWorld, delay_s: float
+) -> None:
+    node = await open_node(world)
+    tasks = []
+
+    async def restart(target: str) -> None:
+        proxy = world.proxies[target]
+        proxy.refuse()
+        await asyncio.sleep(delay_s)
+        proxy.close_unused()
+        await proxy.open()
+
+    def end_target(target: str) -> None:
+        tasks.append(asyncio.create_task(restart(target)))
+
+    cases = {case: one for case, one in ENDING.items() if one[0].pieces}
+    answers = {}
+    for (path, name), (sent, _) in cases.items():
+        dying = attrs.evolve(sent, on_end=end_target, pause_s=0.2)
+        answers[path, name] = await ask(
+            world, node, path, f'{path}, {name}', dying
+        )
+    assert answers == {case: expected for case, (_, expected) in cases.items()}
+    await asyncio.gather(*tasks)
+    await until(lambda: len(node.events('target_end_seen')) == len(cases))
+    reasons = [line['reason'] for line in node.events('call_broken')]
+    assert all('idle one' in reason for reason in reasons)
+
+
+def replacer(
+    world: AgencyWorld, entry_s: float, late_s: float = 0
+) -> Callable[[str], None]:
+    """Return what puts a later process in a target's place at once.
+
+    Its entry is written entry_s later; all that targets send arrives late_s
+    later from then on.
+    """
+
+    def replace(target: str) -> None:
+        replica = world.replicas[target]
+        world.proxies[target].close_unused()
+        world.proxies[target].faults.delay_s = late_s
+        replica.restart()
+        loop = asyncio.get_running_loop()
+        loop.call_later(entry_s, replica.register, world.store)
+
+    return replace
+
+
+# Guards against a first answer without framing that is complete for its caller,
+# as a later process of its target accepts connections and has no entry yet; an
+# end that arrives late is behind the beginning of an idle connection to that.
+@pytest.mark.parametrize('late_s', [0, 0.05])
+@pytest.mark.parametrize(
+    ('path', 'has_report'),
+    [(path, True) for path in (DRAFT, CHAT, LOOK, POST)]
+    + [(path, False) for path in (LOOK, POST)],
+)
+async def test_an_answer_whose_target_is_back_when_it_is_asked_is_broken_off(
+    world: AgencyWorld, path: str, late_s: float, *, has_report: bool
+) -> None:
+    node = await open_node(world)
+    for replica in world.replicas.values():
+        replica.has_report = has_report
+
+    cases = {DRAFT: raw(TWO), CHAT: raw(TWO), LOOK: plain(BODY)}
+    sent = cases.get(path, plain(BODY))
+    entry_s = LATE_ENTRY_S if has_report else SOON_ENTRY_S
+    replace = replacer(world, entry_s, late_s)
+    dying = attrs.evolve(sent, on_end=replace, pause_s=0)
+    answer = await ask(world, node, path, 'first', dying)
+    expected = {DRAFT: (WHOLE, '1'), LOOK: (PLAIN, '')}
+    assert answer == expected.get(path, BROKEN)
+    await until(lambda: len(node.events('target_end_seen')) == 1)
+
+
+# Guards against an answer without framing that its target stopped at the time
+# limit, and which its caller takes for a whole one.
+async def test_an_answer_that_ends_at_its_time_limit_is_broken_off(
+    world: AgencyWorld,
+) -> None:
+    node = await open_node(world)
+    for path, sent in (
+        (DRAFT, raw(TWO)),
+        (CHAT, raw(TWO)),
+        (LOOK, plain(BODY)),
+        (POST, plain(BODY)),
+    ):
+        stopped = attrs.evolve(sent, pause_s=0.95)
+        answer = await ask(
+            world, node, path, path, stopped, stopped, X_Deadline='1000'
+        )
+        assert answer in {BROKEN, TIMED_OUT}, path
+    ends = node.events('target_end_seen')
+    assert all(line['is_silent'] for line in ends)
+
+
+# Guards against an answer without framing that ends when the notice of its
+# target is over, and which looks complete as its address still accepts some.
+@pytest.mark.parametrize(
+    ('notice_ms', 'expected'),
+    [(1200, BROKEN), (9000, (TWO, '1')), (0, (TWO, '1'))],
+)
+async def test_an_answer_that_ends_with_its_target_s_notice_is_broken_off(
+    world: AgencyWorld, notice_ms: int, expected: tuple[bytes, str]
+) -> None:
+    await open_node(world)
+    slow = raw(TWO, pause_s=1.3)
+    asked = [
+        asyncio.create_task(ask(world, node, CHAT, f'{number}', slow, slow))
+        for number, node in enumerate(world.nodes)
+    ]
+    engines = [world.replicas[name] for name in ('engine-1', 'engine-2')]
+    await until(lambda: sum(len(engine.runs) for engine in engines) == 2)
+    for engine in engines:
+        engine.state = 'draining'
+        engine.remaining_ms = notice_ms
+        engine.register(world.store)
+    assert await asyncio.gather(*asked) == [expected, expected]
+
+
+# Guards against whole answers that are broken off where many end at once.
+async def test_many_answers_without_framing_are_whole(
+    world: AgencyWorld,
+) -> None:
+    node = await open_node(world)
+    every = [raw(WHOLE) for _ in range(100)]
+    answers = await asyncio.gather(
+        *(
+            ask(world, node, CHAT, f'many-{number}', *every)
+            for number in range(len(every))
+        )
+    )
+    assert answers == [(WHOLE, '1') for _ in every]
+
+
 ASIDE = b'data: aside\n\n'
 REST = WHOLE.removeprefix(TWO)
 TWO_CR = TWO.replace(b'\n', b'\r')
@@ -506,6 +705,23 @@
     assert not received.endswith(b'0\r\n\r\n')
 
 
+# Guards against a part that is complete as its target ended, and was back,
+# behind bytes that a slow caller kept the node from reading.
+async def test_a_target_that_is_back_before_its_end_is_read_is_another_one(
+    world: AgencyWorld,
+) -> None:
+    node = await open_node(world)
+    dying = raw(MUCH, pause_s=0, on_end=replacer(world, LATE_ENTRY_S))
+    reader, writer = await open_caller(world, node, 'HTTP/1.1', 'slow', dying)
+    received = bytearray()
+    with contextlib.closing(writer):
+        await asyncio.sleep(2 * UNREAD_S)
+        while piece := await reader.read(CALLER_BYTES):
+            received.extend(piece)
+    assert received.count(b'piece 1') > MUCH.count(b'piece 1') / 2
+    assert not received.endswith(b'0\r\n\r\n')
+
+
 FOREIGN = (
     b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
     b'X-Request-Id: other\r\nX-Server-Seal: other\r\n\r\ndata: foreign\n\n'
@@ -611,6 +827,33 @@
         assert answer == (WHOLE_JSON, '1')
 
 
+CODINGS = (
+    'Transfer-Encoding: gzip, chunked',
+    'Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked',
+    'Transfer-Encoding: gzip',
+    'Transfer-Encoding: chunked\r\nTransfer-Encoding: identity',
+    'Transfer-Encoding: chunked, identity',
+    'Transfer-Encoding: chunked,',
+)
+
+
+# Guards against bytes that a target encoded for the way, and that callers got
+# without the name of the coding; and against the lines of chunks in a body.
+@pytest.mark.parametrize('path', [POST, CHAT])
+async def test_an_answer_with_another_transfer_coding_is_broken_off(
+    world: AgencyWorld, path: str
+) -> None:
+    node = await open_node(world)
+    chunks = in_chunks(WHOLE, b'')
+    for coding in CODINGS:
+        coded = raw(*chunks, fields=(coding,))
+        assert await ask(world, node, path, f'{coding!r}', coded) == BROKEN
+    sent = raw(WHOLE, fields=('Transfer-Encoding: identity',))
+    assert await ask(world, node, path, 'identity', sent) == (WHOLE, '1')
+    sent = raw(*chunks, fields=('Transfer-Encoding: Chunked ',))
+    assert await ask(world, node, path, 'chunks', sent) == (WHOLE, '1')
+
+
 OTHER_TYPES = ('application/json', 'text/plain', 'application/octet-stream')
 
 
--- a/tests/test_node_relay.py
+++ b/tests/test_node_relay.py
@@ -30,14 +30,13 @@
 from mimosaworks.platform import decode_desired
 from mimosaworks.wire import NodeRow
 from standins.addresses import reserve_address
-from standins.agency.raw_answer import RawAnswer, in_chunks
+from standins.agency.raw_answer import CHUNKED, RawAnswer, in_chunks
 from standins.agency.replica import EVENTS, PLAIN, Replica, replica_app
 from standins.agency.world import HOST, KEY, desired
 from tests.dispatch_world import make_entry
 from tests.test_node_answer_ends import (
     BODY,
     BROKEN,
-    CHUNKED,
     INSIDE,
     RAW,
     RESETS,
--- a/tests/test_node_store_returns.py
+++ b/tests/test_node_store_returns.py
@@ -8,6 +8,7 @@
 import aiohttp
 import pytest
 
+from mimosaworks.clock import now_s
 from mimosaworks.deployment import TargetState
 from mimosaworks.dispatch import CrashTracker, TargetCrash
 from mimosaworks.errors import (
@@ -171,11 +172,14 @@
     assert saver.unsaved_rows(tracker, ROW_BYTES)
 
 
-# Guards against a leaving target that is ready again by an older copy.
+# Guards against a leaving target that is ready again by an older copy, or has
+# no end any more.
 def test_an_incarnation_that_leaves_goes_on_leaving() -> None:
     beliefs = ClusterState()
-    beliefs.apply_target_rows({'t': row('t', 5, state='draining')}, 0)
+    notice = {'state': 'draining', 'remaining-ms': 2000}
+    beliefs.apply_target_rows({'t': row('t', 5, **notice)}, 0)
     beliefs.apply_target_rows({'t': row('t', 3)}, 0)
     assert beliefs.targets['t'].state is TargetState.DRAINING
+    assert beliefs.targets['t'].leaves_at_s <= now_s() + 2
     beliefs.apply_target_rows({'t': row('t', 6, born=2)}, 0)
     assert beliefs.targets['t'].state is TargetState.READY
--- a/tests/test_standin_proxy.py
+++ b/tests/test_standin_proxy.py
@@ -1,6 +1,7 @@
 """Tests of the fault proxy and the plain service behind it."""
 
 import asyncio
+import socket
 from collections.abc import Iterator
 from http import HTTPStatus
 
@@ -139,3 +140,33 @@
         return False
 
     await wait_until(is_refused)
+
+
+# Guards against bytes that are taken for received, though their client had
+# closed its socket and the proxy had not learned of it yet.
+@pytest.mark.parametrize(
+    ('is_closed', 'expected'), [(False, [b'head']), (True, [])]
+)
+async def test_bytes_have_passed_when_an_open_client_has_them(
+    own_proxy: Proxy, is_closed: bool, expected: list[bytes]
+) -> None:
+    passed: list[bytes] = []
+    own_proxy.on_passed = passed.append
+    with socket.create_server(own_proxy.upstream) as listener:
+        listener.setblocking(False)
+        await own_proxy.open()
+        client = socket.create_connection(own_proxy.address)
+        loop = asyncio.get_running_loop()
+        upstream, _ = await loop.sock_accept(listener)
+
+        async def is_linked() -> bool:
+            return bool(own_proxy.links)
+
+        await wait_until(is_linked)
+        upstream.sendall(b'head')
+        if is_closed:
+            client.close()
+        await asyncio.sleep(0.1)
+        assert passed == expected
+        client.close()
+        upstream.close()
