The node that relays an answer judges its end

A relay judges the end as the caller's own node does, before it writes the last chunk, and breaks its own answer off otherwise. It says in its row that it does (judges_ends); nodes of earlier builds don't, and no other node is asked to relay.

--- a/mimosaworks/node/frontend_setup.py
+++ b/mimosaworks/node/frontend_setup.py
@@ -80,6 +80,7 @@
             target_chooser.latest_targets,
             node.stop_remaining_s,
             HeldBodies(bounds.body_bytes, node.meters.count_body_room),
+            end_judge,
         ),
         stall_detector=stall_detector,
     )
--- a/mimosaworks/node/node.py
+++ b/mimosaworks/node/node.py
@@ -103,6 +103,7 @@
             relays=not (
                 self.is_stopping or self.frontend.relay.paths.is_cut_off
             ),
+            judges_ends=True,
         )
 
     def caller_addresses(self) -> list[str]:
--- a/mimosaworks/node/relay.py
+++ b/mimosaworks/node/relay.py
@@ -3,13 +3,14 @@
 import asyncio
 import contextlib
 import math
-from collections.abc import Callable, Generator, Mapping
+from collections.abc import Awaitable, Callable, Generator, Mapping
 from http import HTTPStatus
 
 import attrs
 from aiohttp import (
     ClientConnectorError,
     ClientError,
+    ClientPayloadError,
     ClientResponse,
     ClientSession,
     ConnectionTimeoutError,
@@ -17,12 +18,14 @@
 )
 from yarl import URL
 
+from mimosaworks.body_framing import ends_with_connection, has_other_coding
 from mimosaworks.clock import now_s
 from mimosaworks.deployment import TargetEntry, TargetState
 from mimosaworks.dispatch import CallOutcome
 from mimosaworks.errors import RequestError
 from mimosaworks.events import Event, log_event
 from mimosaworks.node.attempt_error import AttemptError
+from mimosaworks.node.end_judge import EndJudge, EndProof, SentRequest
 from mimosaworks.node.held_bodies import (
     BodyHold,
     HeldBodies,
@@ -40,6 +43,7 @@
 from mimosaworks.node.sliced_body import sent_body
 from mimosaworks.node.target_notices import TargetNotices
 from mimosaworks.node.target_paths import TargetPaths
+from mimosaworks.node.witnesses import WatchedAnswer
 from mimosaworks.platform.headers import (
     EXPECTED_TARGET,
     NOT_RUN,
@@ -70,9 +74,10 @@
     its requests. The sender has checked all that it
     knows; the relay checks the target once more, right before the first byte.
     A request that it has not sent is answered so, with REFUSED or UNREACHED;
-    an answer that is incomplete ends with its connection. held_bodies bounds
-    the bytes of requests, also those of callers. running is the number of
-    requests that are relayed now.
+    an answer that is incomplete ends with its connection. end_judge judges the
+    ends of those without framing. held_bodies bounds the bytes of requests,
+    also those of callers. running is the number of requests that are relayed
+    now.
     """
 
     paths: TargetPaths
@@ -81,14 +86,16 @@
     find_targets: Callable[[], Mapping[str, TargetEntry]]
     stop_remaining_s: Callable[[], float | None]
     held_bodies: HeldBodies
+    end_judge: EndJudge = attrs.field(factory=EndJudge)
     running: int = 0
 
     async def handle_request(self, req: web.Request) -> web.StreamResponse:
         """Relay one request of a peer."""
+        received_s = now_s()
         with self._count_running(), self.held_bodies.hold() as hold:
             try:
                 body = await _read_body(req, hold)
-                return await self._forward(req, body)
+                return await self._forward(req, body, received_s)
             except AttemptError as exc:
                 return _not_sent(req, REFUSED, exc.reason)
             except (ClientConnectorError, ConnectionTimeoutError) as exc:
@@ -101,30 +108,54 @@
                 raise asyncio.CancelledError from exc
 
     async def _forward(
-        self, req: web.Request, body: bytes | bytearray
+        self, req: web.Request, body: bytes | bytearray, received_s: float
     ) -> web.StreamResponse:
         address = req.headers.get(RELAY_TO, '')
         target = req.headers.get(EXPECTED_TARGET, '')
         path = req.raw_path.removeprefix(RELAY_PREFIX)
         self._check_stop(req)
-        guard = SendGuard(lambda: self._check_target(target, address))
         # Before a connection is made as well.
         self._check_target(target, address)
-        async with self.session.request(
-            req.method,
-            URL(f'http://{address}{path}', encoded=True),
-            data=sent_body(body),
-            headers=[
-                (name, sent)
-                for name, sent in req.headers.items()
-                if name.lower() not in _OWN_HEADERS
-            ]
-            + [('Host', req.headers.get('Host', ''))],
-            skip_auto_headers=_SKIPPED_HEADERS,
-            allow_redirects=False,
-            trace_request_ctx=guard,
-        ) as resp:
-            return await _pass_on(req, resp)
+        left_s = read_time_left_s(req.headers) or math.inf
+        sent = SentRequest(
+            target,
+            address,
+            self.find_targets()[target].incarnation,
+            received_s + left_s,
+        )
+        async with self.end_judge.witnesses.watch(address) as answer:
+
+            def begin_sending() -> None:
+                self._check_target(target, address)
+                answer.note_sending()
+
+            async with self.session.request(
+                req.method,
+                URL(f'http://{address}{path}', encoded=True),
+                data=sent_body(body),
+                headers=[
+                    (name, field)
+                    for name, field in req.headers.items()
+                    if name.lower() not in _OWN_HEADERS
+                ]
+                + [('Host', req.headers.get('Host', ''))],
+                skip_auto_headers=_SKIPPED_HEADERS,
+                allow_redirects=False,
+                trace_request_ctx=SendGuard(begin_sending),
+            ) as resp:
+                if ends_with_connection(resp):
+                    answer.read_head(resp)
+                return await _pass_on(
+                    req, resp, lambda: self._confirm_end(sent, answer)
+                )
+
+    async def _confirm_end(
+        self, sent: SentRequest, answer: WatchedAnswer
+    ) -> EndProof:
+        """Raise ClientError for an end that does not show a whole answer."""
+        if not answer.has_open_end:
+            return EndProof.NONE
+        return await self.end_judge.check_end(sent, answer)
 
     def _check_stop(self, req: web.Request) -> None:
         """Raise AttemptError for a request that may outlast this node."""
@@ -178,9 +209,17 @@
 
 
 async def _pass_on(
-    req: web.Request, resp: ClientResponse
+    req: web.Request,
+    resp: ClientResponse,
+    confirm_end: Callable[[], Awaitable[EndProof]],
 ) -> web.StreamResponse:
-    """Pass an answer on as it arrives, under its own framing."""
+    """Pass an answer on as it arrives, under its own framing.
+
+    confirm_end is called before the asking node is told of its end.
+    """
+    if has_other_coding(resp):
+        resp.close()
+        raise ClientPayloadError('the answer has another Transfer-Encoding')
     answer = web.StreamResponse(
         status=resp.status, headers=answer_headers(resp.headers)
     )
@@ -189,8 +228,11 @@
     await answer.prepare(req)
     async for chunk in resp.content.iter_any():
         await answer.write(chunk)
+    end_proof = await confirm_end()
     await answer.write_eof()
-    _log_relayed(req, ANSWERED, f'status {resp.status}')
+    is_unproven = end_proof is EndProof.NONE
+    end = '' if is_unproven else f', end confirmed by a {end_proof.value}'
+    _log_relayed(req, ANSWERED, f'status {resp.status}{end}')
     return answer
 
 
--- a/mimosaworks/node/relay_peers.py
+++ b/mimosaworks/node/relay_peers.py
@@ -50,7 +50,8 @@
     def find_relay(self) -> str:
         """Return the peer address of a relay, empty to send without one.
 
-        Nodes of the own data centre go first.
+        Nodes of the own data centre go first. Earlier releases are left out:
+        what they relay looks complete also where the target broke it off.
         """
         if not self.paths.is_cut_off:
             return ''
@@ -64,6 +65,7 @@
             row
             for row in self.list_members().values()
             if row.relays
+            and row.judges_ends
             and row.name != self.name
             and row.peer_address not in self._failed_until_s
         ]
--- a/mimosaworks/wire/dispatch.capnp
+++ b/mimosaworks/wire/dispatch.capnp
@@ -81,6 +81,7 @@
   strength @5 :Float64;
   startedS @6 :Float64;
   relays @7 :Bool;
+  judgesEnds @8 :Bool;
 }
 
 struct LeaseNotice {
--- a/mimosaworks/wire/dispatch_messages.py
+++ b/mimosaworks/wire/dispatch_messages.py
@@ -127,6 +127,8 @@
     """One entry node; is_stopping ones take no new callers.
 
     relays: it reaches targets, and sends requests there for other nodes.
+    judges_ends: an answer that it relays is complete only if its end shows
+    that; earlier releases don't know the field.
 
     strength, in cores, and started_s, the Unix time of the process's start,
     order the nodes that may become holder.
@@ -140,6 +142,7 @@
     strength: float = 0
     started_s: float = 0
     relays: bool = False
+    judges_ends: bool = False
 
 
 @attrs.frozen
--- a/standins/agency/world.py
+++ b/standins/agency/world.py
@@ -22,6 +22,7 @@
 from standins.processes import ProcessRunner
 
 NAME = 'name'
+NODE_MODULE = 'mimosaworks.cmdline.node'
 HOST = 'camp.example'
 KEY = 'key-1'
 OTHER_KEY = 'key-2'
@@ -243,18 +244,22 @@
         return replica
 
     async def add_node(
-        self, name: str, boot: dict[str, Any] | None = None
+        self,
+        name: str,
+        boot: dict[str, Any] | None = None,
+        module: str = NODE_MODULE,
     ) -> NodeHandle:
         """Start a real node and wait until it serves callers.
 
-        boot are the settings of an earlier process of the same node.
+        boot are the settings of an earlier process of the same node; module is
+        the program.
         """
         boot = boot or self._boot(name)
         path = self.folder / f'{name}.json'
         path.write_text(json.dumps(boot))
         process = await self.runner.start(
             name,
-            'mimosaworks.cmdline.node',
+            module,
             boot['listen']['front'],
             '--boot',
             str(path),
--- a/tests/test_node_relay.py
+++ b/tests/test_node_relay.py
@@ -33,11 +33,15 @@
 from standins.agency.raw_answer import CHUNKED, RawAnswer, in_chunks
 from standins.agency.replica import EVENTS, PLAIN, Replica, replica_app
 from standins.agency.world import HOST, KEY, desired
+from standins.faultproxy.proxy import Proxy
 from tests.dispatch_world import make_entry
 from tests.test_node_answer_ends import (
     BODY,
     BROKEN,
+    FOREIGN,
+    FRAMED,
     INSIDE,
+    NO_EVENTS,
     RAW,
     RESETS,
     STREAMS,
@@ -154,6 +158,13 @@
     return app
 
 
+def make_row(name: str, **fields: Any) -> NodeRow:
+    row = NodeRow(
+        name, 'f', f'{name}:1', 'north', relays=True, judges_ends=True
+    )
+    return attrs.evolve(row, **fields)
+
+
 @contextlib.asynccontextmanager
 async def open_relay_world() -> AsyncGenerator[RelayWorld, None]:
     async with contextlib.AsyncExitStack() as stack:
@@ -175,7 +186,7 @@
             HeldBodies(ANSWER_BYTES),
         )
         address = await serve(relay_app(relay), stack)
-        row = NodeRow('other', 'f', address, 'north', relays=True)
+        row = make_row('other', peer_address=address)
         paths = TargetPaths(tuple, is_cut_off=True)
         peers = RelayPeers('own', 'north', paths, lambda: {'other': row})
         world = RelayWorld(
@@ -211,6 +222,7 @@
         assert (resp.status, await resp.read()) == (200, PLAIN)
         assert resp.headers['X-Server-Seal'] == 'seal-engine-1'
         assert 'Mimosa-Relayed' not in resp.headers
+        assert 'Mimosa-Relayed-Framing' not in resp.headers
     sent = {
         name.lower(): text for name, text in world.replica.headers[-1].items()
     }
@@ -301,6 +313,11 @@
     'reset, HTTP/1.0': raw(TWO, status='HTTP/1.0 200 OK', is_reset=True),
     'plain, reset': plain(BODY, is_reset=True),
     'plain, none, reset': plain(is_reset=True),
+    'coded': raw(
+        *in_chunks(WHOLE, b''), fields=('Transfer-Encoding: gzip, chunked',)
+    ),
+    'another answer': raw(TWO, FOREIGN[:50], FOREIGN[50:]),
+    'plain, another answer': plain(BODY, FOREIGN),
     'plain, large, reset': plain(BODY * 200000, is_reset=True),
 })
 
@@ -318,6 +335,11 @@
     assert await ask(world, path, chunks) == (WHOLE, '1')
     for name, sent in BROKEN_ANSWERS.items():
         assert await ask(world, path, sent) == BROKEN, name
+    for name, body in NO_EVENTS.items():
+        expected = (body, '1') if path == '/look/x' else BROKEN
+        assert await ask(world, path, raw(body)) == expected, name
+        for make in FRAMED.values():
+            assert await ask(world, path, make(body)) == (body, '1'), name
 
 
 # Guards against an answer without framing that the end of the node that relays
@@ -329,7 +351,7 @@
     slow = raw(TWO, *SPLIT, pause_s=0.5)
     async with contextlib.AsyncExitStack() as stack:
         address = await serve(relay_app(world.relay), stack)
-        row = NodeRow('other', 'f', address, 'north', relays=True)
+        row = make_row('other', peer_address=address)
         world.peers.list_members = lambda: {'other': row}
         asked = asyncio.create_task(ask(world, path, slow))
         await until(lambda: bool(world.replica.runs))
@@ -338,6 +360,60 @@
     assert [exc.outcome for exc in world.failures] == [CallOutcome.BROKEN]
 
 
+# Guards against an answer without framing that the way round completes, though
+# its target ended behind an event or in a plain body, or at its time limit.
+@pytest.mark.parametrize('path', ['/chat/x', '/draft/x', '/look/x'])
+async def test_a_relay_breaks_off_answers_that_something_else_ended(
+    world: RelayWorld, path: str
+) -> None:
+    host, _, port = reserve_address().rpartition(':')
+    upstream_host, _, upstream_port = world.replica.address.rpartition(':')
+    proxy = Proxy((host, int(port)), (upstream_host, int(upstream_port)))
+    world.replica.address = f'{host}:{port}'
+    entry = attrs.evolve(make_entry('engine-1'), address=f'{host}:{port}')
+    world.relay.find_targets = lambda: {'engine-1': entry}
+
+    def end_target(_: str) -> None:
+        proxy.refuse()
+
+    with contextlib.closing(proxy):
+        for sent in (raw(TWO), plain(BODY), plain(), plain(BODY * 200000)):
+            await proxy.open()
+            body = b''.join(sent.pieces)
+            assert await ask(world, path, sent) == (body, '1')
+            dying = attrs.evolve(sent, on_end=end_target)
+            assert await ask(world, path, dying) == BROKEN
+            stopped = attrs.evolve(sent, pause_s=3.94)
+        await proxy.open()
+        assert await ask(world, path, stopped) == BROKEN
+
+
+# Guards against an answer without framing that the way round completes, as its
+# target had started again when it was asked.
+async def test_a_relay_breaks_off_an_answer_whose_target_starts_again(
+    world: RelayWorld,
+) -> None:
+    host, _, port = reserve_address().rpartition(':')
+    upstream_host, _, upstream_port = world.replica.address.rpartition(':')
+    proxy = Proxy((host, int(port)), (upstream_host, int(upstream_port)))
+    world.replica.address = f'{host}:{port}'
+    entry = attrs.evolve(make_entry('engine-1'), address=f'{host}:{port}')
+    world.relay.find_targets = lambda: {'engine-1': entry}
+    tasks = []
+
+    def restart_target(_: str) -> None:
+        proxy.refuse()
+        proxy.close_unused()
+        tasks.append(asyncio.create_task(proxy.open()))
+
+    with contextlib.closing(proxy):
+        await proxy.open()
+        for sent in (plain(BODY, pause_s=0.2), plain()):
+            dying = attrs.evolve(sent, on_end=restart_target)
+            assert await ask(world, '/look/x', dying) == BROKEN
+            await asyncio.gather(*tasks)
+
+
 # Guards against a target that goes on working for a caller who has left.
 async def test_a_caller_that_leaves_is_noticed_by_the_target(
     world: RelayWorld,
@@ -388,7 +464,7 @@
 
 
 def _end_relay(world: RelayWorld) -> None:
-    row = NodeRow('other', 'f', '127.0.0.1:9', 'north', relays=True)
+    row = make_row('other', peer_address='127.0.0.1:9')
     world.peers.list_members = lambda: {'other': row}
 
 
@@ -427,26 +503,23 @@
     async with contextlib.AsyncExitStack() as stack:
         stray = Replica('stray', 'engines', 'north')
         address = await serve(replica_app(stray), stack)
-        row = NodeRow('other', 'f', address, 'north', relays=True)
+        row = make_row('other', peer_address=address)
         world.peers.list_members = lambda: {'other': row}
         with pytest.raises(ClientError):
             await _read(world)
     assert [exc.outcome for exc in world.failures] == [CallOutcome.BROKEN]
 
 
-def make_row(name: str, **fields: Any) -> NodeRow:
-    row = NodeRow(name, 'f', f'{name}:1', 'north', relays=True)
-    return attrs.evolve(row, **fields)
-
-
 # Guards against a way round over a node that is cut off as well, or that runs
-# an earlier release, and against one through another data centre without need.
+# an earlier release, which completes answers that were broken off, and against
+# one through another data centre without need.
 def test_relays_are_near_nodes_that_reach_targets() -> None:
     rows = {
         'own': make_row('own'),
         'near': make_row('near'),
         'far': make_row('far', data_centre='south'),
         'cut': make_row('cut', relays=False),
+        'earlier': make_row('earlier', judges_ends=False),
     }
     paths = TargetPaths(tuple)
     peers = RelayPeers('own', 'north', paths, lambda: rows)
