Answered and flowing requests are no signs of a crash

A node without a path to the targets counted each relayed attempt as a possible crash, whatever became of it, also an answer with 200 and one that was not sent, as each condition alone was enough. And a stream that this node cut by its deadline, or as its caller left, counted while it flowed, though its target ran.

An attempt counts only where it was left without an answer or was broken; relayed ones are then unconfirmed.

--- a/mimosaworks/node/answer_relay.py
+++ b/mimosaworks/node/answer_relay.py
@@ -78,6 +78,7 @@
     relayed_stream.buffer.begin_run()
     async for chunk in resp.content.iter_any():
         progress.record_bytes()
+        progress.hooks.on_stream_bytes()
         if not call.is_answer_started:
             call.is_answer_started = True
             progress.record_first_bytes()
--- a/mimosaworks/node/attempt_progress.py
+++ b/mimosaworks/node/attempt_progress.py
@@ -13,11 +13,12 @@
 
     on_first_bytes is called with the seconds from the send to the first bytes
     of the answer, on_stream_begun before the caller gets the first part of a
-    stream.
+    stream, on_stream_bytes whenever bytes of a stream arrive.
     """
 
     on_first_bytes: Callable[[float], None]
     on_stream_begun: Callable[[], None]
+    on_stream_bytes: Callable[[], None]
 
 
 @attrs.frozen
--- a/mimosaworks/node/call.py
+++ b/mimosaworks/node/call.py
@@ -1,5 +1,7 @@
 """State of one caller's request at an entry node."""
 
+import math
+
 import attrs
 from aiohttp import web
 
@@ -10,8 +12,12 @@
 from mimosaworks.node.end_judge import EndProof
 from mimosaworks.node.relayed_stream import RelayedStream
 from mimosaworks.node.sliced_body import SentBody, sent_body
+from mimosaworks.node.stall_detector import STALL_THRESHOLD_S
 from mimosaworks.wire import CallAsk
 
+# Twice the time after which a pause of this process is noticed.
+FLOWING_STREAM_S = 2 * STALL_THRESHOLD_S
+
 
 @attrs.define(eq=False)
 class Call:
@@ -31,9 +37,10 @@
     caller's request that began the stream which this one resumes, None if it
     resumes none. is_relayed: the latest attempt went through another node.
     framing tells what ends the latest answer, end_proof what confirmed the end
-    of one without framing. is_ended_by_node: the stopping node ended the
-    request. closes_connection: the caller's connection is closed after the
-    answer.
+    of one without framing. stream_bytes_s is the earliest time at which the
+    last bytes of the latest attempt's stream may have arrived.
+    is_ended_by_node: the stopping node ended the request. closes_connection:
+    the caller's connection is closed after the answer.
     """
 
     req: web.BaseRequest
@@ -54,6 +61,7 @@
     call_ask: CallAsk | None = None
     target: str = ''
     sent_s: float = 0
+    stream_bytes_s: float = -math.inf
     is_answer_started: bool = False
     may_have_run: bool = False
     relayed_stream: RelayedStream | None = None
@@ -70,6 +78,24 @@
         """The keys under which crashes of its targets are counted."""
         return suspect_keys(self.fingerprint, self.profile)
 
+    def begin_attempt(self, target: str, sent_s: float) -> None:
+        """Record that it is sent to a target now."""
+        self.target = target
+        self.sent_s = sent_s
+        self.stream_bytes_s = -math.inf
+
+    def record_stream_bytes(self, arrived_s: float) -> None:
+        """Record that bytes of a stream came, at this time or later."""
+        self.stream_bytes_s = arrived_s
+
+    def has_flowing_stream(self) -> bool:
+        """Return whether bytes of a stream came from the target just now.
+
+        A node that relays a stream may hold its bytes for longer.
+        """
+        age_s = now_s() - self.stream_bytes_s
+        return not self.is_relayed and age_s < FLOWING_STREAM_S
+
     def may_resend(self) -> bool:
         """Return whether it may be sent again though it may have run."""
         may_repeat = self.route.is_resumable
--- a/mimosaworks/node/frontend.py
+++ b/mimosaworks/node/frontend.py
@@ -206,6 +206,9 @@
                         assignment,
                         self.target_chooser,
                     ),
+                    lambda: call.record_stream_bytes(
+                        self.stall_detector.earliest_arrival_s()
+                    ),
                 ),
             )
             attempt.outcome = outcome_for_status(answer.status)
@@ -227,8 +230,7 @@
         """Record the start and the end of an attempt at a target."""
         sent_s = now_s()
         call_id = '' if call.call_ask is None else call.call_ask.call
-        call.target = assignment.target
-        call.sent_s = sent_s
+        call.begin_attempt(assignment.target, sent_s)
         self.running_calls[call_id] = call
         self.target_chooser.standalone_chooser.adjust_running_count(
             assignment.target, 1
@@ -282,25 +284,28 @@
         """Record a crash if the target may have crashed during a request.
 
         A missing or incomplete answer may be the only sign of a target that
-        became unreachable.
+        became unreachable. A stream that was cut on this side while it flowed
+        shows that its target ran.
         """
+        is_unanswered = outcome in _UNANSWERED_OUTCOMES
+        if is_unanswered and call.has_flowing_stream():
+            return
+        if not is_unanswered and outcome is not CallOutcome.BROKEN:
+            return
         is_unconfirmed = (
-            outcome in _UNANSWERED_OUTCOMES
-            or call.is_relayed
-            or self.relay.paths.is_cut_off
+            is_unanswered or call.is_relayed or self.relay.paths.is_cut_off
         )
-        if is_unconfirmed or outcome is CallOutcome.BROKEN:
-            self.meters.possible_crashes.labels(
-                'silent' if is_unconfirmed else 'cut'
-            ).inc()
-            crash = TargetCrash(
-                call.fingerprint,
-                assignment.target,
-                assignment.incarnation,
-                assignment.crash_count,
-                is_unconfirmed=is_unconfirmed,
-            )
-            self.target_chooser.record_crash(call, crash, sent_s)
+        self.meters.possible_crashes.labels(
+            'silent' if is_unconfirmed else 'cut'
+        ).inc()
+        crash = TargetCrash(
+            call.fingerprint,
+            assignment.target,
+            assignment.incarnation,
+            assignment.crash_count,
+            is_unconfirmed=is_unconfirmed,
+        )
+        self.target_chooser.record_crash(call, crash, sent_s)
 
     async def _prepare_resend(self, call: Call, exc: AttemptError) -> None:
         """Return when the request may be sent again.
--- a/tests/test_node_relay.py
+++ b/tests/test_node_relay.py
@@ -137,7 +137,7 @@
                 call,
                 assignment,
                 _ignore,
-                ProgressHooks(_ignore, _ignore),
+                ProgressHooks(_ignore, _ignore, _ignore),
             )
         except AttemptError as exc:
             world.failures.append(exc)
