Each order and report has a connection of its own

Cause: orders and reports have no id. On a kept connection the bytes of an earlier answer are taken for the next one, as other answers inside a body were.

They use a connection each, as nothing in them tells whose an answer is.

--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -26,7 +26,11 @@
     save_rows_again,
 )
 from mimosaworks.node.planned_stop import log_stopped, stop_node
-from mimosaworks.node.sessions import open_session, open_target_session
+from mimosaworks.node.sessions import (
+    open_engine_calls,
+    open_session,
+    open_target_session,
+)
 from mimosaworks.node.target_chooser import TargetChooser
 from mimosaworks.node.target_notices import (
     TargetNotices,
@@ -34,7 +38,6 @@
 )
 from mimosaworks.platform import (
     BootSettings,
-    EngineCalls,
     StoreClient,
 )
 from mimosaworks.serving import start_task, stop_event
@@ -86,6 +89,7 @@
     target_session = await open_target_session(
         stack, TARGET_IDLE_TIMEOUT_S, bounds.answers.answer_bytes
     )
+    engine_calls = await open_engine_calls(stack, bounds.answers.answer_bytes)
     peer_session = await open_session(
         stack, PEER_IDLE_TIMEOUT_S, MAX_PEER_ANSWER_BYTES
     )
@@ -109,7 +113,7 @@
             f'http://{store_address}',
             meters.count_store_call,
         ),
-        engine_calls=EngineCalls(target_session),
+        engine_calls=engine_calls,
         meters=meters,
     )
     node.store_client.era.on_new_era = functools.partial(save_rows_again, node)
--- a/mimosaworks/node/sessions.py
+++ b/mimosaworks/node/sessions.py
@@ -8,6 +8,7 @@
 
 from mimosaworks.bounded_answers import BoundedConnector
 from mimosaworks.node.attempt_sender import CONNECT_TIMEOUT_S
+from mimosaworks.platform import EngineCalls
 from mimosaworks.platform.headers import REQUEST_ID
 from mimosaworks.send_guard import guard_trace
 
@@ -25,12 +26,13 @@
 
 async def open_session(
     stack: contextlib.AsyncExitStack,
-    idle_timeout_s: float,
+    idle_timeout_s: float | None,
     max_answer_bytes: int,
     id_header: str = '',
 ) -> aiohttp.ClientSession:
     """Return a session that keeps idle connections for idle_timeout_s.
 
+    With None it opens a connection for each request.
     It closes a connection on which an answer exceeds max_answer_bytes.
     id_header is the header field with a request's id, by which its answer is
     recognised; empty where answers have none.
@@ -39,7 +41,8 @@
         max_answer_bytes,
         id_header,
         limit=0,
-        keepalive_timeout=idle_timeout_s,
+        force_close=idle_timeout_s is None,
+        **_keepalive(idle_timeout_s),
         socket_factory=_make_socket,
     )
     session = aiohttp.ClientSession(
@@ -68,6 +71,24 @@
     )
 
 
+async def open_engine_calls(
+    stack: contextlib.AsyncExitStack, max_answer_bytes: int
+) -> EngineCalls:
+    """Return the orders and reports of a node, a connection for each.
+
+    They have no id: on a kept connection, a late copy of an earlier answer
+    would be taken for the next one.
+    """
+    return EngineCalls(await open_session(stack, None, max_answer_bytes))
+
+
+def _keepalive(idle_timeout_s: float | None) -> dict[str, float]:
+    # The base refuses the parameter for connections that are not kept.
+    if idle_timeout_s is None:
+        return {}
+    return {'keepalive_timeout': idle_timeout_s}
+
+
 def _make_socket(info: AddrInfo) -> socket.socket:
     family, socket_type, proto = info[:3]
     sock = socket.socket(family, socket_type, proto)
