Accept several connections in each round of the loop

Seen: a node that stops or that is held up loses requests which had been sent to it, as their connections wait unread in the queue of its socket.

Cause: uvloop accepts one connection in each round of its loop. While rounds are long, callers wait for as many rounds as there are others in front of them.

The node accepts up to 16 connections a round itself, and before it closes its listening socket it accepts what waits, until the time for requests in flight is over. What was accepted last is read in the rounds that follow.

The test makes a loop's rounds long and counts what is served, on uvloop and on asyncio's loop.

--- a/mimosaworks/node/caller_server.py
+++ b/mimosaworks/node/caller_server.py
@@ -8,6 +8,8 @@
 from aiohttp import web
 
 from mimosaworks.bounded_answers import HeldBytes
+from mimosaworks.clock import now_s
+from mimosaworks.node.caller_listener import CallerListener, listen
 from mimosaworks.node.head_timeout_server import HeadTimeoutServer
 from mimosaworks.node.sessions import MAX_HEADER_FIELD_BYTES
 from mimosaworks.serving import PROMPT_SHUTDOWN_S
@@ -26,11 +28,18 @@
     """A listening server with the connections of its callers."""
 
     server: web.Server
-    site: web.TCPSite
+    listener: CallerListener
 
-    async def stop_listening(self) -> None:
-        """Stop accepting connections; open ones stay."""
-        await self.site.stop()
+    async def stop_listening(self, accept_until_s: float) -> None:
+        """Stop accepting connections; open ones stay.
+
+        Those that wait are accepted before, until accept_until_s at most.
+        """
+        while now_s() < accept_until_s:
+            if not self.listener.has_waiting_connections():
+                break
+            await asyncio.sleep(0)
+        self.listener.close()
 
     def count_connections(self) -> int:
         """Return the number of open connections."""
@@ -84,7 +93,6 @@
     runner = web.ServerRunner(server, shutdown_timeout=PROMPT_SHUTDOWN_S)
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
-    host, _, port = address.rpartition(':')
-    site = web.TCPSite(runner, host, int(port))
-    await site.start()
-    return CallerServer(server, site)
+    listener = await listen(server, address)
+    stack.callback(listener.close)
+    return CallerServer(server, listener)
