A node told twice to give up a wait at the store goes on

Cause: the second call moved a timeout that had already expired, while the wait was still being given up; asyncio raises for that.

One that has expired is left alone, as its wait ends already. Run on the code before, the new test fails with "Cannot change state of expiring Timeout".

--- a/mimosaworks/node/table_follower.py
+++ b/mimosaworks/node/table_follower.py
@@ -87,8 +87,12 @@
         """
         self._idle_pause.wake()
         is_old = now_s() - self._follow_started_s > MIN_FOLLOW_AGE_S
-        if self._follow_timeout is not None and is_old:
-            self._follow_timeout.reschedule(asyncio.get_running_loop().time())
+        follow_timeout = self._follow_timeout
+        # One that has expired, and whose wait has not ended yet, can't be set.
+        if follow_timeout is None or follow_timeout.expired():
+            return
+        if is_old:
+            follow_timeout.reschedule(asyncio.get_running_loop().time())
 
     async def _read_once(self) -> float:
         """Read once; return the seconds until the next read."""
--- a/tests/test_node_table_feed.py
+++ b/tests/test_node_table_feed.py
@@ -122,6 +122,36 @@
     assert not feed.is_store_lost
 
 
+@attrs.define(eq=False)
+class LingeringStore(ScriptedStore):
+    """Never answers, and takes some time to give up a connection."""
+
+    async def follow(self, table: str, after: int, wait_s: float) -> RowsAnswer:
+        """Wait for ever."""
+        self._check()
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            await asyncio.sleep(MIN_FOLLOW_AGE_S)
+            raise
+        raise AssertionError
+
+
+# Guards against a node that ends by itself when it is told twice, by a new
+# holder and by a store that is back, to give up the same connection.
+async def test_a_feed_can_be_told_to_ask_again_while_it_gives_up() -> None:
+    store = LingeringStore((ROW,))
+    feed = make(store, [])
+    task = asyncio.create_task(feed.run())
+    await asyncio.sleep(2 * MIN_FOLLOW_AGE_S)
+    feed.restart_follow()
+    await asyncio.sleep(0.1)
+    feed.restart_follow()
+    await asyncio.sleep(2 * MIN_FOLLOW_AGE_S)
+    task.cancel()
+    assert store.tries > 2
+
+
 @attrs.define(eq=False)
 class SlowStore(ScriptedStore):
     """Answers with a change some time after it was asked."""
