--- a/bench/soak_load.py
+++ b/bench/soak_load.py
@@ -17,10 +17,13 @@
 
 PAUSE_S = 0.02
 LIMIT_S = 4.0  # the deadline of a request
+SHORT_LIMIT_S = 0.6  # of one in EVERY, so that targets can wait for it
+EVERY = 16
 ONCE = ('/post/', '/chat/')  # requests that must not be repeated
 STREAMS = ('/chat/', '/draft/')
 NOT_RUN = frozenset((408, 421, 429, 503))
 OK = 200
+MS = 1000
 
 
 @attrs.frozen
@@ -105,9 +108,11 @@
         # One half has the same content, the other its own each.
         said = b'%s%s' % (ECHO, request_id.encode()) if number % 2 else b''
         path = self.rng.choice(('/post/', '/look/', '/chat/', '/draft/'))
+        limit_s = SHORT_LIMIT_S if number % EVERY == 1 else LIMIT_S
         extra = self._more(path)
+        extra['X_Deadline'] = str(round(limit_s * MS))
         node = self.rng.choice(self.world.nodes)
-        self.sent[request_id] = Sent(place_of(node), time.monotonic())
+        self.sent[request_id] = Sent(place_of(node), time.monotonic(), limit_s)
         status, body, seals = await self._ask(
             node, path, request_id, said or b'{}', **extra
         )
--- a/bench/soak_planned.py
+++ b/bench/soak_planned.py
@@ -21,7 +21,7 @@
 from bench.soak_crashes import refused_bystanders
 from bench.soak_extras import SoakExtras
 from bench.soak_faults import SoakFaults
-from bench.soak_load import OK, SoakLoad, broken_promises
+from bench.soak_load import OK, SoakLoad
 from bench.soak_lost import broken_stops
 from bench.soak_plans import SoakPlans, patient_state
 from bench.soak_unframed import SoakUnframed
@@ -79,7 +79,7 @@
             unframed=unframed.count(),
             faults=tuple(faults.history),
             broken=(
-                *broken_promises(world, list(unframed.undress(load.seen))),
+                *unframed.broken_promises(load.seen),
                 *broken_stops(world, load, faults.spans),
                 *broken_recovery(after),
                 *refused_bystanders(after),
