Play the fuzz of held bodies in virtual time

Cause: the seed drew the waits, but the machine decided how long they took, and so who met whom. An interpreter that is late, or another rounding of timers, gives another run of the same seed.

All asserts are the same, and the time-out bounds the loop's time. The waits are whole milliseconds, to which the timers of a real loop are rounded, too: with waits drawn as fractions nothing would happen in the same turn of the loop in virtual time, and room that is given to a caller who leaves at that moment would no longer be tested.

Measured with mutants of held_bodies.py: each of room lost when a caller leaves, room given without being counted, room counted twice, a place in the queue that is not left, a wait without bound, and three of the race between a turn and a caller that leaves, fails all five seeds. Not caught, before or now: a caller that leaves the queue and gives no room to those behind it.

--- a/tests/test_node_body_room.py
+++ b/tests/test_node_body_room.py
@@ -24,12 +24,15 @@
     desired,
     open_agency,
 )
+from tests.jumping_loop import JumpingLoop
 
 BODY_BYTES = 4194304
 CALLERS = 40  # three times as many as there is room for
 ROOM = 4000000
 REQUESTS = 300
-WAIT_S = 0.02
+STEP_S = 0.001  # what an event loop's timers are rounded to
+WAIT_STEPS = 20
+WAIT_S = WAIT_STEPS * STEP_S
 SHORT_S = 0.3
 TIMEOUT_MS = 3000
 ENDS = (
@@ -64,6 +67,11 @@
         await asyncio.sleep(0)
 
 
+async def pause(rng: random.Random, most_steps: int) -> None:
+    """Wait; in whole steps, so that some events fall together."""
+    await asyncio.sleep(rng.randint(0, most_steps) * STEP_S)
+
+
 async def use_room(
     bodies: HeldBodies, rng: random.Random, ends: Counter[str]
 ) -> None:
@@ -73,7 +81,7 @@
             with bodies.hold() as hold:
                 await fill(hold, rng)
                 assert bodies.held <= bodies.all_bytes
-                await asyncio.sleep(rng.random() * WAIT_S)
+                await pause(rng, WAIT_STEPS)
                 ends['served'] += 1
     except TimeoutError:
         ends['left'] += 1
@@ -81,18 +89,27 @@
         ends['refused'] += 1
 
 
+async def _use_room_often(
+    bodies: HeldBodies, rng: random.Random
+) -> Counter[str]:
+    """Return how many requests ended in which way."""
+    ends: Counter[str] = Counter()
+    async with asyncio.timeout(REQUESTS * WAIT_S), asyncio.TaskGroup() as tasks:
+        for _ in range(REQUESTS):
+            tasks.create_task(use_room(bodies, rng, ends))
+            await pause(rng, WAIT_STEPS // 4)
+    return ends
+
+
 # Guards against room that is lost or given twice when callers leave, wait or
 # are refused, and against requests that wait for each other's room for ever.
 @pytest.mark.parametrize('seed', range(5))
-async def test_nothing_is_held_after_all_ended(seed: int) -> None:
+def test_nothing_is_held_after_all_ended(seed: int) -> None:
     rng = random.Random(seed)  # noqa: S311 -- replayable
     found: Counter[RoomResult] = Counter()
     bodies = HeldBodies(ROOM, lambda room_result: found.update([room_result]))
-    ends: Counter[str] = Counter()
-    async with asyncio.timeout(REQUESTS * WAIT_S), asyncio.TaskGroup() as tasks:
-        for _ in range(REQUESTS):
-            tasks.create_task(use_room(bodies, rng, ends))
-            await asyncio.sleep(rng.random() * WAIT_S / 4)
+    with asyncio.Runner(loop_factory=JumpingLoop) as runner:
+        ends = runner.run(_use_room_often(bodies, rng))
     assert (bodies.held, bodies.waiting_count) == (0, 0)
     assert ends.total() == REQUESTS
     assert min(ends['served'], ends['left'], ends['refused']) > 1
