Wait for the log of a node before its lines are counted

Seen by reading: test_only_streams_that_fell_silent_hold_requests_back counted the lines of abandoned calls right behind an answer, and asked whether an end was seen at all.

Cause: a node writes its log in a thread behind the answers.

Now the line of the last request is waited for. The lines come in order, so all before it are there by then: as strict for the count, and stricter for the case in which no end may be seen. Both cases pass (load 25).

--- a/tests/test_node_flowing_streams.py
+++ b/tests/test_node_flowing_streams.py
@@ -8,7 +8,7 @@
 
 from standins.agency.replica import EVENTS_HEADER
 from standins.agency.world import MODELS, AgencyWorld, open_agency
-from tests.test_node_processes import until_served
+from tests.test_node_processes import until, until_served
 
 TARGETS = 3
 CALLERS = 15  # enough for a run at each target
@@ -80,6 +80,14 @@
         engine.event_s = FLOWING_S
     found, _ = await ask(world, 'last', 2, SILENT_S)
     assert found == status
+    # The log is written behind the answers, in their order.
+    await until(
+        lambda: any(
+            line['request_id'] == 'last'
+            for event in ('call_answered', 'call_refused')
+            for line in node.events(event)
+        )
+    )
     seen = node.events('target_end_seen')
     assert bool(seen) == (status != 200)
     assert len(node.events('call_abandoned')) == CALLERS
