Ends: keep the incarnation that a target reported

A target that had started again, of which a node did not know yet, had its whole answers without framing broken off: each that was still running when the target's entry arrived, also where an idle connection had shown the same process from the send to the end, and each without such a connection.

The judge compared only with the incarnation of the entry that the node sent by, which lags. It had read the later one in the report at the end of the first such answer, and forgot it.

The last incarnation that a target reported is kept now, and a request carries it from before its send. A process that reported it before the send and reports it again behind the end was there all along, so that the answer is its own. Nothing else changes: a process that reports another one, or nothing, confirms no end that was broken off before, nor does an entry alone.

The first answer of such a target is still broken off where no idle connection was open before its send.

--- a/mimosaworks/node/attempt_sender.py
+++ b/mimosaworks/node/attempt_sender.py
@@ -30,11 +30,7 @@
 from mimosaworks.node.brittle_targets import BrittleTargets
 from mimosaworks.node.broken_answers import attempt_error_from
 from mimosaworks.node.call import Call
-from mimosaworks.node.end_judge import (
-    EndJudge,
-    EndProof,
-    SentRequest,
-)
+from mimosaworks.node.end_judge import EndJudge, EndProof
 from mimosaworks.node.limit_view import LimitView
 from mimosaworks.node.relay_peers import (
     RELAY_TO,
@@ -94,7 +90,7 @@
         """
         paths = self.relay_peers.paths
         progress = AttemptProgress(hooks, paths.record_bytes)
-        sent = SentRequest(
+        sent = self.end_judge.begin(
             assignment.target,
             assignment.address,
             assignment.incarnation,
--- a/mimosaworks/node/end_judge.py
+++ b/mimosaworks/node/end_judge.py
@@ -54,13 +54,15 @@
     """A request as its target got it; times are on this process's clock.
 
     The target counts deadline_s from its receipt, so a bit later. incarnation
-    is that of the target when it was chosen, 0 if it is not known.
+    is that of the target when it was chosen, 0 if it is not known;
+    reported_incarnation the one that it reported before the request was sent.
     """
 
     target: str
     address: str
     incarnation: int
     deadline_s: float
+    reported_incarnation: int = attrs.field(default=0, kw_only=True)
     sent_s: float = attrs.field(factory=now_s)
 
     def is_limit_reached(self) -> bool:
@@ -88,6 +90,21 @@
         factory=lambda: SharedProbes(_accepts)
     )
 
+    def begin(
+        self, target: str, address: str, incarnation: int, deadline_s: float
+    ) -> SentRequest:
+        """Return a request that is sent from now on."""
+        reported = 0
+        if self.identities is not None:
+            reported = self.identities.last_reported(target)
+        return SentRequest(
+            target,
+            address,
+            incarnation,
+            deadline_s,
+            reported_incarnation=reported,
+        )
+
     async def check_end(
         self, sent: SentRequest, answer: WatchedAnswer | None = None
     ) -> EndProof:
@@ -107,7 +124,7 @@
         if sign is Sign.ENDED:
             raise _lost('an idle one to the target ended with it')
         if self._is_replaced(sent):
-            raise _lost('the target has started again')
+            return await self._judge_replaced(sent)
         is_open = sign is Sign.OPEN
         if is_open and answer and answer.is_witness_early:
             return EndProof.WITNESS
@@ -118,6 +135,16 @@
         await self._check_entry(sent)
         return EndProof.WITNESS if is_open else EndProof.PROBE
 
+    async def _judge_replaced(self, sent: SentRequest) -> EndProof:
+        """Return if the later process had reported before the send.
+
+        Raises LostTargetError if it had not, or is not there.
+        """
+        reported = attrs.evolve(sent, incarnation=sent.reported_incarnation)
+        if await self._is_same_by_report(reported):
+            return EndProof.REPORT
+        raise _lost('the target has started again')
+
     async def _check_accepts(self, sent: SentRequest) -> None:
         """Raise an error unless the target accepts a connection."""
         is_there = await self._connects.ask(sent.address)
@@ -134,7 +161,7 @@
         if self.identities is None or not sent.incarnation:
             return False
         identity = await self.identities.ask_report(sent.target, sent.address)
-        sign = identity.compare(sent.incarnation)
+        sign = identity.compare(sent.incarnation, sent.reported_incarnation)
         if sign is Sign.ENDED:
             raise _lost('the target reports that it has started again')
         return sign is Sign.OPEN
--- a/mimosaworks/node/relay.py
+++ b/mimosaworks/node/relay.py
@@ -117,7 +117,7 @@
         # Before a connection is made as well.
         self._check_target(target, address)
         left_s = read_time_left_s(req.headers) or math.inf
-        sent = SentRequest(
+        sent = self.end_judge.begin(
             target,
             address,
             self.find_targets()[target].incarnation,
--- a/mimosaworks/node/target_identity.py
+++ b/mimosaworks/node/target_identity.py
@@ -7,6 +7,7 @@
 import attrs
 from aiohttp import ClientError, ClientResponseError
 
+from mimosaworks.bounded import forget_oldest
 from mimosaworks.errors import MimosaError
 from mimosaworks.node.shared_probes import SharedProbes
 from mimosaworks.node.witness import Sign
@@ -21,6 +22,8 @@
 # In which a target that has started again writes its entry.
 ENTRY_WAIT_S = 0.25
 ENTRY_TIMEOUT_S = 0.5
+# More than the targets of a deployment.
+MAX_REPORTED = 1000
 ReadReport = Callable[[str, str], Awaitable[TargetReport]]
 
 
@@ -34,8 +37,13 @@
     incarnation: int = 0
     is_other: bool = False
 
-    def compare(self, incarnation: int) -> Sign:
-        """Return whether the process is this one, or has replaced it."""
+    def compare(self, incarnation: int, reported_incarnation: int = 0) -> Sign:
+        """Return whether the process is this one, or has replaced it.
+
+        It is this one as well if the target reported its incarnation before.
+        """
+        if self.incarnation and self.incarnation == reported_incarnation:
+            return Sign.OPEN
         if self.is_other or self.incarnation > incarnation:
             return Sign.ENDED
         return Sign.OPEN if self.incarnation == incarnation else Sign.NONE
@@ -46,13 +54,15 @@
     """Asks targets and the store; those who wait share each question.
 
     A report is that of the process that answers, an entry may be that of an
-    earlier one.
+    earlier one. The incarnation that a target reported last is kept, as its
+    entry shows it later.
     """
 
     read_report: ReadReport
     store: StoreClient
     _reports: SharedProbes[tuple[str, str], Identity] = attrs.field(init=False)
     _entries: SharedProbes[str, Identity] = attrs.field(init=False)
+    _last_reported: dict[str, int] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         """Share reports by target and address, entries by target."""
@@ -63,6 +73,10 @@
         """Return what the target at an address reports from now on."""
         return await self._reports.ask((target, address))
 
+    def last_reported(self, target: str) -> int:
+        """Return the incarnation that a target reported last, 0 without."""
+        return self._last_reported.get(target, 0)
+
     async def ask_entry(self, target: str) -> Identity:
         """Return what the store has of a target ENTRY_WAIT_S later."""
         return await self._entries.ask(target)
@@ -76,6 +90,10 @@
             )
         except (ClientError, OSError, ValueError):
             return Identity()
+        target, _ = place
+        self._last_reported.pop(target, None)
+        self._last_reported[target] = report.born
+        forget_oldest(self._last_reported, MAX_REPORTED)
         return Identity(report.born)
 
     async def _read_entry(self, target: str) -> Identity:
--- a/tests/test_node_answer_ends.py
+++ b/tests/test_node_answer_ends.py
@@ -24,7 +24,7 @@
     NodeHandle,
     open_agency,
 )
-from tests.test_node_processes import open_pair, until
+from tests.test_node_processes import open_pair, until, until_served
 
 BROKEN = (b'broken off', '')
 TIMED_OUT = (b'timed out', '')
@@ -45,6 +45,7 @@
 POST = '/post/x'
 LATE_ENTRY_S = 2.0
 SOON_ENTRY_S = 0.1
+SLOW_S = 1.3
 
 
 @pytest.fixture
@@ -393,6 +394,33 @@
     await until(lambda: len(node.events('target_end_seen')) == 1)
 
 
+# Guards against a whole answer that is broken off, as the entry of a process
+# that had reported before it was asked arrives while it answers; and against a
+# part of that process that is complete.
+@pytest.mark.parametrize('is_part', [False, True], ids=['whole', 'part'])
+@pytest.mark.parametrize('is_relayed', [False, True], ids=['direct', 'relayed'])
+async def test_an_answer_of_a_process_whose_entry_comes_later_is_whole(
+    world: AgencyWorld, *, is_part: bool, is_relayed: bool
+) -> None:
+    node, _ = await open_pair(world)
+    if is_relayed:
+        node = await world.add_node('cut-off', module='tests.cut_off_node')
+        await until_served(world, node)
+        await until(lambda: bool(node.events('path_lost')))
+    ledger = world.replicas['ledger-1']
+    ledger.restart()
+    # Their ends tell the nodes that the target has started again.
+    for asked in world.nodes:
+        await ask(world, asked, POST, f'first, {asked.front}', plain(BODY))
+    asyncio.get_running_loop().call_later(0.1, ledger.register, world.store)
+    slow = plain(BODY, pause_s=SLOW_S)
+    if is_part:
+        slow = attrs.evolve(slow, on_end=replacer(world, LATE_ENTRY_S))
+    expected = BROKEN if is_part else (BODY, '1')
+    assert await ask(world, node, POST, 'slow', slow) == expected
+    assert any(one.events('target_changed') for one in world.nodes)
+
+
 # Guards against an answer without framing that its target stopped at the time
 # limit, and which its caller takes for a whole one.
 async def test_an_answer_that_ends_at_its_time_limit_is_broken_off(
