Ends: a margin for short time limits

Two parts of plain bodies reached their callers as complete (soak): their targets had 0.07 and 0.09 s, and closed up to 0.03 s before these were over.

An end counted as the time limit's in the last fifth of the time that the target was given, at most 0.1 s. That is 14 ms of 0.07 s: less than the time by which targets stop early, which is no share of what they are given.

The margin is 40 ms at least now. An end is judged EXIT_S and a connection after it was read, so that a whole answer that ends later than this would reach its caller when the time is over. Ends that were broken off are still.

The rows of test_node_end_judge failed before.

Open: a target that was given less than 0.5 s and stops earlier than 40 ms and a fifth of the time before.

--- a/mimosaworks/node/end_judge.py
+++ b/mimosaworks/node/end_judge.py
@@ -15,7 +15,8 @@
 from mimosaworks.node.witness import Sign
 from mimosaworks.node.witnesses import WatchedAnswer, Witnesses
 
-# A target may reach its time limit by timers and clocks that run a bit fast.
+# A target may reach its time limit by timers and clocks that run a bit fast, or
+# stop a bit before it.
 LIMIT_MARGIN_S = 0.1
 LIMIT_MARGIN_SHARE = 0.2
 # A node reads the notice of a target that leaves a bit later than it was given:
@@ -23,6 +24,9 @@
 NOTICE_MARGIN_S = 1.0
 # A process that exits closes its connections and its listener one by one.
 EXIT_S = 0.02
+# An end is judged EXIT_S and a connection later: one that is read after that is
+# judged when the time is over, however short that was.
+MIN_LIMIT_MARGIN_S = 2 * EXIT_S
 # Two tries to connect take less; a target that starts again takes longer. The
 # questions for its report and its entry have time limits of their own.
 MAX_CHECK_S = 1.5
@@ -67,8 +71,8 @@
 
     def is_limit_reached(self) -> bool:
         """Return whether the target may have stopped at its time limit."""
-        given_s = self.deadline_s - self.sent_s
-        margin_s = min(LIMIT_MARGIN_S, given_s * LIMIT_MARGIN_SHARE)
+        share_s = (self.deadline_s - self.sent_s) * LIMIT_MARGIN_SHARE
+        margin_s = min(LIMIT_MARGIN_S, max(share_s, MIN_LIMIT_MARGIN_S))
         return now_s() >= self.deadline_s - margin_s
 
 
--- a/tests/test_node_answer_ends.py
+++ b/tests/test_node_answer_ends.py
@@ -46,6 +46,8 @@
 LATE_ENTRY_S = 2.0
 SOON_ENTRY_S = 0.1
 SLOW_S = 1.3
+EARLY_S = 0.03
+MS_PER_S = 1000
 
 
 @pytest.fixture
@@ -62,6 +64,14 @@
     return node
 
 
+async def open_cut_off(world: AgencyWorld) -> NodeHandle:
+    """Start a node without a path to the targets, so that others relay."""
+    node = await world.add_node('cut-off', module='tests.cut_off_node')
+    await until_served(world, node)
+    await until(lambda: bool(node.events('path_lost')))
+    return node
+
+
 async def ask(
     world: AgencyWorld,
     node: NodeHandle,
@@ -404,9 +414,7 @@
 ) -> None:
     node, _ = await open_pair(world)
     if is_relayed:
-        node = await world.add_node('cut-off', module='tests.cut_off_node')
-        await until_served(world, node)
-        await until(lambda: bool(node.events('path_lost')))
+        node = await open_cut_off(world)
     ledger = world.replicas['ledger-1']
     ledger.restart()
     # Their ends tell the nodes that the target has started again.
@@ -442,6 +450,34 @@
     assert all(line['is_silent'] for line in ends)
 
 
+# Guards against a part that is complete as its target, which was given little
+# time, stopped a bit before that was over.
+@pytest.mark.parametrize('is_relayed', [False, True], ids=['direct', 'relayed'])
+async def test_an_answer_that_ends_at_a_short_time_limit_is_broken_off(
+    world: AgencyWorld, *, is_relayed: bool
+) -> None:
+    node = await open_node(world)
+    if is_relayed:
+        node = await open_cut_off(world)
+
+    def stop_early(target: str, *_: object) -> RawAnswer:
+        replica = world.replicas[target]
+        given_ms = int(replica.headers[-1]['X-Deadline'])
+        return plain(BODY, pause_s=given_ms / MS_PER_S - EARLY_S)
+
+    # Then idle connections to them are open, which confirm an end at once.
+    for number in range(4):
+        await ask(world, node, POST, f'first-{number}', plain(BODY))
+    for replica in world.replicas.values():
+        replica.first_s = 0
+        replica.writer = stop_early
+    for given_ms in range(60, 140, 5):
+        answer = await ask(
+            world, node, POST, f'{given_ms}', X_Deadline=f'{given_ms}'
+        )
+        assert answer in {BROKEN, TIMED_OUT}, given_ms
+
+
 # Guards against an answer without framing that ends when the notice of its
 # target is over, and which looks complete as its address still accepts some.
 @pytest.mark.parametrize(
--- a/tests/test_node_end_judge.py
+++ b/tests/test_node_end_judge.py
@@ -51,7 +51,8 @@
 
 
 # Guards against an answer that counts as whole at the time limit of its request
-# or behind it, and against short requests of which no answer would.
+# or behind it, also where that is short, and against short requests of which no
+# answer would.
 @pytest.mark.parametrize(
     ('given_s', 'left_s', 'is_reached'),
     [
@@ -60,6 +61,10 @@
         (4, 0.2, False),
         (0.1, 0.05, False),
         (0.1, 0.01, True),
+        (0.09, 0.03, True),
+        (0.07, 0.03, True),
+        (0.05, 0.03, True),
+        (0.07, 0.05, False),
     ],
 )
 async def test_an_end_at_the_time_limit_is_not_a_whole_answer(
