Ends: a later process alone is no sign of a crash

A target that had started again before it was asked, of which its node did not know yet, counted as crashed by the content of the whole answer that it gave: the third such content is refused.

Where a later incarnation is found behind the end of an answer without framing (by report, by entry or in the view of the targets), either that process answered, or the one before did and ended with its answer. LostTargetError said the latter, and each became a possible crash.

ReplacedTargetError says that it is not known. The answer is broken off or sent for again as before; its attempt counts as failed and not as a crash. What shows that the process that answered has ended still does: an idle connection that ended with it, an address that accepts no other connection, another target at it.

--- a/mimosaworks/node/end_judge.py
+++ b/mimosaworks/node/end_judge.py
@@ -53,6 +53,14 @@
     """An answer ended together with its target."""
 
 
+class ReplacedTargetError(LostTargetError):
+    """An answer ended, and a later process is at the place of its target.
+
+    Either may have answered: the later one may have begun before the request
+    was sent.
+    """
+
+
 @attrs.frozen
 class SentRequest:
     """A request as its target got it; times are on this process's clock.
@@ -142,12 +150,12 @@
     async def _judge_replaced(self, sent: SentRequest) -> EndProof:
         """Return if the later process had reported before the send.
 
-        Raises LostTargetError if it had not, or is not there.
+        Raises ReplacedTargetError if it had not, or is not there.
         """
         reported = attrs.evolve(sent, incarnation=sent.reported_incarnation)
         if await self._is_same_by_report(reported):
             return EndProof.REPORT
-        raise _lost('the target has started again')
+        raise _replaced('the target has started again')
 
     async def _check_accepts(self, sent: SentRequest) -> None:
         """Raise an error unless the target accepts a connection."""
@@ -166,8 +174,10 @@
             return False
         identity = await self.identities.ask_report(sent.target, sent.address)
         sign = identity.compare(sent.incarnation, sent.reported_incarnation)
+        if identity.is_other:
+            raise _lost('another target has its address')
         if sign is Sign.ENDED:
-            raise _lost('the target reports that it has started again')
+            raise _replaced('the target reports that it has started again')
         return sign is Sign.OPEN
 
     async def _check_entry(self, sent: SentRequest) -> None:
@@ -176,7 +186,7 @@
             return
         identity = await self.identities.ask_entry(sent.target)
         if identity.compare(sent.incarnation) is Sign.ENDED:
-            raise _lost('the target has registered again')
+            raise _replaced('the target has registered again')
         await self._check_accepts(sent)
 
     def _check_time(self, sent: SentRequest) -> None:
@@ -213,6 +223,10 @@
     return LostTargetError(f'the connection was closed, and {reason}')
 
 
+def _replaced(reason: str) -> ReplacedTargetError:
+    return ReplacedTargetError(f'the connection was closed, and {reason}')
+
+
 def _unknown() -> UnknownEndError:
     return UnknownEndError(
         'the connection was closed, and the target does not reply'
