Tests: kill the node while it answers, not before

It waits for the eighth call_started, and by the log of one failure the warm-up request had written one as well, so that the wait ended at once: the node was killed before it was asked, or a bit behind. The test waits for the call_started of its own request now.

--- a/tests/test_node_answer_ends.py
+++ b/tests/test_node_answer_ends.py
@@ -749,7 +749,12 @@
             await ask_as_http_1_0(world, node, f'broken-{number}', sent)
     slow = raw(TWO, HALF, pause_s=1)
     asked = asyncio.create_task(ask_as_http_1_0(world, node, 'killed', slow))
-    await until(lambda: bool(node.events('call_started')[7:]))
+
+    def has_begun() -> bool:
+        started = [line['request_id'] for line in node.events('call_started')]
+        return 'killed' in started
+
+    await until(has_begun)
     await node.process.kill()
     with pytest.raises(ConnectionResetError):
         await asked
