Bound the time in which a node that stops reads on

Callers saw closed connections: at the end of the grace, requests at targets and half bodies got no answer, and the process was killed.

Cause: before requests end, a node reads what it accepted last, in five rounds of its loop, "however long they are", and the time for answers in transit counted from before these rounds. With long rounds nothing was left of it. Class: a wait that is counted in rounds, beside a deadline in seconds.

Reading ends after a third of the time to close, and the time for answers counts from the end of the requests again.

--- a/mimosaworks/node/planned_stop.py
+++ b/mimosaworks/node/planned_stop.py
@@ -25,9 +25,10 @@
 # Time for the arrival of requests that were sent before the node closed its
 # listening socket.
 IN_FLIGHT_REQUESTS_WAIT_S = 0.05
-# Rounds of the loop in which what was accepted last is read, however long they
-# are.
+# Rounds of the loop in which what was accepted last is read.
 READ_ROUNDS = 5
+# Share of the time to close after which requests end, whatever is unread.
+READ_SHARE = 1 / 3
 # Share of the time to close for answers in transit to callers.
 ANSWER_FLUSH_SHARE = 0.4
 
@@ -140,16 +141,16 @@
         taken=len(open_requests.requests),
         seconds=now_s() - node.stop_started_s,
     )
-    in_flight_until_s = now_s() + IN_FLIGHT_REQUESTS_WAIT_S
-    flush_s = _close_duration_s(node.cfg.bounds.grace_s) * ANSWER_FLUSH_SHARE
-    flush_end_s = max(in_flight_until_s, stop_deadline_s) + flush_s
-    await node.caller_server.stop_listening(in_flight_until_s)
+    close_s = _close_duration_s(node.cfg.bounds.grace_s)
+    read_until_s = now_s() + close_s * READ_SHARE
+    await node.caller_server.stop_listening(now_s() + IN_FLIGHT_REQUESTS_WAIT_S)
     await asyncio.sleep(IN_FLIGHT_REQUESTS_WAIT_S)
-    await _wait_rounds(READ_ROUNDS)
+    await _wait_rounds(READ_ROUNDS, read_until_s)
     open_requests.expire_all()
     # Requests that remain after that are aborted with their connections.
     with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(flush_end_s - now_s()):
+        remaining_s = max(stop_deadline_s - now_s(), 0)
+        async with asyncio.timeout(remaining_s + close_s * ANSWER_FLUSH_SHARE):
             await node.caller_server.close_idle_connections(
                 open_requests.connections
             )
@@ -159,10 +160,10 @@
     open_requests.abort_all()
 
 
-async def _wait_rounds(count: int) -> None:
-    """Return after so many rounds of the loop."""
+async def _wait_rounds(count: int, until_s: float) -> None:
+    """Return after so many rounds of the loop, or at until_s."""
     remaining = count
-    while remaining:
+    while remaining and now_s() < until_s:
         await asyncio.sleep(0)
         remaining -= 1
 
--- a/tests/test_node_stop.py
+++ b/tests/test_node_stop.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 import time
+from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -29,6 +30,8 @@
 SHORT_MS = 1800
 REJECTED_S = 0.05
 LONG_MS = 20000
+FEW = 20
+STATUS_END = len('HTTP/1.1 200')
 BUSY = 3  # processes, fewer than the cores of any VM that runs this
 Trouble = Callable[[AgencyWorld, NodeHandle], Awaitable[None]]
 
@@ -399,6 +402,27 @@
     writer.close()
 
 
+# Guards against a node whose loop has long rounds as it closes: it read on for
+# so long that neither requests at targets nor half bodies got an answer.
+async def test_requests_are_answered_at_the_end_of_a_slow_stop(
+    world: AgencyWorld,
+) -> None:
+    node = await world.add_node('node-1', module='tests.slow_closing_node')
+    await until_served(world, node)
+    world.replicas['ledger-1'].first_s = LONG_S
+    conns = [await connect(node) for _ in range(2 * FEW)]
+    for number, (_, writer) in enumerate(conns):
+        sent = whole(f'late-{number}', LONG_MS)
+        writer.write(sent if number % 2 else sent[:-1])
+    ledger = world.replicas['ledger-1']
+    await until(lambda: sum('late' in one for one in ledger.runs) == FEW)
+    _, *answers = await asyncio.gather(
+        node.stop(), *(read_all(reader) for reader, _ in conns)
+    )
+    statuses = Counter(answer[:STATUS_END] for answer in answers)
+    assert statuses == {b'HTTP/1.1 502': FEW, b'HTTP/1.1 503': FEW}
+
+
 async def test_a_node_that_will_be_killed_says_so(world: AgencyWorld) -> None:
     node, _ = await open_nodes(world, 2)
     node.process.terminate()
