Ask a target that closed idle connections whether it goes on

Callers had whole answers without framing broken off, and then their content refused with 502 as it crashes targets, at targets that had not ended.

Cause: a target that closes its idle connections less than some 0.2 s before an answer ends, as it may when it needs their places, closes the node's witness as well. The judge took that for the end of the process, without asking for the report, which has the same birth. Class: one sign of two is taken for the proof.

Where the witness has ended, the target is asked for its report first. The same birth confirms the end if the answer went on behind the end of the witness; where both were closed at once, it is broken off as before, but is no sign of a crash any more. Without a report it is broken off as before, and is no sign either if it outlasted the witness. So no part is complete that was broken off, but one: a target that closes idle connections 40 ms or more before it breaks an answer off, and goes on, which nothing can tell.

The test failed before (broken off with a report, counted as crashes without). The check of targets that start again at once let their processes report the birth of the one before, which no longer counts as a crash; they report a later one now, and all that was asserted before still is.

--- a/mimosaworks/node/end_judge.py
+++ b/mimosaworks/node/end_judge.py
@@ -1,6 +1,7 @@
 """Judges the ends of answers that only the end of their connection shows."""
 
 import asyncio
+import contextlib
 import enum
 from collections.abc import Callable, Mapping
 
@@ -132,12 +133,14 @@
         await self._check_accepts(sent)
         is_late = now_s() - ended_s > MAX_CHECK_S
         # The end of the witness has arrived before a later process accepts.
-        sign = await answer.read_sign() if answer else Sign.NONE
-        if sign is Sign.ENDED:
-            raise _lost('an idle one to the target ended with it')
+        proof = EndProof.NONE
+        if answer is not None:
+            proof = await self._check_witness(sent, answer)
+        if proof is EndProof.REPORT:
+            return proof
         if self._is_replaced(sent):
             return await self._judge_replaced(sent)
-        is_open = sign is Sign.OPEN
+        is_open = proof is EndProof.WITNESS
         if is_open and answer and answer.is_witness_early:
             return EndProof.WITNESS
         if await self._is_same_by_report(sent):
@@ -147,6 +150,34 @@
         await self._check_entry(sent)
         return EndProof.WITNESS if is_open else EndProof.PROBE
 
+    async def _check_witness(
+        self, sent: SentRequest, answer: WatchedAnswer
+    ) -> EndProof:
+        """Return what the witness of an answer shows, NONE if it is nothing.
+
+        A target may close idle connections and go on: its report tells so.
+        Raises LostTargetError, or UnknownEndError where it goes on but closed
+        both at once, or has no report and closed the witness first.
+        """
+        has_outlasted = answer.has_outlasted_witness()
+        is_same = answer.has_lost_witness() and await self._goes_on(sent)
+        if is_same and has_outlasted:
+            return EndProof.REPORT
+        sign = await answer.read_sign()
+        if sign is Sign.ENDED and (is_same or has_outlasted):
+            raise UnknownEndError(
+                'the connection was closed, and an idle one to the target'
+            )
+        if sign is Sign.ENDED:
+            raise _lost('an idle one to the target ended with it')
+        return EndProof.WITNESS if sign is Sign.OPEN else EndProof.NONE
+
+    async def _goes_on(self, sent: SentRequest) -> bool:
+        """Return whether the target reports that it is the same process."""
+        with contextlib.suppress(LostTargetError):
+            return await self._is_same_by_report(sent)
+        return False
+
     async def _judge_replaced(self, sent: SentRequest) -> EndProof:
         """Return if the later process had reported before the send.
 
--- a/mimosaworks/node/witnesses.py
+++ b/mimosaworks/node/witnesses.py
@@ -20,6 +20,8 @@
 CLOSING_S = 0.02
 # What a process that has ended sent before arrives within these checks.
 DRAIN_CHECKS = 10
+# An answer that goes on for so many of them was not closed with the witness.
+OUTLASTING_CHECKS = 2
 REOPEN_S = 0.1
 # Targets keep idle connections for some seconds.
 REFRESH_S = 1.0
@@ -38,6 +40,7 @@
     The witness was begun before the request was sent, was open while the answer
     went on, or replaced such a witness while that was open. is_witness_early is
     set in the first case: an end that has not arrived can't mislead then.
+    outlasted_checks tells for how long the answer went on behind the witness.
     """
 
     sent_s: float = math.inf
@@ -45,6 +48,7 @@
     witness: Witness | None = None
     has_open_end: bool = False
     is_witness_early: bool = False
+    outlasted_checks: int = 0
     _sock: TransportSocket | None = None
 
     def note_sending(self) -> None:
@@ -80,6 +84,22 @@
             return True
         return self.goes_on() and not self._count_unread()
 
+    def note_outlasted(self, witness: Witness) -> None:
+        """Note that the answer goes on behind the end of a witness."""
+        if self.has_open_end and self.witness is witness:
+            self.outlasted_checks += 1
+
+    def has_lost_witness(self) -> bool:
+        """Return whether the target has closed the witness."""
+        witness = self.witness
+        if witness is None or witness.is_open():
+            return False
+        return not witness.is_reset
+
+    def has_outlasted_witness(self) -> bool:
+        """Return whether the target closed the witness some time before."""
+        return self.outlasted_checks >= OUTLASTING_CHECKS
+
     async def read_sign(self) -> Sign:
         """Return what the witness tells, right after the end."""
         if self.witness is None:
@@ -155,9 +175,12 @@
         for _ in range(DRAIN_CHECKS):
             await asyncio.sleep(CLOSING_S)  # noqa: WPS476 -- one after another
             waiting = {answer for answer in waiting if answer.waits()}
+            for answer in waiting:
+                answer.note_outlasted(witness)
         for answer in waiting:
             if answer.witness is witness:
                 answer.witness = None
+                answer.outlasted_checks = 0
                 if answer.has_open_end:
                     witness.learn()
 
--- a/tests/test_node_answer_ends.py
+++ b/tests/test_node_answer_ends.py
@@ -46,6 +46,8 @@
 LATE_ENTRY_S = 2.0
 SOON_ENTRY_S = 0.1
 SLOW_S = 1.3
+IDLE_S = 0.08
+PAUSE_S = 0.45
 EARLY_S = 0.03
 MS_PER_S = 1000
 
@@ -338,6 +340,8 @@
         proxy.refuse()
         await asyncio.sleep(delay_s)
         proxy.close_unused()
+        world.replicas[target].restart()
+        world.replicas[target].register(world.store)
         await proxy.open()
 
     def end_target(target: str) -> None:
@@ -449,6 +453,29 @@
     assert any(one.events('target_changed') for one in world.nodes)
 
 
+# Guards against whole answers that are broken off as their target closed its
+# idle connections shortly before their end; and against their content, which
+# was refused as it crashes targets. Without a report they may be parts.
+@pytest.mark.parametrize('has_report', [True, False], ids=['report', 'none'])
+async def test_a_target_that_closes_idle_connections_goes_on(
+    world: AgencyWorld, *, has_report: bool
+) -> None:
+    node = await open_node(world)
+    for replica in world.replicas.values():
+        replica.has_report = has_report
+    loop = asyncio.get_running_loop()
+    for path, sent, body in (
+        (CHAT, raw(TWO, REST, pause_s=PAUSE_S), WHOLE),
+        (POST, plain(BODY, pause_s=2 * PAUSE_S), BODY),
+    ):
+        for proxy in world.proxies.values():
+            loop.call_later(2 * PAUSE_S - IDLE_S, proxy.close_unused)
+        expected = {(body, '1')} if has_report else {BROKEN, TIMED_OUT}
+        assert await ask(world, node, path, path, sent) in expected, path
+    ends = node.events('target_end_seen')
+    assert all(line['is_silent'] for line in ends)
+
+
 # Guards against an answer without framing that its target stopped at the time
 # limit, and which its caller takes for a whole one.
 async def test_an_answer_that_ends_at_its_time_limit_is_broken_off(
