Know the notice of a target under a holder of an earlier release

Cause: nodes learn notices from the holder's rows (leavesInMs), which holders of earlier releases do not know, so that an old row looked like that of a target without a notice. The end was then confirmed by its connections, as the target still accepted some. A notice that a holder of this release had told was lost as well when an earlier one took over.

A holder of an earlier release shows itself: it drops judges_ends from the node's own row. While one of its targets leaves without a notice, the node reads the targets from the store itself, as it does without a holder, and the judge asks both views. A known notice of the same process outlasts a row without one. Nothing changes under a holder of this build.

--- a/mimosaworks/node/cluster_follower.py
+++ b/mimosaworks/node/cluster_follower.py
@@ -34,14 +34,20 @@
 STANDALONE_READ_DELAY_S = 1.5
 
 
+def _misses_none() -> bool:
+    return False
+
+
 @attrs.define(eq=False)
 class ClusterFollower:
     """A node's followers of the deployment and of the targets' entries.
 
     is_holder tells whether this node decides for all. drain_notice_s returns
     the time in which a leaving target must be known, entry_lapse_s that in
-    which the entry of a crashed target has changed. holder_deployment_version
-    is the version of the deployment that the holder last reported.
+    which the entry of a crashed target has changed. misses_notices tells
+    whether targets leave and the holder does not tell when.
+    holder_deployment_version is the version of the deployment that the holder
+    last reported.
     """
 
     store: StoreClient
@@ -50,6 +56,7 @@
     is_holder: Callable[[], bool]
     drain_notice_s: Callable[[], float]
     entry_lapse_s: Callable[[], float]
+    misses_notices: Callable[[], bool] = _misses_none
     holder_deployment_version: int = 0
     deployment_follower: TableFollower = attrs.field(init=False)
     targets_follower: TableFollower = attrs.field(init=False)
@@ -163,4 +170,5 @@
         return (
             self.is_holder()
             or self.link.standalone_s() > STANDALONE_READ_DELAY_S
+            or self.misses_notices()
         )
--- a/mimosaworks/node/end_judge.py
+++ b/mimosaworks/node/end_judge.py
@@ -91,11 +91,13 @@
 
     A process that exits closes its connections as the end of an answer without
     framing does. find_targets returns the latest view of the targets,
-    earliest_s the earliest time at which an end that is read now may have come.
-    witnesses watch the answers, identities tell which process a target is.
+    find_read_targets those that this node has read itself, earliest_s the
+    earliest time at which an end that is read now may have come. witnesses
+    watch the answers, identities tell which process a target is.
     """
 
     find_targets: Callable[[], Mapping[str, TargetEntry]] = dict
+    find_read_targets: Callable[[], Mapping[str, TargetEntry]] = dict
     earliest_s: Callable[[], float] = now_s
     witnesses: Witnesses = attrs.field(factory=Witnesses)
     identities: TargetIdentities | None = None
@@ -226,11 +228,13 @@
             raise ExpiredAnswerError(
                 'the connection was closed at the time limit of the request'
             )
-        entry = self.find_targets().get(sent.target)
-        if entry is not None and _is_notice_over(entry, sent):
-            raise ExpiredAnswerError(
-                'the connection was closed when the notice of the target ended'
-            )
+        for targets in (self.find_targets(), self.find_read_targets()):
+            entry = targets.get(sent.target)
+            if entry is not None and _is_notice_over(entry, sent):
+                raise ExpiredAnswerError(
+                    'the connection was closed when the notice of the target'
+                    ' ended'
+                )
 
     def _is_replaced(self, sent: SentRequest) -> bool:
         """Return whether a later process is known at the target's address.
--- a/mimosaworks/node/frontend_setup.py
+++ b/mimosaworks/node/frontend_setup.py
@@ -54,7 +54,8 @@
     stall_detector = StallDetector()
     end_judge = EndJudge(
         target_chooser.latest_targets,
-        stall_detector.earliest_arrival_s,
+        earliest_s=stall_detector.earliest_arrival_s,
+        find_read_targets=lambda: node.cluster_state.targets,
         identities=TargetIdentities(
             node.engine_calls.report, node.store_client
         ),
--- a/mimosaworks/node/program.py
+++ b/mimosaworks/node/program.py
@@ -146,6 +146,9 @@
         entry_lapse_s=lambda: (
             ENTRY_LAPSE_HEARTBEATS * node.cfg.heartbeat_s + ENTRY_LAPSE_SLACK_S
         ),
+        misses_notices=lambda: node.holder_link.replicated_view.misses_notices(
+            cfg.name
+        ),
     )
     node.election = Election(
         store=attrs.evolve(node.store_client, timeout_s=RENEWAL_TIMEOUT_S),
--- a/mimosaworks/node/replicated_view.py
+++ b/mimosaworks/node/replicated_view.py
@@ -1,8 +1,10 @@
 """What the lease holder last reported of nodes, targets and tokens."""
 
+import math
+
 import attrs
 
-from mimosaworks.deployment import TargetEntry
+from mimosaworks.deployment import TargetEntry, TargetState
 from mimosaworks.node.change_log import apply_changes
 from mimosaworks.node.conversions import target_entry_from
 from mimosaworks.wire import BeatReply, NodeRow
@@ -61,6 +63,32 @@
         self.targets_as_of_s = now - reply.view_age_s
         self.targets = apply_changes(
             {} if reply.targets_whole else self.targets,
-            {row.name: target_entry_from(row, now) for row in reply.targets},
+            {
+                row.name: self._with_notice(target_entry_from(row, now))
+                for row in reply.targets
+            },
             reply.targets_gone,
         )
+
+    def misses_notices(self, node: str) -> bool:
+        """Return whether targets leave, and the holder does not tell when.
+
+        Holders of earlier releases drop that, as well as a field of the row of
+        this node.
+        """
+        row = self.members.get(node)
+        if row is None or row.judges_ends:
+            return False
+        return any(
+            entry.state is TargetState.DRAINING
+            and entry.leaves_at_s == math.inf
+            for entry in self.targets.values()
+        )
+
+    def _with_notice(self, entry: TargetEntry) -> TargetEntry:
+        """Return an entry with the notice that another holder told."""
+        known = self.targets.get(entry.name)
+        if known is None or known.incarnation != entry.incarnation:
+            return entry
+        leaves_at_s = min(entry.leaves_at_s, known.leaves_at_s)
+        return attrs.evolve(entry, leaves_at_s=leaves_at_s)
--- a/tests/test_node_views.py
+++ b/tests/test_node_views.py
@@ -44,6 +44,9 @@
     def last_reply_age_s(self) -> float:
         return 0
 
+    def standalone_s(self) -> float:
+        return 0
+
 
 def make(
     store: SilentStore, link: FakeLink, *, is_holder: bool
