Take a done order as done while other adapters are on their way

By reading, the target's queued orders are dropped, it is read anew, and its waiting requests move: callers of adapters wait, or get 503.

Cause: since the mend of a stale holder's orders, an order's effect counts only in a report that nothing is coming in, so that count and models come from one report. Adapters may come for seconds without `busy`, so such a report may not be had in time.

Change: a report that shows count and effect ends the order. Count and models are still taken from that one report; adapters on their way, which take places, are among its models, as the holder counts a load that was accepted anyway. An adapter on its way has not been unloaded, and one whose model the target does not hold is waited for, as its place could not be counted.

--- a/mimosaworks/node/order_runner.py
+++ b/mimosaworks/node/order_runner.py
@@ -201,6 +201,7 @@
         expected_orders is the target's order count with that order; a report
         with a lower count shows the state before it. The count and the models
         are taken from the same report, as orders of another holder may count.
+        Adapters that are still on their way count as held.
         """
         remaining_reports = MAX_EFFECT_REPORTS
         if step.is_from_store:
@@ -211,11 +212,15 @@
             report = await self._read_report(target)
             if report is None:
                 return False
-            if _is_report_current(target, report):
-                if not _shows_order(target, report, step, expected_orders):
-                    return False
-                apply_reported_models(target, report.residences, report.orders)
+            if not report.is_busy and _shows_order(
+                target, report, step, expected_orders
+            ):
+                apply_reported_models(
+                    target, report.held_or_coming(), report.orders
+                )
                 return True
+            if _is_report_current(target, report):
+                return False
             await asyncio.sleep(REPORT_POLL_S)
         return False
 
@@ -254,9 +259,15 @@
         not is_restarted
         and report.orders >= expected_orders
         and _shows_step_effect(report, step)
+        and _holds_models_of_coming(report)
     )
 
 
+def _holds_models_of_coming(report: TargetReport) -> bool:
+    # The places of others could not be counted.
+    return len(report.held_or_coming()) == len(report.residences)
+
+
 def _is_report_current(target: EngineTarget, report: TargetReport) -> bool:
     # A report is some hundred milliseconds old, orders may be newer.
     if report.is_busy or report.coming:
@@ -286,8 +297,10 @@
 
 
 def _shows_step_effect(report: TargetReport, step: Step) -> bool:
+    """Return whether a load is complete, or an unload has left no place."""
+    residences = report.residences if step.is_load else report.held_or_coming()
     adapters_by_model = {
-        residence.model: residence.adapters for residence in report.residences
+        residence.model: residence.adapters for residence in residences
     }
     if not step.adapter:
         return (step.model in adapters_by_model) == step.is_load
--- a/tests/test_node_order_runner.py
+++ b/tests/test_node_order_runner.py
@@ -58,6 +58,7 @@
 
 LOAD = Step(is_load=True, model='m0', adapter='a1')
 UNLOAD = Step(is_load=False, model='m0', adapter='a1')
+STORE_LOAD = Step(is_load=True, model='m0', is_from_store=True)
 
 
 async def test_an_adapter_in_use_is_waited_for_until_it_has_left() -> None:
@@ -142,6 +143,48 @@
     assert set(target.models['m0'].adapters) == {'a1', 'a2'}
 
 
+# Guards against queued orders that are dropped, so that callers wait or are
+# refused, since a done order counted as failed while an adapter was coming.
+@pytest.mark.parametrize('step', [UNLOAD, STORE_LOAD])
+@pytest.mark.parametrize(
+    'answer', [OrderAnswer.ACCEPTED, OrderAnswer.UNANSWERED]
+)
+async def test_a_done_order_is_done_while_an_adapter_comes(
+    answer: OrderAnswer, step: Step
+) -> None:
+    shown = attrs.evolve(report(1), coming=('m0/a2@1',))
+    runner, _, target, _ = make([answer], [shown])
+    assert await runner.run_order(target, step)
+    assert target.order_count == 1
+    # It takes a place already.
+    assert set(target.models['m0'].adapters) == {'a2'}
+
+
+# Guards against a target that is loaded beyond its places: an adapter on its
+# way was taken for one that has left, or its place was not counted.
+@pytest.mark.parametrize('coming', ['m0/a1@1', 'm1/a2@1'])
+async def test_an_unload_is_not_done_while_places_are_not_known(
+    coming: str,
+) -> None:
+    shown = attrs.evolve(report(6), coming=(coming,))
+    runner, _, target, _ = make([OrderAnswer.ACCEPTED], [shown, report(6)])
+    target.order_count = 5
+    assert await runner.run_order(target, UNLOAD)
+    assert set(target.models) == {'m0'}
+    assert not target.models['m0'].adapters
+
+
+# Guards against an adapter that stays loaded beyond the target's places: its
+# queued unload was dropped as it was still on its way.
+async def test_the_queued_unload_of_a_coming_adapter_stays() -> None:
+    shown = attrs.evolve(report(1), coming=('m0/a2@1',))
+    runner, _, target, _ = make([OrderAnswer.ACCEPTED], [shown])
+    queued = attrs.evolve(UNLOAD, adapter='a2')
+    target.steps.append(queued)
+    assert await runner.run_order(target, UNLOAD)
+    assert list(target.steps) == [queued]
+
+
 async def test_a_rejected_order_is_not_done() -> None:
     runner, script, target, _ = make([OrderAnswer.REJECTED], [report(0)])
     assert not await runner.run_order(target, LOAD)
--- a/tests/test_node_stale_orders.py
+++ b/tests/test_node_stale_orders.py
@@ -36,7 +36,8 @@
 class SimulatedTarget:
     """A target that checks fences and counts, and says when it overflows.
 
-    past are its reports since its start, each with its time.
+    past are its reports since its start, each with its time. coming are its
+    adapters on their way, for up to transit_s each.
     """
 
     dice: random.Random
@@ -48,6 +49,8 @@
     models: dict[str, set[str]] = attrs.field(factory=dict)
     past: list[tuple[float, TargetReport]] = attrs.field(factory=list)
     overflows: list[TargetOrder] = attrs.field(factory=list)
+    transit_s: float = 0
+    coming: dict[tuple[str, str], object] = attrs.field(factory=dict)
 
     def restart(self) -> None:
         """Start again, empty."""
@@ -56,15 +59,24 @@
         self.fence = 0
         self.busy_until_s = 0
         self.models = {}
+        self.coming = {}
         self.note()
 
     def note(self) -> None:
         """Keep the present report."""
         residences = tuple(
-            ResidentModel(name, tuple(sorted(adapters)))
+            ResidentModel(
+                name,
+                tuple(
+                    adapter
+                    for adapter in sorted(adapters)
+                    if (name, adapter) not in self.coming
+                ),
+            )
             for name, adapters in self.models.items()
         )
-        report = TargetReport(self.orders, False, self.born, residences)
+        coming = tuple(f'{name}/{adapter}@1' for name, adapter in self.coming)
+        report = TargetReport(self.orders, False, self.born, residences, coming)
         self.past.append((loop_now_s(), report))
 
     def report(self) -> TargetReport:
@@ -119,13 +131,32 @@
 
     def _change(self, order: TargetOrder) -> None:
         if order.adapter:
-            adapters = self.models[order.model]
-            (adapters.add if order.is_load else adapters.discard)(order.adapter)
+            self._change_adapter(order)
         elif order.is_load:
             self.models[order.model] = set()
             self.busy_until_s = loop_now_s() + LOAD_S
         else:
-            self.models.pop(order.model)
+            for adapter in self.models.pop(order.model):
+                self.coming.pop((order.model, adapter), None)
+
+    def _change_adapter(self, order: TargetOrder) -> None:
+        adapters = self.models[order.model]
+        (adapters.add if order.is_load else adapters.discard)(order.adapter)
+        self.coming.pop((order.model, order.adapter), None)
+        if order.is_load and self.transit_s:
+            self._fetch((order.model, order.adapter))
+
+    def _fetch(self, name: tuple[str, str]) -> None:
+        transit = object()
+        self.coming[name] = transit
+        delay_s = self.dice.uniform(0, self.transit_s)
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, self._end_transit, name, transit)
+
+    def _end_transit(self, name: tuple[str, str], transit: object) -> None:
+        if self.coming.get(name) is transit:
+            self.coming.pop(name)
+            self.note()
 
     def _is_overflowing(self) -> bool:
         adapters = sum(map(len, self.models.values()))
@@ -227,9 +258,11 @@
             pool.apply_entries([entry], loop_now_s())
 
 
-async def _play(seed: int) -> SimulatedTarget:
+async def _play(seed: int, transit_s: float) -> SimulatedTarget:
     dice = random.Random(seed)  # noqa: S311 -- replayable
-    target = SimulatedTarget(dice, holds_first=_happens(dice, 0.5))
+    target = SimulatedTarget(
+        dice, holds_first=_happens(dice, 0.5), transit_s=transit_s
+    )
     target.note()
     pools: list[EnginePool] = []
     tasks = [asyncio.create_task(_apply_births(pools, target, dice))]
@@ -257,14 +290,16 @@
 
 
 # Guards against a target that is loaded beyond its memory: the new holder took
-# over its count of orders, which a stale holder had raised, without its models.
+# over its count of orders, which a stale holder had raised, without its models,
+# or without the adapters on their way.
+@pytest.mark.parametrize('transit_s', [0, 4])
 @pytest.mark.parametrize('first_seed', range(0, 300, 50))
 def test_no_target_overflows_under_two_holders(
-    first_seed: int, monkeypatch: pytest.MonkeyPatch
+    first_seed: int, transit_s: float, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     use_loop_time(monkeypatch)
     for seed in range(first_seed, first_seed + 50):
         with asyncio.Runner(loop_factory=JumpingLoop) as loop_runner:
-            target = loop_runner.run(_play(seed))
+            target = loop_runner.run(_play(seed, transit_s))
         assert not target.overflows, f'seed {seed}'
         assert target.past[-1][1].orders or target.born > 1
