End the wait of a body for room when its caller has left

Cause: large bodies get room in turn, and nothing is read from a connection whose body waits, so that its end is not seen before the wait is over. Every large body behind it waits as long.

Change: a body that waits has the operating system asked for the state of its caller's connection, ten times a second; one that is closed or reset gives up its turn, and the connection's handler ends as it does when a read shows it. The check is the one of answers without an end, and both share it now.

--- a/mimosaworks/node/attempt_error.py
+++ b/mimosaworks/node/attempt_error.py
@@ -21,4 +21,4 @@
 
 
 class CallerDisconnectedError(MimosaError):
-    """The caller's connection was lost while the answer was relayed to it."""
+    """The caller's connection was lost before it had a whole answer."""
--- a/mimosaworks/node/held_bodies.py
+++ b/mimosaworks/node/held_bodies.py
@@ -10,7 +10,9 @@
 import attrs
 from aiohttp import web
 
+from mimosaworks.connection_state import is_established
 from mimosaworks.errors import ErrorKind, RequestError
+from mimosaworks.node.attempt_error import CallerDisconnectedError
 
 # Bodies up to this size are read even where larger ones wait for room.
 SMALL_BYTES = 65536
@@ -22,6 +24,10 @@
 # A body without a length is copied as it grows.
 GROWTH_COST = 2
 NO_ROOM_RETRY_S = 0.5
+# Nothing is read from a caller that waits, so its connection is asked.
+CALLER_POLL_S = 0.1
+
+CallerCheck = Callable[[], bool]
 
 
 @unique
@@ -37,6 +43,11 @@
     """Count nothing."""
 
 
+def _always_there() -> bool:
+    """Return true: the caller can't leave."""
+    return True
+
+
 @attrs.define(eq=False)
 class HeldBodies:
     """The bytes of requests that a process holds, and those that wait for room.
@@ -70,10 +81,13 @@
         """The number of large bodies that wait for room."""
         return len(self._waiting)
 
-    async def wait_for_room(self, part: 'BodyHold', size: int) -> None:
+    async def wait_for_room(
+        self, part: 'BodyHold', size: int, is_caller_there: CallerCheck
+    ) -> None:
         """Return when a part holds so many bytes; may be cancelled.
 
-        Raises RequestError if too many wait, or if there is never room.
+        Raises RequestError if too many wait, or if there is never room, and
+        CallerDisconnectedError when its caller has left.
         """
         waiting_bytes = (len(self._waiting) + 1) * WAITING_BYTES
         most = self.all_bytes * (1 - SMALL_SHARE)
@@ -84,7 +98,10 @@
         with contextlib.ExitStack() as stack:
             stack.callback(self._leave, turn)
             self.give_room()
-            await turn.has_come
+            while not turn.has_come.done():
+                if not is_caller_there():
+                    raise CallerDisconnectedError('left while its body waited')
+                await asyncio.wait((turn.has_come,), timeout=CALLER_POLL_S)
 
     def refuse(self, size: int, room_result: RoomResult) -> RequestError:
         """Count a body that is refused; return the refusal."""
@@ -122,10 +139,16 @@
     bodies: HeldBodies
     size: int = 0
 
-    async def reserve(self, size: int, wait_s: float) -> None:
+    async def reserve(
+        self,
+        size: int,
+        wait_s: float,
+        is_caller_there: CallerCheck = _always_there,
+    ) -> None:
         """Hold a body of this many bytes, when there is room for all of it.
 
-        Raises RequestError, at once or after wait_s seconds.
+        Raises RequestError, at once or after wait_s seconds, and
+        CallerDisconnectedError when its caller leaves while it waits.
         """
         has_turn = not self.bodies.waiting_count
         if size <= SMALL_BYTES or has_turn and self.bodies.has_room(size, size):
@@ -133,7 +156,7 @@
             return
         try:
             async with asyncio.timeout(wait_s):
-                await self.bodies.wait_for_room(self, size)
+                await self.bodies.wait_for_room(self, size, is_caller_there)
         except TimeoutError as exc:
             raise self.bodies.refuse(size, RoomResult.OVERDUE) from exc
         self.bodies.on_result(RoomResult.WAITED)
@@ -167,7 +190,8 @@
 
     Its length, if it names one, is reserved before it is read, in wait_s
     seconds at most; another one is refused when there is no more room.
-    Raises RequestError for these and above max_bytes.
+    Raises RequestError for these and above max_bytes, and
+    CallerDisconnectedError.
     """
     head_bytes = sum(map(len, itertools.chain(*req.raw_headers)))
     hold.grow(head_bytes + len(req.raw_path))
@@ -176,7 +200,7 @@
     size = req.content_length
     if size is not None:
         _check_size(size, max_bytes)
-        await hold.reserve(size, wait_s)
+        await hold.reserve(size, wait_s, lambda: _is_caller_there(req))
     body = bytearray()
     async for chunk in req.content.iter_any():
         _check_size(len(body) + len(chunk), max_bytes)
@@ -188,6 +212,13 @@
     return body
 
 
+def _is_caller_there(req: web.BaseRequest) -> bool:
+    transport = req.transport
+    return transport is not None and is_established(
+        transport.get_extra_info('socket')
+    )
+
+
 def _check_size(size: int, max_bytes: int) -> None:
     if size > max_bytes:
         raise RequestError(
--- a/mimosaworks/node/relay.py
+++ b/mimosaworks/node/relay.py
@@ -24,7 +24,7 @@
 from mimosaworks.dispatch import CallOutcome
 from mimosaworks.errors import RequestError
 from mimosaworks.events import Event, log_event
-from mimosaworks.node.attempt_error import AttemptError
+from mimosaworks.node.attempt_error import AttemptError, CallerDisconnectedError
 from mimosaworks.node.end_judge import EndJudge, EndProof, SentRequest
 from mimosaworks.node.held_bodies import (
     BodyHold,
@@ -206,6 +206,9 @@
         raise AttemptError(
             CallOutcome.NOT_SENT, exc.message, is_not_run=True
         ) from exc
+    except CallerDisconnectedError as exc:
+        # The asking node is disconnected; the server ends the handler.
+        raise asyncio.CancelledError from exc
 
 
 async def _pass_on(
--- a/mimosaworks/node/witnesses.py
+++ b/mimosaworks/node/witnesses.py
@@ -4,7 +4,6 @@
 import contextlib
 import fcntl
 import math
-import socket
 import sys
 import termios
 from asyncio.trsock import TransportSocket
@@ -14,6 +13,7 @@
 from aiohttp import ClientResponse
 
 from mimosaworks.clock import now_s
+from mimosaworks.connection_state import is_established
 from mimosaworks.node.witness import IdleLife, Sign, Witness, open_witness
 
 # A process that exits closes its connections one by one.
@@ -28,8 +28,6 @@
 # Time in which a target is expected to send another answer without framing.
 RECENT_S = 30.0
 MAX_ADDRESSES = 1000
-# The state of a connection of which the other side has closed nothing.
-TCP_ESTABLISHED = 1
 _INT_BYTES = 4
 
 
@@ -73,10 +71,7 @@
 
     def goes_on(self) -> bool:
         """Return whether the target has closed nothing that arrived by now."""
-        if self._sock is None or self._sock.fileno() < 0:
-            return False
-        state = self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
-        return state[0] == TCP_ESTABLISHED
+        return is_established(self._sock)
 
     def waits(self) -> bool:
         """Return whether more is to come, and all that arrived was read."""
--- a/standins/agency/world.py
+++ b/standins/agency/world.py
@@ -249,11 +249,13 @@
         boot: dict[str, Any] | None = None,
         module: str = NODE_MODULE,
         folder: Path = ROOT,
+        options: tuple[str, ...] = (),
     ) -> NodeHandle:
         """Start a real node and wait until it serves callers.
 
         boot are the settings of an earlier process of the same node; module is
-        the program, folder the checkout with its sources.
+        the program, folder the checkout with its sources, options are further
+        words of the command line.
         """
         boot = boot or self._boot(name)
         path = self.folder / f'{name}.json'
@@ -264,6 +266,7 @@
             boot['listen']['front'],
             '--boot',
             str(path),
+            *options,
             folder=folder,
         )
         node = NodeHandle(process, boot)
--- a/tests/test_node_held_bodies.py
+++ b/tests/test_node_held_bodies.py
@@ -4,6 +4,7 @@
 import contextlib
 from collections import Counter
 from collections.abc import AsyncIterator
+from functools import partial
 from pathlib import Path
 from unittest import mock
 
@@ -13,13 +14,18 @@
 from aiohttp.test_utils import make_mocked_request
 
 from mimosaworks.errors import RequestError
+from mimosaworks.node.attempt_error import CallerDisconnectedError
 from mimosaworks.node.held_bodies import (
     SMALL_BYTES,
     BodyHold,
+    CallerCheck,
     HeldBodies,
     read_request_body,
 )
+from mimosaworks.serving import set_reset_on_close
 from standins.agency.world import (
+    HOST,
+    KEY,
     MODELS,
     AgencyWorld,
     NodeHandle,
@@ -38,6 +44,8 @@
 WAIT_S = 5
 SHORT_S = 0.05
 ANSWER_S = 0.4
+LONG_S = 4  # it holds its body's room meanwhile
+UNREAD_S = 0.3
 TIMEOUT_MS = 20000  # no request is cut by it
 Statuses = Counter[int]
 
@@ -210,3 +218,73 @@
         body = await read_request_body(req, LARGE, hold, WAIT_S)
         assert len(body) == LARGE
         assert LARGE <= bodies.held < LARGE + SMALL_BYTES
+
+
+async def send_large(node: NodeHandle, name: str) -> asyncio.StreamWriter:
+    """Send a large body for which there is room once."""
+    body = bytes(ROOM // 2)
+    _, writer = await asyncio.open_connection(*node.front.split(':'))
+    writer.write(
+        f'POST /look/x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {name}\r\n'
+        f'X-Deadline: {TIMEOUT_MS}\r\nAuthorization: Bearer {KEY}\r\n'
+        f'Content-Length: {len(body)}\r\n\r\n'.encode()
+    )
+    writer.write(body)
+    return writer
+
+
+# Guards against callers that are kept waiting for room, though there is enough,
+# behind a body whose caller has reset its connection, which nobody reads.
+async def test_a_body_whose_caller_left_gives_up_its_turn(
+    world: AgencyWorld,
+) -> None:
+    replica = await world.add_replica('good', service='ledger')
+    options = ('--all-bodies-mb', str(ROOM // 1000000))
+    node = await world.add_node('node-1', options=options)
+    while await ask(world, node, '/look/x', 0) != 200:
+        await asyncio.sleep(SHORT_S)
+    replica.first_s = LONG_S
+    holder = await send_large(node, 'holds')
+    await asyncio.sleep(UNREAD_S)
+    replica.first_s = 0
+    left = await send_large(node, 'left')
+    await asyncio.sleep(UNREAD_S)
+    set_reset_on_close(left.transport, is_on=True)
+    left.transport.abort()
+    async with asyncio.timeout(LONG_S / 2):
+        async with world.request(
+            node, '/look/x', 'behind', bytes(2 * SMALL_BYTES)
+        ) as resp:
+            assert resp.status == 200, await resp.text()
+    assert {'holds', 'behind'} <= set(replica.runs)
+    assert 'left' not in replica.runs
+    holder.transport.abort()
+
+
+async def wait_behind(bodies: HeldBodies, is_caller_there: CallerCheck) -> None:
+    """Wait for the room of a large body."""
+    with bodies.hold() as hold:
+        await hold.reserve(LARGE, WAIT_S, is_caller_there)
+
+
+# Guards against the turn of a caller that left which ends those of others, and
+# against room that is kept for it.
+async def test_only_a_caller_that_left_loses_its_turn() -> None:
+    bodies = HeldBodies(ROOM)
+    first = BodyHold(bodies)
+    await first.reserve(LARGE, WAIT_S)
+    there = {0, 1}
+    waiting = [
+        asyncio.create_task(
+            wait_behind(bodies, partial(there.__contains__, one))
+        )
+        for one in range(2)
+    ]
+    await asyncio.sleep(0)
+    there.remove(0)
+    with pytest.raises(CallerDisconnectedError):
+        await waiting[0]
+    assert bodies.waiting_count == 1
+    first.keep(0)
+    await waiting[1]
+    assert not bodies.held
--- a/tests/test_node_relay.py
+++ b/tests/test_node_relay.py
@@ -22,12 +22,13 @@
 from mimosaworks.node.brittle_targets import BrittleTargets
 from mimosaworks.node.held_bodies import BodyHold, HeldBodies
 from mimosaworks.node.limit_view import LimitView
-from mimosaworks.node.relay import Relay
+from mimosaworks.node.relay import MAX_ROOM_WAIT_S, Relay
 from mimosaworks.node.relay_peers import RELAY_PREFIX, RelayPeers
 from mimosaworks.node.sessions import open_target_session
 from mimosaworks.node.target_notices import TargetNotices
 from mimosaworks.node.target_paths import TargetPaths
 from mimosaworks.platform import decode_desired
+from mimosaworks.serving import set_reset_on_close
 from mimosaworks.wire import NodeRow
 from standins.addresses import reserve_address
 from standins.agency.raw_answer import CHUNKED, RawAnswer, in_chunks
@@ -97,6 +98,7 @@
     peers: RelayPeers
     session: ClientSession
     front: str = ''
+    relay_address: str = ''
     failures: list[AttemptError] = attrs.field(factory=list)
 
     def request(self, path: str, **headers: str) -> Any:
@@ -194,6 +196,7 @@
             relay,
             peers,
             await stack.enter_async_context(ClientSession()),
+            relay_address=address,
         )
         sender = AttemptSender(
             await open_target_session(stack, 5, ANSWER_BYTES),
@@ -234,6 +237,32 @@
     assert world.replica.runs == ['asked']
 
 
+# Guards against a node that keeps others waiting for room, behind a body that
+# the node which sent it has given up.
+async def test_a_relayed_body_whose_sender_left_gives_up_its_turn(
+    world: RelayWorld,
+) -> None:
+    bodies = world.relay.held_bodies
+    body = bytes(ANSWER_BYTES // 2)
+    with bodies.hold() as first:
+        await first.reserve(len(body), 0)
+        _, writer = await asyncio.open_connection(
+            *world.relay_address.split(':')
+        )
+        writer.write(
+            f'POST {RELAY_PREFIX}/post/x HTTP/1.1\r\nHost: {HOST}\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n'.encode()
+        )
+        writer.write(body)
+        await until(lambda: bodies.waiting_count == 1)
+        set_reset_on_close(writer.transport, is_on=True)
+        writer.transport.abort()
+        async with asyncio.timeout(MAX_ROOM_WAIT_S / 2):
+            await until(lambda: not bodies.waiting_count)
+    await until(lambda: not world.relay.running)
+    assert not bodies.held
+
+
 async def test_events_of_a_stream_pass_as_they_come(world: RelayWorld) -> None:
     world.replica.event_s = 0.2
     received = bytearray()
