Count a backlog by checks, not by a time, after a pause

Callers saw: a request whose time was over while its node was paused was answered 200, it had run; others were sent on with almost all of their time (1,979 and 1,926 of 2,000 ms) though the pause had taken 1.2 s.

Cause: requests that waited in the sockets of a paused process count from the pause if they are read within 0.1 s of its first check. A process that gets little processor time behind the pause reads some of them later, and they count from then.

Now the time ends with ten checks, 0.01 s apart: as long as before in a process that runs, longer in one that reads little. A request that is sent behind a pause to a node that is held up may count from the pause, too, for longer than before: it is refused as not run, or has less time.

--- a/mimosaworks/node/stall_detector.py
+++ b/mimosaworks/node/stall_detector.py
@@ -13,8 +13,11 @@
 # A check that is this late shows that the process was paused or too busy to
 # read, so requests sent since the last check waited in its sockets.
 STALL_THRESHOLD_S = 0.25
-# Time after a stall in which the requests that arrived meanwhile are read.
-BACKLOG_READ_S = 0.1
+# Checks after a stall, during which the requests that arrived meanwhile are
+# read. A process with little processor time reads few of them in a given time,
+# and makes few checks.
+BACKLOG_CHECKS = 10
+BACKLOG_CHECK_INTERVAL_S = 0.01
 # Some rounds of the loop, in which those who wait for received bytes go on.
 READ_S = 0.005
 
@@ -23,28 +26,33 @@
 class StallDetector:
     """Periodic check that this process is able to read.
 
-    A request that is read until backlog_read_until_s may have arrived since
+    A request that is read while backlog_checks are left may have arrived since
     stall_started_s, the last check before a stall.
     """
 
     last_check_s: float = math.inf
     stall_started_s: float = math.inf
-    backlog_read_until_s: float = -math.inf
+    backlog_checks: int = 0
 
     async def run_checks(self) -> None:
         """Check periodically until cancelled."""
         while True:  # noqa: WPS457 -- ends when the task is cancelled
             self.earliest_arrival_s()
-            await asyncio.sleep(STALL_CHECK_INTERVAL_S)
+            await asyncio.sleep(
+                BACKLOG_CHECK_INTERVAL_S
+                if self.backlog_checks
+                else STALL_CHECK_INTERVAL_S
+            )
+            self.backlog_checks = max(self.backlog_checks - 1, 0)
 
     def earliest_arrival_s(self) -> float:
         """Return the earliest time when a request read now may have arrived."""
         now = now_s()
         if now - self.last_check_s > STALL_THRESHOLD_S:
             self.stall_started_s = self.last_check_s
-            self.backlog_read_until_s = now + BACKLOG_READ_S
+            self.backlog_checks = BACKLOG_CHECKS
         self.last_check_s = now
-        return self.stall_started_s if now < self.backlog_read_until_s else now
+        return self.stall_started_s if self.backlog_checks else now
 
 
 @contextlib.asynccontextmanager
