--- a/mimosaworks/node/order_runner.py
+++ b/mimosaworks/node/order_runner.py
@@ -10,6 +10,7 @@
 from mimosaworks.dispatch import EngineTarget, Step, apply_reported_models
 from mimosaworks.errors import MimosaError
 from mimosaworks.events import Event, log_event
+from mimosaworks.node.reported_models import held_or_coming
 from mimosaworks.platform import (
     EngineCalls,
     OrderAnswer,
@@ -216,7 +217,7 @@
                 target, report, step, expected_orders
             ):
                 apply_reported_models(
-                    target, report.held_or_coming(), report.orders
+                    target, held_or_coming(report), report.orders
                 )
                 return True
             if _is_report_current(target, report):
@@ -265,7 +266,7 @@
 
 def _holds_models_of_coming(report: TargetReport) -> bool:
     # The places of others could not be counted.
-    return len(report.held_or_coming()) == len(report.residences)
+    return len(held_or_coming(report)) == len(report.residences)
 
 
 def _is_report_current(target: EngineTarget, report: TargetReport) -> bool:
@@ -298,7 +299,7 @@
 
 def _shows_step_effect(report: TargetReport, step: Step) -> bool:
     """Return whether a load is complete, or an unload has left no place."""
-    residences = report.residences if step.is_load else report.held_or_coming()
+    residences = report.residences if step.is_load else held_or_coming(report)
     adapters_by_model = {
         residence.model: residence.adapters for residence in residences
     }
--- a/mimosaworks/platform/engine_calls.py
+++ b/mimosaworks/platform/engine_calls.py
@@ -68,24 +68,6 @@
     residences: tuple[ResidentModel, ...]
     coming: tuple[str, ...] = ()
 
-    def held_or_coming(self) -> tuple[ResidentModel, ...]:
-        """Return the models with their adapters and those on their way.
-
-        A model that the target does not hold has adapters only.
-        """
-        adapters_by_model = {
-            residence.model: set(residence.adapters)
-            for residence in self.residences
-        }
-        for named in self.coming:
-            model, _, adapter = named.partition('/')
-            adapters = adapters_by_model.setdefault(model, set())
-            adapters.add(adapter.partition('@')[0])
-        return tuple(
-            ResidentModel(model, tuple(sorted(adapters)))
-            for model, adapters in adapters_by_model.items()
-        )
-
 
 _ANSWERS = {  # noqa: WPS407 -- read only
     HTTPStatus.ACCEPTED: OrderAnswer.ACCEPTED,
