Heed the notice of a process that had reported before its entry came

A caller had a part of an answer without framing as complete: half a body of a target that ended with its notice (MIXED).

Cause: a request is sent by the entry that its node knows, and carries the incarnation that the target has reported since. Where the entry of that one comes behind the send, and says that it leaves, its notice was taken for that of another process, and the report then confirmed the end. Since that incarnation is kept; before, the later entry broke it off.

The notice of the process that had reported counts as that of the target.

While its entry has not come at all, its notice is unknown; a report still confirms an end then (by reading, open).

--- a/mimosaworks/node/end_judge.py
+++ b/mimosaworks/node/end_judge.py
@@ -272,7 +272,10 @@
 def _is_notice_over(entry: TargetEntry, sent: SentRequest) -> bool:
     """Return whether the target ends now, or has ended, at short notice."""
     is_leaving = entry.state is TargetState.DRAINING
-    is_same = sent.incarnation in {0, entry.incarnation}
+    is_same = not sent.incarnation or entry.incarnation in {
+        sent.incarnation,
+        sent.reported_incarnation,
+    }
     is_over = now_s() >= entry.leaves_at_s - NOTICE_MARGIN_S
     return is_leaving and is_same and is_over
 
--- a/tests/test_node_target_identity.py
+++ b/tests/test_node_target_identity.py
@@ -10,9 +10,11 @@
 from aiohttp.test_utils import TestServer
 
 from mimosaworks.clock import now_s
+from mimosaworks.deployment import TargetState
 from mimosaworks.node.end_judge import (
     EndJudge,
     EndProof,
+    ExpiredAnswerError,
     LostTargetError,
     SentRequest,
 )
@@ -179,6 +181,26 @@
         assert await platform.judge.check_end(sent) is EndProof.REPORT
 
 
+# Guards against a part that is complete at the end of the notice of its target,
+# which had reported that it started again, and whose entry comes later.
+async def test_a_late_entry_of_a_process_that_had_reported_has_a_notice(
+    platform: Platform,
+) -> None:
+    platform.reply = say('{"born": 8}')
+    with pytest.raises(LostTargetError):
+        await platform.check()
+    sent = platform.send()
+    entry = attrs.evolve(
+        make_entry(NAME),
+        incarnation=8,
+        state=TargetState.DRAINING,
+        leaves_at_s=now_s(),
+    )
+    platform.judge.find_targets = {NAME: entry}.copy
+    with pytest.raises(ExpiredAnswerError):
+        await platform.judge.check_end(sent)
+
+
 # Guards against a part that is complete as its target, which has no report, was
 # back at once, or closed its listener a bit behind the answer.
 @pytest.mark.parametrize('is_back', [True, False])
