Read at least one round of the loop at the end of a stop

By reading: two long rounds before could use up the time to read, so that what a stopping node accepted last was closed unread. One round is always left. The tests of stops pass, none shows it.

--- a/mimosaworks/node/planned_stop.py
+++ b/mimosaworks/node/planned_stop.py
@@ -161,8 +161,9 @@
 
 
 async def _wait_rounds(count: int, until_s: float) -> None:
-    """Return after so many rounds of the loop, or at until_s."""
-    remaining = count
+    """Return after so many rounds of the loop, or the first after until_s."""
+    await asyncio.sleep(0)
+    remaining = count - 1
     while remaining and now_s() < until_s:
         await asyncio.sleep(0)
         remaining -= 1
